--- /dev/null
+++ b/api/config.go
@@ -0,0 +1,117 @@
+package api
+
+import "time"
+
+// Config is the whole desired configuration, set by operators with
+// PUT /v1/config and never in parts.
+type Config struct {
+	// Queues take jobs; at least one. Names are unique.
+	Queues []QueueConfig `json:"queues"`
+	// Drains name what gets no new work.
+	Drains DrainConfig `json:"drains"`
+	// Limits bound what callers may ask for.
+	Limits LimitConfig `json:"limits"`
+	// Timings govern heartbeats and holds; they are checked together.
+	Timings TimingConfig `json:"timings"`
+}
+
+// QueueConfig is one queue.
+type QueueConfig struct {
+	// Name is 1 to 64 of a-z, 0-9, '-', '_' or '.'. Required.
+	Name string `json:"name"`
+	// Priority is added to each job's own. Default 0, from -1000 to 1000.
+	Priority int `json:"priority,omitempty"`
+	// Weight is the queue's share among queues of equal priority when room is
+	// short. Default 1, from 1 to 1000.
+	Weight int `json:"weight,omitempty"`
+	// MaxRunningTasks bounds open runs of the queue. Default 0: no bound.
+	MaxRunningTasks int `json:"max_running_tasks,omitempty"`
+	// MaxPendingTasks bounds accepted tasks that are not final and have no
+	// open run; a job beyond it is answered 429. Default 0: the limit
+	// Limits.MaxPendingTasks alone.
+	MaxPendingTasks int `json:"max_pending_tasks,omitempty"`
+	// DefaultAllowedFailures applies to tasks that name none. Default 3.
+	DefaultAllowedFailures int `json:"default_allowed_failures,omitempty"`
+}
+
+// DrainConfig names workers and zones that get no new work.
+type DrainConfig struct {
+	// Workers are worker names: they get no new task, what runs may end.
+	Workers []string `json:"workers,omitempty"`
+	// Zones are zone names: evacuated; what runs there beyond
+	// Timings.DrainGrace is stopped and placed elsewhere.
+	Zones []string `json:"zones,omitempty"`
+}
+
+// LimitConfig bounds requests. A zero means the default.
+type LimitConfig struct {
+	// MaxJobBytes is the largest body of a job. Default 1 MiB.
+	MaxJobBytes int64 `json:"max_job_bytes,omitempty"`
+	// MaxTasksPerJob bounds all tasks of a job. Default 1000.
+	MaxTasksPerJob int `json:"max_tasks_per_job,omitempty"`
+	// MaxPendingTasks bounds waiting tasks of all queues. Default 200000.
+	MaxPendingTasks int `json:"max_pending_tasks,omitempty"`
+	// SubmitsPerSecond bounds accepted submissions of one front. Default 500.
+	SubmitsPerSecond int `json:"submits_per_second,omitempty"`
+}
+
+// TimingConfig governs heartbeats and holds. A zero means the default.
+type TimingConfig struct {
+	// HeartbeatInterval is told to workers. Default 200ms.
+	HeartbeatInterval Duration `json:"heartbeat_interval,omitempty"`
+	// Hold is how long a worker may run on after an accepted heartbeat was
+	// sent. Default 3s.
+	Hold Duration `json:"hold,omitempty"`
+	// DriftMargin is added to the hold in the scheduler's reckoning. Default
+	// 300ms.
+	DriftMargin Duration `json:"drift_margin,omitempty"`
+	// RetryDelay is the pause before a failed task starts again; it doubles
+	// with each failure, up to 32 times. Default 200ms.
+	RetryDelay Duration `json:"retry_delay,omitempty"`
+	// DrainGrace is how long tasks of a drained worker or evacuated zone may
+	// go on before they are stopped and placed elsewhere. Default 10s.
+	DrainGrace Duration `json:"drain_grace,omitempty"`
+	// Retention is how long an ended job can be read back. Default 168h.
+	Retention Duration `json:"retention,omitempty"`
+}
+
+// ConfigStatus is the answer of GET and PUT /v1/config.
+type ConfigStatus struct {
+	// Version grows by one with each accepted configuration. Version 0 is the
+	// built-in empty one.
+	Version uint64 `json:"version"`
+	Config  Config `json:"config"`
+}
+
+// ConfigVersion is a row of GET /v1/config/versions.
+type ConfigVersion struct {
+	Version    uint64    `json:"version"`
+	OrderID    string    `json:"order_id"`
+	AcceptedAt time.Time `json:"accepted_at"`
+	Digest     string    `json:"digest"`
+}
+
+// ConfigVersions is the answer of GET /v1/config/versions, newest first.
+type ConfigVersions struct {
+	Versions []ConfigVersion `json:"versions"`
+}
+
+// ProcessRollout is a row of GET /v1/config/rollout: one live process.
+type ProcessRollout struct {
+	// Process is the settings' name of the process.
+	Process string `json:"process"`
+	// Role is "scheduler", "front" or "agent".
+	Role string `json:"role"`
+	Zone string `json:"zone"`
+	// Version is the configuration that the process last said is in force.
+	Version uint64 `json:"version"`
+	// AgeMillis is the time since it said so.
+	AgeMillis int64 `json:"age_ms"`
+}
+
+// Rollout is the answer of GET /v1/config/rollout.
+type Rollout struct {
+	Version   uint64           `json:"version"`
+	Complete  bool             `json:"complete"`
+	Processes []ProcessRollout `json:"processes"`
+}
--- /dev/null
+++ b/api/heartbeat.go
@@ -0,0 +1,80 @@
+package api
+
+// RunRef names one run of one task.
+type RunRef struct {
+	// Task is "JOB/STEP/INDEX".
+	Task string `json:"task"`
+	// Run counts the task's runs from 1.
+	Run uint32 `json:"run"`
+}
+
+// Outcome is how a run ended.
+type Outcome string
+
+// Outcomes. Workers report the first three; the scheduler closes a run as
+// lost, which never counts as a failure.
+const (
+	OutcomeSucceeded Outcome = "succeeded"
+	OutcomeFailed    Outcome = "failed"
+	OutcomeStopped   Outcome = "stopped"
+	OutcomeLost      Outcome = "lost"
+)
+
+// EndedRun is a worker's report of a run that is over.
+type EndedRun struct {
+	RunRef
+	Outcome Outcome `json:"outcome"`
+	// Message says more for people, at most 1 KiB. Optional.
+	Message string `json:"message,omitempty"`
+}
+
+// Heartbeat is the body of POST /v1/heartbeat, worker to agent.
+type Heartbeat struct {
+	// WorkerID is new for each life of the worker process. Required.
+	WorkerID string `json:"worker_id"`
+	// Name stays the same over restarts. Required.
+	Name string `json:"name"`
+	// Seq grows by at least one with each heartbeat of this WorkerID, from 1.
+	Seq uint64 `json:"seq"`
+	// AcceptedSeq is the last Seq whose answer was accepted; 0 if none.
+	AcceptedSeq uint64 `json:"accepted_seq"`
+	// Capacity is the whole room of the worker.
+	Capacity Resources `json:"capacity"`
+	// Services are the handlers offered.
+	Services []string `json:"services"`
+	// Labels describe the worker; the agent adds "zone".
+	Labels map[string]string `json:"labels,omitempty"`
+	// Running lists every run accepted and not yet ended.
+	Running []RunRef `json:"running"`
+	// Ended lists every run that is over and not yet acknowledged.
+	Ended []EndedRun `json:"ended"`
+	// Draining is true once the worker was told to leave: no new starts.
+	Draining bool `json:"draining"`
+}
+
+// StartOrder tells a worker to start a run. It stands in exactly one answer.
+type StartOrder struct {
+	RunRef
+	// Spec is the whole description of the task.
+	Spec TaskSpec `json:"spec"`
+}
+
+// HeartbeatAnswer answers a Heartbeat.
+type HeartbeatAnswer struct {
+	// Seq is the Seq of the heartbeat that this answers.
+	Seq uint64 `json:"seq"`
+	// Token is the fencing token; one lower than the highest seen is refused.
+	Token uint64 `json:"token"`
+	// HoldMillis: the worker may run its tasks until this long after it sent
+	// the heartbeat, on its own monotonic clock.
+	HoldMillis int64 `json:"hold_ms"`
+	// IntervalMillis is the pause before the next heartbeat.
+	IntervalMillis int64 `json:"interval_ms"`
+	// Start lists new runs; Stop lists runs to stop, repeated until they end.
+	Start []StartOrder `json:"start"`
+	Stop  []RunRef     `json:"stop"`
+	// Acknowledged lists ended runs that the record now holds.
+	Acknowledged []RunRef `json:"acknowledged"`
+	// ConfigVersion is the configuration in force.
+	ConfigVersion uint64 `json:"config_version"`
+}
--- /dev/null
+++ b/api/job.go
@@ -0,0 +1,170 @@
+package api
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// JobSpec is what a caller hands in with PUT /v1/jobs/{id}.
+type JobSpec struct {
+	// Queue names a queue of the configuration in force. Required.
+	Queue string `json:"queue"`
+	// Priority orders work within the whole fleet; higher first. Default 0,
+	// from -1000 to 1000.
+	Priority int `json:"priority,omitempty"`
+	// Steps are the parts of the job, at least one. A step starts once every
+	// step in its After list has succeeded.
+	Steps []StepSpec `json:"steps"`
+}
+
+// StepSpec is a set of tasks that become ready together.
+type StepSpec struct {
+	// Name is unique in the job. Required.
+	Name string `json:"name"`
+	// After names the steps that must have succeeded first. Default none.
+	After []string `json:"after,omitempty"`
+	// NotBefore is the earliest start of the step's tasks, on the cluster
+	// clock. Default: at once.
+	NotBefore *time.Time `json:"not_before,omitempty"`
+	// Together makes the step's tasks a group: all are placed in one decision
+	// or none is. Default false.
+	Together bool `json:"together,omitempty"`
+	// Tasks are the units of work, at least one.
+	Tasks []TaskSpec `json:"tasks"`
+}
+
+// TaskSpec is one unit of work. An order carries it whole to the worker.
+type TaskSpec struct {
+	// Service is the handler that the worker must offer. Required.
+	Service string `json:"service"`
+	// Payload is handed to the handler unread. Default null.
+	Payload json.RawMessage `json:"payload,omitempty"`
+	// Resources is the room that the task takes while it runs.
+	Resources Resources `json:"resources"`
+	// Labels must all be present, with these values, on the worker.
+	Labels map[string]string `json:"labels,omitempty"`
+	// Spread limits how many open runs of the same step share a domain.
+	Spread *Spread `json:"spread,omitempty"`
+	// AllowedFailures is the number of failed runs at which the task is
+	// failed for good. 0 and 1 both mean that the first failure is final.
+	// Default: the queue's DefaultAllowedFailures.
+	AllowedFailures *int `json:"allowed_failures,omitempty"`
+	// MaxDuration is the longest that one run may take; the worker stops a
+	// longer one and reports it as failed. Default 0: no bound.
+	MaxDuration Duration `json:"max_duration,omitempty"`
+	// Preemptible lets the scheduler stop the run to make room; it is not
+	// counted as a failure.
+	Preemptible bool `json:"preemptible,omitempty"`
+	// UntilCancelled marks a task that is not expected to end by itself.
+	UntilCancelled bool `json:"until_cancelled,omitempty"`
+}
+
+// Spread keeps the tasks of one step apart.
+type Spread struct {
+	// By is the domain: "worker", "zone" or "label:KEY". Required.
+	By string `json:"by"`
+	// MaxPerDomain is the most open runs of the step in one domain. Default 1.
+	MaxPerDomain int `json:"max_per_domain,omitempty"`
+}
+
+// Spread domains.
+const (
+	SpreadByWorker      = "worker"
+	SpreadByZone        = "zone"
+	SpreadByLabelPrefix = "label:"
+)
+
+// Resources is an amount of room, of a worker or of a task.
+type Resources struct {
+	// CPUMillis is processor share in thousandths of a core.
+	CPUMillis int64 `json:"cpu_millis,omitempty" yaml:"cpu_millis"`
+	// MemoryMB is memory in mebibytes.
+	MemoryMB int64 `json:"memory_mb,omitempty" yaml:"memory_mb"`
+	// Accelerators is a count of whole devices.
+	Accelerators int64 `json:"accelerators,omitempty" yaml:"accelerators"`
+}
+
+// Add returns the sum of both amounts.
+func (r Resources) Add(other Resources) Resources {
+	return Resources{r.CPUMillis + other.CPUMillis, r.MemoryMB + other.MemoryMB, r.Accelerators + other.Accelerators}
+}
+
+// Sub returns r less other; it may be negative.
+func (r Resources) Sub(other Resources) Resources {
+	return Resources{r.CPUMillis - other.CPUMillis, r.MemoryMB - other.MemoryMB, r.Accelerators - other.Accelerators}
+}
+
+// Fits reports whether r is no larger than room in every dimension.
+func (r Resources) Fits(room Resources) bool {
+	return r.CPUMillis <= room.CPUMillis && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
+}
+
+// State is the state of a job, a step or a task.
+type State string
+
+// States. Succeeded, Failed and Cancelled are final.
+const (
+	StatePending   State = "pending"
+	StateRunning   State = "running"
+	StateSucceeded State = "succeeded"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Final reports whether the state can no longer change.
+func (s State) Final() bool {
+	return s == StateSucceeded || s == StateFailed || s == StateCancelled
+}
+
+// JobStatus is the answer of GET /v1/jobs/{id}.
+type JobStatus struct {
+	ID       string `json:"id"`
+	Queue    string `json:"queue"`
+	Priority int    `json:"priority"`
+	State    State  `json:"state"`
+	// SubmittedAt and EndedAt are cluster time; EndedAt is absent until the
+	// state is final.
+	SubmittedAt time.Time    `json:"submitted_at"`
+	EndedAt     *time.Time   `json:"ended_at,omitempty"`
+	Steps       []StepStatus `json:"steps,omitempty"`
+	// Archived is true once the job was reduced to its outcome.
+	Archived bool `json:"archived,omitempty"`
+}
+
+// StepStatus is the state of one step.
+type StepStatus struct {
+	Name  string       `json:"name"`
+	State State        `json:"state"`
+	Tasks []TaskStatus `json:"tasks"`
+}
+
+// TaskStatus is the state of one task.
+type TaskStatus struct {
+	// Task is the task's full name, "JOB/STEP/INDEX".
+	Task  string `json:"task"`
+	State State  `json:"state"`
+	// Reason says why a pending task waits or how a final one ended.
+	Reason string `json:"reason,omitempty"`
+	// Run is the number of the newest run; 0 if none was placed.
+	Run uint32 `json:"run"`
+	// Worker is the name of the worker of the newest run.
+	Worker   string `json:"worker,omitempty"`
+	Failures int    `json:"failures"`
+}
+
+// JobSummary is a row of GET /v1/jobs.
+type JobSummary struct {
+	ID          string    `json:"id"`
+	Queue       string    `json:"queue"`
+	State       State     `json:"state"`
+	SubmittedAt time.Time `json:"submitted_at"`
+	TasksTotal  int       `json:"tasks_total"`
+	TasksEnded  int       `json:"tasks_ended"`
+}
+
+// JobList is the answer of GET /v1/jobs.
+type JobList struct {
+	Jobs []JobSummary `json:"jobs"`
+	// NextPageToken is empty on the last page.
+	NextPageToken string `json:"next_page_token,omitempty"`
+}
--- /dev/null
+++ b/internal/record/machine.go
@@ -0,0 +1,4 @@
+package record
+
+// Machine is the state machine; see doc.go.
+type Machine struct{}
--- /dev/null
+++ b/internal/record/types.go
@@ -0,0 +1,406 @@
+package record
+
+import (
+	"fmt"
+	"iter"
+
+	"github.com/decklever/decklever/api"
+)
+
+// Millis is cluster time in Unix milliseconds.
+type Millis int64
+
+// TaskID names a task.
+type TaskID struct {
+	Job   string `cbor:"1,keyasint"`
+	Step  string `cbor:"2,keyasint"`
+	Index int    `cbor:"3,keyasint"`
+}
+
+// String returns "JOB/STEP/INDEX", the form that workers see.
+func (t TaskID) String() string { return fmt.Sprintf("%s/%s/%d", t.Job, t.Step, t.Index) }
+
+// RunID names one run of a task.
+type RunID struct {
+	Task   TaskID `cbor:"1,keyasint"`
+	Number uint32 `cbor:"2,keyasint"`
+}
+
+// TaskState is finer than api.State: it tells whether a task can be placed.
+type TaskState uint8
+
+// Task states. The last three are final.
+const (
+	// TaskBlocked waits for steps before it.
+	TaskBlocked TaskState = iota
+	// TaskReady can be placed once its NotBefore has come.
+	TaskReady
+	// TaskPlaced has an open run.
+	TaskPlaced
+	TaskSucceeded
+	TaskFailed
+	TaskCancelled
+)
+
+// Final reports whether the state can no longer change.
+func (s TaskState) Final() bool { return s >= TaskSucceeded }
+
+// Job is a live job. Callers outside this package only read it, under View.
+type Job struct {
+	ID   string
+	Spec api.JobSpec
+	// Digest is the SHA-256 of the canonical spec, in hex.
+	Digest      string
+	SubmittedAt Millis
+	// Cancelled is set by a cancel; open runs are then marked to stop.
+	Cancelled bool
+	Steps     []*Step
+	// OpenTasks counts tasks that are not final.
+	OpenTasks int
+}
+
+// Step is one step of a live job.
+type Step struct {
+	Job   *Job
+	Index int
+	Spec  *api.StepSpec
+	// WaitsOn counts the steps before it that have not succeeded.
+	WaitsOn int
+	Tasks   []*Task
+	// OpenTasks counts tasks that are not final; FailedTasks counts failed.
+	OpenTasks   int
+	FailedTasks int
+}
+
+// Task is one task of a live job.
+type Task struct {
+	ID    TaskID
+	Step  *Step
+	Spec  *api.TaskSpec
+	State TaskState
+	// Failures counts failed runs. AllowedFailures is at least 1: the task is
+	// failed for good once Failures reaches it.
+	Failures        int
+	AllowedFailures int
+	// LastRun is the number of the newest run, 0 if none was placed.
+	LastRun uint32
+	// Run is the open run; nil unless State is TaskPlaced.
+	Run *Run
+	// LastWorker names the worker of the newest run.
+	LastWorker string
+	// NotBefore is the earliest next start: the step's or the retry's.
+	NotBefore Millis
+	// Reason says how a final task ended or why the last run did.
+	Reason string
+}
+
+// Run is an open run: it holds room on its worker until it is closed.
+type Run struct {
+	Task   *Task
+	Number uint32
+	// WorkerID is the worker incarnation, Worker its stable name.
+	WorkerID string
+	Worker   string
+	// Token is the term of the leader that placed the run.
+	Token    uint64
+	PlacedAt Millis
+	// Stop is why the run must be stopped; empty while it need not be.
+	Stop StopReason
+}
+
+// ID returns the run's name.
+func (r *Run) ID() RunID { return RunID{Task: r.Task.ID, Number: r.Number} }
+
+// StopReason is why a run is to be stopped.
+type StopReason string
+
+// Stop reasons. None counts as a failure.
+const (
+	StopNone      StopReason = ""
+	StopCancelled StopReason = "cancelled"
+	StopDrained   StopReason = "drained"
+	StopPreempted StopReason = "preempted"
+	// StopGroup: the run's group did not start whole.
+	StopGroup StopReason = "group"
+)
+
+// Worker is a worker known to the record; the newest incarnation of a name.
+// An incarnation is replaced only once the earlier one has no open run.
+type Worker struct {
+	Name     string            `cbor:"1,keyasint"`
+	ID       string            `cbor:"2,keyasint"`
+	Zone     string            `cbor:"3,keyasint"`
+	Capacity api.Resources     `cbor:"4,keyasint"`
+	Services []string          `cbor:"5,keyasint"`
+	Labels   map[string]string `cbor:"6,keyasint"`
+	// RegisteredAt is when this incarnation was first seen.
+	RegisteredAt Millis `cbor:"7,keyasint"`
+}
+
+// Command is one entry of the log. Exactly one of the pointers is set.
+type Command struct {
+	// Time is the cluster clock when the leader proposed it; Apply treats it
+	// as the greatest of this and all before.
+	Time Millis `cbor:"1,keyasint"`
+	// Token is the proposing leader's term.
+	Token uint64 `cbor:"2,keyasint"`
+
+	Submit    *Submit          `cbor:"3,keyasint,omitempty"`
+	Cancel    *Cancel          `cbor:"4,keyasint,omitempty"`
+	PutConfig *PutConfig       `cbor:"5,keyasint,omitempty"`
+	Place     *Place           `cbor:"6,keyasint,omitempty"`
+	Close     *Close           `cbor:"7,keyasint,omitempty"`
+	Stop      *Stop            `cbor:"8,keyasint,omitempty"`
+	Register  *RegisterWorkers `cbor:"9,keyasint,omitempty"`
+	Forget    *ForgetWorkers   `cbor:"10,keyasint,omitempty"`
+	Expire    *ExpireArchive   `cbor:"11,keyasint,omitempty"`
+}
+
+// Submit adds a job.
+type Submit struct {
+	ID     string      `cbor:"1,keyasint"`
+	Spec   api.JobSpec `cbor:"2,keyasint"`
+	Digest string      `cbor:"3,keyasint"`
+}
+
+// Cancel cancels jobs; unknown and ended ones are passed over.
+type Cancel struct {
+	Jobs []string `cbor:"1,keyasint"`
+}
+
+// PutConfig proposes a whole configuration.
+type PutConfig struct {
+	OrderID string     `cbor:"1,keyasint"`
+	Base    uint64     `cbor:"2,keyasint"`
+	Config  api.Config `cbor:"3,keyasint"`
+	Digest  string     `cbor:"4,keyasint"`
+	// Refusal is set when validation failed: the order is then recorded as
+	// refused, so that the same order is never in force later.
+	Refusal *api.Error `cbor:"5,keyasint,omitempty"`
+}
+
+// Place opens runs. It is checked again when applied: each one must still fit
+// (task ready, time come, worker incarnation current, room, service, labels,
+// spread); one that does not is rejected alone, except that a group is
+// rejected whole.
+type Place struct {
+	Placements []Placement `cbor:"1,keyasint"`
+}
+
+// Placement opens run Number (the task's LastRun plus one) on a worker.
+type Placement struct {
+	Run      RunID  `cbor:"1,keyasint"`
+	WorkerID string `cbor:"2,keyasint"`
+	Worker   string `cbor:"3,keyasint"`
+}
+
+// Close ends runs. A success of a closed run counts if no newer run was
+// placed and the task is not final; any other report on a closed run changes
+// nothing.
+type Close struct {
+	Runs []RunEnd `cbor:"1,keyasint"`
+}
+
+// RunEnd is how one run ended.
+type RunEnd struct {
+	Run     RunID       `cbor:"1,keyasint"`
+	Outcome api.Outcome `cbor:"2,keyasint"`
+	Message string      `cbor:"3,keyasint,omitempty"`
+}
+
+// Stop marks open runs to be stopped; the first reason stands, except that
+// StopCancelled overrides.
+type Stop struct {
+	Runs   []RunID    `cbor:"1,keyasint"`
+	Reason StopReason `cbor:"2,keyasint"`
+}
+
+// RegisterWorkers adds workers or changes what is known of them. One whose
+// name has an earlier incarnation with open runs is rejected.
+type RegisterWorkers struct {
+	Workers []Worker `cbor:"1,keyasint"`
+}
+
+// ForgetWorkers removes workers that have no open run.
+type ForgetWorkers struct {
+	Names []string `cbor:"1,keyasint"`
+}
+
+// ExpireArchive drops archived jobs that ended before a time, at most Limit.
+type ExpireArchive struct {
+	Before Millis `cbor:"1,keyasint"`
+	Limit  int    `cbor:"2,keyasint"`
+}
+
+// Result is what Apply tells the proposer.
+type Result struct {
+	// Index is the entry's place in the log.
+	Index uint64
+	// Submit is set for Submit, Config for PutConfig.
+	Submit *SubmitResult
+	Config *ConfigResult
+	// Rejected lists placements that no longer held.
+	Rejected []RunID
+	// RejectedWorkers lists names that could not be registered yet.
+	RejectedWorkers []string
+}
+
+// SubmitOutcome is how a submission ended.
+type SubmitOutcome uint8
+
+// Submit outcomes.
+const (
+	SubmitAccepted SubmitOutcome = iota
+	// SubmitSame: the same content was accepted before.
+	SubmitSame
+	// SubmitConflict: other content is known under the id.
+	SubmitConflict
+	// SubmitUnknownQueue: the queue left the configuration meanwhile.
+	SubmitUnknownQueue
+)
+
+// SubmitResult answers a Submit.
+type SubmitResult struct {
+	Outcome SubmitOutcome
+}
+
+// ConfigResult answers a PutConfig, the same for each resend of an order.
+type ConfigResult struct {
+	// Version is the new version if accepted, else the one in force.
+	Version uint64
+	// Refusal is nil if the order was accepted, then or earlier.
+	Refusal *api.Error
+}
+
+// Event tells an observer of one change, in the order of the log.
+type Event interface{ event() }
+
+// Events.
+type (
+	// TaskBecameReady: the task can be placed from its NotBefore on.
+	TaskBecameReady struct{ Task *Task }
+	// TaskLeftReady: a ready task became final without a run.
+	TaskLeftReady struct{ Task *Task }
+	// RunOpened follows a Place.
+	RunOpened struct{ Run *Run }
+	// RunStopping: the run was marked to stop.
+	RunStopping struct{ Run *Run }
+	// RunClosed: the run's room is free again.
+	RunClosed struct {
+		Run     *Run
+		Outcome api.Outcome
+	}
+	// JobAdded and JobEnded frame a live job.
+	JobAdded struct{ Job *Job }
+	JobEnded struct{ Job *Job }
+	// ConfigChanged: a new version is in force.
+	ConfigChanged struct {
+		Version uint64
+		Config  *api.Config
+	}
+	// WorkerChanged: a worker was registered, or what is known of it changed.
+	WorkerChanged struct{ Worker *Worker }
+	// WorkerForgotten: the name is no longer known.
+	WorkerForgotten struct{ Worker *Worker }
+	// StateReplaced: a snapshot was restored; all must be read anew.
+	StateReplaced struct{}
+)
+
+func (TaskBecameReady) event() {}
+func (TaskLeftReady) event()   {}
+func (RunOpened) event()       {}
+func (RunStopping) event()     {}
+func (RunClosed) event()       {}
+func (JobAdded) event()        {}
+func (JobEnded) event()        {}
+func (ConfigChanged) event()   {}
+func (WorkerChanged) event()   {}
+func (WorkerForgotten) event() {}
+func (StateReplaced) event()   {}
+
+// View reads the record. It is valid only inside the callback that it was
+// given to. What it returns must not be changed or kept.
+type View interface {
+	// Job returns a live job.
+	Job(id string) (*Job, bool)
+	// Jobs yields live jobs in the order of their ids, from after on.
+	Jobs(after string) iter.Seq[*Job]
+	// Task returns a task of a live job.
+	Task(id TaskID) (*Task, bool)
+	// Worker returns the newest incarnation under a name.
+	Worker(name string) (*Worker, bool)
+	Workers() iter.Seq[*Worker]
+	// OpenRuns yields the open runs on a worker incarnation, and AllOpenRuns
+	// every one, both in the order of their ids.
+	OpenRuns(workerID string) iter.Seq[*Run]
+	AllOpenRuns() iter.Seq[*Run]
+	// Used is the room that open runs take on a worker incarnation.
+	Used(workerID string) api.Resources
+	// Config returns the configuration in force with defaults filled in.
+	Config() (version uint64, config *api.Config)
+	// ConfigVersions returns the accepted versions, newest first.
+	ConfigVersions() []api.ConfigVersion
+	// Order returns the outcome of a configuration order.
+	Order(id string) (result ConfigResult, digest string, known bool)
+	// QueueCounts returns what a queue holds.
+	QueueCounts(queue string) QueueCounts
+	// Status builds the answer to a caller, live or archived. reason gives
+	// the text for a task that waits; it may be nil.
+	Status(id string, reason func(*Task) string) (api.JobStatus, bool, error)
+	// Clock is the greatest command time applied.
+	Clock() Millis
+	// Applied is the index of the last entry applied.
+	Applied() uint64
+}
+
+// QueueCounts is the content of one queue.
+type QueueCounts struct {
+	Jobs, PendingTasks, RunningTasks int
+}
+
+// ArchivedJob is what is kept of an ended job.
+type ArchivedJob struct {
+	ID          string         `cbor:"1,keyasint"`
+	Digest      string         `cbor:"2,keyasint"`
+	Queue       string         `cbor:"3,keyasint"`
+	Priority    int            `cbor:"4,keyasint"`
+	State       api.State      `cbor:"5,keyasint"`
+	SubmittedAt Millis         `cbor:"6,keyasint"`
+	EndedAt     Millis         `cbor:"7,keyasint"`
+	Steps       []ArchivedStep `cbor:"8,keyasint"`
+	Index       uint64         `cbor:"9,keyasint"` // log index of the entry that ended it
+}
+
+// ArchivedStep keeps the outcomes of one step.
+type ArchivedStep struct {
+	Name  string         `cbor:"1,keyasint"`
+	Tasks []ArchivedTask `cbor:"2,keyasint"`
+}
+
+// ArchivedTask keeps the outcome of one task.
+type ArchivedTask struct {
+	State    api.State `cbor:"1,keyasint"`
+	Run      uint32    `cbor:"2,keyasint,omitempty"`
+	Failures int       `cbor:"3,keyasint,omitempty"`
+	Worker   string    `cbor:"4,keyasint,omitempty"`
+	Reason   string    `cbor:"5,keyasint,omitempty"`
+}
+
+// Archive stores ended jobs outside of memory. Writes are idempotent: after a
+// restart the log is applied again from the snapshot.
+type Archive interface {
+	// Put keeps jobs; it need not be durable before Sync returns.
+	Put(jobs []ArchivedJob) error
+	Get(id string) (ArchivedJob, bool, error)
+	// Page returns at most limit jobs in the order of (Index, ID), from after
+	// that place on, for a newcomer's copy.
+	Page(afterIndex uint64, afterID string, limit int) ([]ArchivedJob, error)
+	// List returns at most limit jobs in the order of their ids.
+	List(afterID string, limit int) ([]ArchivedJob, error)
+	// Expire drops at most limit jobs that ended before the time, oldest
+	// first, and returns how many.
+	Expire(before Millis, limit int) (int, error)
+	// Sync makes all earlier calls durable; the record calls it before a
+	// snapshot that leaves those jobs out.
+	Sync() error
+}
