Check jobs and configurations, and add the Go client

Callers need every wrong field at once, resends need one digest for the same content, and the command line needs a client that survives a lost front.

--- /dev/null
+++ b/api/client.go
@@ -0,0 +1,235 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of the client.
+const (
+	// MaxWait is the longest that a front holds a read of a job.
+	MaxWait = 60 * time.Second
+	// defaultTryTimeout is a little longer than the 3 s in which a front
+	// answers, so that its own answer is what the client gets.
+	defaultTryTimeout = 4 * time.Second
+	// maxAnswerBytes bounds the answer that the client reads.
+	maxAnswerBytes = 64 << 20
+	// Connections that are kept for the next call.
+	maxIdleConnections = 256
+	idleTimeout        = 60 * time.Second
+	// Pauses between tries that the front names no time for.
+	firstBackoff = 20 * time.Millisecond
+	maxBackoff   = time.Second
+	// maxRetryAfter bounds a pause that a front asks for.
+	maxRetryAfter = 10 * time.Second
+)
+
+// ClientConfig says where the fronts are.
+type ClientConfig struct {
+	// Endpoints are base URLs of fronts, such as "http://127.1.0.1:7100". At
+	// least one.
+	Endpoints []string
+	// HTTPClient is used for all calls. Default: a client of its own.
+	HTTPClient *http.Client
+	// Timeout bounds one try, besides the time that a read is held. Default 4s.
+	Timeout time.Duration
+}
+
+// Client calls the HTTP interface of the fronts. Every call may safely be
+// sent again, so it goes on to the next endpoint after a failed connection or
+// a 503 answer, until the context ends. All errors are *Error: the answer of
+// a front, or, if none was had, status 503 with CodeUnavailable, or
+// CodeOutcomeUnknown if the call may have had its effect. A Client may be
+// used by several goroutines at once.
+type Client struct {
+	endpoints []string
+	http      *http.Client
+	timeout   time.Duration
+	// current is the endpoint that answered last; at first any.
+	current atomic.Int64
+}
+
+// NewClient checks the endpoints; it connects to none.
+func NewClient(config ClientConfig) (*Client, error) {
+	if len(config.Endpoints) == 0 {
+		return nil, errors.New("no endpoints given")
+	}
+	client := &Client{http: config.HTTPClient, timeout: config.Timeout}
+	for _, endpoint := range config.Endpoints {
+		parsed, err := url.Parse(endpoint)
+		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+			return nil, fmt.Errorf("endpoint %q is not a URL such as http://127.1.0.1:7100", endpoint)
+		}
+		client.endpoints = append(client.endpoints, strings.TrimRight(endpoint, "/"))
+	}
+	if client.http == nil {
+		client.http = newHTTPClient()
+	}
+	if client.timeout <= 0 {
+		client.timeout = defaultTryTimeout
+	}
+	client.current.Store(rand.Int64N(int64(len(client.endpoints))))
+	return client, nil
+}
+
+// newHTTPClient makes an HTTP client that keeps enough connections for many
+// calls at once.
+func newHTTPClient() *http.Client {
+	transport := &http.Transport{
+		Proxy:               http.ProxyFromEnvironment,
+		MaxIdleConns:        maxIdleConnections,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &http.Client{Transport: transport}
+}
+
+// Close closes idle connections; calls under way are not touched.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// clientCall is one call, however often it is tried.
+type clientCall struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	// held is how long the front may hold its answer.
+	held time.Duration
+	// effect: the call changes something, so a lost answer leaves its outcome
+	// unknown.
+	effect bool
+}
+
+// do tries the call at one endpoint after the other until it has an answer
+// that is not 503, or the context ends.
+func (c *Client) do(ctx context.Context, call clientCall, into any) error {
+	endpoint := c.current.Load()
+	maybeDone := false
+	for attempt := 0; ; attempt++ {
+		failure := c.try(ctx, c.endpoints[endpoint], call, into)
+		if failure == nil || failure.Status != http.StatusServiceUnavailable {
+			c.current.Store(endpoint)
+		}
+		if failure == nil {
+			return nil
+		}
+		maybeDone = maybeDone || failure.Code == CodeOutcomeUnknown
+		if failure.Status == http.StatusServiceUnavailable && pause(ctx, retryPause(attempt, failure)) {
+			endpoint = (endpoint + 1) % int64(len(c.endpoints))
+			continue
+		}
+		if maybeDone && failure.Code == CodeUnavailable {
+			failure.Code = CodeOutcomeUnknown
+		}
+		return failure
+	}
+}
+
+// try makes one try at one endpoint.
+func (c *Client) try(ctx context.Context, endpoint string, call clientCall, into any) *Error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.held)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, call.method, endpoint+call.path, bytes.NewReader(call.body))
+	if err != nil {
+		return malformed(err.Error())
+	}
+	for name, values := range call.header {
+		request.Header[name] = values
+	}
+	if call.body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return noAnswer(call, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return noAnswer(call, err)
+	}
+	return readAnswer(response, body, into)
+}
+
+// readAnswer decodes what a front answered. Unknown fields are ignored, so
+// that an older client can talk to a newer front.
+func readAnswer(response *http.Response, body []byte, into any) *Error {
+	if response.StatusCode < 300 {
+		if err := json.Unmarshal(body, into); err != nil {
+			return &Error{Status: response.StatusCode, Code: CodeInternal, Message: fmt.Sprintf("the answer could not be read: %v", err)}
+		}
+		return nil
+	}
+	failure := &Error{}
+	if err := json.Unmarshal(body, failure); err != nil || failure.Code == "" {
+		failure = &Error{Code: CodeInternal, Message: fmt.Sprintf("answer %s without a reason", response.Status)}
+		if response.StatusCode == http.StatusServiceUnavailable {
+			failure.Code = CodeUnavailable
+		}
+	}
+	failure.Status = response.StatusCode
+	if failure.RetryAfterMillis == 0 {
+		failure.RetryAfterMillis = retryAfterHeader(response.Header)
+	}
+	return failure
+}
+
+// retryAfterHeader reads a Retry-After of whole seconds, in milliseconds.
+func retryAfterHeader(header http.Header) int64 {
+	seconds, err := time.ParseDuration(header.Get("Retry-After") + "s")
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return seconds.Milliseconds()
+}
+
+// noAnswer is the error of a call that got no answer. Only one that could not
+// even connect had surely no effect.
+func noAnswer(call clientCall, err error) *Error {
+	failure := &Error{Status: http.StatusServiceUnavailable, Code: CodeUnavailable, Message: err.Error()}
+	var network *net.OpError
+	unsent := errors.As(err, &network) && network.Op == "dial"
+	if call.effect && !unsent {
+		failure.Code = CodeOutcomeUnknown
+	}
+	return failure
+}
+
+// retryPause is the pause before the next try: what the front asked for, or
+// an exponential backoff; between a half and the whole of it, so that
+// clients spread.
+func retryPause(attempt int, failure *Error) time.Duration {
+	if failure.RetryAfterMillis > 0 {
+		asked := min(time.Duration(failure.RetryAfterMillis)*time.Millisecond, maxRetryAfter)
+		return asked + rand.N(asked/4+1)
+	}
+	longest := min(firstBackoff<<min(attempt, 10), maxBackoff)
+	return longest/2 + rand.N(longest/2)
+}
+
+// pause waits, and reports whether the context still goes on afterwards. It
+// does not wait at all if the context would end before the pause does.
+func pause(ctx context.Context, length time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= length {
+		return false
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/api/config.go
+++ b/api/config.go
@@ -36,10 +36,10 @@
 
 // DrainConfig names workers and zones that get no new work.
 type DrainConfig struct {
-	// Workers are worker names: they get no new task, what runs may end.
-	Workers []string `json:"workers,omitempty"`
-	// Zones are zone names: evacuated; what runs there beyond
+	// Workers are worker names: they get no new task; what runs there beyond
 	// Timings.DrainGrace is stopped and placed elsewhere.
+	Workers []string `json:"workers,omitempty"`
+	// Zones are zone names: each of their workers is drained.
 	Zones []string `json:"zones,omitempty"`
 }
 
@@ -100,7 +100,8 @@
 type ProcessRollout struct {
 	// Process is the settings' name of the process.
 	Process string `json:"process"`
-	// Role is "scheduler", "front" or "agent".
+	// Role is "front" or "agent". Schedulers are not listed: the leader acts on
+	// the record itself, and a new one leads only once it has all of it.
 	Role string `json:"role"`
 	Zone string `json:"zone"`
 	// Version is the configuration that the process last said is in force.
--- /dev/null
+++ b/api/defaults.go
@@ -0,0 +1,64 @@
+package api
+
+import (
+	"slices"
+	"time"
+)
+
+// Defaults of the configuration; a zero value means these.
+const (
+	DefaultQueueWeight       = 1
+	DefaultAllowedFailures   = 3
+	DefaultMaxJobBytes       = int64(1 << 20)
+	DefaultMaxTasksPerJob    = 1000
+	DefaultMaxPendingTasks   = 200_000
+	DefaultSubmitsPerSecond  = 500
+	DefaultHeartbeatInterval = 200 * time.Millisecond
+	DefaultHold              = 3 * time.Second
+	DefaultDriftMargin       = 300 * time.Millisecond
+	DefaultRetryDelay        = 200 * time.Millisecond
+	DefaultDrainGrace        = 10 * time.Second
+	DefaultRetention         = 168 * time.Hour
+)
+
+// WithDefaults returns a copy in which each zero that stands for a default is
+// replaced by it. The receiver's queues are not changed.
+func (c Config) WithDefaults() Config {
+	c.Queues = slices.Clone(c.Queues)
+	for index := range c.Queues {
+		queue := &c.Queues[index]
+		setDefault(&queue.Weight, DefaultQueueWeight)
+		setDefault(&queue.DefaultAllowedFailures, DefaultAllowedFailures)
+	}
+	c.Limits = c.Limits.WithDefaults()
+	c.Timings = c.Timings.WithDefaults()
+	return c
+}
+
+// WithDefaults returns the limits with each zero replaced by its default.
+func (l LimitConfig) WithDefaults() LimitConfig {
+	setDefault(&l.MaxJobBytes, DefaultMaxJobBytes)
+	setDefault(&l.MaxTasksPerJob, DefaultMaxTasksPerJob)
+	setDefault(&l.MaxPendingTasks, DefaultMaxPendingTasks)
+	setDefault(&l.SubmitsPerSecond, DefaultSubmitsPerSecond)
+	return l
+}
+
+// WithDefaults returns the timings with each zero replaced by its default.
+func (t TimingConfig) WithDefaults() TimingConfig {
+	setDefault(&t.HeartbeatInterval, Duration(DefaultHeartbeatInterval))
+	setDefault(&t.Hold, Duration(DefaultHold))
+	setDefault(&t.DriftMargin, Duration(DefaultDriftMargin))
+	setDefault(&t.RetryDelay, Duration(DefaultRetryDelay))
+	setDefault(&t.DrainGrace, Duration(DefaultDrainGrace))
+	setDefault(&t.Retention, Duration(DefaultRetention))
+	return t
+}
+
+// setDefault replaces a zero by the default.
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
--- a/api/errors.go
+++ b/api/errors.go
@@ -15,6 +15,7 @@
 	CodeMalformed      ErrorCode = "malformed"       // 400: not the JSON expected
 	CodeTooLarge       ErrorCode = "too_large"       // 413
 	CodeNotFound       ErrorCode = "not_found"       // 404
+	CodeWrongMethod    ErrorCode = "wrong_method"    // 405: the Allow header says which would do
 	CodeConflict       ErrorCode = "conflict"        // 409: other content under this id
 	CodeLostRace       ErrorCode = "lost_race"       // 412: the base version is no longer in force
 	CodeNoBase         ErrorCode = "no_base"         // 428: If-Match or Idempotency-Key missing
--- a/api/job.go
+++ b/api/job.go
@@ -122,8 +122,9 @@
 	Queue    string `json:"queue"`
 	Priority int    `json:"priority"`
 	State    State  `json:"state"`
-	// SubmittedAt and EndedAt are cluster time; EndedAt is absent until the
-	// state is final.
+	// SubmittedAt and EndedAt are cluster time. EndedAt is absent until no task
+	// can run any more: a cancelled job has its state at once, and its EndedAt
+	// when the last of its runs has stopped.
 	SubmittedAt time.Time    `json:"submitted_at"`
 	EndedAt     *time.Time   `json:"ended_at,omitempty"`
 	Steps       []StepStatus `json:"steps,omitempty"`
--- /dev/null
+++ b/api/validate_job.go
@@ -0,0 +1,172 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Bounds of a job that no configuration changes.
+const (
+	// MinPriority and MaxPriority bound priorities of jobs and queues.
+	MinPriority = -1000
+	MaxPriority = 1000
+	// MaxAllowedFailures bounds allowed failures of a task.
+	MaxAllowedFailures = 1000
+	// MaxGroupMembers bounds the tasks of a step that start together.
+	MaxGroupMembers = 128
+	// MaxServiceLength bounds the name of a service, in bytes.
+	MaxServiceLength = 128
+	// MaxResource bounds each dimension of room, so that sums over every
+	// waiting task stay within 64 bits.
+	MaxResource = int64(1_000_000_000_000)
+)
+
+// ValidateJob checks all of a job that needs no state, and returns every
+// wrong field (see MaxFieldErrors). A nil config leaves out the two checks
+// that depend on the configuration: that the queue exists, and the number of
+// tasks.
+func ValidateJob(id string, spec *JobSpec, config *Config) []FieldError {
+	check := jobCheck{spec: spec, config: config}
+	check.top(id)
+	check.stepNames()
+	for index := range spec.Steps {
+		check.step(index)
+	}
+	check.cycles()
+	return check.errors.all()
+}
+
+// jobCheck is one validation of one job.
+type jobCheck struct {
+	spec   *JobSpec
+	config *Config
+	errors fieldErrors
+	// steps finds a step by name; the first of several of the same name.
+	steps map[string]int
+}
+
+// top checks the id and the fields of the job itself.
+func (c *jobCheck) top(id string) {
+	if !ValidJobID(id) {
+		c.errors.add("id", id, "1 to 128 of A-Z, a-z, 0-9, '.', '_', ':' and '-', the first a letter or digit")
+	}
+	if !queuePattern.MatchString(c.spec.Queue) {
+		c.errors.add("queue", c.spec.Queue, "the name of a queue")
+	} else if c.config != nil && !c.hasQueue() {
+		c.errors.add("queue", c.spec.Queue, "a queue of the configuration in force")
+	}
+	checkRange(&c.errors, "priority", c.spec.Priority, MinPriority, MaxPriority)
+	if len(c.spec.Steps) == 0 {
+		c.errors.add("steps", "[]", "at least one step")
+	}
+	c.taskCount()
+}
+
+// hasQueue reports whether the configuration has the job's queue.
+func (c *jobCheck) hasQueue() bool {
+	return slices.ContainsFunc(c.config.Queues, func(queue QueueConfig) bool { return queue.Name == c.spec.Queue })
+}
+
+// taskCount checks the number of tasks of the whole job.
+func (c *jobCheck) taskCount() {
+	if c.config == nil {
+		return
+	}
+	limit := c.config.Limits.WithDefaults().MaxTasksPerJob
+	count := 0
+	for _, step := range c.spec.Steps {
+		count += len(step.Tasks)
+	}
+	if count > limit {
+		c.errors.add("steps", fmt.Sprintf("%d tasks", count), fmt.Sprintf("at most %d tasks in all", limit))
+	}
+}
+
+// stepNames checks form and uniqueness of the steps' names.
+func (c *jobCheck) stepNames() {
+	c.steps = make(map[string]int, len(c.spec.Steps))
+	for index, step := range c.spec.Steps {
+		path := fmt.Sprintf("steps[%d].name", index)
+		if !namePattern.MatchString(step.Name) {
+			c.errors.add(path, step.Name, "1 to 128 of A-Z, a-z, 0-9, '.', '_', ':' and '-', the first a letter or digit")
+		}
+		if first, taken := c.steps[step.Name]; taken {
+			c.errors.add(path, step.Name, fmt.Sprintf("a name other than that of steps[%d]", first))
+			continue
+		}
+		c.steps[step.Name] = index
+	}
+}
+
+// step checks one step and its tasks.
+func (c *jobCheck) step(index int) {
+	step := &c.spec.Steps[index]
+	path := fmt.Sprintf("steps[%d]", index)
+	c.after(path+".after", step)
+	if step.NotBefore != nil && (step.NotBefore.Year() < 1 || step.NotBefore.Year() > 9999) {
+		c.errors.add(path+".not_before", step.NotBefore, "a time in the years 1 to 9999")
+	}
+	if len(step.Tasks) == 0 {
+		c.errors.add(path+".tasks", "[]", "at least one task")
+	}
+	if step.Together && len(step.Tasks) > MaxGroupMembers {
+		c.errors.add(path+".tasks", fmt.Sprintf("%d tasks", len(step.Tasks)),
+			fmt.Sprintf("at most %d tasks in a step that starts together", MaxGroupMembers))
+	}
+	for number := range step.Tasks {
+		c.task(fmt.Sprintf("%s.tasks[%d]", path, number), &step.Tasks[number])
+	}
+}
+
+// after checks the names of the steps that one step waits for.
+func (c *jobCheck) after(path string, step *StepSpec) {
+	seen := make(map[string]bool, len(step.After))
+	for number, name := range step.After {
+		field := fmt.Sprintf("%s[%d]", path, number)
+		_, known := c.steps[name]
+		switch {
+		case name == step.Name:
+			c.errors.add(field, name, "a step other than this one")
+		case !known:
+			c.errors.add(field, name, "the name of a step of this job")
+		case seen[name]:
+			c.errors.add(field, name, "each step once")
+		}
+		seen[name] = true
+	}
+}
+
+// task checks one task.
+func (c *jobCheck) task(path string, task *TaskSpec) {
+	if task.Service == "" || len(task.Service) > MaxServiceLength {
+		c.errors.add(path+".service", task.Service, fmt.Sprintf("a service name of 1 to %d bytes", MaxServiceLength))
+	}
+	if len(task.Payload) > 0 && !json.Valid(task.Payload) {
+		c.errors.add(path+".payload", string(task.Payload), "JSON")
+	}
+	checkRange(&c.errors, path+".resources.cpu_millis", task.Resources.CPUMillis, 1, MaxResource)
+	checkRange(&c.errors, path+".resources.memory_mb", task.Resources.MemoryMB, 0, MaxResource)
+	checkRange(&c.errors, path+".resources.accelerators", task.Resources.Accelerators, 0, MaxResource)
+	if value, empty := task.Labels[""]; empty {
+		c.errors.add(path+".labels", fmt.Sprintf("\"\"=%q", value), "labels with non-empty keys")
+	}
+	if task.Spread != nil {
+		c.spread(path+".spread", task.Spread)
+	}
+	if task.AllowedFailures != nil {
+		checkRange(&c.errors, path+".allowed_failures", *task.AllowedFailures, 0, MaxAllowedFailures)
+	}
+	checkAtLeast(&c.errors, path+".max_duration", task.MaxDuration, 0)
+}
+
+// spread checks a spread rule.
+func (c *jobCheck) spread(path string, spread *Spread) {
+	key, byLabel := strings.CutPrefix(spread.By, SpreadByLabelPrefix)
+	valid := spread.By == SpreadByWorker || spread.By == SpreadByZone || byLabel && key != ""
+	if !valid {
+		c.errors.add(path+".by", spread.By, `"worker", "zone" or "label:KEY"`)
+	}
+	checkAtLeast(&c.errors, path+".max_per_domain", spread.MaxPerDomain, 0)
+}
