--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,216 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Bounds of the HTTP server.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 120 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
+
+const defaultStopTimeout = 2 * time.Second
+
+// Config describes a daemon.
+type Config struct {
+	// Program is the program's name, for messages. Required.
+	Program string
+	// Listen is the IP:port to listen on. Required.
+	Listen string
+	// Handler serves all requests. Required.
+	Handler http.Handler
+	// Logger takes starts, stops and failures. Default: none.
+	Logger *slog.Logger
+	// Background functions run from the start until their context ends. An
+	// error that one returns before stops the daemon.
+	Background []func(ctx context.Context) error
+	// BeforeStop hands over; it is called first, on SIGTERM or SIGINT, and
+	// has half of StopTimeout. Optional.
+	BeforeStop func(ctx context.Context)
+	// StopTimeout bounds the whole stop. Default 2s.
+	StopTimeout time.Duration
+	// Listening is told the address once it is listened on. Optional.
+	Listening func(address net.Addr)
+}
+
+// errStopTimeout: something was still at work when StopTimeout had passed.
+var errStopTimeout = errors.New("not stopped within the stop timeout")
+
+// daemon is one run.
+type daemon struct {
+	config Config
+	server *http.Server
+	fresh  *freshConnections
+
+	endRequests   context.CancelFunc
+	endBackground context.CancelFunc
+	background    sync.WaitGroup
+	// failures takes the first error of the server or a background function.
+	failures chan error
+}
+
+// Run listens, serves, and stops in order on SIGTERM, SIGINT, the end of the
+// context, or a failure of a part: BeforeStop; then no more connections, the
+// contexts of all requests end and their answers are finished; then the
+// background. It returns nil after a clean stop, else the part's error or that
+// StopTimeout was not enough.
+func Run(ctx context.Context, config Config) error {
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
+	if config.StopTimeout <= 0 {
+		config.StopTimeout = defaultStopTimeout
+	}
+	ctx, stopSignals := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stopSignals()
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", config.Listen)
+	if err != nil {
+		return fmt.Errorf("%s: listen on %s: %w", config.Program, config.Listen, err)
+	}
+	d := start(context.WithoutCancel(ctx), config, listener)
+	config.Logger.Info("listening", slog.String("address", listener.Addr().String()))
+	if config.Listening != nil {
+		config.Listening(listener.Addr())
+	}
+	err = d.wait(ctx)
+	config.Logger.Info("stopping")
+	err = errors.Join(err, d.stop(ctx))
+	if err != nil {
+		return fmt.Errorf("%s: %w", config.Program, err)
+	}
+	config.Logger.Info("stopped")
+	return nil
+}
+
+func start(ctx context.Context, config Config, listener net.Listener) *daemon {
+	requests, endRequests := context.WithCancel(ctx)
+	background, endBackground := context.WithCancel(ctx)
+	d := &daemon{
+		config:        config,
+		fresh:         newFreshConnections(),
+		endRequests:   endRequests,
+		endBackground: endBackground,
+		failures:      make(chan error, 1),
+	}
+	d.server = &http.Server{
+		Handler:           config.Handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return requests },
+		ConnState:         d.fresh.note,
+		ErrorLog:          slog.NewLogLogger(config.Logger.Handler(), slog.LevelWarn),
+	}
+	d.background.Go(func() { d.serve(listener) })
+	for _, part := range config.Background {
+		d.background.Go(func() { d.runPart(background, part) })
+	}
+	return d
+}
+
+func (d *daemon) serve(listener net.Listener) {
+	if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		d.fail(fmt.Errorf("serve: %w", err))
+	}
+}
+
+func (d *daemon) runPart(ctx context.Context, part func(context.Context) error) {
+	err := part(ctx)
+	if err == nil || (ctx.Err() != nil && errors.Is(err, context.Canceled)) {
+		return
+	}
+	d.fail(err)
+}
+
+// fail keeps the first failure.
+func (d *daemon) fail(err error) {
+	select {
+	case d.failures <- err:
+	default:
+		d.config.Logger.Error("another part failed", slog.Any("error", err))
+	}
+}
+
+// wait returns the failure that ends the daemon, or nil if it is told to stop.
+func (d *daemon) wait(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-d.failures:
+		return err
+	}
+}
+
+// stop takes the daemon down in order.
+func (d *daemon) stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.config.StopTimeout)
+	defer cancel()
+	d.handOver(ctx)
+	d.endRequests()
+	err := d.stopServing(ctx)
+	d.endBackground()
+	if !waitFor(ctx, d.background.Wait) {
+		err = errors.Join(err, fmt.Errorf("background: %w", errStopTimeout))
+	}
+	select {
+	case failure := <-d.failures:
+		err = errors.Join(err, failure)
+	default:
+	}
+	return err
+}
+
+// handOver calls BeforeStop and goes on without it at its bound.
+func (d *daemon) handOver(ctx context.Context) {
+	if d.config.BeforeStop == nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, d.config.StopTimeout/2)
+	defer cancel()
+	if !waitFor(limited, func() { d.config.BeforeStop(limited) }) {
+		d.config.Logger.Warn("hand-over did not end in time")
+	}
+}
+
+// stopServing finishes the requests, whose contexts have ended. It leaves a
+// quarter of the stop timeout to the background.
+func (d *daemon) stopServing(ctx context.Context) error {
+	deadline, _ := ctx.Deadline()
+	limited, cancel := context.WithDeadline(ctx, deadline.Add(-d.config.StopTimeout/4))
+	defer cancel()
+	d.fresh.close()
+	if err := d.server.Shutdown(limited); err != nil {
+		_ = d.server.Close() // the requests that are cut off are reported by err
+		return fmt.Errorf("requests: %w", errors.Join(errStopTimeout, err))
+	}
+	return nil
+}
+
+// waitFor reports whether work ended before the context did. Work that does
+// not end is left behind, as the process is about to exit.
+func waitFor(ctx context.Context, work func()) bool {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		work()
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -21,10 +21,12 @@
 	MethodIdentity Method = "identity"
 	// MethodJoin asks the leader to add a replica as a learner.
 	MethodJoin Method = "join"
+	// MethodReadIndex asks the leader for a linearizable read point.
+	MethodReadIndex Method = "read-index"
 	// MethodHeartbeat relays a worker's heartbeat; leader only.
 	MethodHeartbeat Method = "heartbeat"
-	// MethodWatch is the held request by which fronts, agents and following
-	// schedulers learn the leader and the configuration; leader only.
+	// MethodWatch is the held request by which fronts and agents learn the
+	// leader and the configuration; leader only.
 	MethodWatch Method = "watch"
 	// The callers' and operators' calls, relayed by fronts; leader only.
 	MethodSubmit         Method = "submit"
@@ -48,6 +50,9 @@
 // another. There is no answer beyond receipt; loss is repaired by raft.
 type RaftRequest struct {
 	Messages []raft.Message `cbor:"1,keyasint"`
+	// Sender is where answers go if the receiver's membership does not yet
+	// list the sender.
+	Sender raft.Member `cbor:"2,keyasint"`
 }
 
 // SnapshotChunkRequest carries a piece of a snapshot. The receiver takes
@@ -63,6 +68,12 @@
 	Last   bool              `cbor:"7,keyasint"`
 }
 
+// SnapshotChunkAnswer: a chunk was taken. The sender repeats the last chunk
+// until Installed is true.
+type SnapshotChunkAnswer struct {
+	Installed bool `cbor:"1,keyasint"`
+}
+
 // ArchivePageRequest asks for archived jobs after a place in the archive.
 type ArchivePageRequest struct {
 	AfterIndex uint64 `cbor:"1,keyasint"`
@@ -86,6 +97,18 @@
 	// Founder is true while the replica is waiting to form a new cluster with
 	// exactly the seeds that it was given.
 	Founder bool `cbor:"4,keyasint"`
+	// Membership is the newest that the replica knows, or the one that a
+	// waiting founder proposes.
+	Membership raft.Membership `cbor:"5,keyasint"`
+	// Founded is the membership that the cluster began with, while the replica
+	// still has it: a founder that comes late starts from it.
+	Founded *raft.Membership `cbor:"6,keyasint,omitempty"`
+}
+
+// ReadIndexAnswer carries a read point: once a replica has applied Index, its
+// record reflects all that was acknowledged before the request.
+type ReadIndexAnswer struct {
+	Index uint64 `cbor:"1,keyasint"`
 }
 
 // JoinRequest asks the leader to take a replica in. Doubled: no effect. A
@@ -122,7 +145,7 @@
 // Lost or late: the process asks again; versions only grow.
 type WatchRequest struct {
 	Process string `cbor:"1,keyasint"`
-	// Role is "scheduler", "front" or "agent".
+	// Role is "front" or "agent".
 	Role string `cbor:"2,keyasint"`
 	Zone string `cbor:"3,keyasint"`
 	// ConfigVersion is in force in the process; Token is the highest it saw.
--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,324 @@
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+const methodTest fleet.Method = "test"
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// serve starts a server and returns its address and a client of it.
+func serve(t *testing.T, handler http.Handler, config ClientConfig) (string, *Client) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	client := NewClient(config)
+	t.Cleanup(client.Close)
+	return server.Listener.Addr().String(), client
+}
+
+// answering returns a server whose method always ends with err.
+func answering(err error) *Server {
+	server := NewServer(ServerConfig{})
+	Handle(server, methodTest, func(context.Context, fleet.Empty) (fleet.Empty, error) { return fleet.Empty{}, err })
+	return server
+}
+
+// wantFailure calls the method and returns its failure.
+func wantFailure(t *testing.T, address string, client *Client) *Error {
+	t.Helper()
+	_, err := Call[fleet.Empty, fleet.Empty](t.Context(), client, address, methodTest, fleet.Empty{})
+	var failure *Error
+	if !errors.As(err, &failure) {
+		t.Fatalf("got %v, expected an *Error", err)
+	}
+	return failure
+}
+
+func TestRoundTripKeepsAllThatMessagesHold(t *testing.T) {
+	notBefore := time.Date(2031, 2, 3, 4, 5, 6, 789, time.UTC)
+	failures := 0
+	request := fleet.SubmitRequest{ID: "j", Spec: api.JobSpec{Queue: "q", Steps: []api.StepSpec{{
+		Name: "s", NotBefore: &notBefore,
+		Tasks: []api.TaskSpec{{
+			Service: "sleep", Payload: []byte(`{"a": [1, 2]}`), Labels: map[string]string{"b": "1", "a": "2"},
+			AllowedFailures: &failures, MaxDuration: api.Duration(time.Minute + time.Nanosecond),
+		}},
+	}}}}
+	var received fleet.SubmitRequest
+	server := NewServer(ServerConfig{})
+	Handle(server, fleet.MethodSubmit, func(_ context.Context, r fleet.SubmitRequest) (fleet.SubmitAnswer, error) {
+		received = r
+		return fleet.SubmitAnswer{Created: true}, nil
+	})
+	address, client := serve(t, server, ClientConfig{})
+	answer, err := Call[fleet.SubmitRequest, fleet.SubmitAnswer](t.Context(), client, address, fleet.MethodSubmit, request)
+	if err != nil || !answer.Created {
+		t.Fatalf("answer %+v, error %v", answer, err)
+	}
+	if diff := cmp.Diff(request, received); diff != "" {
+		t.Fatalf("request differs (-sent +received):\n%s", diff)
+	}
+}
+
+func TestHeartbeatKeepsItsEmbeddedRuns(t *testing.T) {
+	request := fleet.HeartbeatRequest{Agent: "a", Heartbeat: api.Heartbeat{
+		Seq:   7,
+		Ended: []api.EndedRun{{RunRef: api.RunRef{Task: "j/s/0", Run: 3}, Outcome: api.OutcomeFailed, Message: "m"}},
+	}}
+	encoded, err := newCodec().encode(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded fleet.HeartbeatRequest
+	if err := newCodec().decode(encoded, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(request, decoded); diff != "" {
+		t.Fatalf("heartbeat differs (-sent +received):\n%s", diff)
+	}
+}
+
+func TestErrorsOfHandlers(t *testing.T) {
+	refused := &api.Error{Status: 409, Code: api.CodeConflict, Message: "other content", Fields: []api.FieldError{{Field: "f", Value: "v", Expected: "e"}}, RetryAfterMillis: 5}
+	for name, test := range map[string]struct {
+		returned error
+		want     Error
+		status   int
+	}{
+		"not leader":      {&Error{Code: CodeNotLeader, Message: "m", LeaderAddress: "127.0.0.1:1"}, Error{Code: CodeNotLeader, Message: "m", LeaderAddress: "127.0.0.1:1"}, 421},
+		"wrapped":         {fmt.Errorf("w: %w", &Error{Code: CodeUnknownOutcome, Message: "m"}), Error{Code: CodeUnknownOutcome, Message: "m"}, 504},
+		"bad request":     {&Error{Code: CodeBadRequest, Message: "m"}, Error{Code: CodeBadRequest, Message: "m"}, 400},
+		"unavailable":     {&Error{Code: CodeUnavailable, Message: "m"}, Error{Code: CodeUnavailable, Message: "m"}, 503},
+		"api error":       {fmt.Errorf("w: %w", refused), Error{Code: CodeRefused, Message: "other content", API: refused}, 409},
+		"refused, bare":   {&Error{Code: CodeRefused, Message: "m"}, Error{Code: CodeRefused, Message: "m"}, 422},
+		"any other":       {errors.New("disk \xff"), Error{Code: CodeUnavailable, Message: "disk ?"}, 503},
+		"own call unsent": {&Error{Code: CodeTransport, Message: "m", Unsent: true}, Error{Code: CodeUnavailable, Message: "m"}, 503},
+		"own call failed": {&Error{Code: CodeTransport, Message: "m"}, Error{Code: CodeUnknownOutcome, Message: "m"}, 504},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := answering(test.returned)
+			var status int
+			recording := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				recorder := httptest.NewRecorder()
+				server.ServeHTTP(recorder, request)
+				status = recorder.Code
+				writer.WriteHeader(recorder.Code)
+				_, _ = writer.Write(recorder.Body.Bytes())
+			})
+			address, client := serve(t, recording, ClientConfig{})
+			failure := wantFailure(t, address, client)
+			if diff := cmp.Diff(test.want, *failure); diff != "" {
+				t.Fatalf("error differs (-want +got):\n%s", diff)
+			}
+			if status != test.status {
+				t.Fatalf("status %d, want %d", status, test.status)
+			}
+		})
+	}
+}
+
+func TestPanicIsLoggedAndAnswered(t *testing.T) {
+	var log bytes.Buffer
+	server := NewServer(ServerConfig{Logger: slog.New(slog.NewTextHandler(&log, nil))})
+	Handle(server, methodTest, func(context.Context, fleet.Empty) (fleet.Empty, error) { panic("broken invariant") })
+	address, client := serve(t, server, ClientConfig{})
+	for range 2 {
+		if failure := wantFailure(t, address, client); failure.Code != CodeUnknownOutcome {
+			t.Fatalf("got %v", failure)
+		}
+	}
+	if count := strings.Count(log.String(), "broken invariant"); count != 2 {
+		t.Fatalf("panic logged %d times:\n%s", count, log.String())
+	}
+}
+
+func TestRequestsThatMakeNoSense(t *testing.T) {
+	server := NewServer(ServerConfig{MaxRequestBytes: 64})
+	Handle(server, methodTest, func(_ context.Context, r fleet.CancelRequest) (fleet.Empty, error) {
+		t.Errorf("handler got %+v", r)
+		return fleet.Empty{}, nil
+	})
+	address, client := serve(t, server, ClientConfig{})
+	_, err := Call[fleet.CancelRequest, fleet.Empty](t.Context(), client, address, methodTest, fleet.CancelRequest{ID: strings.Repeat("x", 65)})
+	if !errors.Is(err, &Error{Code: CodeBadRequest}) || !strings.Contains(err.Error(), "64 bytes") {
+		t.Errorf("body over the limit: %v", err)
+	}
+	_, err = Call[fleet.Empty, fleet.Empty](t.Context(), client, address, "none", fleet.Empty{})
+	if !errors.Is(err, &Error{Code: CodeBadRequest}) || !strings.Contains(err.Error(), `"none"`) {
+		t.Errorf("unknown method: %v", err)
+	}
+	_, err = Call[string, fleet.Empty](t.Context(), client, address, methodTest, "text")
+	if !errors.Is(err, &Error{Code: CodeBadRequest}) {
+		t.Errorf("other type: %v", err)
+	}
+	_, err = Call[chan int, fleet.Empty](t.Context(), client, address, methodTest, make(chan int))
+	if !errors.Is(err, &Error{Code: CodeBadRequest}) {
+		t.Errorf("type that cannot be sent: %v", err)
+	}
+	response, err := http.Get("http://" + address + "/rpc/test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusBadRequest {
+		t.Errorf("GET: status %d", response.StatusCode)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func TestDeadlineReachesTheHandlerAndBoundsTheCall(t *testing.T) {
+	left := make(chan time.Duration, 2)
+	server := NewServer(ServerConfig{})
+	Handle(server, methodTest, func(ctx context.Context, _ fleet.Empty) (fleet.Empty, error) {
+		deadline, _ := ctx.Deadline()
+		left <- time.Until(deadline)
+		<-ctx.Done()
+		return fleet.Empty{}, ctx.Err()
+	})
+	address, client := serve(t, server, ClientConfig{Timeout: 50 * time.Millisecond})
+	for name, timeout := range map[string]time.Duration{"the client's": time.Hour, "the context's": 20 * time.Millisecond} {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		_, err := Call[fleet.Empty, fleet.Empty](ctx, client, address, methodTest, fleet.Empty{})
+		cancel()
+		if err == nil {
+			t.Fatalf("%s deadline did not end the call", name)
+		}
+		if got := <-left; got > min(timeout, 51*time.Millisecond) {
+			t.Errorf("%s deadline: the handler had %v", name, got)
+		}
+	}
+}
+
+func TestCallerGoneEndsTheHandler(t *testing.T) {
+	entered, ended := make(chan struct{}), make(chan error, 1)
+	server := NewServer(ServerConfig{})
+	Handle(server, methodTest, func(ctx context.Context, _ fleet.Empty) (fleet.Empty, error) {
+		close(entered)
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return fleet.Empty{}, ctx.Err()
+	})
+	address, client := serve(t, server, ClientConfig{Timeout: time.Hour})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-entered; cancel() }()
+	_, err := Call[fleet.Empty, fleet.Empty](ctx, client, address, methodTest, fleet.Empty{})
+	if failure := new(Error); !errors.As(err, &failure) || failure.Code != CodeTransport || failure.Unsent {
+		t.Fatalf("got %v, want a transport error of unknown effect", err)
+	}
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		t.Fatalf("handler ended with %v", err)
+	}
+}
+
+func TestTransportErrors(t *testing.T) {
+	client := NewClient(ClientConfig{})
+	defer client.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := listener.Addr().String()
+	_ = listener.Close()
+	if failure := wantFailure(t, refusing, client); failure.Code != CodeTransport || !failure.Unsent {
+		t.Errorf("refused connection: %+v", failure)
+	}
+	if failure := wantFailure(t, "not an address", client); failure.Code != CodeTransport || !failure.Unsent {
+		t.Errorf("wrong address: %+v", failure)
+	}
+	stuck := NewClient(ClientConfig{Timeout: time.Millisecond, Dialer: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	defer stuck.Close()
+	if failure := wantFailure(t, refusing, stuck); failure.Code != CodeTransport || !failure.Unsent {
+		t.Errorf("dial out of time: %+v", failure)
+	}
+}
+
+func TestNoAnswerIsSentOnceAndOfUnknownEffect(t *testing.T) {
+	for name, spoil := range map[string]func(http.ResponseWriter){
+		"connection cut":   func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+		"not our server":   func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadGateway); _, _ = io.WriteString(w, "<html>") },
+		"error, no code":   func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadGateway); _, _ = w.Write([]byte{0xa0}) },
+		"redirect":         func(w http.ResponseWriter) { w.Header().Set("Location", "/rpc/test"); w.WriteHeader(307) },
+		"not an answer":    func(w http.ResponseWriter) { _, _ = io.WriteString(w, "<html>") },
+		"answer too large": func(w http.ResponseWriter) { _, _ = w.Write(make([]byte, 65)) },
+		"chunked too large": func(w http.ResponseWriter) {
+			_, _ = w.Write(make([]byte, 33))
+			w.(http.Flusher).Flush()
+			_, _ = w.Write(make([]byte, 33))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int32
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if calls.Add(1) > 1 { // the first call only opens the connection
+					spoil(w)
+					return
+				}
+				_, _ = w.Write([]byte{0xa0})
+			})
+			address, client := serve(t, handler, ClientConfig{MaxAnswerBytes: 64})
+			if _, err := Call[fleet.Empty, fleet.Empty](t.Context(), client, address, methodTest, fleet.Empty{}); err != nil {
+				t.Fatal(err)
+			}
+			if failure := wantFailure(t, address, client); failure.Code != CodeTransport || failure.Unsent {
+				t.Fatalf("got %+v", failure)
+			}
+			if calls.Load() != 2 {
+				t.Fatalf("sent %d times", calls.Load()-1)
+			}
+		})
+	}
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	var dials atomic.Int32
+	dialer := func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials.Add(1)
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+	address, client := serve(t, answering(errors.New("no")), ClientConfig{Dialer: dialer})
+	for range 5 {
+		_ = wantFailure(t, address, client)
+	}
+	if dials.Load() != 1 {
+		t.Fatalf("%d connections for 5 calls", dials.Load())
+	}
+}
+
+func TestMethodServedTwiceIsAMistake(t *testing.T) {
+	defer func() {
+		if recover() == nil {
+			t.Fatal("no panic")
+		}
+	}()
+	register := func(s *Server) {
+		Handle(s, methodTest, func(context.Context, fleet.Empty) (fleet.Empty, error) { return fleet.Empty{}, nil })
+	}
+	server := NewServer(ServerConfig{})
+	register(server)
+	register(server)
+}
--- /dev/null
+++ b/internal/rpc/wire.go
@@ -0,0 +1,63 @@
+package rpc
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+const (
+	pathPrefix  = "/rpc/"
+	contentType = "application/cbor"
+	// deadlineHeader carries the time that is left for the call, in whole
+	// milliseconds. It is a span and no moment, since clocks differ.
+	deadlineHeader = "Decklever-Timeout-Millis"
+	// maxTimeoutMillis keeps a wild header from overflowing a duration.
+	maxTimeoutMillis = int64(24 * time.Hour / time.Millisecond)
+)
+
+// methodURL is where a method is served.
+func methodURL(address string, method fleet.Method) string {
+	return "http://" + address + pathPrefix + string(method)
+}
+
+// formatTimeout rounds up, so that a call with time left never says none.
+func formatTimeout(left time.Duration) string {
+	millis := int64((left + time.Millisecond - 1) / time.Millisecond)
+	return strconv.FormatInt(max(millis, 1), 10)
+}
+
+// parseTimeout reads the header; false if it is absent or makes no sense.
+func parseTimeout(text string) (time.Duration, bool) {
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || millis <= 0 {
+		return 0, false
+	}
+	return time.Duration(min(millis, maxTimeoutMillis)) * time.Millisecond, true
+}
+
+// statusOf is the HTTP status that a refusal travels under. Clients of this
+// package read the body; the status serves whoever watches the traffic.
+func statusOf(refusal *Error) int {
+	switch refusal.Code {
+	case CodeBadRequest:
+		return http.StatusBadRequest
+	case CodeNotLeader:
+		return http.StatusMisdirectedRequest
+	case CodeUnknownOutcome:
+		return http.StatusGatewayTimeout
+	case CodeRefused:
+		return refusedStatus(refusal)
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func refusedStatus(refusal *Error) int {
+	if refusal.API == nil || refusal.API.Status < 400 || refusal.API.Status > 599 {
+		return http.StatusUnprocessableEntity
+	}
+	return refusal.API.Status
+}
--- /dev/null
+++ b/internal/telemetry/logger.go
@@ -0,0 +1,60 @@
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"os"
+)
+
+// Formats of log lines.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+// LoggerConfig says where and how log lines are written.
+type LoggerConfig struct {
+	// Output takes the lines. Default: standard error.
+	Output io.Writer
+	// Level is the lowest level written; it may be changed while in use.
+	// Default: info.
+	Level *slog.LevelVar
+	// Format is FormatText or FormatJSON. Default: FormatText.
+	Format string
+	// Program, Process and Zone stand on each line, unless they are empty.
+	Program, Process, Zone string
+}
+
+// NewLogger returns a structured logger.
+func NewLogger(config LoggerConfig) *slog.Logger {
+	if config.Output == nil {
+		config.Output = os.Stderr
+	}
+	if config.Level == nil {
+		config.Level = new(slog.LevelVar)
+	}
+	return slog.New(newHandler(config).WithAttrs(originOf(config)))
+}
+
+func newHandler(config LoggerConfig) slog.Handler {
+	options := &slog.HandlerOptions{Level: config.Level}
+	if config.Format == FormatJSON {
+		return slog.NewJSONHandler(config.Output, options)
+	}
+	return slog.NewTextHandler(config.Output, options)
+}
+
+// originOf returns the fields that tell one process's lines from another's.
+func originOf(config LoggerConfig) []slog.Attr {
+	var origin []slog.Attr
+	for _, field := range []slog.Attr{
+		slog.String("program", config.Program),
+		slog.String("process", config.Process),
+		slog.String("zone", config.Zone),
+	} {
+		if field.Value.String() != "" {
+			origin = append(origin, field)
+		}
+	}
+	return origin
+}
