--- /dev/null
+++ b/internal/raft/bench_test.go
@@ -0,0 +1,75 @@
+package raft
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkProposeCommit commits batches of 100 commands of 200 bytes among
+// three nodes in memory; one operation is one command.
+func BenchmarkProposeCommit(b *testing.B) {
+	const batch = 100
+	nodes := make(map[ReplicaID]*Node, 3)
+	order := []ReplicaID{"a", "b", "c"}
+	for _, id := range order {
+		node, err := New(Config{ID: id}, founding(order...))
+		if err != nil {
+			b.Fatal(err)
+		}
+		nodes[id] = node
+	}
+	now := time.Duration(0)
+	exchange := func() {
+		for busy := true; busy; {
+			busy = false
+			for _, id := range order {
+				node := nodes[id]
+				if !node.HasReady() {
+					continue
+				}
+				busy = true
+				ready := node.Ready()
+				node.Advance(ready)
+				for _, message := range ready.Messages {
+					if err := nodes[message.To].Step(now, message); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		}
+	}
+	leader := nodes["a"]
+	leader.Tick(now)
+	now += DefaultElectionTimeoutMax
+	leader.Tick(now)
+	exchange()
+	commands := make([][]byte, batch)
+	for i := range commands {
+		commands[i] = make([]byte, 200)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for done := 0; done < b.N; done += batch {
+		now += time.Millisecond
+		if _, _, err := leader.Propose(now, commands); err != nil {
+			b.Fatal(err)
+		}
+		exchange()
+		compactAll(nodes, order)
+	}
+	b.StopTimer()
+	if status := leader.Status(); status.Commit < uint64(b.N) {
+		b.Fatalf("commit %d after %d commands", status.Commit, b.N)
+	}
+}
+
+// compactAll keeps the logs at a size that an owner would.
+func compactAll(nodes map[ReplicaID]*Node, order []ReplicaID) {
+	for _, id := range order {
+		node := nodes[id]
+		if applied := node.log.applied; applied > node.log.baseIndex+10000 {
+			term, _ := node.log.term(applied)
+			node.Compact(SnapshotMeta{Index: applied, Term: term})
+		}
+	}
+}
--- /dev/null
+++ b/internal/raft/harness_test.go
@@ -0,0 +1,176 @@
+package raft
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// testNode is a node with an owner that persists and applies at once.
+type testNode struct {
+	*Node
+	t       *testing.T
+	applied []Entry
+	reads   []ReadState
+}
+
+func testMember(id ReplicaID) Member { return Member{ID: id, Name: "machine-" + string(id)} }
+
+func testMembership(ids ...ReplicaID) Membership {
+	var membership Membership
+	for _, id := range ids {
+		membership.Voters = append(membership.Voters, testMember(id))
+	}
+	return membership
+}
+
+func founding(ids ...ReplicaID) Restored {
+	return Restored{Snapshot: SnapshotMeta{Index: 1, Term: 1, Membership: testMembership(ids...)}}
+}
+
+func newTestNode(t *testing.T, config Config, restored Restored) *testNode {
+	t.Helper()
+	node, err := New(config, restored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &testNode{Node: node, t: t}
+}
+
+// turn does what is ready and returns the messages.
+func (n *testNode) turn() []Message {
+	var messages []Message
+	for n.HasReady() {
+		ready := n.Ready()
+		messages = append(messages, ready.Messages...)
+		n.applied = append(n.applied, ready.Committed...)
+		n.reads = append(n.reads, ready.ReadStates...)
+		n.Advance(ready)
+	}
+	return messages
+}
+
+// step delivers a message that the node must take, and does what is ready.
+func (n *testNode) step(now time.Duration, message Message) []Message {
+	n.t.Helper()
+	message.To = n.config.ID
+	if err := n.Step(now, message); err != nil {
+		n.t.Fatalf("step %+v: %v", message, err)
+	}
+	return n.turn()
+}
+
+// only returns the one message of a kind.
+func only(t *testing.T, messages []Message, kind MessageKind) Message {
+	t.Helper()
+	found := ofKind(messages, kind)
+	if len(found) != 1 {
+		t.Fatalf("got %d messages of kind %d in %+v, want 1", len(found), kind, messages)
+	}
+	return found[0]
+}
+
+func ofKind(messages []Message, kind MessageKind) []Message {
+	var found []Message
+	for _, message := range messages {
+		if message.Kind == kind {
+			found = append(found, message)
+		}
+	}
+	return found
+}
+
+// testCluster delivers every message at once unless a filter drops it.
+type testCluster struct {
+	t     testing.TB
+	now   time.Duration
+	nodes []*testNode
+	drop  func(Message) bool
+}
+
+func newTestCluster(t *testing.T, ids ...ReplicaID) *testCluster {
+	t.Helper()
+	c := &testCluster{t: t, drop: func(Message) bool { return false }}
+	for _, id := range ids {
+		c.nodes = append(c.nodes, newTestNode(t, Config{ID: id}, founding(ids...)))
+	}
+	return c
+}
+
+func (c *testCluster) node(id ReplicaID) *testNode {
+	for _, node := range c.nodes {
+		if node.config.ID == id {
+			return node
+		}
+	}
+	return nil
+}
+
+// settle delivers until nothing is under way.
+func (c *testCluster) settle() {
+	c.t.Helper()
+	for range 1000 {
+		var messages []Message
+		for _, node := range c.nodes {
+			messages = append(messages, node.turn()...)
+		}
+		if len(messages) == 0 {
+			return
+		}
+		for _, message := range messages {
+			to := c.node(message.To)
+			if to == nil || c.drop(message) {
+				continue
+			}
+			if err := to.Step(c.now, message); err != nil {
+				c.t.Fatalf("step %+v: %v", message, err)
+			}
+		}
+	}
+	c.t.Fatal("messages never end")
+}
+
+// pass lets time go by in ticks.
+func (c *testCluster) pass(duration time.Duration) {
+	c.t.Helper()
+	for end := c.now + duration; c.now < end; {
+		c.now += DefaultTickInterval
+		for _, node := range c.nodes {
+			node.Tick(c.now)
+		}
+		c.settle()
+	}
+}
+
+// elect makes a replica lead by its timeout.
+func (c *testCluster) elect(id ReplicaID) *testNode {
+	c.t.Helper()
+	node := c.node(id)
+	c.now += 2 * DefaultElectionTimeoutMax
+	node.Tick(c.now - DefaultElectionTimeoutMax)
+	node.turn()
+	node.Tick(c.now)
+	c.settle()
+	c.pass(2 * DefaultTickInterval)
+	if status := node.Status(); status.Role != RoleLeader || !status.TermReady {
+		c.t.Fatalf("replica %s did not become leader: %+v", id, status)
+	}
+	return node
+}
+
+func (c *testCluster) propose(node *testNode, count int) {
+	c.t.Helper()
+	for i := range count {
+		if _, _, err := node.Propose(c.now, [][]byte{fmt.Appendf(nil, "command-%d", i)}); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	c.settle()
+}
+
+// dropTo cuts a replica off.
+func (c *testCluster) dropTo(id ReplicaID) {
+	c.drop = func(message Message) bool { return message.To == id || message.From == id }
+}
+
+func (c *testCluster) dropNothing() { c.drop = func(Message) bool { return false } }
--- /dev/null
+++ b/internal/raft/membership.go
@@ -0,0 +1,275 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// maxPromotionLag is how many entries a learner may lack of the committed ones
+// when it is made a voter.
+const maxPromotionLag = 1000
+
+// ErrWrongMembership: the wanted membership contradicts itself.
+var ErrWrongMembership = errors.New("raft: wrong membership")
+
+// membershipAt is a membership and the entry that brought it.
+type membershipAt struct {
+	index      uint64
+	membership Membership
+}
+
+// membership is the newest of the log: it is in force from when it is
+// appended, committed or not (Raft paper, 6).
+func (n *Node) membership() Membership {
+	return n.memberships[len(n.memberships)-1].membership
+}
+
+func (n *Node) membershipIndex() uint64 {
+	return n.memberships[len(n.memberships)-1].index
+}
+
+// membershipAtIndex is the one in force when index was the last entry.
+func (n *Node) membershipAtIndex(index uint64) Membership {
+	found := n.memberships[0].membership
+	for _, entry := range n.memberships {
+		if entry.index <= index {
+			found = entry.membership
+		}
+	}
+	return found.clone()
+}
+
+func (n *Node) addMemberships(added []membershipAt) {
+	if len(added) == 0 {
+		return
+	}
+	n.memberships = append(n.memberships, added...)
+	n.refreshPeers()
+}
+
+// dropMembershipsFrom rolls back to the one before a truncation.
+func (n *Node) dropMembershipsFrom(index uint64) {
+	kept := len(n.memberships)
+	for kept > 1 && n.memberships[kept-1].index >= index {
+		kept--
+	}
+	if kept == len(n.memberships) {
+		return
+	}
+	n.memberships = n.memberships[:kept]
+	n.refreshPeers()
+}
+
+// forgetMembershipsBefore keeps the one in force at index and all later ones.
+func (n *Node) forgetMembershipsBefore(index uint64) {
+	first := 0
+	for first+1 < len(n.memberships) && n.memberships[first+1].index <= index {
+		first++
+	}
+	n.memberships = slices.Delete(n.memberships, 0, first)
+}
+
+func decodeMemberships(entries []Entry) ([]membershipAt, error) {
+	var decoded []membershipAt
+	for _, entry := range entries {
+		if entry.Kind != EntryMembership {
+			continue
+		}
+		membership, err := DecodeMembership(entry.Data)
+		if err != nil {
+			return nil, fmt.Errorf("raft: entry %d: %w", entry.Index, err)
+		}
+		decoded = append(decoded, membershipAt{index: entry.Index, membership: membership})
+	}
+	return decoded, nil
+}
+
+// peer returns what is known of a replica; nil outside of the membership.
+func (n *Node) peer(id ReplicaID) *peer {
+	for _, p := range n.peers {
+		if p.id == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// refreshPeers follows the membership and keeps what is known of those who
+// stay.
+func (n *Node) refreshPeers() {
+	membership := n.membership()
+	known := n.peers
+	n.peers = nil
+	n.voters = n.collectPeers(known, membership.Voters, true)
+	n.outgoing = n.collectPeers(known, membership.Outgoing, true)
+	n.collectPeers(known, membership.Learners, false)
+}
+
+func (n *Node) collectPeers(known []*peer, members []Member, voter bool) []*peer {
+	collected := make([]*peer, 0, len(members))
+	for _, member := range members {
+		p := n.peer(member.ID)
+		if p == nil {
+			p = n.knownOrNew(known, member.ID)
+			p.voter = voter
+			n.peers = append(n.peers, p)
+		}
+		collected = append(collected, p)
+	}
+	return collected
+}
+
+func (n *Node) knownOrNew(known []*peer, id ReplicaID) *peer {
+	for _, p := range known {
+		if p.id == id {
+			return p
+		}
+	}
+	return &peer{id: id, next: n.log.lastIndex() + 1}
+}
+
+// ChangeMembership proposes target. Learners and member data change directly;
+// a change of voters is joint first. Fails with ErrNotLeader, ErrTransferring,
+// ErrChangePending (also before the term's first commit), ErrWrongMembership,
+// or ErrNotCaughtUp.
+func (n *Node) ChangeMembership(now time.Duration, target Membership) error {
+	n.observe(now)
+	if n.role != RoleLeader {
+		return ErrNotLeader
+	}
+	if n.transferring() {
+		return ErrTransferring
+	}
+	current := n.membership()
+	if !n.termReady() || current.joint() || n.membershipIndex() > n.log.commit {
+		return ErrChangePending
+	}
+	if err := target.validate(); err != nil {
+		return err
+	}
+	if sameIDs(current.Voters, target.Voters) {
+		return n.appendMembership(target)
+	}
+	if err := n.checkPromotions(current, target); err != nil {
+		return err
+	}
+	target.Outgoing = current.Voters
+	return n.appendMembership(target)
+}
+
+// checkPromotions: a new voter must have been followed as a learner, or the
+// quorum would wait for it.
+func (n *Node) checkPromotions(current, target Membership) error {
+	for _, voter := range target.Voters {
+		if containsID(current.Voters, voter.ID) {
+			continue
+		}
+		p := n.peer(voter.ID)
+		if p == nil || !n.isCaughtUp(p) {
+			return fmt.Errorf("raft: replica %s: %w", voter.ID, ErrNotCaughtUp)
+		}
+	}
+	return nil
+}
+
+// isCaughtUp: the peer answers, its log agrees with the leader's, and little of
+// it is missing.
+func (n *Node) isCaughtUp(p *peer) bool {
+	return p.heard && !n.isSilent(p) && p.mode == modeReplicate && p.match+maxPromotionLag >= n.log.commit
+}
+
+func (n *Node) appendMembership(membership Membership) error {
+	membership = membership.clone()
+	data, err := EncodeMembership(membership)
+	if err != nil {
+		return err
+	}
+	n.appendOwn(EntryMembership, data)
+	n.addMemberships([]membershipAt{{index: n.log.lastIndex(), membership: membership}})
+	return nil
+}
+
+// continueMembershipChange ends a joint membership once it is committed, and
+// the leadership of one who is no longer a voter.
+func (n *Node) continueMembershipChange() {
+	if n.role != RoleLeader || n.membershipIndex() > n.log.commit || !n.termReady() {
+		return
+	}
+	current := n.membership()
+	if current.joint() {
+		if n.transferring() {
+			return // the next leader does it
+		}
+		current.Outgoing = nil
+		// It was decoded or encoded before, so that it cannot fail to encode.
+		_ = n.appendMembership(current)
+		return
+	}
+	if !containsID(current.Voters, n.config.ID) {
+		n.leaveLeadership()
+	}
+}
+
+// leaveLeadership ends the term of a leader that is no longer a voter. Its last
+// round tells the others that the change is committed; the best of them may
+// stand at once, since the lease ends here (see transfer.go).
+func (n *Node) leaveLeadership() {
+	n.startRound()
+	n.lead.lease.givenUp = true
+	target := n.transferTarget("")
+	if target != nil && target.match == n.log.lastIndex() {
+		n.send(Message{Kind: MessageTimeoutNow, To: target.id})
+	}
+	n.becomeFollower(n.term, "")
+}
+
+func (m Membership) joint() bool { return len(m.Outgoing) > 0 }
+
+func (m Membership) empty() bool {
+	return len(m.Voters) == 0 && len(m.Outgoing) == 0 && len(m.Learners) == 0
+}
+
+func (m Membership) clone() Membership {
+	return Membership{
+		Voters:   slices.Clone(m.Voters),
+		Outgoing: slices.Clone(m.Outgoing),
+		Learners: slices.Clone(m.Learners),
+	}
+}
+
+func (m Membership) sameReplicas(other Membership) bool {
+	return sameIDs(m.Voters, other.Voters) && sameIDs(m.Outgoing, other.Outgoing) && sameIDs(m.Learners, other.Learners)
+}
+
+// validate checks a target of ChangeMembership.
+func (m Membership) validate() error {
+	if len(m.Voters) == 0 || m.joint() {
+		return fmt.Errorf("%w: it needs voters and no outgoing ones", ErrWrongMembership)
+	}
+	seen := make(map[ReplicaID]bool, len(m.Voters)+len(m.Learners))
+	for _, member := range slices.Concat(m.Voters, m.Learners) {
+		if member.ID == "" || seen[member.ID] {
+			return fmt.Errorf("%w: replica id %q is empty or doubled", ErrWrongMembership, member.ID)
+		}
+		seen[member.ID] = true
+	}
+	return nil
+}
+
+func containsID(members []Member, id ReplicaID) bool {
+	return slices.ContainsFunc(members, func(member Member) bool { return member.ID == id })
+}
+
+func sameIDs(a, b []Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, member := range a {
+		if !containsID(b, member.ID) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/raft/membership_test.go
@@ -0,0 +1,208 @@
+package raft
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// withLearner adds an empty replica to a running cluster.
+func withLearner(t *testing.T, cluster *testCluster, leader *testNode, id ReplicaID) Membership {
+	t.Helper()
+	cluster.nodes = append(cluster.nodes, newTestNode(t, Config{ID: id}, Restored{}))
+	target := leader.Status().Membership
+	target.Learners = append(target.Learners, testMember(id))
+	if err := leader.ChangeMembership(cluster.now, target); err != nil {
+		t.Fatal(err)
+	}
+	cluster.settle()
+	return target
+}
+
+// installSnapshots lets the new replica take the founders' first place.
+func installSnapshots(cluster *testCluster, leader *testNode, id ReplicaID) {
+	meta := leader.snapshot
+	if node := cluster.node(id); node.WantsSnapshot(meta) {
+		node.SnapshotInstalled(cluster.now, meta)
+		leader.SnapshotSent(cluster.now, id, meta.Index, true)
+	}
+	cluster.pass(4 * DefaultTickInterval)
+}
+
+func TestMembershipEncoding(t *testing.T) {
+	membership := testMembership("a", "b")
+	membership.Outgoing = testMembership("a").Voters
+	membership.Learners = []Member{{ID: "d", Name: "n", Zone: "z", Address: "h:1"}}
+	data, err := EncodeMembership(membership)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := DecodeMembership(data)
+	if err != nil || !cmp.Equal(membership, decoded) {
+		t.Errorf("%v: %s", err, cmp.Diff(membership, decoded))
+	}
+	if _, err := DecodeMembership(data[:len(data)-1]); err == nil {
+		t.Error("cut data was read")
+	}
+}
+
+func TestReplacementIsJoint(t *testing.T) {
+	cluster := newTestCluster(t, "a", "b", "c")
+	leader := cluster.elect("a")
+	cluster.dropTo("c")
+	withLearner(t, cluster, leader, "d")
+	target := testMembership("a", "b", "d")
+	if err := leader.ChangeMembership(cluster.now, target); !errors.Is(err, ErrNotCaughtUp) {
+		t.Fatalf("promotion of an unheard learner: %v", err)
+	}
+	cluster.pass(4 * DefaultTickInterval)
+	installSnapshots(cluster, leader, "d")
+	if err := leader.ChangeMembership(cluster.now, target); err != nil {
+		t.Fatal(err)
+	}
+	if joint := leader.Status().Membership; len(joint.Outgoing) != 3 {
+		t.Errorf("membership %+v is not joint", joint)
+	}
+	if err := leader.ChangeMembership(cluster.now, target); !errors.Is(err, ErrChangePending) {
+		t.Errorf("second change: %v", err)
+	}
+	cluster.pass(2 * DefaultTickInterval)
+	for _, id := range []ReplicaID{"a", "b", "d"} {
+		if got := cluster.node(id).Status().Membership; !cmp.Equal(got, target) {
+			t.Errorf("replica %s: %s", id, cmp.Diff(target, got))
+		}
+	}
+	// The new voter carries the quorum with one loss more.
+	cluster.dropTo("b")
+	cluster.propose(leader, 1)
+	if status := leader.Status(); status.Commit != status.LastIndex {
+		t.Errorf("status %+v", status)
+	}
+}
+
+func TestLearnerDoesNotCount(t *testing.T) {
+	cluster := newTestCluster(t, "a", "b", "c")
+	leader := cluster.elect("a")
+	withLearner(t, cluster, leader, "d")
+	cluster.pass(4 * DefaultTickInterval)
+	installSnapshots(cluster, leader, "d")
+	cluster.drop = func(message Message) bool { return message.From == "b" || message.From == "c" }
+	before := leader.Status()
+	cluster.propose(leader, 1)
+	cluster.pass(DefaultLeaseDuration)
+	status := leader.Status()
+	if progressOf(t, leader, "d").Match != status.LastIndex {
+		t.Error("the learner got no entries")
+	}
+	if status.Commit != before.Commit || status.LeaseUntil > cluster.now {
+		t.Errorf("a learner counted: %+v", status)
+	}
+}
+
+func TestChangeRefusals(t *testing.T) {
+	node := leaderOfThree(t, 10*time.Second)
+	now := 10 * time.Second
+	if err := node.ChangeMembership(now, testMembership("a", "b")); !errors.Is(err, ErrChangePending) {
+		t.Errorf("before the noop: %v", err)
+	}
+	node.step(now, answer("b", 2, 1))
+	doubled := testMembership("a", "b", "c")
+	doubled.Learners = doubled.Voters[:1]
+	joint := testMembership("a", "b")
+	joint.Outgoing = testMembership("a").Voters
+	for _, wrong := range []Membership{{}, doubled, joint} {
+		if err := node.ChangeMembership(now, wrong); !errors.Is(err, ErrWrongMembership) {
+			t.Errorf("%+v: %v", wrong, err)
+		}
+	}
+	if err := node.ChangeMembership(now, testMembership("a", "b", "x")); !errors.Is(err, ErrNotCaughtUp) {
+		t.Errorf("stranger as voter: %v", err)
+	}
+}
+
+func TestLaggingLearnerIsNotPromoted(t *testing.T) {
+	cluster := newTestCluster(t, "a", "b", "c")
+	leader := cluster.elect("a")
+	withLearner(t, cluster, leader, "d")
+	cluster.pass(4 * DefaultTickInterval)
+	installSnapshots(cluster, leader, "d")
+	cluster.drop = func(message Message) bool { return message.To == "d" && len(message.Entries) > 0 }
+	if _, _, err := leader.Propose(cluster.now, make([][]byte, maxPromotionLag+10)); err != nil {
+		t.Fatal(err)
+	}
+	cluster.settle()
+	if err := leader.ChangeMembership(cluster.now, testMembership("a", "b", "d")); !errors.Is(err, ErrNotCaughtUp) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestMembershipRollsBackWithTruncation(t *testing.T) {
+	node := newTestNode(t, Config{ID: "a"}, founding("a", "b", "c"))
+	data, err := EncodeMembership(testMembership("a", "b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.step(0, Message{
+		Kind: MessageAppend, From: "b", Term: 2, Index: 1, LogTerm: 1,
+		Entries: []Entry{{Index: 2, Term: 2, Kind: EntryMembership, Data: data}},
+	})
+	if got := len(node.Status().Membership.Voters); got != 2 {
+		t.Fatalf("%d voters after the append", got)
+	}
+	node.step(0, Message{
+		Kind: MessageAppend, From: "c", Term: 3, Index: 1, LogTerm: 1,
+		Entries: []Entry{{Index: 2, Term: 3, Kind: EntryNoop}},
+	})
+	if got := len(node.Status().Membership.Voters); got != 3 {
+		t.Errorf("%d voters after the truncation", got)
+	}
+}
+
+func TestLeaderOutsideNewVotersStepsDown(t *testing.T) {
+	cluster := newTestCluster(t, "a", "b", "c")
+	leader := cluster.elect("a")
+	if err := leader.ChangeMembership(cluster.now, testMembership("b", "c")); err != nil {
+		t.Fatal(err)
+	}
+	cluster.settle()
+	cluster.pass(3 * DefaultElectionTimeoutMax)
+	if leader.Status().Role == RoleLeader {
+		t.Error("the removed leader leads")
+	}
+	successor := cluster.node(cluster.node("b").Status().Leader)
+	if successor == nil || successor == leader || !successor.Status().TermReady {
+		t.Fatalf("successor %+v", successor)
+	}
+	// The removed replica cannot disturb.
+	term := successor.Status().Term
+	cluster.pass(5 * DefaultElectionTimeoutMax)
+	if status := successor.Status(); status.Role != RoleLeader || status.Term != term {
+		t.Errorf("disturbed: %+v", status)
+	}
+}
+
+// The loss of a disk in the middle of a change may leave a replica that was
+// about to go as the only one that can be elected.
+func TestReplicaLeftOutByUncommittedChangeStands(t *testing.T) {
+	data, err := EncodeMembership(testMembership("b", "c"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := founding("a", "b", "c")
+	restored.HardState.Term = 2
+	restored.Entries = []Entry{{Index: 2, Term: 2, Kind: EntryMembership, Data: data}}
+	for _, committed := range []bool{false, true} {
+		if committed {
+			restored.HardState.Commit = 2
+		}
+		node := newTestNode(t, Config{ID: "a"}, restored)
+		node.Tick(0)
+		node.Tick(DefaultElectionTimeoutMax)
+		stands := len(ofKind(node.turn(), MessagePreVote)) > 0
+		if stands == committed {
+			t.Errorf("committed %v: stands %v", committed, stands)
+		}
+	}
+}
--- /dev/null
+++ b/internal/raft/raftsim/checker.go
@@ -0,0 +1,200 @@
+package raftsim
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// record is an entry as the first machine that applied it saw it.
+type record struct {
+	term uint64
+	kind raft.EntryKind
+	hash uint64
+}
+
+// firstRecorded is the index of the first record: the founders begin with a
+// snapshot at 1.
+const firstRecorded = 2
+
+// checker knows all that was ever applied or acknowledged.
+type checker struct {
+	records []record
+	// membership is the newest one applied anywhere.
+	membership raft.Membership
+	// places has the index of each command; it may have only one.
+	places       map[uint64]uint64
+	acknowledged map[uint64]uint64
+	// highest is the highest index acknowledged, newest the highest proposal.
+	highest uint64
+	newest  uint64
+	leaders map[uint64]raft.ReplicaID
+}
+
+func newChecker() checker {
+	return checker{
+		places:       make(map[uint64]uint64),
+		acknowledged: make(map[uint64]uint64),
+		leaders:      make(map[uint64]raft.ReplicaID),
+	}
+}
+
+func (c *checker) lastIndex() uint64 { return uint64(len(c.records)) + firstRecorded - 1 }
+
+func (c *checker) termAt(index uint64) (uint64, bool) {
+	switch {
+	case index == firstRecorded-1:
+		return 1, true
+	case index < firstRecorded || index > c.lastIndex():
+		return 0, false
+	default:
+		return c.records[index-firstRecorded].term, true
+	}
+}
+
+func (c *checker) acknowledgedAfter(proposal uint64) bool { return c.newest > proposal }
+
+// checkApplied compares an entry with what others applied at its index.
+func (s *simulation) checkApplied(m *machine, entry raft.Entry) {
+	c := &s.checker
+	s.note(m.index, "apply", entry.Index, entry.Term, uint64(entry.Kind))
+	if entry.Kind == raft.EntryMembership {
+		membership, err := raft.DecodeMembership(entry.Data)
+		if err != nil {
+			s.fail("machine %d: %v", m.index, err)
+			return
+		}
+		m.membership = membership
+	}
+	seen := record{term: entry.Term, kind: entry.Kind, hash: hashBytes(entry.Data)}
+	if entry.Index <= c.lastIndex() {
+		if known := c.records[entry.Index-firstRecorded]; known != seen {
+			s.fail("machine %d applies %+v at %d, where %+v was applied", m.index, seen, entry.Index, known)
+		}
+		return
+	}
+	c.records = append(c.records, seen)
+	switch entry.Kind {
+	case raft.EntryCommand:
+		s.recordCommand(entry)
+	case raft.EntryMembership:
+		s.recordMembership(m.membership)
+	}
+}
+
+func (s *simulation) recordCommand(entry raft.Entry) {
+	id := binary.LittleEndian.Uint64(entry.Data)
+	if earlier, ok := s.checker.places[id]; ok {
+		s.fail("command %d is at %d and at %d", id, earlier, entry.Index)
+	}
+	s.checker.places[id] = entry.Index
+}
+
+func (s *simulation) recordMembership(membership raft.Membership) {
+	wasDamaged := s.lostIn(s.checker.membership.Voters) > 0 || s.lostIn(s.checker.membership.Outgoing) > 0
+	s.checker.membership = membership
+	if len(membership.Outgoing) > 0 || s.lostIn(membership.Voters) > 0 || !wasDamaged {
+		return
+	}
+	s.report.Replacements++
+	if !s.healed && s.chance(0.6) {
+		s.after(s.between(0, 30), s.secondLoss)
+	}
+}
+
+// acknowledge notes that a client was told of its command.
+func (s *simulation) acknowledge(m *machine, id, index uint64) {
+	c := &s.checker
+	s.note(m.index, "acknowledge", id, index, 0)
+	if c.places[id] != index {
+		s.fail("command %d is acknowledged at %d and lies at %d", id, index, c.places[id])
+	}
+	c.acknowledged[id] = index
+	c.highest = max(c.highest, index)
+	c.newest = max(c.newest, id)
+	s.report.Acknowledged++
+}
+
+// checkRead: a read may not miss what was acknowledged before it was asked.
+func (s *simulation) checkRead(m *machine, state raft.ReadState) {
+	floor, ok := m.reads[state.Request]
+	if !ok {
+		s.fail("machine %d answers read %d, which is not asked there", m.index, state.Request)
+		return
+	}
+	delete(m.reads, state.Request)
+	s.note(m.index, "read", state.Request, state.Index, floor)
+	s.report.Reads++
+	if state.Index < floor {
+		s.fail("machine %d reads at %d, though %d was acknowledged before", m.index, state.Index, floor)
+	}
+}
+
+func (s *simulation) checkLeader(m *machine) {
+	if m.status.Role != raft.RoleLeader {
+		return
+	}
+	known, ok := s.checker.leaders[m.status.Term]
+	if !ok {
+		s.checker.leaders[m.status.Term] = m.id
+		s.report.Leaders++
+		s.note(m.index, "lead", m.status.Term, 0, 0)
+		return
+	}
+	if known != m.id {
+		s.fail("replicas %s and %s both lead term %d", known, m.id, m.status.Term)
+	}
+}
+
+// checkLease: at one true time only one machine may believe in its lease,
+// those that are frozen included.
+func (s *simulation) checkLease(m *machine) {
+	if s.options.weakening == weakenVote || !m.claimsLease() {
+		return // without quiet time leases overlap; votes are the question there
+	}
+	for _, other := range s.machines {
+		if other != m && other.claimsLease() {
+			s.fail("machines %d (term %d) and %d (term %d) both hold a lease",
+				m.index, m.status.Term, other.index, other.status.Term)
+		}
+	}
+}
+
+// settled: the membership is whole and every voter has applied all that is
+// acknowledged.
+func (s *simulation) settled() bool { return s.unsettledReason() == "" }
+
+func (s *simulation) unsettledReason() string {
+	membership := s.checker.membership
+	if len(membership.Outgoing) > 0 || len(membership.Voters) != s.founders {
+		return fmt.Sprintf("membership %+v", membership)
+	}
+	for _, voter := range membership.Voters {
+		m := s.machineOf(voter.ID)
+		if m == nil {
+			return fmt.Sprintf("voter %s was not replaced", voter.ID)
+		}
+		if m.applied < s.checker.highest {
+			return fmt.Sprintf("machine %d applied %d of %d", m.index, m.applied, s.checker.highest)
+		}
+	}
+	return ""
+}
+
+// checkFinal looks for each acknowledged command where it was acknowledged.
+// All voters applied that far, and applying compared each entry.
+func (s *simulation) checkFinal() {
+	c := &s.checker
+	lowest := uint64(math.MaxUint64)
+	for _, voter := range c.membership.Voters {
+		lowest = min(lowest, s.machineOf(voter.ID).applied)
+	}
+	for id := uint64(1); id <= s.nextProposal; id++ {
+		index, ok := c.acknowledged[id]
+		if ok && (c.places[id] != index || index > lowest) {
+			s.fail("acknowledged command %d at %d is lost", id, index)
+		}
+	}
+}
--- /dev/null
+++ b/internal/raft/raftsim/faults.go
@@ -0,0 +1,233 @@
+package raftsim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// nextFault makes one fault and plans the next.
+func (s *simulation) nextFault() {
+	if s.healed {
+		return
+	}
+	switch s.options.scenario {
+	case scenarioVoterRestarts:
+		s.restartVoterRepeatedly()
+		s.after(s.between(2*time.Second, 4*time.Second), s.nextFault)
+	case scenarioLateHandovers:
+		s.delayHandover()
+		s.transferLeadership()
+		s.after(maxTimeoutNowDelay, s.nextFault)
+	default:
+		s.mixedFault()
+	}
+}
+
+// mixedFault draws one of all faults.
+func (s *simulation) mixedFault() {
+	s.after(s.between(50*time.Millisecond, 1200*time.Millisecond), s.nextFault)
+	m := s.faultTarget()
+	switch draw := s.random.IntN(100); {
+	case draw < 14:
+		m.crash(s.between(50*time.Millisecond, 5*time.Second))
+	case draw < 26:
+		s.restartRepeatedly(m)
+	case draw < 38:
+		m.freeze(s.freezeTime())
+	case draw < 48:
+		s.isolate(m)
+	case draw < 64:
+		s.cutPair(m)
+	case draw < 72:
+		s.loseDisk(m)
+	case draw < 83:
+		if s.chance(0.4) {
+			s.delayHandover()
+		}
+		s.transferLeadership()
+	case draw < 89:
+		s.restartVoterRepeatedly()
+	default:
+		s.changeLinkQuality()
+	}
+}
+
+// faultTarget prefers a leader.
+func (s *simulation) faultTarget() *machine {
+	if leaders := s.believedLeaders(); len(leaders) > 0 && s.chance(0.4) {
+		return leaders[s.random.IntN(len(leaders))]
+	}
+	return s.machines[s.random.IntN(len(s.machines))]
+}
+
+// freezeTime is mostly short, and at times longer than the faults go on.
+func (s *simulation) freezeTime() time.Duration {
+	if s.chance(0.2) {
+		return s.between(time.Second, 25*time.Second)
+	}
+	return s.between(300*time.Millisecond, 3*time.Second)
+}
+
+// restartRepeatedly restarts a machine at once, a few times: a voter may forget
+// promises.
+func (s *simulation) restartRepeatedly(m *machine) {
+	m.crash(s.between(time.Millisecond, 50*time.Millisecond))
+	for i := range s.random.IntN(4) {
+		s.after(time.Duration(i+1)*s.between(100*time.Millisecond, 400*time.Millisecond), func() {
+			if !s.healed {
+				m.crash(s.between(time.Millisecond, 50*time.Millisecond))
+			}
+		})
+	}
+}
+
+// restartVoterRepeatedly restarts a voter again and again while nothing is
+// proposed, so that any log may win. A follower that is cut off the leader is
+// elected too early should the voter forget its promise. If the leader restarts
+// as well, and messages are slow, both are elected in one term should it forget
+// its vote.
+func (s *simulation) restartVoterRepeatedly() {
+	leaders := s.believedLeaders()
+	if len(leaders) == 0 {
+		return
+	}
+	leader := leaders[s.random.IntN(len(leaders))]
+	order := s.random.Perm(len(s.machines))
+	order = slices.DeleteFunc(order, func(i int) bool { return i == leader.index })
+	candidate, voter := s.machines[order[0]], s.machines[order[1]]
+	duration := s.between(2*time.Second, 4*time.Second)
+	s.pauseProposals(duration)
+	s.cutLink(leader.index, candidate.index, duration)
+	s.cutLink(candidate.index, leader.index, duration)
+	s.network.slowRate = 0
+	if s.chance(0.5) {
+		s.network.slowRate = 0.6
+		leader.crash(s.between(10*time.Millisecond, 300*time.Millisecond))
+	}
+	for at := time.Duration(0); at < duration; at += s.between(60*time.Millisecond, 200*time.Millisecond) {
+		s.after(at, func() {
+			if !s.healed {
+				voter.crash(s.between(time.Millisecond, 20*time.Millisecond))
+			}
+		})
+	}
+}
+
+// isolate cuts a machine from all, both ways or one.
+func (s *simulation) isolate(m *machine) {
+	incoming := s.chance(0.7)
+	outgoing := !incoming || s.chance(0.7)
+	duration := s.between(200*time.Millisecond, 4*time.Second)
+	if incoming {
+		s.cutIncoming(m, duration)
+	}
+	if outgoing {
+		for _, other := range s.machines {
+			s.cutLink(m.index, other.index, duration)
+		}
+	}
+}
+
+// cutIncoming cuts all links to a machine.
+func (s *simulation) cutIncoming(m *machine, duration time.Duration) {
+	for _, other := range s.machines {
+		s.cutLink(other.index, m.index, duration)
+	}
+}
+
+func (s *simulation) cutPair(m *machine) {
+	other := s.machines[s.random.IntN(len(s.machines))]
+	duration := s.between(200*time.Millisecond, 5*time.Second)
+	s.cutLink(m.index, other.index, duration)
+	if s.chance(0.6) {
+		s.cutLink(other.index, m.index, duration)
+	}
+}
+
+func (s *simulation) cutLink(from, to int, duration time.Duration) {
+	if from == to {
+		return
+	}
+	s.note(from, "cut", uint64(to), uint64(duration), 0)
+	s.network.cut[from][to]++
+	s.after(duration, func() {
+		if !s.healed {
+			s.network.cut[from][to]--
+		}
+	})
+}
+
+func (s *simulation) changeLinkQuality() {
+	s.network.dropRate = s.random.Float64() * s.random.Float64() * 0.4
+	s.network.doubleRate = s.random.Float64() * 0.1
+	s.network.slowRate = s.random.Float64() * s.random.Float64() * 0.4
+}
+
+// delayHandover makes a transfer fail, with the requests to stand coming after
+// others were elected. Proposals pause, so that the late one still has a log
+// that may win.
+func (s *simulation) delayHandover() {
+	s.network.timeoutNowLateUntil = s.now + electionTimeoutMax + electionTimeoutMin
+	s.pauseProposals(maxTimeoutNowDelay)
+}
+
+func (s *simulation) transferLeadership() {
+	for _, m := range s.believedLeaders() {
+		if s.options.scenario == scenarioMixed && s.chance(0.4) {
+			// It does not hear that it was succeeded.
+			s.cutIncoming(m, s.between(300*time.Millisecond, 2*time.Second))
+		}
+		target := raft.ReplicaID("")
+		if s.chance(0.5) {
+			target = s.machines[s.random.IntN(len(s.machines))].id
+		}
+		m.do(func(now time.Duration) {
+			if m.node.TransferLeadership(now, target) == nil {
+				s.report.Transfers++
+				s.note(m.index, "transfer", m.status.Term, 0, 0)
+			}
+		})
+	}
+}
+
+func (s *simulation) loseDisk(m *machine) {
+	if s.mayLose(m.id) {
+		m.loseDisk(s.between(50*time.Millisecond, 2*time.Second))
+	}
+}
+
+// secondLoss takes a disk right after a replacement was complete.
+func (s *simulation) secondLoss() {
+	m := s.machines[s.random.IntN(len(s.machines))]
+	if s.healed || !s.mayLose(m.id) {
+		return
+	}
+	s.report.SecondLosses++
+	m.loseDisk(s.between(50*time.Millisecond, 2*time.Second))
+}
+
+// mayLose keeps a majority of every voter set that may decide: the newest one
+// applied, and those that its voters hold in their logs. Losing more is beyond
+// what a replicated log can promise.
+func (s *simulation) mayLose(id raft.ReplicaID) bool {
+	if !s.keepsMajority(s.checker.membership, id) {
+		return false
+	}
+	for _, m := range s.machines {
+		if m.up && isMember(s.checker.membership, m.id) && !s.keepsMajority(m.status.Membership, id) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *simulation) keepsMajority(membership raft.Membership, id raft.ReplicaID) bool {
+	return s.keepsMajorityOf(membership.Voters, id) && s.keepsMajorityOf(membership.Outgoing, id)
+}
+
+func (s *simulation) keepsMajorityOf(voters []raft.Member, id raft.ReplicaID) bool {
+	votes := slices.ContainsFunc(voters, func(voter raft.Member) bool { return voter.ID == id })
+	return !votes || s.lostIn(voters)+1 <= (len(voters)-1)/2
+}
--- /dev/null
+++ b/internal/raft/raftsim/options.go
@@ -0,0 +1,101 @@
+package raftsim
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Options chooses a run.
+type Options struct {
+	Seed int64
+	// Machines is 3 or 5; zero lets the seed choose. One spare joins them in
+	// some runs.
+	Machines int
+	// FaultTime is how long faults go on, in virtual time. Default 15s.
+	FaultTime time.Duration
+	// Trace, if not nil, gets a line for each event.
+	Trace io.Writer
+
+	weakening weakening
+	// scenario is drawn from the seed if it is zero.
+	scenario scenario
+}
+
+// scenario is the kind of faults in a run.
+type scenario uint8
+
+const (
+	scenarioDrawn scenario = iota
+	// scenarioMixed has all of them, and is most common.
+	scenarioMixed
+	// scenarioVoterRestarts has only restartVoterRepeatedly, and
+	// scenarioLateHandovers only failing transfers of leadership: other faults
+	// would mostly keep the rare outcome from showing.
+	scenarioVoterRestarts
+	scenarioLateHandovers
+)
+
+// weakening switches off one safety rule, to prove that the checks can fail.
+type weakening uint8
+
+const (
+	// The zero value weakens nothing.
+	_ weakening = iota
+	// weakenQuietTime: restarted voters vote at once.
+	weakenQuietTime
+	// weakenVote: a restart forgets the vote, and there is no quiet time.
+	weakenVote
+	// weakenLease: a lease is believed for two seconds too long.
+	weakenLease
+	// weakenTransfer: a lease is still believed while leadership is handed over.
+	weakenTransfer
+	// weakenTimeoutNow: permission to stand is heeded in any later term.
+	weakenTimeoutNow
+	// weakenStickiness: every vote passes over the promise to the leader.
+	weakenStickiness
+	// weakenSync: a crash loses the last synced entries as well.
+	weakenSync
+	// weakenReplicaID: an emptied machine comes back as the voter it was.
+	weakenReplicaID
+	// weakenReads: reads are answered from the commit index at once.
+	weakenReads
+)
+
+// Report says what happened in a run.
+type Report struct {
+	Seed int64
+	// TraceHash is equal for runs with the same events.
+	TraceHash uint64
+	Events    int
+	// Acknowledged counts proposals, Reads answered read requests.
+	Acknowledged int
+	Reads        int
+	Leaders      int
+	Crashes      int
+	Freezes      int
+	LostDisks    int
+	// SecondLosses are disks lost right after a replacement was complete.
+	SecondLosses       int
+	Replacements       int
+	SnapshotsInstalled int
+	Transfers          int
+	// LateTimeoutNows are those that arrived more than an election timeout
+	// after they were sent.
+	LateTimeoutNows int
+}
+
+// Violation is a broken promise, with what led to it.
+type Violation struct {
+	Seed   int64
+	At     time.Duration
+	Reason string
+	// Last has the last events, oldest first.
+	Last []string
+}
+
+// Error names the seed, which reproduces the run.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("raftsim: seed %d at %v: %s\n%s", v.Seed, v.At, v.Reason, strings.Join(v.Last, "\n"))
+}
--- /dev/null
+++ b/internal/raft/raftsim/raftsim_test.go
@@ -0,0 +1,144 @@
+package raftsim
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// Seeds of the long and the short test.
+const (
+	seedsLong  = 2000
+	seedsShort = 200
+	// seedsWeakened is how many seeds may be tried until a switched-off safety
+	// rule shows.
+	seedsWeakened = 400
+	batchSize     = 50
+)
+
+// TestSeeds plays many seeds; RAFTSIM_SEED=n plays one and prints its trace.
+func TestSeeds(t *testing.T) {
+	if text := os.Getenv("RAFTSIM_SEED"); text != "" {
+		playOne(t, text)
+		return
+	}
+	count := seedsLong
+	if testing.Short() {
+		count = seedsShort
+	}
+	var mutex sync.Mutex
+	var total Report
+	t.Run("batches", func(t *testing.T) {
+		for first := 0; first < count; first += batchSize {
+			t.Run(fmt.Sprint(first), func(t *testing.T) {
+				t.Parallel()
+				for seed := first; seed < first+batchSize; seed++ {
+					report, err := Run(Options{Seed: int64(seed)})
+					if err != nil {
+						t.Error(err)
+					}
+					mutex.Lock()
+					total.add(report)
+					mutex.Unlock()
+				}
+			})
+		}
+	})
+	t.Logf("all seeds: %+v", total)
+	total.requireCoverage(t)
+}
+
+func playOne(t *testing.T, text string) {
+	seed, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.Fatalf("RAFTSIM_SEED: %v", err)
+	}
+	report, err := Run(Options{Seed: seed, Trace: os.Stdout})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", report)
+}
+
+func (r *Report) add(other Report) {
+	r.Events += other.Events
+	r.Acknowledged += other.Acknowledged
+	r.Reads += other.Reads
+	r.Leaders += other.Leaders
+	r.Crashes += other.Crashes
+	r.Freezes += other.Freezes
+	r.LostDisks += other.LostDisks
+	r.SecondLosses += other.SecondLosses
+	r.Replacements += other.Replacements
+	r.SnapshotsInstalled += other.SnapshotsInstalled
+	r.Transfers += other.Transfers
+	r.LateTimeoutNows += other.LateTimeoutNows
+}
+
+// requireCoverage: a run that met none of a fault proves nothing about it.
+func (r *Report) requireCoverage(t *testing.T) {
+	t.Helper()
+	counts := []int{
+		r.Acknowledged, r.Reads, r.Leaders, r.Crashes, r.Freezes, r.LostDisks, r.SecondLosses,
+		r.Replacements, r.SnapshotsInstalled, r.Transfers, r.LateTimeoutNows,
+	}
+	for i, count := range counts {
+		if count == 0 {
+			t.Errorf("count %d of %+v is zero", i, *r)
+		}
+	}
+}
+
+func TestSeedRepeats(t *testing.T) {
+	for seed := int64(0); seed < 5; seed++ {
+		first, firstErr := Run(Options{Seed: seed})
+		second, secondErr := Run(Options{Seed: seed})
+		if first != second || (firstErr == nil) != (secondErr == nil) {
+			t.Errorf("seed %d: %+v, then %+v", seed, first, second)
+		}
+	}
+}
+
+// TestWeakenedRulesAreFound proves that the checks can fail: for each rule that
+// is switched off, some seed shows the violation that the rule prevents.
+func TestWeakenedRulesAreFound(t *testing.T) {
+	const twoLeases, twoLeaders = "both hold a lease", "both lead term"
+	cases := []struct {
+		name    string
+		options Options
+		reason  string
+	}{
+		{"quiet time", Options{weakening: weakenQuietTime, scenario: scenarioVoterRestarts}, twoLeases},
+		{"vote", Options{weakening: weakenVote, scenario: scenarioVoterRestarts}, twoLeaders},
+		{"lease", Options{weakening: weakenLease}, twoLeases},
+		{"transfer", Options{weakening: weakenTransfer}, twoLeases},
+		{"timeout now", Options{weakening: weakenTimeoutNow, scenario: scenarioLateHandovers}, twoLeases},
+		{"stickiness", Options{weakening: weakenStickiness}, twoLeases},
+		{"sync", Options{weakening: weakenSync}, "applies"},
+		{"replica id", Options{weakening: weakenReplicaID}, "applies"},
+		{"reads", Options{weakening: weakenReads}, "was acknowledged before"},
+	}
+	for _, weakened := range cases {
+		t.Run(weakened.name, func(t *testing.T) {
+			t.Parallel()
+			requireViolation(t, weakened.options, weakened.reason)
+		})
+	}
+}
+
+func requireViolation(t *testing.T, options Options, reason string) {
+	t.Helper()
+	for options.Seed = 0; options.Seed < seedsWeakened; options.Seed++ {
+		_, err := Run(options)
+		var violation *Violation
+		if errors.As(err, &violation) && strings.Contains(violation.Reason, reason) {
+			t.Logf("seed %d: %s", options.Seed, violation.Reason)
+			return
+		}
+	}
+	t.Errorf("no %q in %d seeds", reason, seedsWeakened)
+}
--- /dev/null
+++ b/internal/raft/raftsim/simulation.go
@@ -0,0 +1,198 @@
+package raftsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// Times of a run.
+const (
+	defaultFaultTime = 15 * time.Second
+	// recoveryTime is how long after the last fault the cluster may take until
+	// a new proposal is acknowledged.
+	recoveryTime = 12 * time.Second
+	// settleTime is how long until all replicas and the membership are whole.
+	settleTime = 30 * time.Second
+	settleStep = 250 * time.Millisecond
+)
+
+// simulation is one run.
+type simulation struct {
+	options  Options
+	random   *rand.Rand
+	now      time.Duration
+	queue    eventQueue
+	planned  uint64
+	machines []*machine
+	// founders of machines form the cluster; a spare may come after them.
+	founders int
+	network  network
+	checker  checker
+	healed   bool
+
+	nextReplica  uint64
+	nextProposal uint64
+	nextRead     uint64
+	// proposeFrom is when the clients' pause ends.
+	proposeFrom time.Duration
+
+	report    Report
+	traces    [tracesKept]trace
+	violation *Violation
+}
+
+// Run plays one seed. A broken promise is returned as *Violation.
+func Run(options Options) (Report, error) {
+	s := newSimulation(options)
+	s.runUntil(s.options.FaultTime)
+	s.heal()
+	s.checkRecovery()
+	if s.violation != nil {
+		return s.report, s.violation
+	}
+	return s.report, nil
+}
+
+func newSimulation(options Options) *simulation {
+	if options.FaultTime == 0 {
+		options.FaultTime = defaultFaultTime
+	}
+	s := &simulation{
+		options: options,
+		random:  rand.New(rand.NewPCG(uint64(options.Seed), 0x7261667473696d)),
+		report:  Report{Seed: options.Seed},
+	}
+	s.founders = options.Machines
+	if s.founders == 0 {
+		s.founders = 3
+		if s.chance(0.2) {
+			s.founders = 5
+		}
+	}
+	if s.options.scenario == scenarioDrawn {
+		s.options.scenario = s.drawScenario()
+	}
+	s.checker = newChecker()
+	s.addMachines()
+	s.network = newNetwork(len(s.machines))
+	s.startAll()
+	return s
+}
+
+func (s *simulation) drawScenario() scenario {
+	switch draw := s.random.Float64(); {
+	case draw < 0.1:
+		return scenarioVoterRestarts
+	case draw < 0.2:
+		return scenarioLateHandovers
+	default:
+		return scenarioMixed
+	}
+}
+
+func (s *simulation) addMachines() {
+	count := s.founders
+	if s.chance(0.3) {
+		count++
+	}
+	founding := raft.SnapshotMeta{Index: 1, Term: 1}
+	for i := range count {
+		m := &machine{simulation: s, index: i, name: fmt.Sprintf("control-%d", i), id: s.newReplicaID()}
+		s.machines = append(s.machines, m)
+		if i < s.founders {
+			founding.Membership.Voters = append(founding.Membership.Voters, m.member())
+		}
+	}
+	for i, m := range s.machines {
+		m.disk = &disk{}
+		if i < s.founders {
+			m.disk.snapshot = founding
+		}
+	}
+	s.checker.membership = founding.Membership
+}
+
+func (s *simulation) startAll() {
+	for _, m := range s.machines {
+		m.brandNew = true
+		s.after(s.between(0, 300*time.Millisecond), m.start)
+	}
+	s.after(time.Second, s.operate)
+	s.after(200*time.Millisecond, s.clientTurn)
+	s.after(1500*time.Millisecond, s.nextFault)
+}
+
+func (s *simulation) newReplicaID() raft.ReplicaID {
+	s.nextReplica++
+	return raft.ReplicaID(fmt.Sprintf("%016x", s.nextReplica))
+}
+
+func (s *simulation) chance(probability float64) bool { return s.random.Float64() < probability }
+
+func (s *simulation) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.random.Int64N(int64(high-low)+1))
+}
+
+// fail records the first broken promise and ends the run.
+func (s *simulation) fail(format string, arguments ...any) {
+	if s.violation != nil {
+		return
+	}
+	s.violation = &Violation{
+		Seed:   s.options.Seed,
+		At:     s.now,
+		Reason: fmt.Sprintf(format, arguments...),
+		Last:   s.lastTraces(),
+	}
+}
+
+// machineOf finds the machine that has a replica's disk; nil if it is lost.
+func (s *simulation) machineOf(id raft.ReplicaID) *machine {
+	for _, m := range s.machines {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// heal ends all faults.
+func (s *simulation) heal() {
+	s.healed = true
+	s.note(0, "heal", 0, 0, 0)
+	s.network.heal()
+	for _, m := range s.machines {
+		m.unfreeze()
+		if !m.up {
+			m.start()
+		}
+	}
+}
+
+// checkRecovery wants a new proposal acknowledged, then all replicas equal and
+// the membership whole.
+func (s *simulation) checkRecovery() {
+	before := s.nextProposal
+	healedAt := s.now
+	deadline := s.now + recoveryTime
+	for s.violation == nil && !s.checker.acknowledgedAfter(before) {
+		if s.now >= deadline {
+			s.fail("no proposal was acknowledged within %v after the last fault", recoveryTime)
+			return
+		}
+		s.runUntil(s.now + settleStep)
+	}
+	for s.violation == nil && !s.settled() {
+		if s.now >= healedAt+settleTime {
+			s.fail("not whole again within %v: %s", settleTime, s.unsettledReason())
+			return
+		}
+		s.runUntil(s.now + settleStep)
+	}
+	if s.violation == nil {
+		s.checkFinal()
+	}
+}
--- /dev/null
+++ b/internal/raft/replication_test.go
@@ -0,0 +1,247 @@
+package raft
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestOnlyEntriesOfOwnTermAreCounted(t *testing.T) {
+	restored := founding("a", "b", "c")
+	restored.HardState.Term = 1
+	restored.Entries = []Entry{{Index: 2, Term: 1}}
+	node := newTestNode(t, Config{ID: "a"}, restored)
+	node.Tick(0)
+	node.Tick(DefaultElectionTimeoutMax)
+	node.turn()
+	now := DefaultElectionTimeoutMax
+	node.step(now, Message{Kind: MessagePreVoteAnswer, From: "b", Term: 2})
+	node.step(now, Message{Kind: MessageVoteAnswer, From: "b", Term: 2})
+	node.step(now, answer("b", 2, 1))
+	if status := node.Status(); status.Commit != 1 || status.TermReady {
+		t.Fatalf("an earlier term's entry was counted: %+v", status)
+	}
+	node.step(now, answer("b", 3, 1))
+	if status := node.Status(); status.Commit != 3 || !status.TermReady {
+		t.Errorf("status %+v", status)
+	}
+}
+
+func TestLeaderCountsItselfOncePersisted(t *testing.T) {
+	start := 10 * time.Second
+	node := leaderOfThree(t, start)
+	index, _, err := node.Propose(start, [][]byte{nil})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ready := node.Ready()
+	if err := node.Step(start, Message{Kind: MessageAppendAnswer, From: "b", To: "a", Term: 2, Index: index}); err != nil {
+		t.Fatal(err)
+	}
+	if commit := node.Status().Commit; commit >= index {
+		t.Fatalf("commit %d before the own write", commit)
+	}
+	node.Advance(ready)
+	if commit := node.Status().Commit; commit != index {
+		t.Errorf("commit %d, want %d", commit, index)
+	}
+}
+
+// A write that was overtaken by a truncation persists nothing of the new log.
+func TestAdvanceAfterTruncation(t *testing.T) {
+	node := newTestNode(t, Config{ID: "a"}, founding("a", "b", "c"))
+	appendOf := func(from ReplicaID, term uint64, entries ...Entry) Message {
+		return Message{Kind: MessageAppend, From: from, To: "a", Term: term, Index: 1, LogTerm: 1, Entries: entries}
+	}
+	old := []Entry{{Index: 2, Term: 2, Data: []byte("old")}, {Index: 3, Term: 2}}
+	if err := node.Step(0, appendOf("b", 2, old...)); err != nil {
+		t.Fatal(err)
+	}
+	ready := node.Ready()
+	if err := node.Step(0, appendOf("c", 3, Entry{Index: 2, Term: 3, Data: []byte("new")})); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(ready.Entries[0].Data, []byte("old")) {
+		t.Error("entries under way were overwritten")
+	}
+	node.Advance(ready)
+	next := node.Ready()
+	if len(next.Entries) != 1 || next.Entries[0].Term != 3 || !next.MustSync {
+		t.Errorf("next entries %+v, sync %v", next.Entries, next.MustSync)
+	}
+}
+
+func TestCommittedEntryIsNeverReplaced(t *testing.T) {
+	node := newTestNode(t, Config{ID: "a"}, founding("a", "b", "c"))
+	node.step(0, Message{
+		Kind: MessageAppend, From: "b", Term: 2, Index: 1, LogTerm: 1, Commit: 2,
+		Entries: []Entry{{Index: 2, Term: 2}},
+	})
+	late := Message{
+		Kind: MessageAppend, From: "b", Term: 2, Index: 1, LogTerm: 1, Commit: 3,
+		Entries: []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}},
+	}
+	if got := only(t, node.step(0, late), MessageAppendAnswer); got.Reject || got.Index != 3 {
+		t.Errorf("answer %+v", got)
+	}
+	if len(node.applied) != 2 || node.Status().Commit != 3 {
+		t.Errorf("applied %+v", node.applied)
+	}
+}
+
+func TestBacktrackingSkipsWholeTerms(t *testing.T) {
+	const length = 500
+	ids := []ReplicaID{"a", "b", "c"}
+	cluster := newTestCluster(t, ids...)
+	leaderLog, followerLog := founding(ids...), founding(ids...)
+	for index := uint64(2); index < length; index++ {
+		leaderLog.Entries = append(leaderLog.Entries, Entry{Index: index, Term: 5})
+		followerLog.Entries = append(followerLog.Entries, Entry{Index: index, Term: 3})
+	}
+	leaderLog.HardState.Term, followerLog.HardState.Term = 5, 5
+	cluster.nodes[0] = newTestNode(t, Config{ID: "a"}, leaderLog)
+	cluster.nodes[1] = newTestNode(t, Config{ID: "b"}, followerLog)
+	refusals := 0
+	cluster.drop = func(message Message) bool {
+		if message.Kind == MessageAppendAnswer && message.Reject && message.From == "b" {
+			refusals++
+		}
+		return false
+	}
+	leader := cluster.elect("a")
+	if refusals == 0 || refusals > 2 {
+		t.Errorf("%d refusals", refusals)
+	}
+	if match := progressOf(t, leader, "b").Match; match != leader.Status().LastIndex {
+		t.Errorf("match %d", match)
+	}
+	if !slices.EqualFunc(cluster.nodes[1].log.entries, leader.log.entries, func(a, b Entry) bool { return a.Term == b.Term }) {
+		t.Error("logs differ")
+	}
+}
+
+func progressOf(t *testing.T, leader *testNode, id ReplicaID) Progress {
+	t.Helper()
+	for _, progress := range leader.Status().Progress {
+		if progress.ID == id {
+			return progress
+		}
+	}
+	t.Fatalf("no progress of %s", id)
+	return Progress{}
+}
+
+func TestAppendsAreBoundedAndPipelined(t *testing.T) {
+	start := 10 * time.Second
+	node := newTestNode(t, Config{ID: "a", MaxAppendBytes: 300, MaxInflightAppends: 3}, founding("a", "b"))
+	node.Tick(start - DefaultElectionTimeoutMax)
+	node.Tick(start)
+	node.turn()
+	node.step(start, Message{Kind: MessagePreVoteAnswer, From: "b", Term: 2})
+	node.step(start, Message{Kind: MessageVoteAnswer, From: "b", Term: 2})
+	node.step(start, answer("b", 2, 1))
+	commands := make([][]byte, 20)
+	for i := range commands {
+		commands[i] = make([]byte, 100)
+	}
+	if _, _, err := node.Propose(start, commands); err != nil {
+		t.Fatal(err)
+	}
+	appends := ofKind(node.turn(), MessageAppend)
+	if len(appends) != 3 {
+		t.Fatalf("%d appends under way, want 3", len(appends))
+	}
+	for i, message := range appends {
+		if len(message.Entries) != 2 || message.Index != uint64(2+2*i) {
+			t.Errorf("append %d: %d entries after %d", i, len(message.Entries), message.Index)
+		}
+	}
+	// One answer makes room for one more; the window moves on.
+	if more := ofKind(node.step(start, answer("b", 4, 1)), MessageAppend); len(more) != 1 || more[0].Index != 8 {
+		t.Errorf("after an answer: %+v", more)
+	}
+}
+
+func TestLostAppendIsSentAgain(t *testing.T) {
+	cluster := newTestCluster(t, "a", "b", "c")
+	leader := cluster.elect("a")
+	cluster.drop = func(message Message) bool { return len(message.Entries) > 0 }
+	cluster.propose(leader, 5)
+	cluster.dropNothing()
+	cluster.pass(2 * DefaultTickInterval)
+	if status := leader.Status(); status.Commit != status.LastIndex {
+		t.Errorf("status %+v", status)
+	}
+}
+
+func TestCommittedIsHandedOutInBatches(t *testing.T) {
+	node := newTestNode(t, Config{ID: "a"}, founding("a"))
+	node.Tick(0)
+	node.Tick(DefaultElectionTimeoutMax)
+	node.turn()
+	if _, _, err := node.Propose(DefaultElectionTimeoutMax, make([][]byte, maxCommittedEntries+10)); err != nil {
+		t.Fatal(err)
+	}
+	node.Advance(node.Ready())
+	first := node.Ready()
+	node.Advance(first)
+	second := node.Ready()
+	if len(first.Committed) != maxCommittedEntries || len(second.Committed) != 10 {
+		t.Errorf("batches of %d and %d", len(first.Committed), len(second.Committed))
+	}
+}
+
+func TestSnapshotForFollowerThatLags(t *testing.T) {
+	cluster := newTestCluster(t, "a", "b", "c")
+	leader, follower := cluster.elect("a"), cluster.node("c")
+	cluster.dropTo("c")
+	cluster.propose(leader, 20)
+	status := leader.Status()
+	term, _ := leader.log.term(status.Applied)
+	meta := SnapshotMeta{Index: status.Applied, Term: term, Membership: status.Membership}
+	leader.Compact(meta)
+	cluster.pass(2 * DefaultElectionTimeoutMax)
+	announced := 0
+	cluster.drop = func(message Message) bool {
+		if message.Kind == MessageSnapshot {
+			announced++
+		}
+		return false
+	}
+	cluster.pass(4 * DefaultTickInterval)
+	if announced != 1 || !progressOf(t, leader, "c").NeedsSnapshot {
+		t.Fatalf("announced %d times, progress %+v", announced, progressOf(t, leader, "c"))
+	}
+	leader.SnapshotSent(cluster.now, "c", meta.Index, false)
+	cluster.pass(DefaultElectionTimeoutMin + DefaultTickInterval)
+	if announced != 2 {
+		t.Fatalf("announced %d times after a failure", announced)
+	}
+	if !follower.WantsSnapshot(meta) {
+		t.Fatal("follower does not want the snapshot")
+	}
+	follower.SnapshotInstalled(cluster.now, meta)
+	leader.SnapshotSent(cluster.now, "c", meta.Index, true)
+	cluster.settle()
+	cluster.propose(leader, 1)
+	if progress := progressOf(t, leader, "c"); progress.NeedsSnapshot || progress.Match != leader.Status().LastIndex {
+		t.Errorf("progress %+v", progress)
+	}
+}
+
+// A snapshot that comes late must not drop entries that were answered for.
+func TestLateSnapshotIsNotWanted(t *testing.T) {
+	node := newTestNode(t, Config{ID: "a"}, founding("a", "b", "c"))
+	node.step(0, Message{
+		Kind: MessageAppend, From: "b", Term: 2, Index: 1, LogTerm: 1, Commit: 1,
+		Entries: []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}},
+	})
+	meta := SnapshotMeta{Index: 3, Term: 2, Membership: testMembership("a", "b", "c")}
+	if node.WantsSnapshot(meta) {
+		t.Error("a snapshot is wanted that the log covers")
+	}
+	if status := node.Status(); status.Commit != 3 || status.LastIndex != 4 {
+		t.Errorf("status %+v", status)
+	}
+}
--- /dev/null
+++ b/internal/raft/restore_test.go
@@ -0,0 +1,86 @@
+package raft
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestNewRefusesWrongConfig(t *testing.T) {
+	cases := []struct {
+		config Config
+		text   string
+	}{
+		{Config{}, "ID is empty"},
+		{Config{ID: "a", LeaseDuration: DefaultElectionTimeoutMin}, "not less than ElectionTimeoutMin"},
+		{Config{ID: "a", ElectionTimeoutMin: 2 * DefaultElectionTimeoutMax}, "more than ElectionTimeoutMax"},
+		{Config{ID: "a", TickInterval: DefaultElectionTimeoutMin}, "TickInterval"},
+		{Config{ID: "a", MaxAppendBytes: -1}, "MaxAppendBytes"},
+	}
+	for _, c := range cases {
+		if _, err := New(c.config, founding("a")); err == nil || !strings.Contains(err.Error(), c.text) {
+			t.Errorf("%+v: %v", c.config, err)
+		}
+	}
+}
+
+func TestNewRefusesContradictions(t *testing.T) {
+	snapshot := SnapshotMeta{Index: 5, Term: 2, Membership: testMembership("a")}
+	state := HardState{Term: 3, Commit: 5}
+	cases := []struct {
+		name     string
+		restored Restored
+		text     string
+	}{
+		{"gap after snapshot", Restored{Entries: []Entry{{Index: 7, Term: 3}}}, "gap after the snapshot"},
+		{"gap inside", Restored{Entries: []Entry{{Index: 6, Term: 3}, {Index: 8, Term: 3}}}, "follows entry 6"},
+		{"ends before", Restored{Entries: []Entry{{Index: 3, Term: 2}}}, "before the snapshot"},
+		{"term falls", Restored{Entries: []Entry{{Index: 6, Term: 3}, {Index: 7, Term: 2}}}, "below"},
+		{"term below snapshot", Restored{Entries: []Entry{{Index: 6, Term: 1}}}, "below the snapshot's"},
+		{"snapshot differs", Restored{Entries: []Entry{{Index: 5, Term: 1}}}, "the snapshot there has"},
+		{"applied beyond", Restored{Applied: 9}, "beyond the last entry"},
+		{"membership", Restored{Membership: testMembership("b")}, "differs from the newest"},
+		{"unreadable", Restored{Entries: []Entry{{Index: 6, Term: 3, Kind: EntryMembership, Data: []byte{0xff}}}}, "decode"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.restored.Snapshot, c.restored.HardState = snapshot, state
+			if _, err := New(Config{ID: "a"}, c.restored); err == nil || !strings.Contains(err.Error(), c.text) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+func TestRestoreKeepsEntriesBeforeSnapshot(t *testing.T) {
+	node := newTestNode(t, Config{ID: "a"}, Restored{
+		HardState: HardState{Term: 3, Commit: 6},
+		Snapshot:  SnapshotMeta{Index: 5, Term: 2, Membership: testMembership("a", "b")},
+		Entries:   []Entry{{Index: 3, Term: 1}, {Index: 4, Term: 2}, {Index: 5, Term: 2}, {Index: 6, Term: 3}, {Index: 7, Term: 3}},
+	})
+	status := node.Status()
+	if status.FirstIndex != 4 || status.LastIndex != 7 || status.Applied != 5 || status.Commit != 6 {
+		t.Errorf("status %+v", status)
+	}
+	node.turn()
+	if len(node.applied) != 1 || node.applied[0].Index != 6 {
+		t.Errorf("applied %+v", node.applied)
+	}
+}
+
+func TestFounderBeginsInTermOfItsSnapshot(t *testing.T) {
+	node := newTestNode(t, Config{ID: "a"}, founding("a", "b", "c"))
+	ready := node.Ready()
+	if !ready.MustSync || ready.HardState == nil || ready.HardState.Term != 1 || ready.HardState.Commit != 1 {
+		t.Errorf("ready %+v", ready)
+	}
+}
+
+func TestMessageForAnotherReplicaIsRefused(t *testing.T) {
+	node := newTestNode(t, Config{ID: "a"}, founding("a", "b", "c"))
+	if err := node.Step(0, Message{Kind: MessageVote, From: "b", To: "former", Term: 9}); err == nil {
+		t.Error("taken")
+	}
+	if err := node.Step(0, Message{Kind: 99, From: "b", To: "a", Term: 9}); err == nil {
+		t.Error("unknown kind taken")
+	}
+}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -245,7 +245,8 @@
 	// TransferLeadership hands over to a voter; empty means the most
 	// caught-up one. The lease is given up first.
 	TransferLeadership(now time.Duration, to ReplicaID) error
-	// SnapshotInstalled tells that the owner replaced its state by a snapshot.
+	// SnapshotInstalled tells that the owner replaced its state by a snapshot,
+	// which it may do only if Node.WantsSnapshot said so right before.
 	SnapshotInstalled(now time.Duration, meta SnapshotMeta)
 	// SnapshotSent tells a leader how the transfer to a replica went.
 	SnapshotSent(now time.Duration, to ReplicaID, index uint64, succeeded bool)
