--- /dev/null
+++ b/internal/record/archive.go
@@ -0,0 +1,174 @@
+package record
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/decklever/decklever/api"
+)
+
+// The archive on disk can be ahead of the state: after a restart the log is
+// applied again from the snapshot, while the archive already holds what later
+// entries put there. An archived job therefore counts only from the entry
+// that ended it on. For the same reason expired jobs are hidden at once but
+// dropped only when no later restart can apply entries that would have seen
+// them.
+
+// archiveExpiry holds back the dropping of expired jobs.
+type archiveExpiry struct {
+	// safeBefore is the expiry of a snapshot that is surely durable.
+	safeBefore Millis
+	// last is the newest snapshot taken; it is durable once another is asked
+	// for after it was written.
+	last *takenSnapshot
+}
+
+type takenSnapshot struct {
+	expiredBefore Millis
+	written       atomic.Bool
+}
+
+// archived returns an ended job that the present state knows of.
+func (m *Machine) archived(id string) (ArchivedJob, bool, error) {
+	job, found, err := m.archive.Get(id)
+	if err != nil {
+		return ArchivedJob{}, false, fmt.Errorf("record: read archived job %q: %w", id, err)
+	}
+	if !found || job.Index > m.state.applied || job.EndedAt < m.state.expiredBefore {
+		return ArchivedJob{}, false, nil
+	}
+	return job, true, nil
+}
+
+// archiveEnded hands over, in one batch, the jobs that the entry ended.
+func (m *Machine) archiveEnded() error {
+	if len(m.ended) == 0 {
+		return nil
+	}
+	m.state.compactJobs(m.endedJobs)
+	err := m.archive.Put(m.ended)
+	m.ended = nil
+	m.endedJobs = nil
+	if err != nil {
+		return fmt.Errorf("record: archive ended jobs: %w", err)
+	}
+	return nil
+}
+
+// applyExpire hides archived jobs that ended before a time, and drops at most
+// Limit of those that are hidden in a durable snapshot too.
+func (m *Machine) applyExpire(expire *ExpireArchive) error {
+	m.state.expiredBefore = max(m.state.expiredBefore, expire.Before)
+	before := min(m.state.expiredBefore, m.expiry.safeBefore)
+	if before <= 0 || expire.Limit <= 0 {
+		return nil
+	}
+	if _, err := m.archive.Expire(before, expire.Limit); err != nil {
+		return fmt.Errorf("record: expire archived jobs: %w", err)
+	}
+	return nil
+}
+
+// archiveJob reduces an ended job to its outcome.
+func archiveJob(job *Job, endedAt Millis, index uint64) ArchivedJob {
+	archived := ArchivedJob{
+		ID:          job.ID,
+		Digest:      job.Digest,
+		Queue:       job.Spec.Queue,
+		Priority:    job.Spec.Priority,
+		State:       job.State(),
+		SubmittedAt: job.SubmittedAt,
+		EndedAt:     endedAt,
+		Steps:       make([]ArchivedStep, len(job.Steps)),
+		Index:       index,
+	}
+	for i, step := range job.Steps {
+		archived.Steps[i] = archiveStep(step)
+	}
+	return archived
+}
+
+func archiveStep(step *Step) ArchivedStep {
+	archived := ArchivedStep{
+		Name:  step.Spec.Name,
+		Tasks: make([]ArchivedTask, len(step.Tasks)),
+	}
+	for i, task := range step.Tasks {
+		archived.Tasks[i] = ArchivedTask{
+			State:    task.State.Public(),
+			Run:      task.LastRun,
+			Failures: task.Failures,
+			Worker:   task.LastWorker,
+			Reason:   task.Reason,
+		}
+	}
+	return archived
+}
+
+// Status is the answer to a caller.
+func (a *ArchivedJob) Status() api.JobStatus {
+	endedAt := a.EndedAt.Time()
+	status := api.JobStatus{
+		ID:          a.ID,
+		Queue:       a.Queue,
+		Priority:    a.Priority,
+		State:       a.State,
+		SubmittedAt: a.SubmittedAt.Time(),
+		EndedAt:     &endedAt,
+		Steps:       make([]api.StepStatus, len(a.Steps)),
+		Archived:    true,
+	}
+	for i := range a.Steps {
+		status.Steps[i] = a.Steps[i].status(a.ID)
+	}
+	return status
+}
+
+// Summary is the job's row in a list.
+func (a *ArchivedJob) Summary() api.JobSummary {
+	tasks := 0
+	for i := range a.Steps {
+		tasks += len(a.Steps[i].Tasks)
+	}
+	return api.JobSummary{
+		ID:          a.ID,
+		Queue:       a.Queue,
+		State:       a.State,
+		SubmittedAt: a.SubmittedAt.Time(),
+		TasksTotal:  tasks,
+		TasksEnded:  tasks,
+	}
+}
+
+func (s *ArchivedStep) status(job string) api.StepStatus {
+	status := api.StepStatus{
+		Name:  s.Name,
+		State: s.state(),
+		Tasks: make([]api.TaskStatus, len(s.Tasks)),
+	}
+	for i, task := range s.Tasks {
+		status.Tasks[i] = api.TaskStatus{
+			Task:     TaskID{Job: job, Step: s.Name, Index: i}.String(),
+			State:    task.State,
+			Reason:   task.Reason,
+			Run:      task.Run,
+			Worker:   task.Worker,
+			Failures: task.Failures,
+		}
+	}
+	return status
+}
+
+// state is failed if any task failed, else cancelled if any was.
+func (s *ArchivedStep) state() api.State {
+	state := api.StateSucceeded
+	for _, task := range s.Tasks {
+		switch task.State {
+		case api.StateFailed:
+			return api.StateFailed
+		case api.StateCancelled:
+			state = api.StateCancelled
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/internal/record/close.go
@@ -0,0 +1,125 @@
+package record
+
+import (
+	"fmt"
+	"time"
+	"unicode/utf8"
+
+	"github.com/decklever/decklever/api"
+)
+
+const (
+	// maxReasonBytes bounds the text that is kept of a worker's message.
+	maxReasonBytes = 1024
+	// maxRetryDoublings bounds the growth of the pause before a retry.
+	maxRetryDoublings = 5
+)
+
+// applyClose ends runs in the order given.
+func (m *Machine) applyClose(closing *Close) {
+	for i := range closing.Runs {
+		end := &closing.Runs[i]
+		task := m.state.task(end.Run.Task)
+		if task == nil {
+			continue
+		}
+		if run := m.openRun(end.Run); run != nil {
+			m.closeRun(run, end)
+		} else {
+			m.closeLate(task, end)
+		}
+		m.endJobIfDone(task.Step.Job)
+	}
+}
+
+// closeRun ends an open run.
+func (m *Machine) closeRun(run *Run, end *RunEnd) {
+	task := run.Task
+	m.state.removeRun(run)
+	task.Run = nil
+	next := m.stateAfterRun(run, end)
+	m.state.setState(task, next)
+	m.emit(RunClosed{Run: run, Outcome: end.Outcome})
+	if next == TaskReady {
+		m.emit(TaskBecameReady{Task: task})
+		return
+	}
+	m.taskEnded(task)
+}
+
+// stateAfterRun decides what becomes of the task and notes failures. A run
+// that was to be stopped has not failed, whatever its worker made of the stop.
+func (m *Machine) stateAfterRun(run *Run, end *RunEnd) TaskState {
+	task := run.Task
+	if end.Outcome == api.OutcomeSucceeded {
+		task.Reason = ""
+		return TaskSucceeded
+	}
+	if run.Stop == StopCancelled || task.Step.Job.Cancelled {
+		task.Reason = reasonJobCancelled
+		return TaskCancelled
+	}
+	if end.Outcome == api.OutcomeFailed && run.Stop == StopNone {
+		return m.stateAfterFailure(task, end)
+	}
+	task.Reason = interruption(run, end.Outcome)
+	return TaskReady
+}
+
+func (m *Machine) stateAfterFailure(task *Task, end *RunEnd) TaskState {
+	task.Failures++
+	task.Reason = failureReason(end.Message)
+	if task.Failures >= task.AllowedFailures {
+		return TaskFailed
+	}
+	task.NotBefore = m.state.clock + m.retryDelay(task.Failures)
+	return TaskReady
+}
+
+// retryDelay is the pause after the given number of failures.
+func (m *Machine) retryDelay(failures int) Millis {
+	doublings := min(failures-1, maxRetryDoublings)
+	delay := m.state.settings.effective.Timings.RetryDelay.Std() << doublings
+	return Millis(delay / time.Millisecond)
+}
+
+// closeLate takes the success of a closed run if no newer run was placed and
+// the task still waits. Any other late report changes nothing.
+func (m *Machine) closeLate(task *Task, end *RunEnd) {
+	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady {
+		return
+	}
+	if end.Run.Number == 0 || end.Run.Number != task.LastRun {
+		return
+	}
+	m.endWaiting(task, TaskSucceeded, "")
+}
+
+// interruption says why a run ended that neither succeeded nor failed.
+func interruption(run *Run, outcome api.Outcome) string {
+	if run.Stop != StopNone {
+		return fmt.Sprintf("run %d stopped: %s", run.Number, run.Stop)
+	}
+	if outcome == api.OutcomeStopped {
+		return fmt.Sprintf("run %d stopped by worker %q", run.Number, run.Worker)
+	}
+	return fmt.Sprintf("run %d lost on worker %q", run.Number, run.Worker)
+}
+
+func failureReason(message string) string {
+	if message == "" {
+		return "failed"
+	}
+	return shorten(message, maxReasonBytes)
+}
+
+// shorten cuts text to a number of bytes, not within a character.
+func shorten(text string, most int) string {
+	if len(text) <= most {
+		return text
+	}
+	for most > 0 && !utf8.RuneStart(text[most]) {
+		most--
+	}
+	return text[:most]
+}
--- /dev/null
+++ b/internal/record/command.go
@@ -0,0 +1,124 @@
+package record
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Errors of Encode and Decode.
+var (
+	// ErrNoCommand: none of the command's pointers is set.
+	ErrNoCommand = errors.New("record: command is empty or unknown")
+	// ErrManyCommands: more than one of the command's pointers is set.
+	ErrManyCommands = errors.New("record: command holds more than one change")
+	// ErrTimeRange: a time cannot be written in RFC 3339.
+	ErrTimeRange = errors.New("record: time lies outside of the years 0 to 9999")
+)
+
+// maxElements bounds arrays and maps of one CBOR item. Memory is bounded by
+// the length of the input, as items are checked for shape before decoding.
+const maxElements = 1 << 24
+
+// maxYear is the last year that RFC 3339 can write.
+const maxYear = 9999
+
+// encoding is deterministic (RFC 8949, section 4.2), so that the same state
+// gives the same bytes.
+var encoding = mustEncoding()
+
+// decoding lets pass text that is not UTF-8: an entry that was committed must
+// be readable whatever text a worker put in it.
+var decoding = mustDecoding()
+
+func mustEncoding() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339Nano
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoding() cbor.DecMode {
+	options := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		UTF8:             cbor.UTF8DecodeInvalid,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode writes a command as CBOR. It refuses what Decode could not read.
+func Encode(command Command) ([]byte, error) {
+	if err := command.check(); err != nil {
+		return nil, err
+	}
+	if command.Submit != nil {
+		if err := checkTimes(command.Submit); err != nil {
+			return nil, err
+		}
+	}
+	data, err := encoding.Marshal(command)
+	if err != nil {
+		return nil, fmt.Errorf("record: encode command: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads a command that Encode wrote. Unknown fields are ignored, but a
+// command without any known change is an error.
+func Decode(data []byte) (Command, error) {
+	var command Command
+	if err := decoding.Unmarshal(data, &command); err != nil {
+		return Command{}, fmt.Errorf("record: decode command: %w", err)
+	}
+	if err := command.check(); err != nil {
+		return Command{}, err
+	}
+	return command, nil
+}
+
+// check returns an error unless exactly one change is set.
+func (c *Command) check() error {
+	set := []bool{
+		c.Submit != nil, c.Cancel != nil, c.PutConfig != nil,
+		c.Place != nil, c.Close != nil, c.Stop != nil,
+		c.Register != nil, c.Forget != nil, c.Expire != nil,
+	}
+	count := 0
+	for _, present := range set {
+		if present {
+			count++
+		}
+	}
+	switch {
+	case count == 0:
+		return ErrNoCommand
+	case count > 1:
+		return ErrManyCommands
+	}
+	return nil
+}
+
+func checkTimes(submit *Submit) error {
+	for i := range submit.Spec.Steps {
+		step := &submit.Spec.Steps[i]
+		if step.NotBefore != nil && !writable(*step.NotBefore) {
+			return fmt.Errorf("step %q: %w", step.Name, ErrTimeRange)
+		}
+	}
+	return nil
+}
+
+func writable(t time.Time) bool {
+	year := t.UTC().Year()
+	return year >= 0 && year <= maxYear
+}
--- /dev/null
+++ b/internal/record/config.go
@@ -0,0 +1,135 @@
+package record
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/decklever/decklever/api"
+)
+
+// versionsKept bounds the history of accepted configurations.
+const versionsKept = 1000
+
+// configuration is the configuration in force, its history and its orders.
+type configuration struct {
+	version uint64
+	// accepted is as the operator gave it; effective has defaults filled in.
+	accepted  *api.Config
+	effective *api.Config
+	// queues is by name.
+	queues map[string]api.QueueConfig
+	// versions is the history, oldest first.
+	versions []api.ConfigVersion
+	orders   orderBook
+}
+
+// order is one decided PutConfig; it is never changed.
+type order struct {
+	ID     string       `cbor:"1,keyasint"`
+	Digest string       `cbor:"2,keyasint"`
+	Result ConfigResult `cbor:"3,keyasint"`
+}
+
+// orderBook keeps the newest orders, first in, first out.
+type orderBook struct {
+	kept int
+	byID map[string]*order
+	// list is a ring once it is full; next is then the oldest.
+	list []*order
+	next int
+}
+
+func newConfiguration(ordersKept int) configuration {
+	c := configuration{orders: orderBook{kept: ordersKept, byID: make(map[string]*order)}}
+	c.use(0, &api.Config{})
+	return c
+}
+
+// use puts a configuration in force.
+func (c *configuration) use(version uint64, config *api.Config) {
+	effective := config.WithDefaults()
+	c.version = version
+	c.accepted = config
+	c.effective = &effective
+	c.queues = make(map[string]api.QueueConfig, len(effective.Queues))
+	for _, queue := range effective.Queues {
+		c.queues[queue.Name] = queue
+	}
+}
+
+func (c *configuration) addVersion(version api.ConfigVersion) {
+	c.versions = append(c.versions, version)
+	if surplus := len(c.versions) - versionsKept; surplus > 0 {
+		c.versions = slices.Clone(c.versions[surplus:])
+	}
+}
+
+func (b *orderBook) add(added *order) {
+	b.byID[added.ID] = added
+	if len(b.list) < b.kept {
+		b.list = append(b.list, added)
+		return
+	}
+	delete(b.byID, b.list[b.next].ID)
+	b.list[b.next] = added
+	b.next = (b.next + 1) % len(b.list)
+}
+
+// oldestFirst returns the orders in the order in which they were decided.
+func (b *orderBook) oldestFirst() []*order {
+	return slices.Concat(b.list[b.next:], b.list[:b.next])
+}
+
+// applyPutConfig decides an order once; a resend gets the same answer.
+func (m *Machine) applyPutConfig(put *PutConfig, result *Result) {
+	settings := &m.state.settings
+	if known := settings.orders.byID[put.OrderID]; known != nil {
+		result.Config = answerKnown(known, put, settings.version)
+		return
+	}
+	decided := m.decideConfig(put)
+	settings.orders.add(&order{ID: put.OrderID, Digest: put.Digest, Result: decided})
+	result.Config = &decided
+	if decided.Refusal == nil {
+		m.emit(ConfigChanged{Version: settings.version, Config: settings.effective})
+	}
+}
+
+func answerKnown(known *order, put *PutConfig, inForce uint64) *ConfigResult {
+	if known.Digest == put.Digest {
+		result := known.Result
+		return &result
+	}
+	return &ConfigResult{Version: inForce, Refusal: &api.Error{
+		Status:  http.StatusConflict,
+		Code:    api.CodeConflict,
+		Message: fmt.Sprintf("order %q was given with another configuration", put.OrderID),
+	}}
+}
+
+func (m *Machine) decideConfig(put *PutConfig) ConfigResult {
+	settings := &m.state.settings
+	if put.Refusal != nil {
+		return ConfigResult{Version: settings.version, Refusal: put.Refusal}
+	}
+	if put.Base != settings.version {
+		return ConfigResult{Version: settings.version, Refusal: lostRace(put.Base, settings.version)}
+	}
+	settings.use(settings.version+1, &put.Config)
+	settings.addVersion(api.ConfigVersion{
+		Version:    settings.version,
+		OrderID:    put.OrderID,
+		AcceptedAt: m.state.clock.Time(),
+		Digest:     put.Digest,
+	})
+	return ConfigResult{Version: settings.version}
+}
+
+func lostRace(base, inForce uint64) *api.Error {
+	return &api.Error{
+		Status:  http.StatusPreconditionFailed,
+		Code:    api.CodeLostRace,
+		Message: fmt.Sprintf("version %d is in force, not %d", inForce, base),
+	}
+}
--- /dev/null
+++ b/internal/record/helper_test.go
@@ -0,0 +1,217 @@
+package record
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/decklever/decklever/api"
+)
+
+// rig drives one machine and notes its events.
+type rig struct {
+	t       testing.TB
+	machine *Machine
+	archive *testArchive
+	index   uint64
+	now     Millis
+	events  []string
+}
+
+const testQueue = "q"
+
+func newRig(t testing.TB) *rig {
+	r := &rig{t: t, archive: newTestArchive(), now: 1000}
+	r.machine = NewMachine(Config{Archive: r.archive, OrdersKept: 3})
+	r.putConfig("order-1", 0, testConfig())
+	r.machine.Observe(nil, func(event Event) { r.events = append(r.events, describe(event)) })
+	return r
+}
+
+func testConfig() api.Config {
+	return api.Config{Queues: []api.QueueConfig{
+		{Name: testQueue, DefaultAllowedFailures: 2},
+		{Name: "narrow", MaxRunningTasks: 1},
+	}}
+}
+
+func describe(event Event) string {
+	switch e := event.(type) {
+	case TaskBecameReady:
+		return "ready " + e.Task.ID.String()
+	case TaskLeftReady:
+		return "left " + e.Task.ID.String()
+	case RunOpened:
+		return "opened " + e.Run.Task.ID.String()
+	case RunStopping:
+		return fmt.Sprintf("stopping %s %s", e.Run.Task.ID, e.Run.Stop)
+	case RunClosed:
+		return fmt.Sprintf("closed %s %s", e.Run.Task.ID, e.Outcome)
+	case JobAdded:
+		return "added " + e.Job.ID
+	case JobEnded:
+		return fmt.Sprintf("ended %s %s", e.Job.ID, e.Job.State())
+	case ConfigChanged:
+		return fmt.Sprintf("config %d", e.Version)
+	case WorkerChanged:
+		return "worker " + e.Worker.ID
+	case WorkerForgotten:
+		return "forgotten " + e.Worker.ID
+	}
+	return "replaced"
+}
+
+func (r *rig) apply(command Command) Result {
+	r.t.Helper()
+	command.Time = r.now
+	command.Token = 7
+	data, err := Encode(command)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.index++
+	result, err := r.machine.Apply(r.index, data)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return result
+}
+
+// takeEvents returns the events since it was last called.
+func (r *rig) takeEvents() []string {
+	events := r.events
+	r.events = nil
+	return events
+}
+
+func (r *rig) putConfig(order string, base uint64, config api.Config) *ConfigResult {
+	r.t.Helper()
+	put := &PutConfig{OrderID: order, Base: base, Config: config, Digest: config.Digest()}
+	return r.apply(Command{PutConfig: put}).Config
+}
+
+func (r *rig) submit(id string, steps ...api.StepSpec) SubmitOutcome {
+	r.t.Helper()
+	return r.submitTo(testQueue, id, steps...)
+}
+
+func (r *rig) submitTo(queue, id string, steps ...api.StepSpec) SubmitOutcome {
+	r.t.Helper()
+	spec := api.JobSpec{Queue: queue, Steps: steps}
+	result := r.apply(Command{Submit: &Submit{ID: id, Spec: spec, Digest: spec.Digest()}})
+	return result.Submit.Outcome
+}
+
+func (r *rig) cancel(ids ...string) {
+	r.t.Helper()
+	r.apply(Command{Cancel: &Cancel{Jobs: ids}})
+}
+
+func (r *rig) register(workers ...Worker) []string {
+	r.t.Helper()
+	return r.apply(Command{Register: &RegisterWorkers{Workers: workers}}).RejectedWorkers
+}
+
+func testWorker(name string) Worker {
+	return Worker{
+		Name: name, ID: name + "-1", Zone: "z1",
+		Capacity: api.Resources{CPUMillis: 4000}, Services: []string{"s"},
+	}
+}
+
+func onWorker(task TaskID, number uint32, worker string) Placement {
+	return Placement{Run: RunID{Task: task, Number: number}, Worker: worker, WorkerID: worker + "-1"}
+}
+
+func (r *rig) place(placements ...Placement) []RunID {
+	r.t.Helper()
+	return r.apply(Command{Place: &Place{Placements: placements}}).Rejected
+}
+
+func (r *rig) mustPlace(placements ...Placement) {
+	r.t.Helper()
+	if rejected := r.place(placements...); len(rejected) > 0 {
+		r.t.Fatalf("rejected %v", rejected)
+	}
+}
+
+func (r *rig) mustReject(placements ...Placement) {
+	r.t.Helper()
+	if rejected := r.place(placements...); len(rejected) != len(placements) {
+		r.t.Fatalf("rejected %v, expected all of %v", rejected, placements)
+	}
+}
+
+func (r *rig) close(task TaskID, number uint32, outcome api.Outcome) {
+	r.t.Helper()
+	end := RunEnd{Run: RunID{Task: task, Number: number}, Outcome: outcome, Message: "why"}
+	r.apply(Command{Close: &Close{Runs: []RunEnd{end}}})
+}
+
+func (r *rig) stop(reason StopReason, tasks ...TaskID) {
+	r.t.Helper()
+	stop := &Stop{Reason: reason}
+	for _, id := range tasks {
+		stop.Runs = append(stop.Runs, RunID{Task: id, Number: r.task(id).LastRun})
+	}
+	r.apply(Command{Stop: stop})
+}
+
+func (r *rig) task(id TaskID) (task *Task) {
+	r.t.Helper()
+	r.machine.Read(func(v View) { task, _ = v.Task(id) })
+	if task == nil {
+		r.t.Fatalf("task %s is not live", id)
+	}
+	return task
+}
+
+func (r *rig) status(id string) (status api.JobStatus) {
+	r.t.Helper()
+	r.machine.Read(func(v View) {
+		found, known, err := v.Status(id, nil)
+		if err != nil || !known {
+			r.t.Fatalf("status of %q: %v, %v", id, known, err)
+		}
+		status = found
+	})
+	return status
+}
+
+func step(name string, tasks int, after ...string) api.StepSpec {
+	made := api.StepSpec{Name: name, After: after}
+	for range tasks {
+		made.Tasks = append(made.Tasks, api.TaskSpec{Service: "s", Resources: api.Resources{CPUMillis: 1000}})
+	}
+	return made
+}
+
+func id(job, step string, index int) TaskID { return TaskID{Job: job, Step: step, Index: index} }
+
+// failer is met by the tests of package testing and of rapid.
+type failer interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+func snapshotBytes(t failer, machine *Machine) []byte {
+	t.Helper()
+	_, write, err := machine.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var data bytes.Buffer
+	if err := write(&data); err != nil {
+		t.Fatal(err)
+	}
+	return data.Bytes()
+}
+
+func restored(t failer, data []byte, archive Archive) *Machine {
+	t.Helper()
+	machine := NewMachine(Config{Archive: archive, OrdersKept: 3})
+	if err := machine.Restore(bytes.NewReader(data)); err != nil {
+		t.Fatal(err)
+	}
+	return machine
+}
--- /dev/null
+++ b/internal/record/lifecycle.go
@@ -0,0 +1,109 @@
+package record
+
+import "fmt"
+
+// reasonJobCancelled is the reason of tasks that a cancel ended.
+const reasonJobCancelled = "job cancelled"
+
+// startStep makes the blocked tasks of a step ready; one without tasks is
+// done at once.
+func (m *Machine) startStep(step *Step) {
+	for _, task := range step.Tasks {
+		if task.State == TaskBlocked {
+			m.makeReady(task)
+		}
+	}
+	if len(step.Tasks) == 0 {
+		m.unblockDependents(step)
+	}
+}
+
+func (m *Machine) makeReady(task *Task) {
+	m.state.setState(task, TaskReady)
+	m.emit(TaskBecameReady{Task: task})
+}
+
+// endWaiting makes a task without an open run final.
+func (m *Machine) endWaiting(task *Task, final TaskState, reason string) {
+	wasReady := task.State == TaskReady
+	task.Reason = reason
+	m.state.setState(task, final)
+	if wasReady {
+		m.emit(TaskLeftReady{Task: task})
+	}
+	m.taskEnded(task)
+}
+
+// taskEnded follows a task that has just become final: the next steps start,
+// or those that can never start are cancelled. The caller ends the job.
+func (m *Machine) taskEnded(task *Task) {
+	step := task.Step
+	step.OpenTasks--
+	step.Job.OpenTasks--
+	switch task.State {
+	case TaskSucceeded:
+		step.succeededTasks++
+		if step.done() {
+			m.unblockDependents(step)
+		}
+	case TaskFailed:
+		step.FailedTasks++
+		step.Job.failedTasks++
+		if step.FailedTasks == 1 {
+			m.cancelDependents(step)
+		}
+	}
+}
+
+// done reports that every task of the step succeeded.
+func (s *Step) done() bool {
+	return s.succeededTasks == len(s.Tasks)
+}
+
+func (m *Machine) unblockDependents(step *Step) {
+	for _, dependent := range step.dependents {
+		dependent.WaitsOn--
+		if dependent.WaitsOn == 0 {
+			m.startStep(dependent)
+		}
+	}
+}
+
+// cancelDependents cancels the tasks of all steps that wait, directly or
+// through others, on a step that failed. None of them has started.
+func (m *Machine) cancelDependents(failed *Step) {
+	reason := fmt.Sprintf("step %q failed", failed.Spec.Name)
+	seen := map[*Step]bool{failed: true}
+	pending := []*Step{failed}
+	for len(pending) > 0 {
+		step := pending[0]
+		pending = pending[1:]
+		for _, dependent := range step.dependents {
+			if seen[dependent] {
+				continue
+			}
+			seen[dependent] = true
+			pending = append(pending, dependent)
+			m.cancelBlocked(dependent, reason)
+		}
+	}
+}
+
+func (m *Machine) cancelBlocked(step *Step, reason string) {
+	for _, task := range step.Tasks {
+		if task.State == TaskBlocked {
+			m.endWaiting(task, TaskCancelled, reason)
+		}
+	}
+}
+
+// endJobIfDone takes a job out of memory once all its tasks are final.
+func (m *Machine) endJobIfDone(job *Job) {
+	if job.OpenTasks > 0 || m.state.jobs[job.ID] != job {
+		return
+	}
+	m.state.removeJob(job)
+	m.ended = append(m.ended, archiveJob(job, m.state.clock, m.state.applied))
+	m.endedJobs = append(m.endedJobs, job)
+	m.emit(JobEnded{Job: job})
+}
--- a/internal/record/machine.go
+++ b/internal/record/machine.go
@@ -1,4 +1,147 @@
 package record
 
-// Machine is the state machine; see doc.go.
-type Machine struct{}
+import (
+	"errors"
+	"fmt"
+	"sync"
+)
+
+// ErrOutOfOrder: an entry was applied that is not after all earlier ones.
+var ErrOutOfOrder = errors.New("record: entry is not newer than those applied")
+
+// DefaultOrdersKept is how many outcomes of configuration orders are kept.
+const DefaultOrdersKept = 10000
+
+// Config sets up a Machine.
+type Config struct {
+	// Archive stores ended jobs. Required.
+	Archive Archive
+	// OrdersKept bounds the outcomes of configuration orders that are kept,
+	// the oldest being dropped first. Default 10000; the same on every replica.
+	OrdersKept int
+}
+
+// Machine is the state machine; see doc.go. Its methods are safe for
+// concurrent use, but entries must be applied by one caller in log order.
+type Machine struct {
+	archive Archive
+
+	mu        sync.RWMutex
+	state     *state
+	observers []*observer
+	// ended and endedJobs collect what the entry being applied ended.
+	ended     []ArchivedJob
+	endedJobs []*Job
+
+	// expiry bounds what may be dropped from the archive; it is local to the
+	// replica and no part of the replicated state.
+	expiry archiveExpiry
+}
+
+type observer struct {
+	notify func(Event)
+}
+
+// NewMachine returns an empty record.
+func NewMachine(config Config) *Machine {
+	if config.OrdersKept <= 0 {
+		config.OrdersKept = DefaultOrdersKept
+	}
+	return &Machine{archive: config.Archive, state: newState(config.OrdersKept)}
+}
+
+// Apply applies one entry of the log. An error is fatal for the replica: the
+// entry cannot be read, comes out of order, or the archive failed.
+func (m *Machine) Apply(index uint64, data []byte) (Result, error) {
+	command, err := Decode(data)
+	if err != nil {
+		return Result{}, fmt.Errorf("entry %d: %w", index, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if index <= m.state.applied {
+		return Result{}, fmt.Errorf("entry %d after %d: %w", index, m.state.applied, ErrOutOfOrder)
+	}
+	m.state.applied = index
+	m.state.clock = max(m.state.clock, command.Time)
+	result := Result{Index: index}
+	if err := m.dispatch(&command, &result); err != nil {
+		return Result{}, fmt.Errorf("entry %d: %w", index, err)
+	}
+	if err := m.archiveEnded(); err != nil {
+		return Result{}, fmt.Errorf("entry %d: %w", index, err)
+	}
+	return result, nil
+}
+
+func (m *Machine) dispatch(command *Command, result *Result) error {
+	switch {
+	case command.Submit != nil:
+		return m.applySubmit(command.Submit, result)
+	case command.Cancel != nil:
+		m.applyCancel(command.Cancel)
+	case command.PutConfig != nil:
+		m.applyPutConfig(command.PutConfig, result)
+	case command.Place != nil:
+		m.applyPlace(command.Place, command.Token, result)
+	case command.Close != nil:
+		m.applyClose(command.Close)
+	case command.Stop != nil:
+		m.applyStop(command.Stop)
+	case command.Register != nil:
+		m.applyRegister(command.Register, result)
+	case command.Forget != nil:
+		m.applyForget(command.Forget)
+	case command.Expire != nil:
+		return m.applyExpire(command.Expire)
+	default:
+		return ErrNoCommand
+	}
+	return nil
+}
+
+// Skip notes an entry that carries no command.
+func (m *Machine) Skip(index uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.applied = max(m.state.applied, index)
+}
+
+// Read calls read under a read lock. The view must not be kept.
+func (m *Machine) Read(read func(View)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	read(view{machine: m})
+}
+
+// Observe calls start with the present state, and observer with every event
+// after it, without a gap. Both run under the lock: they must neither block
+// nor call the Machine. An event's pointers show the state at that event. stop
+// ends the observation; it must not be called from within observer.
+func (m *Machine) Observe(start func(View), notify func(Event)) (stop func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if start != nil {
+		start(view{machine: m})
+	}
+	added := &observer{notify: notify}
+	m.observers = append(m.observers, added)
+	return func() { m.removeObserver(added) }
+}
+
+func (m *Machine) removeObserver(gone *observer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, one := range m.observers {
+		if one == gone {
+			m.observers = append(m.observers[:i:i], m.observers[i+1:]...)
+			return
+		}
+	}
+}
+
+func (m *Machine) emit(event Event) {
+	for _, one := range m.observers {
+		one.notify(event)
+	}
+}
--- /dev/null
+++ b/internal/record/snapshot.go
@@ -0,0 +1,250 @@
+package record
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"fmt"
+	"io"
+
+	"github.com/decklever/decklever/api"
+)
+
+// A snapshot is snapshotMagic, a CBOR sequence (RFC 8742) of one
+// snapshotHeader and the parts that it counts, and the SHA-256 of all before.
+const (
+	snapshotMagic  = "decklever record\n"
+	snapshotFormat = 1
+)
+
+// snapshotHeader opens a snapshot; versions, orders, workers and jobs follow
+// in this order.
+type snapshotHeader struct {
+	Format        int        `cbor:"1,keyasint"`
+	Applied       uint64     `cbor:"2,keyasint"`
+	Clock         Millis     `cbor:"3,keyasint"`
+	ExpiredBefore Millis     `cbor:"4,keyasint"`
+	ConfigVersion uint64     `cbor:"5,keyasint"`
+	Config        api.Config `cbor:"6,keyasint"`
+	Versions      int        `cbor:"7,keyasint"`
+	Orders        int        `cbor:"8,keyasint"`
+	Workers       int        `cbor:"9,keyasint"`
+	Jobs          int        `cbor:"10,keyasint"`
+}
+
+// snapshotJob is a live job. Steps and Tasks are in the order of the spec.
+type snapshotJob struct {
+	ID          string         `cbor:"1,keyasint"`
+	Digest      string         `cbor:"2,keyasint"`
+	Spec        *api.JobSpec   `cbor:"3,keyasint"`
+	SubmittedAt Millis         `cbor:"4,keyasint"`
+	Cancelled   bool           `cbor:"5,keyasint,omitempty"`
+	Steps       []snapshotStep `cbor:"6,keyasint"`
+}
+
+type snapshotStep struct {
+	WaitsOn int            `cbor:"1,keyasint,omitempty"`
+	Tasks   []snapshotTask `cbor:"2,keyasint"`
+}
+
+type snapshotTask struct {
+	State           TaskState    `cbor:"1,keyasint,omitempty"`
+	Failures        int          `cbor:"2,keyasint,omitempty"`
+	AllowedFailures int          `cbor:"3,keyasint"`
+	LastRun         uint32       `cbor:"4,keyasint,omitempty"`
+	LastWorker      string       `cbor:"5,keyasint,omitempty"`
+	NotBefore       Millis       `cbor:"6,keyasint,omitempty"`
+	Reason          string       `cbor:"7,keyasint,omitempty"`
+	Run             *snapshotRun `cbor:"8,keyasint,omitempty"`
+}
+
+// snapshotRun is the open run; its number and worker are the task's last.
+type snapshotRun struct {
+	WorkerID string     `cbor:"1,keyasint"`
+	Token    uint64     `cbor:"2,keyasint"`
+	PlacedAt Millis     `cbor:"3,keyasint"`
+	Stop     StopReason `cbor:"4,keyasint,omitempty"`
+}
+
+// capture is a copy of what can change; specs, workers and orders cannot and
+// are shared.
+type capture struct {
+	header   snapshotHeader
+	versions []api.ConfigVersion
+	orders   []*order
+	workers  []*Worker
+	jobs     []capturedJob
+	steps    []capturedStep
+	tasks    []snapshotTask
+	runs     []snapshotRun
+}
+
+// capturedJob has its steps in capture.steps from firstStep on, and likewise
+// each step its tasks; few large slices are quicker to fill than many small.
+type capturedJob struct {
+	job       *Job
+	cancelled bool
+	firstStep int
+}
+
+type capturedStep struct {
+	waitsOn   int
+	firstTask int
+}
+
+// Snapshot captures the state and returns a function that writes it, to be
+// called at most once and without haste: entries may be applied meanwhile.
+// The archive is synced before Snapshot returns.
+func (m *Machine) Snapshot() (index uint64, write func(io.Writer) error, err error) {
+	captured, taken := m.capture()
+	if err := m.archive.Sync(); err != nil {
+		return 0, nil, fmt.Errorf("record: sync archive: %w", err)
+	}
+	write = func(writer io.Writer) error {
+		if err := captured.write(writer); err != nil {
+			return fmt.Errorf("record: write snapshot: %w", err)
+		}
+		taken.written.Store(true)
+		return nil
+	}
+	return captured.header.Applied, write, nil
+}
+
+func (m *Machine) capture() (*capture, *takenSnapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if last := m.expiry.last; last != nil && last.written.Load() {
+		m.expiry.safeBefore = max(m.expiry.safeBefore, last.expiredBefore)
+	}
+	m.expiry.last = &takenSnapshot{expiredBefore: m.state.expiredBefore}
+	return captureState(m.state), m.expiry.last
+}
+
+func captureState(s *state) *capture {
+	settings := &s.settings
+	c := &capture{
+		versions: settings.versions[:len(settings.versions):len(settings.versions)],
+		orders:   settings.orders.oldestFirst(),
+		workers:  s.sortedWorkers(),
+		jobs:     make([]capturedJob, 0, len(s.jobList)),
+		tasks:    make([]snapshotTask, 0, s.taskTotal),
+		runs:     make([]snapshotRun, 0, s.runTotal),
+	}
+	for _, job := range s.jobList {
+		c.addJob(job)
+	}
+	c.header = snapshotHeader{
+		Format:        snapshotFormat,
+		Applied:       s.applied,
+		Clock:         s.clock,
+		ExpiredBefore: s.expiredBefore,
+		ConfigVersion: settings.version,
+		Config:        *settings.accepted,
+		Versions:      len(c.versions),
+		Orders:        len(c.orders),
+		Workers:       len(c.workers),
+		Jobs:          len(c.jobs),
+	}
+	return c
+}
+
+func (c *capture) addJob(job *Job) {
+	c.jobs = append(c.jobs, capturedJob{job: job, cancelled: job.Cancelled, firstStep: len(c.steps)})
+	for _, step := range job.Steps {
+		c.steps = append(c.steps, capturedStep{waitsOn: step.WaitsOn, firstTask: len(c.tasks)})
+		for _, task := range step.Tasks {
+			c.addTask(task)
+		}
+	}
+}
+
+func (c *capture) addTask(task *Task) {
+	c.tasks = append(c.tasks, snapshotTask{
+		State:           task.State,
+		Failures:        task.Failures,
+		AllowedFailures: task.AllowedFailures,
+		LastRun:         task.LastRun,
+		LastWorker:      task.LastWorker,
+		NotBefore:       task.NotBefore,
+		Reason:          task.Reason,
+		Run:             c.addRun(task.Run),
+	})
+}
+
+// addRun copies an open run; runs has room for all, so that it never moves.
+func (c *capture) addRun(run *Run) *snapshotRun {
+	if run == nil {
+		return nil
+	}
+	c.runs = append(c.runs, snapshotRun{
+		WorkerID: run.WorkerID,
+		Token:    run.Token,
+		PlacedAt: run.PlacedAt,
+		Stop:     run.Stop,
+	})
+	return &c.runs[len(c.runs)-1]
+}
+
+// write encodes the capture.
+func (c *capture) write(writer io.Writer) error {
+	sum := sha256.New()
+	buffered := bufio.NewWriter(io.MultiWriter(writer, sum))
+	if err := c.writeParts(buffered); err != nil {
+		return err
+	}
+	if err := buffered.Flush(); err != nil {
+		return err
+	}
+	_, err := writer.Write(sum.Sum(nil))
+	return err
+}
+
+func (c *capture) writeParts(writer io.Writer) error {
+	if _, err := io.WriteString(writer, snapshotMagic); err != nil {
+		return err
+	}
+	encoder := encoding.NewEncoder(writer)
+	if err := encoder.Encode(&c.header); err != nil {
+		return err
+	}
+	for i := range c.versions {
+		if err := encoder.Encode(&c.versions[i]); err != nil {
+			return err
+		}
+	}
+	for _, kept := range c.orders {
+		if err := encoder.Encode(kept); err != nil {
+			return err
+		}
+	}
+	for _, worker := range c.workers {
+		if err := encoder.Encode(worker); err != nil {
+			return err
+		}
+	}
+	for i := range c.jobs {
+		if err := encoder.Encode(c.snapshotJob(&c.jobs[i])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *capture) snapshotJob(captured *capturedJob) *snapshotJob {
+	job := captured.job
+	written := &snapshotJob{
+		ID:          job.ID,
+		Digest:      job.Digest,
+		Spec:        &job.Spec,
+		SubmittedAt: job.SubmittedAt,
+		Cancelled:   captured.cancelled,
+		Steps:       make([]snapshotStep, len(job.Steps)),
+	}
+	for i, step := range job.Steps {
+		from := c.steps[captured.firstStep+i]
+		written.Steps[i] = snapshotStep{
+			WaitsOn: from.waitsOn,
+			Tasks:   c.tasks[from.firstTask : from.firstTask+len(step.Tasks)],
+		}
+	}
+	return written
+}
--- /dev/null
+++ b/internal/record/status.go
@@ -0,0 +1,166 @@
+package record
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/decklever/decklever/api"
+)
+
+// Public is the state as callers see it.
+func (s TaskState) Public() api.State {
+	switch s {
+	case TaskPlaced:
+		return api.StateRunning
+	case TaskSucceeded:
+		return api.StateSucceeded
+	case TaskFailed:
+		return api.StateFailed
+	case TaskCancelled:
+		return api.StateCancelled
+	}
+	return api.StatePending
+}
+
+// State is the job's state: cancelled as soon as a cancel was accepted,
+// pending until the first run was placed.
+func (j *Job) State() api.State {
+	switch {
+	case j.Cancelled:
+		return api.StateCancelled
+	case j.OpenTasks == 0 && j.failedTasks > 0:
+		return api.StateFailed
+	case j.OpenTasks == 0:
+		return api.StateSucceeded
+	case j.started:
+		return api.StateRunning
+	}
+	return api.StatePending
+}
+
+// State is the step's state: pending until a task was placed or has ended.
+func (s *Step) State() api.State {
+	switch {
+	case s.OpenTasks > 0 && s.touched():
+		return api.StateRunning
+	case s.OpenTasks > 0:
+		return api.StatePending
+	case s.FailedTasks > 0:
+		return api.StateFailed
+	case s.done():
+		return api.StateSucceeded
+	}
+	return api.StateCancelled
+}
+
+// touched reports that a task was placed or has ended.
+func (s *Step) touched() bool {
+	if s.OpenTasks < len(s.Tasks) {
+		return true
+	}
+	for _, task := range s.Tasks {
+		if task.LastRun > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Summary is the job's row in a list.
+func (j *Job) Summary() api.JobSummary {
+	total := 0
+	for _, step := range j.Steps {
+		total += len(step.Tasks)
+	}
+	return api.JobSummary{
+		ID:          j.ID,
+		Queue:       j.Spec.Queue,
+		State:       j.State(),
+		SubmittedAt: j.SubmittedAt.Time(),
+		TasksTotal:  total,
+		TasksEnded:  total - j.OpenTasks,
+	}
+}
+
+// status builds the answer to a caller; reason may be nil.
+func (j *Job) status(clock Millis, reason func(*Task) string) api.JobStatus {
+	status := api.JobStatus{
+		ID:          j.ID,
+		Queue:       j.Spec.Queue,
+		Priority:    j.Spec.Priority,
+		State:       j.State(),
+		SubmittedAt: j.SubmittedAt.Time(),
+		Steps:       make([]api.StepStatus, len(j.Steps)),
+	}
+	for i, step := range j.Steps {
+		status.Steps[i] = step.status(clock, reason)
+	}
+	return status
+}
+
+func (s *Step) status(clock Millis, reason func(*Task) string) api.StepStatus {
+	status := api.StepStatus{
+		Name:  s.Spec.Name,
+		State: s.State(),
+		Tasks: make([]api.TaskStatus, len(s.Tasks)),
+	}
+	waits := s.waitReason()
+	for i, task := range s.Tasks {
+		status.Tasks[i] = api.TaskStatus{
+			Task:     task.ID.String(),
+			State:    task.State.Public(),
+			Reason:   task.reason(waits, clock, reason),
+			Run:      task.LastRun,
+			Worker:   task.LastWorker,
+			Failures: task.Failures,
+		}
+	}
+	return status
+}
+
+// waitReason names the steps that the step waits for.
+func (s *Step) waitReason() string {
+	var names []string
+	for _, before := range s.before {
+		if !before.done() {
+			names = append(names, fmt.Sprintf("%q", before.Spec.Name))
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return "waits for step " + strings.Join(names, ", ")
+}
+
+// reason says why the task waits, is being stopped, or how it ended.
+func (t *Task) reason(waits string, clock Millis, reason func(*Task) string) string {
+	switch t.State {
+	case TaskBlocked:
+		return waits
+	case TaskReady:
+		return t.readyReason(clock, reason)
+	case TaskPlaced:
+		if t.Run.Stop != StopNone {
+			return fmt.Sprintf("stopping: %s", t.Run.Stop)
+		}
+		return ""
+	}
+	return t.Reason
+}
+
+func (t *Task) readyReason(clock Millis, reason func(*Task) string) string {
+	if reason != nil {
+		if text := reason(t); text != "" {
+			return text
+		}
+	}
+	if t.NotBefore <= clock {
+		return t.Reason
+	}
+	waits := "not before " + t.NotBefore.Time().Format(time.RFC3339Nano)
+	if t.Reason == "" {
+		return waits
+	}
+	return t.Reason + "; " + waits
+}
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"iter"
+	"time"
 
 	"github.com/decklever/decklever/api"
 )
@@ -57,6 +58,10 @@
 	Steps     []*Step
 	// OpenTasks counts tasks that are not final.
 	OpenTasks int
+	// failedTasks counts tasks that failed for good.
+	failedTasks int
+	// started is set once a run of the job was placed.
+	started bool
 }
 
 // Step is one step of a live job.
@@ -70,6 +75,11 @@
 	// OpenTasks counts tasks that are not final; FailedTasks counts failed.
 	OpenTasks   int
 	FailedTasks int
+	// succeededTasks counts tasks that succeeded.
+	succeededTasks int
+	// before and dependents are the neighbours in the order of steps.
+	before     []*Step
+	dependents []*Step
 }
 
 // Task is one task of a live job.
@@ -275,36 +285,45 @@
 // Event tells an observer of one change, in the order of the log.
 type Event interface{ event() }
 
-// Events.
-type (
-	// TaskBecameReady: the task can be placed from its NotBefore on.
-	TaskBecameReady struct{ Task *Task }
-	// TaskLeftReady: a ready task became final without a run.
-	TaskLeftReady struct{ Task *Task }
-	// RunOpened follows a Place.
-	RunOpened struct{ Run *Run }
-	// RunStopping: the run was marked to stop.
-	RunStopping struct{ Run *Run }
-	// RunClosed: the run's room is free again.
-	RunClosed struct {
-		Run     *Run
-		Outcome api.Outcome
-	}
-	// JobAdded and JobEnded frame a live job.
-	JobAdded struct{ Job *Job }
-	JobEnded struct{ Job *Job }
-	// ConfigChanged: a new version is in force.
-	ConfigChanged struct {
-		Version uint64
-		Config  *api.Config
-	}
-	// WorkerChanged: a worker was registered, or what is known of it changed.
-	WorkerChanged struct{ Worker *Worker }
-	// WorkerForgotten: the name is no longer known.
-	WorkerForgotten struct{ Worker *Worker }
-	// StateReplaced: a snapshot was restored; all must be read anew.
-	StateReplaced struct{}
-)
+// TaskBecameReady: the task can be placed from its NotBefore on.
+type TaskBecameReady struct{ Task *Task }
+
+// TaskLeftReady: a ready task became final without a run.
+type TaskLeftReady struct{ Task *Task }
+
+// RunOpened follows a Place.
+type RunOpened struct{ Run *Run }
+
+// RunStopping: the run was marked to stop.
+type RunStopping struct{ Run *Run }
+
+// RunClosed: the run's room is free again. If the task is to run again,
+// TaskBecameReady follows.
+type RunClosed struct {
+	Run     *Run
+	Outcome api.Outcome
+}
+
+// JobAdded begins a live job.
+type JobAdded struct{ Job *Job }
+
+// JobEnded ends a live job; it is archived.
+type JobEnded struct{ Job *Job }
+
+// ConfigChanged: a new version is in force.
+type ConfigChanged struct {
+	Version uint64
+	Config  *api.Config
+}
+
+// WorkerChanged: a worker was registered, or what is known of it changed.
+type WorkerChanged struct{ Worker *Worker }
+
+// WorkerForgotten: the name is no longer known.
+type WorkerForgotten struct{ Worker *Worker }
+
+// StateReplaced: a snapshot was restored; all must be read anew.
+type StateReplaced struct{}
 
 func (TaskBecameReady) event() {}
 func (TaskLeftReady) event()   {}
@@ -338,6 +357,8 @@
 	Used(workerID string) api.Resources
 	// Config returns the configuration in force with defaults filled in.
 	Config() (version uint64, config *api.Config)
+	// AcceptedConfig returns the configuration in force as it was given.
+	AcceptedConfig() (version uint64, config *api.Config)
 	// ConfigVersions returns the accepted versions, newest first.
 	ConfigVersions() []api.ConfigVersion
 	// Order returns the outcome of a configuration order.
@@ -404,3 +425,6 @@
 	// snapshot that leaves those jobs out.
 	Sync() error
 }
+
+// Time returns the value as a time in UTC.
+func (m Millis) Time() time.Time { return time.UnixMilli(int64(m)).UTC() }
--- /dev/null
+++ b/internal/record/workers.go
@@ -0,0 +1,64 @@
+package record
+
+import (
+	"maps"
+	"slices"
+)
+
+// applyRegister adds workers or changes what is known of them.
+func (m *Machine) applyRegister(register *RegisterWorkers, result *Result) {
+	for i := range register.Workers {
+		worker := register.Workers[i]
+		if !m.registerWorker(&worker) {
+			result.RejectedWorkers = append(result.RejectedWorkers, worker.Name)
+		}
+	}
+}
+
+// registerWorker returns false if the name has an earlier incarnation with
+// open runs, or if another name holds the incarnation's id.
+func (m *Machine) registerWorker(worker *Worker) bool {
+	known := m.state.workers[worker.Name]
+	if holder := m.state.workersByID[worker.ID]; holder != nil && holder != known {
+		return false
+	}
+	worker.RegisteredAt = m.state.clock
+	if known != nil && known.ID == worker.ID {
+		worker.RegisteredAt = known.RegisteredAt
+		if known.Same(worker) {
+			return true
+		}
+	}
+	if known != nil && known.ID != worker.ID {
+		if m.state.hasRuns(known.ID) {
+			return false
+		}
+		delete(m.state.workersByID, known.ID)
+	}
+	m.state.workers[worker.Name] = worker
+	m.state.workersByID[worker.ID] = worker
+	m.emit(WorkerChanged{Worker: worker})
+	return true
+}
+
+// Same compares what a worker says of itself: all but name, id and the time of
+// registration.
+func (w *Worker) Same(other *Worker) bool {
+	return w.Zone == other.Zone &&
+		w.Capacity == other.Capacity &&
+		slices.Equal(w.Services, other.Services) &&
+		maps.Equal(w.Labels, other.Labels)
+}
+
+// applyForget removes workers that have no open run.
+func (m *Machine) applyForget(forget *ForgetWorkers) {
+	for _, name := range forget.Names {
+		worker := m.state.workers[name]
+		if worker == nil || m.state.hasRuns(worker.ID) {
+			continue
+		}
+		delete(m.state.workers, name)
+		delete(m.state.workersByID, worker.ID)
+		m.emit(WorkerForgotten{Worker: worker})
+	}
+}
--- /dev/null
+++ b/internal/storage/checksum.go
@@ -0,0 +1,61 @@
+package storage
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// checksumSize is the length of a CRC-32C in bytes.
+const checksumSize = crc32.Size
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// checksum covers a value and the key that it is stored under, so that a value
+// found under another key does not check.
+func checksum(key, payload []byte) uint32 {
+	return crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, payload)
+}
+
+// seal puts the checksum before a payload.
+func seal(key, payload []byte) []byte {
+	sealed := make([]byte, checksumSize, checksumSize+len(payload))
+	binary.BigEndian.PutUint32(sealed, checksum(key, payload))
+	return append(sealed, payload...)
+}
+
+// unseal checks a sealed value and returns its payload, which shares memory
+// with it.
+func unseal(file string, key, sealed []byte) ([]byte, error) {
+	if len(sealed) < checksumSize {
+		return nil, corrupt(file, "value under key %x has only %d bytes", key, len(sealed))
+	}
+	payload := sealed[checksumSize:]
+	want := binary.BigEndian.Uint32(sealed)
+	if got := checksum(key, payload); got != want {
+		return nil, corrupt(file, "value under key %x has checksum %08x, expected %08x", key, got, want)
+	}
+	return payload, nil
+}
+
+// sealValue encodes and seals a value.
+func sealValue(key []byte, value any) ([]byte, error) {
+	payload, err := cbor.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	return seal(key, payload), nil
+}
+
+// unsealValue checks and decodes a value.
+func unsealValue(file string, key, sealed []byte, into any) error {
+	payload, err := unseal(file, key, sealed)
+	if err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(payload, into); err != nil {
+		return corrupt(file, "value under key %x: %v", key, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storage/lock.go
@@ -0,0 +1,31 @@
+package storage
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// lockFile is held by the process that uses the folder, from before its
+// creation on; bbolt's own locks cover only files that are there.
+const lockFile = "lock"
+
+// lockFolder returns ErrLocked at once if another process holds the lock.
+func lockFolder(directory string) (*os.File, error) {
+	path := filepath.Join(directory, lockFile)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, filePermission)
+	if err != nil {
+		return nil, fmt.Errorf("open lock: %w", err)
+	}
+	err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err == nil {
+		return file, nil
+	}
+	_ = file.Close()
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, fmt.Errorf("%w: %s", ErrLocked, directory)
+	}
+	return nil, fmt.Errorf("lock %s: %w", path, err)
+}
--- /dev/null
+++ b/internal/storage/memoryarchive.go
@@ -0,0 +1,104 @@
+package storage
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// MemoryArchive is a record.Archive for tests; Crash loses what came after the
+// last Sync.
+type MemoryArchive struct {
+	mutex  sync.Mutex
+	jobs   map[string]record.ArchivedJob
+	synced map[string]record.ArchivedJob
+}
+
+var _ record.Archive = (*MemoryArchive)(nil)
+
+// NewMemoryArchive makes an empty archive.
+func NewMemoryArchive() *MemoryArchive {
+	return &MemoryArchive{
+		jobs:   make(map[string]record.ArchivedJob),
+		synced: make(map[string]record.ArchivedJob),
+	}
+}
+
+// Crash loses what came after the last Sync.
+func (a *MemoryArchive) Crash() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.jobs = maps.Clone(a.synced)
+}
+
+// Put implements record.Archive.
+func (a *MemoryArchive) Put(jobs []record.ArchivedJob) error {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, job := range jobs {
+		a.jobs[job.ID] = job
+	}
+	return nil
+}
+
+// Get implements record.Archive.
+func (a *MemoryArchive) Get(id string) (record.ArchivedJob, bool, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	job, known := a.jobs[id]
+	return job, known, nil
+}
+
+// Page implements record.Archive.
+func (a *MemoryArchive) Page(afterIndex uint64, afterID string, limit int) ([]record.ArchivedJob, error) {
+	after := record.ArchivedJob{Index: afterIndex, ID: afterID}
+	jobs := a.sorted(byPlace)
+	jobs = slices.DeleteFunc(jobs, func(job record.ArchivedJob) bool { return byPlace(job, after) <= 0 })
+	return jobs[:min(limit, len(jobs))], nil
+}
+
+// List implements record.Archive.
+func (a *MemoryArchive) List(afterID string, limit int) ([]record.ArchivedJob, error) {
+	jobs := a.sorted(func(x, y record.ArchivedJob) int { return strings.Compare(x.ID, y.ID) })
+	jobs = slices.DeleteFunc(jobs, func(job record.ArchivedJob) bool { return job.ID <= afterID })
+	return jobs[:min(limit, len(jobs))], nil
+}
+
+// Expire implements record.Archive.
+func (a *MemoryArchive) Expire(before record.Millis, limit int) (int, error) {
+	jobs := a.sorted(byEnd)
+	jobs = slices.DeleteFunc(jobs, func(job record.ArchivedJob) bool { return job.EndedAt >= before })
+	jobs = jobs[:min(limit, len(jobs))]
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, job := range jobs {
+		delete(a.jobs, job.ID)
+	}
+	return len(jobs), nil
+}
+
+// Sync implements record.Archive.
+func (a *MemoryArchive) Sync() error {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.synced = maps.Clone(a.jobs)
+	return nil
+}
+
+func (a *MemoryArchive) sorted(order func(x, y record.ArchivedJob) int) []record.ArchivedJob {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return slices.SortedFunc(maps.Values(a.jobs), order)
+}
+
+func byPlace(x, y record.ArchivedJob) int {
+	return cmp.Or(cmp.Compare(x.Index, y.Index), strings.Compare(x.ID, y.ID))
+}
+
+func byEnd(x, y record.ArchivedJob) int {
+	return cmp.Or(cmp.Compare(x.EndedAt, y.EndedAt), strings.Compare(x.ID, y.ID))
+}
--- /dev/null
+++ b/internal/storage/snapshotfile.go
@@ -0,0 +1,191 @@
+package storage
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// A snapshot file is: magic, length of the meta (4 bytes), CRC-32C of the meta,
+// the meta in CBOR, the data, length of the data (8 bytes), CRC-32C of the
+// data. Numbers are big-endian.
+const (
+	snapshotFile       = "snapshot"
+	snapshotMagic      = "DLSNAP01"
+	snapshotHeaderSize = len(snapshotMagic) + 4 + checksumSize
+	snapshotTailSize   = 8 + checksumSize
+	temporarySuffix    = ".tmp"
+)
+
+// writeSnapshotFile puts a snapshot in place of the old one, all or nothing.
+func writeSnapshotFile(directory string, meta raft.SnapshotMeta, write func(io.Writer) error) (err error) {
+	target := filepath.Join(directory, snapshotFile)
+	file, err := os.Create(target + temporarySuffix)
+	if err != nil {
+		return fmt.Errorf("create snapshot: %w", err)
+	}
+	defer func() {
+		if err != nil {
+			_ = file.Close()
+			_ = os.Remove(file.Name())
+		}
+	}()
+	if err := writeSnapshotTo(file, meta, write); err != nil {
+		return fmt.Errorf("write snapshot: %w", err)
+	}
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("sync snapshot: %w", err)
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("close snapshot: %w", err)
+	}
+	if err := os.Rename(file.Name(), target); err != nil {
+		return fmt.Errorf("rename snapshot: %w", err)
+	}
+	return syncDirectory(directory)
+}
+
+func writeSnapshotTo(file io.Writer, meta raft.SnapshotMeta, write func(io.Writer) error) error {
+	encoded, err := cbor.Marshal(meta)
+	if err != nil {
+		return err
+	}
+	buffered := bufio.NewWriterSize(file, 256<<10)
+	header := make([]byte, 0, snapshotHeaderSize+len(encoded))
+	header = append(header, snapshotMagic...)
+	header = binary.BigEndian.AppendUint32(header, uint32(len(encoded)))
+	header = binary.BigEndian.AppendUint32(header, crc32.Checksum(encoded, castagnoli))
+	header = append(header, encoded...)
+	if _, err := buffered.Write(header); err != nil {
+		return err
+	}
+	data := &checksumWriter{target: buffered}
+	if err := write(data); err != nil {
+		return err
+	}
+	tail := binary.BigEndian.AppendUint64(nil, data.length)
+	tail = binary.BigEndian.AppendUint32(tail, data.sum)
+	if _, err := buffered.Write(tail); err != nil {
+		return err
+	}
+	return buffered.Flush()
+}
+
+// checksumWriter counts and sums what passes through it.
+type checksumWriter struct {
+	target io.Writer
+	length uint64
+	sum    uint32
+}
+
+// Write implements io.Writer.
+func (w *checksumWriter) Write(data []byte) (int, error) {
+	n, err := w.target.Write(data)
+	w.length += uint64(n)
+	w.sum = crc32.Update(w.sum, castagnoli, data[:n])
+	return n, err
+}
+
+// openSnapshotFile returns the meta and the section that holds the data. A
+// missing file is reported as fs.ErrNotExist.
+func openSnapshotFile(directory string) (file *os.File, meta raft.SnapshotMeta, data *io.SectionReader, err error) {
+	file, err = os.Open(filepath.Join(directory, snapshotFile))
+	if err != nil {
+		return nil, meta, nil, err
+	}
+	meta, data, err = readSnapshotHeader(file)
+	if err != nil {
+		_ = file.Close()
+		return nil, meta, nil, err
+	}
+	return file, meta, data, nil
+}
+
+func readSnapshotHeader(file *os.File) (meta raft.SnapshotMeta, data *io.SectionReader, err error) {
+	info, err := file.Stat()
+	if err != nil {
+		return meta, nil, err
+	}
+	name, size := file.Name(), info.Size()
+	if size < int64(snapshotHeaderSize+snapshotTailSize) {
+		return meta, nil, corrupt(name, "only %d bytes long", size)
+	}
+	header := make([]byte, snapshotHeaderSize)
+	if _, err := file.ReadAt(header, 0); err != nil {
+		return meta, nil, err
+	}
+	if string(header[:len(snapshotMagic)]) != snapshotMagic {
+		return meta, nil, corrupt(name, "starts with %q, expected %q", header[:len(snapshotMagic)], snapshotMagic)
+	}
+	metaLength := int64(binary.BigEndian.Uint32(header[len(snapshotMagic):]))
+	dataStart := int64(snapshotHeaderSize) + metaLength
+	dataLength := size - dataStart - int64(snapshotTailSize)
+	if dataLength < 0 {
+		return meta, nil, corrupt(name, "meta of %d bytes does not fit in %d", metaLength, size)
+	}
+	encoded := make([]byte, metaLength)
+	if _, err := file.ReadAt(encoded, int64(snapshotHeaderSize)); err != nil {
+		return meta, nil, err
+	}
+	want := binary.BigEndian.Uint32(header[len(snapshotMagic)+4:])
+	if got := crc32.Checksum(encoded, castagnoli); got != want {
+		return meta, nil, corrupt(name, "meta has checksum %08x, expected %08x", got, want)
+	}
+	if err := cbor.Unmarshal(encoded, &meta); err != nil {
+		return meta, nil, corrupt(name, "meta: %v", err)
+	}
+	return meta, io.NewSectionReader(file, dataStart, dataLength), nil
+}
+
+// readSnapshotFile reads and checks the whole snapshot; ok is false if there
+// is none.
+func readSnapshotFile(directory string) (meta raft.SnapshotMeta, content []byte, ok bool, err error) {
+	file, meta, data, err := openSnapshotFile(directory)
+	if errors.Is(err, fs.ErrNotExist) {
+		return meta, nil, false, nil
+	}
+	if err != nil {
+		return meta, nil, false, err
+	}
+	defer func() { _ = file.Close() }()
+	content = make([]byte, data.Size())
+	if _, err := io.ReadFull(data, content); err != nil {
+		return meta, nil, false, fmt.Errorf("read snapshot: %w", err)
+	}
+	_, dataStart, dataLength := data.Outer()
+	tail := make([]byte, snapshotTailSize)
+	if _, err := file.ReadAt(tail, dataStart+dataLength); err != nil {
+		return meta, nil, false, fmt.Errorf("read snapshot: %w", err)
+	}
+	if length := binary.BigEndian.Uint64(tail); length != uint64(dataLength) {
+		return meta, nil, false, corrupt(file.Name(), "data is %d bytes, expected %d", dataLength, length)
+	}
+	want := binary.BigEndian.Uint32(tail[8:])
+	if got := crc32.Checksum(content, castagnoli); got != want {
+		return meta, nil, false, corrupt(file.Name(), "data has checksum %08x, expected %08x", got, want)
+	}
+	return meta, content, true, nil
+}
+
+// syncDirectory makes a rename durable.
+func syncDirectory(directory string) error {
+	handle, err := os.Open(directory)
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	defer func() { _ = handle.Close() }()
+	if err := handle.Sync(); err != nil {
+		return fmt.Errorf("sync data folder: %w", err)
+	}
+	return nil
+}
