--- /dev/null
+++ b/internal/clusterclock/clock.go
@@ -0,0 +1,125 @@
+package clusterclock
+
+import (
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/record"
+)
+
+const (
+	// maxReadingAge is how long a voter's reading counts.
+	maxReadingAge = 10 * time.Second
+	// slewTime is how fast the clock closes a gap to a median ahead of it: the
+	// gap shrinks by its own size over this time.
+	slewTime = 10 * time.Second
+	// minSlewDivisor makes the least forward slew a tenth of the passing time.
+	minSlewDivisor = 10
+	// slowDivisor makes the clock run at half speed while the median is behind.
+	slowDivisor = 2
+)
+
+// reading is one voter's wall clock, with the monotonic time it was heard at.
+type reading struct {
+	wall time.Duration // since the Unix epoch
+	at   time.Duration // monotonic
+}
+
+// carried is the reading carried forward on the monotonic clock.
+func (r reading) carried(at time.Duration) time.Duration { return r.wall + (at - r.at) }
+
+// Clock computes cluster time. The zero value is ready for use. It is not safe
+// for concurrent use. Every monotonic time passed in is on the same clock; one
+// earlier than the greatest before counts as that greatest.
+type Clock struct {
+	voters   []raft.ReplicaID
+	readings map[raft.ReplicaID]reading
+	// base is cluster time (since the Unix epoch) at the monotonic baseAt.
+	base   time.Duration
+	baseAt time.Duration
+	// settled is true once a median was used since the last Restart.
+	settled bool
+}
+
+// SetVoters says whose readings count; those of others are forgotten.
+func (c *Clock) SetVoters(voters []raft.ReplicaID) {
+	c.voters = slices.Clone(voters)
+	for id := range c.readings {
+		if !slices.Contains(c.voters, id) {
+			delete(c.readings, id)
+		}
+	}
+}
+
+// Observe notes a voter's wall clock in Unix milliseconds, heard at the
+// monotonic time at. The newest reading replaces the one before.
+func (c *Clock) Observe(voter raft.ReplicaID, wall int64, at time.Duration) {
+	if !slices.Contains(c.voters, voter) {
+		return
+	}
+	if c.readings == nil {
+		c.readings = make(map[raft.ReplicaID]reading)
+	}
+	c.readings[voter] = reading{wall: time.Duration(wall) * time.Millisecond, at: at}
+}
+
+// Restart begins a term: the clock goes on from floor, the greatest time in
+// the log. Readings stay, since they do not depend on who leads. A floor of 0
+// means that none is known.
+func (c *Clock) Restart(floor record.Millis, at time.Duration) {
+	c.base = time.Duration(floor) * time.Millisecond
+	c.baseAt = at
+	c.settled = false
+}
+
+// Now returns cluster time. It never goes back between two calls of Restart,
+// and never behind the floor.
+func (c *Clock) Now(at time.Duration) record.Millis {
+	at = max(at, c.baseAt)
+	elapsed := at - c.baseAt
+	carried := c.base + elapsed
+	median, known := c.median(at, carried)
+	if known {
+		carried = c.correct(carried, median, elapsed)
+		c.settled = true
+	}
+	c.base, c.baseAt = carried, at
+	return record.Millis(carried / time.Millisecond)
+}
+
+// correct moves the carried time towards the median, never behind c.base.
+func (c *Clock) correct(carried, median, elapsed time.Duration) time.Duration {
+	gap := median - carried
+	switch {
+	case !c.settled && (gap > 0 || c.base == 0):
+		return max(median, c.base)
+	case gap > 0:
+		slew := max(elapsed/minSlewDivisor, time.Duration(float64(gap)*elapsed.Seconds()/slewTime.Seconds()))
+		return carried + min(gap, slew)
+	default:
+		return carried - min(-gap, elapsed/slowDivisor)
+	}
+}
+
+// median is the median of the fresh readings; known is false without those of
+// a majority of voters. Of the two middle ones of an even number, the one
+// nearer to the carried time counts, the lower one if there is no such time.
+func (c *Clock) median(at, carried time.Duration) (median time.Duration, known bool) {
+	walls := make([]time.Duration, 0, len(c.readings))
+	for _, r := range c.readings {
+		if at-r.at <= maxReadingAge {
+			walls = append(walls, r.carried(at))
+		}
+	}
+	if len(walls) == 0 || len(walls) <= len(c.voters)/2 {
+		return 0, false
+	}
+	slices.Sort(walls)
+	lower := walls[(len(walls)-1)/2]
+	upper := walls[len(walls)/2]
+	if c.base != 0 && (upper-carried).Abs() < (lower-carried).Abs() {
+		return upper, true
+	}
+	return lower, true
+}
--- /dev/null
+++ b/internal/replica/archive.go
@@ -0,0 +1,80 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// archiveCopy remembers up to where the archive was copied from others.
+//
+// A snapshot leaves ended jobs out, so before one is installed the archive
+// pages after the last entry applied here are copied and synced. A crash in
+// between starts again from the old state and copies again. Jobs that ended
+// later than the snapshot may come along; the record does not see them until
+// it applies the entries that ended them.
+type archiveCopy struct {
+	mutex sync.Mutex
+	place archivePlace
+}
+
+// archivePlace is a place in the order of (Index, ID).
+type archivePlace struct {
+	index uint64
+	id    string
+}
+
+// copyArchive copies what the replica at address has and this one lacks.
+func (r *Replica) copyArchive(ctx context.Context, address string) error {
+	r.archive.mutex.Lock()
+	defer r.archive.mutex.Unlock()
+	if applied := r.applied.get(); applied > r.archive.place.index {
+		// All that ended up to here was archived when it was applied. The next
+		// index comes after every id of this one.
+		r.archive.place = archivePlace{index: applied + 1}
+	}
+	copied := 0
+	for {
+		count, err := r.copyArchivePage(ctx, address)
+		if err != nil {
+			return err
+		}
+		copied += count
+		if count == 0 {
+			break
+		}
+	}
+	if copied == 0 {
+		return nil
+	}
+	if err := r.config.Store.Archive().Sync(); err != nil {
+		return fmt.Errorf("sync archive: %w", err)
+	}
+	r.logger.Info("archive copied", "jobs", copied, "from", address)
+	return nil
+}
+
+func (r *Replica) copyArchivePage(ctx context.Context, address string) (int, error) {
+	request := fleet.ArchivePageRequest{
+		AfterIndex: r.archive.place.index,
+		AfterID:    r.archive.place.id,
+		Limit:      maxArchivePage,
+	}
+	page, err := rpc.Call[fleet.ArchivePageRequest, fleet.ArchivePageAnswer](ctx, r.config.Client, address, fleet.MethodArchivePage, request)
+	if err != nil {
+		return 0, fmt.Errorf("copy archive: %w", err)
+	}
+	count := len(page.Jobs)
+	if count == 0 {
+		return 0, nil
+	}
+	if err := r.config.Store.Archive().Put(page.Jobs); err != nil {
+		return 0, fmt.Errorf("copy archive: %w", err)
+	}
+	last := page.Jobs[count-1]
+	r.archive.place = archivePlace{index: last.Index, id: last.ID}
+	return count, nil
+}
--- /dev/null
+++ b/internal/replica/decisions_test.go
@@ -0,0 +1,161 @@
+package replica
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+func member(id string) raft.Member {
+	return raft.Member{ID: raft.ReplicaID(id), Name: "name-" + id, Address: "address-" + id}
+}
+
+func members(ids ...string) raft.Membership {
+	var membership raft.Membership
+	for _, id := range ids {
+		membership.Voters = append(membership.Voters, member(id))
+	}
+	return membership
+}
+
+func founder(id string, proposal raft.Membership) seedAnswer {
+	return seedAnswer{address: id, answer: fleet.IdentityAnswer{Member: member(id), Empty: true, Founder: true, Membership: proposal}}
+}
+
+func TestDecideFormation(t *testing.T) {
+	all := members("a", "b", "c")
+	silent := seedAnswer{address: "c", err: errors.New("refused")}
+	full := func(founded raft.Membership) seedAnswer {
+		return seedAnswer{address: "c", answer: fleet.IdentityAnswer{Member: member("c"), Founded: &founded}}
+	}
+	joiner := seedAnswer{address: "c", answer: fleet.IdentityAnswer{Member: member("c"), Empty: true}}
+	sameName := founder("c", raft.Membership{})
+	sameName.answer.Member.Name = "name-a"
+	cases := map[string]struct {
+		proposal raft.Membership
+		answers  []seedAnswer
+		want     formationAction
+		founds   raft.Membership
+	}{
+		"first round":        {raft.Membership{}, []seedAnswer{founder("c", all), founder("a", raft.Membership{}), founder("b", all)}, formationPropose, all},
+		"not all agree":      {all, []seedAnswer{founder("a", all), founder("b", raft.Membership{}), founder("c", all)}, formationWait, raft.Membership{}},
+		"other proposal":     {all, []seedAnswer{founder("a", all), founder("b", members("b", "c")), founder("c", all)}, formationWait, raft.Membership{}},
+		"all agree":          {all, []seedAnswer{founder("a", all), founder("c", all), founder("b", all), founder("b", all)}, formationFound, all},
+		"new id after loss":  {all, []seedAnswer{founder("a", all), founder("b", all), founder("d", raft.Membership{})}, formationPropose, members("a", "b", "d")},
+		"one silent":         {all, []seedAnswer{founder("a", all), founder("b", all), silent}, formationWait, raft.Membership{}},
+		"one joins":          {all, []seedAnswer{founder("a", all), founder("b", all), joiner}, formationWait, raft.Membership{}},
+		"same name":          {all, []seedAnswer{founder("a", all), founder("b", all), sameName}, formationWait, raft.Membership{}},
+		"not a seed":         {all, []seedAnswer{founder("b", all), founder("c", all)}, formationWait, raft.Membership{}},
+		"founded with us":    {raft.Membership{}, []seedAnswer{founder("a", all), silent, full(all)}, formationFound, all},
+		"founded without us": {all, []seedAnswer{founder("a", all), silent, full(members("b", "c", "x"))}, formationJoin, raft.Membership{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := decideFormation("a", c.proposal, c.answers)
+			if got.action != c.want || !sameMembership(got.membership, c.founds) {
+				t.Fatalf("got %+v, want action %d with %v", got, c.want, c.founds)
+			}
+			if (got.missing == "") == (got.action == formationWait) {
+				t.Fatalf("missing is %q", got.missing)
+			}
+		})
+	}
+}
+
+func TestNextJoinStep(t *testing.T) {
+	newcomer := raft.Member{ID: "n", Name: "name-c", Address: "address-n"}
+	learner := members("a", "b", "c")
+	learner.Learners = []raft.Member{newcomer}
+	earlier := members("a", "b", "c")
+	earlier.Learners = []raft.Member{{ID: "o", Name: "name-c"}}
+	joint := members("a", "b", "n")
+	joint.Outgoing = members("a", "b", "c").Voters
+	done := members("a", "b")
+	done.Voters = append(done.Voters, newcomer)
+	moved := members("a", "b")
+	moved.Voters = append(moved.Voters, raft.Member{ID: "n", Name: "name-c", Address: "elsewhere"})
+	cases := map[string]struct {
+		current raft.Membership
+		copied  bool
+		match   uint64
+		heard   time.Duration // the old one, of 10s
+		change  string
+		refused bool
+		voter   bool
+	}{
+		"new":              {members("a", "b", "c"), false, 0, 0, changeLearner, false, false},
+		"earlier learner":  {earlier, false, 0, 0, changeLearner, false, false},
+		"archive missing":  {learner, false, 500, 0, "", false, false},
+		"behind":           {learner, true, 399, 0, "", false, false},
+		"old one is heard": {learner, true, 500, 9 * time.Second, "", true, false},
+		"old one silent":   {learner, true, 400, 7 * time.Second, changeVoter, false, false},
+		"joint":            {joint, true, 500, 0, "", false, false},
+		"done":             {done, true, 500, 0, "", false, true},
+		"other address":    {moved, true, 500, 0, changeData, false, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			step := nextJoinStep(joinQuestion{
+				request: fleet.JoinRequest{Member: newcomer, ArchiveCopied: c.copied},
+				status: raft.Status{
+					ID: "a", LastIndex: 500, Membership: c.current,
+					Progress: []raft.Progress{{ID: "n", Match: c.match, Learner: true}, {ID: "c", LastSeen: c.heard}},
+				},
+				now:     10 * time.Second,
+				silence: 2 * time.Second,
+			})
+			if step.change != c.change || (step.refusal != "") != c.refused || step.voter != c.voter {
+				t.Fatalf("got %+v", step)
+			}
+			if c.change == changeVoter && (!sameMembership(step.target, done) || step.replaces != "c") {
+				t.Fatalf("target %+v replaces %s", step.target, step.replaces)
+			}
+			if c.change == changeLearner && len(step.target.Learners) != 1 {
+				t.Fatalf("learners %v, want the newcomer alone", step.target.Learners)
+			}
+		})
+	}
+}
+
+func TestLeaseEndsWhileFrozen(t *testing.T) {
+	client := rpc.NewClient(rpc.ClientConfig{})
+	defer client.Close()
+	r := newMachines(t, 1)[0].make(client)
+	r.lease.Store(&leaseView{leader: true, term: 7, until: r.now() + time.Hour})
+	if !r.HoldsLease(7) || r.HoldsLease(6) || r.HoldsLease(8) {
+		t.Fatal("the lease is held under token 7 alone")
+	}
+	r.start = r.start.Add(-time.Hour) // the process was frozen so long
+	if r.HoldsLease(7) {
+		t.Fatal("the lease outlived its end")
+	}
+}
+
+func TestLanesBoundWhatWaits(t *testing.T) {
+	l := newLane()
+	entries := []raft.Entry{{Data: make([]byte, maxRequestBytes/2)}}
+	for range 100 {
+		l.push(raft.Message{Kind: raft.MessageAppend, Entries: entries})
+	}
+	if l.bytes > maxLaneBytes {
+		t.Fatalf("%d bytes wait, allowed are %d", l.bytes, maxLaneBytes)
+	}
+	queued := len(l.queue)
+	taken := 0
+	for batch := l.take(); len(batch) > 0; batch = l.take() {
+		if len(batch) > 2 {
+			t.Fatalf("%d messages in one request", len(batch))
+		}
+		taken += len(batch)
+	}
+	if taken != queued || l.bytes != 0 {
+		t.Fatalf("took %d of %d, %d bytes left", taken, queued, l.bytes)
+	}
+	if l.push(raft.Message{}) {
+		t.Fatal("an empty lane makes a message wait")
+	}
+}
--- /dev/null
+++ b/internal/replica/handlers.go
@@ -0,0 +1,81 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// maxArchivePage bounds the jobs of one ArchivePageAnswer.
+const maxArchivePage = 256
+
+// Register serves the calls between replicas. It may be called before Run.
+func (r *Replica) Register(server *rpc.Server) {
+	rpc.Handle(server, fleet.MethodRaft, r.serveRaft)
+	rpc.Handle(server, fleet.MethodSnapshotChunk, r.serveSnapshotChunk)
+	rpc.Handle(server, fleet.MethodArchivePage, r.serveArchivePage)
+	rpc.Handle(server, fleet.MethodIdentity, r.serveIdentity)
+	rpc.Handle(server, fleet.MethodJoin, r.serveJoin)
+	rpc.Handle(server, fleet.MethodReadIndex, r.serveReadIndex)
+}
+
+var errNotRunning = &rpc.Error{Code: rpc.CodeUnavailable, Message: "replica has not joined a cluster yet"}
+
+// serveRaft takes messages into the loop's queue, and drops them when it is
+// full.
+func (r *Replica) serveRaft(_ context.Context, request fleet.RaftRequest) (fleet.Empty, error) {
+	if !r.running.Load() {
+		return fleet.Empty{}, errNotRunning
+	}
+	for _, message := range request.Messages {
+		if err := r.checkReceiver(message.To); err != nil {
+			return fleet.Empty{}, err
+		}
+	}
+	select {
+	case r.inbox <- inbound{sender: request.Sender, messages: request.Messages}:
+	default:
+	}
+	return fleet.Empty{}, nil
+}
+
+// checkReceiver refuses what is meant for a replica that was here before.
+func (r *Replica) checkReceiver(id raft.ReplicaID) error {
+	if id == r.self.ID {
+		return nil
+	}
+	return &rpc.Error{Code: rpc.CodeBadRequest, Message: fmt.Sprintf("this is replica %s, not %s", r.self.ID, id)}
+}
+
+func (r *Replica) serveArchivePage(_ context.Context, request fleet.ArchivePageRequest) (fleet.ArchivePageAnswer, error) {
+	limit := request.Limit
+	if limit <= 0 || limit > maxArchivePage {
+		limit = maxArchivePage
+	}
+	jobs, err := r.config.Store.Archive().Page(request.AfterIndex, request.AfterID, limit)
+	if err != nil {
+		return fleet.ArchivePageAnswer{}, fmt.Errorf("read archive: %w", err)
+	}
+	return fleet.ArchivePageAnswer{Jobs: jobs}, nil
+}
+
+// serveReadIndex gives a follower a read point; leader only.
+func (r *Replica) serveReadIndex(ctx context.Context, _ fleet.Empty) (fleet.ReadIndexAnswer, error) {
+	index, err := r.readPoint(ctx)
+	if errors.Is(err, ErrNotLeader) {
+		return fleet.ReadIndexAnswer{}, r.notLeader()
+	}
+	return fleet.ReadIndexAnswer{Index: index}, err
+}
+
+func (r *Replica) notLeader() *rpc.Error {
+	refusal := &rpc.Error{Code: rpc.CodeNotLeader, Message: "this replica does not lead"}
+	if leader, known := r.Leader(); known && leader.ID != r.self.ID {
+		refusal.LeaderAddress = leader.Address
+	}
+	return refusal
+}
--- /dev/null
+++ b/internal/replica/helper_test.go
@@ -0,0 +1,249 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/storage"
+)
+
+// patience bounds waits for a condition; none takes nearly as long.
+const patience = 60 * time.Second
+
+// machine is a place where replicas run: a name and an address that outlive
+// them.
+type machine struct {
+	t       testing.TB
+	name    string
+	address string
+	seeds   []string
+	store   storage.Store
+	every   uint64
+	// hangs makes every call to the replica wait until its caller gives up.
+	hangs atomic.Bool
+
+	replica *Replica
+	stop    func()
+
+	mutex  sync.Mutex
+	active int
+	leads  []uint64 // tokens in the order of Lead's calls
+}
+
+// newMachines reserves addresses; every machine has all of them as seeds.
+func newMachines(t testing.TB, count int) []*machine {
+	t.Helper()
+	machines := make([]*machine, count)
+	var seeds []string
+	for i := range machines {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		machines[i] = &machine{
+			t:       t,
+			name:    fmt.Sprintf("control-%d", i+1),
+			address: listener.Addr().String(),
+			store:   storage.NewMemory(int64(i + 1)),
+			every:   1_000_000,
+		}
+		_ = listener.Close()
+		seeds = append(seeds, machines[i].address)
+	}
+	for _, m := range machines {
+		m.seeds = seeds
+	}
+	return machines
+}
+
+// make makes a replica on the machine's store.
+func (m *machine) make(client *rpc.Client) *Replica {
+	m.t.Helper()
+	replica, err := New(Config{
+		Name:          m.name,
+		Zone:          "zone",
+		Address:       m.address,
+		Seeds:         m.seeds,
+		Store:         m.store,
+		Record:        record.NewMachine(record.Config{Archive: m.store.Archive()}),
+		Client:        client,
+		SnapshotEvery: m.every,
+		KeepEntries:   2,
+		Logger:        slog.New(slog.NewTextHandler(m.t.Output(), nil)).With("machine", m.name),
+		Lead:          m.lead,
+	})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return replica
+}
+
+// start runs a replica on the machine's store.
+func (m *machine) start() {
+	m.t.Helper()
+	client := rpc.NewClient(rpc.ClientConfig{})
+	replica := m.make(client)
+	server := rpc.NewServer(rpc.ServerConfig{})
+	replica.Register(server)
+	listener, err := net.Listen("tcp", m.address)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	httpServer := &http.Server{Handler: m.hanging(server), ReadHeaderTimeout: time.Second}
+	var running sync.WaitGroup
+	running.Go(func() { _ = httpServer.Serve(listener) })
+	ctx, cancel := context.WithCancel(context.Background())
+	running.Go(func() {
+		if err := replica.Run(ctx); err != nil {
+			m.t.Errorf("%s: %v", m.name, err)
+		}
+	})
+	m.replica = replica
+	m.stop = sync.OnceFunc(func() {
+		_ = httpServer.Close()
+		cancel()
+		running.Wait()
+		client.Close()
+	})
+	m.t.Cleanup(m.stop)
+}
+
+func (m *machine) hanging(server http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if m.hangs.Load() {
+			// The server notices that the caller is gone once the body is read.
+			_, _ = io.Copy(io.Discard, request.Body)
+			<-request.Context().Done()
+			return
+		}
+		server.ServeHTTP(writer, request)
+	})
+}
+
+// crash stops the replica and loses what was not synced.
+func (m *machine) crash() {
+	m.stop()
+	if store, ok := m.store.(*storage.Memory); ok {
+		store.Crash()
+	}
+}
+
+// useDisk puts the machine's data in a folder, or opens it again.
+func (m *machine) useDisk(directory string) {
+	m.t.Helper()
+	disk, err := storage.OpenDisk(storage.DiskConfig{Directory: directory})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.store = disk
+	m.t.Cleanup(func() { _ = disk.Close() })
+}
+
+func (m *machine) lead(leadership Leadership) {
+	m.mutex.Lock()
+	m.active++
+	if m.active > 1 {
+		m.t.Errorf("%s: two Lead calls at once", m.name)
+	}
+	m.leads = append(m.leads, leadership.Token)
+	m.mutex.Unlock()
+	<-leadership.Context.Done()
+	m.mutex.Lock()
+	m.active--
+	m.mutex.Unlock()
+}
+
+func (m *machine) led() []uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return append([]uint64(nil), m.leads...)
+}
+
+// eventually waits for a condition.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// leaderOf waits until one of the machines leads under its lease and Lead runs.
+func leaderOf(t testing.TB, machines ...*machine) *machine {
+	t.Helper()
+	var leader *machine
+	eventually(t, "a leader", func() bool {
+		for _, m := range machines {
+			status := m.replica.Status()
+			leads := m.led()
+			if m.replica.HoldsLease(status.Term) && len(leads) > 0 && leads[len(leads)-1] == status.Term {
+				leader = m
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// register proposes until it is acknowledged by whoever leads.
+func register(t testing.TB, name string, machines ...*machine) uint64 {
+	t.Helper()
+	var index uint64
+	eventually(t, "acknowledged: "+name, func() bool {
+		for _, m := range machines {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			result, err := m.replica.Propose(ctx, m.replica.Status().Term, registration(name))
+			cancel()
+			if err == nil {
+				index = result.Index
+				return true
+			}
+		}
+		return false
+	})
+	return index
+}
+
+func registration(name string) record.Command {
+	return record.Command{Register: &record.RegisterWorkers{Workers: []record.Worker{{Name: name, ID: name + "-1"}}}}
+}
+
+// workers returns the names in a replica's record after a read barrier.
+func workers(t testing.TB, m *machine) []string {
+	t.Helper()
+	eventually(t, "read barrier on "+m.name, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		return m.replica.ReadBarrier(ctx) == nil
+	})
+	var names []string
+	m.replica.Record().Read(func(view record.View) {
+		for worker := range view.Workers() {
+			names = append(names, worker.Name)
+		}
+	})
+	return names
+}
+
+func voterIDs(m *machine) map[raft.ReplicaID]bool {
+	ids := make(map[raft.ReplicaID]bool)
+	for _, voter := range m.replica.Status().Membership.Voters {
+		ids[voter.ID] = true
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/replica/join.go
@@ -0,0 +1,165 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const (
+	// joinInterval is how often a replica that is no voter asks to become one.
+	joinInterval = 200 * time.Millisecond
+	// settledInterval is how often a voter checks that it still is one.
+	settledInterval = time.Second
+	// replacedAfter is how long a voter hears no leader before it asks the
+	// seeds whether it was replaced.
+	replacedAfter = 5 * time.Second
+	// maxJoinLag is how many entries a learner may lack when it is made a voter.
+	maxJoinLag = 100
+	// refusalLogInterval is how often the leader logs why it keeps a newcomer
+	// waiting.
+	refusalLogInterval = 5 * time.Second
+)
+
+// keepMembership runs as long as the replica does: it asks the leader to take
+// this replica in until it is a voter under its present name and address.
+func (r *Replica) keepMembership(ctx context.Context) {
+	lastLed := r.now()
+	joining := false
+	for {
+		interval := settledInterval
+		switch {
+		case !r.settled():
+			interval = joinInterval
+			joining = true
+			r.tryJoin(ctx)
+		case joining:
+			joining = false
+			r.logger.Info("joined", "index", r.applied.get())
+		}
+		if _, known := r.Leader(); known || !r.settled() {
+			lastLed = r.now()
+		} else if r.now()-lastLed > replacedAfter {
+			lastLed = r.now()
+			r.warnIfReplaced(ctx)
+		}
+		if sleep(ctx, interval) != nil {
+			return
+		}
+	}
+}
+
+// settled: the newest membership known here lists this replica as a voter with
+// its present name, zone and address.
+func (r *Replica) settled() bool {
+	return slices.Contains(r.status.Load().Membership.Voters, r.self)
+}
+
+// tryJoin copies the archive and asks the leader once. The archive goes first:
+// it may take long, and a snapshot waits for the rest of it.
+func (r *Replica) tryJoin(ctx context.Context) {
+	leader, known := r.findLeader(ctx)
+	if !known {
+		return
+	}
+	if leader != r.config.Address {
+		if err := r.copyArchive(ctx, leader); err != nil {
+			r.logger.Warn("archive not copied", "error", err)
+			return
+		}
+	}
+	// Whatever is applied here began with a snapshot, before which the archive
+	// was copied.
+	request := fleet.JoinRequest{Member: r.self, ArchiveCopied: r.applied.get() > 0}
+	if leader == r.config.Address {
+		_, _ = r.serveJoin(ctx, request)
+		return
+	}
+	_, err := rpc.Call[fleet.JoinRequest, fleet.JoinAnswer](ctx, r.config.Client, leader, fleet.MethodJoin, request)
+	if err != nil {
+		r.logger.Debug("join refused", "leader", leader, "error", err)
+	}
+}
+
+// findLeader returns the leader's address, as known here or by a seed.
+func (r *Replica) findLeader(ctx context.Context) (string, bool) {
+	if leader, known := r.Leader(); known {
+		return leader.Address, true
+	}
+	for _, seed := range r.askSeeds(ctx) {
+		if seed.err == nil && seed.answer.LeaderAddress != "" {
+			return seed.answer.LeaderAddress, true
+		}
+	}
+	return "", false
+}
+
+// warnIfReplaced logs that the cluster goes on without this replica.
+func (r *Replica) warnIfReplaced(ctx context.Context) {
+	for _, seed := range r.askSeeds(ctx) {
+		if seed.err != nil || seed.answer.LeaderAddress == "" {
+			continue
+		}
+		if _, listed := findMember(seed.answer.Membership, r.self.ID); !listed {
+			r.logger.Error("this replica was replaced; empty its data folder to join again", "leader", seed.answer.LeaderAddress)
+			return
+		}
+	}
+}
+
+// serveJoin takes a newcomer in, step by step; leader only.
+func (r *Replica) serveJoin(ctx context.Context, request fleet.JoinRequest) (fleet.JoinAnswer, error) {
+	if request.Member.ID == "" || request.Member.Name == "" || request.Member.Address == "" {
+		return fleet.JoinAnswer{}, &rpc.Error{Code: rpc.CodeBadRequest, Message: "member data is incomplete"}
+	}
+	if view := r.lease.Load(); !view.leader || !r.HoldsLease(view.term) {
+		return fleet.JoinAnswer{}, r.notLeader()
+	}
+	var step joinStep
+	err := r.call(ctx, func(l *loop) error {
+		step = l.joinStep(request)
+		return l.takeJoinStep(request.Member, step)
+	})
+	if err != nil {
+		return fleet.JoinAnswer{}, fmt.Errorf("join: %w", err)
+	}
+	return fleet.JoinAnswer{Voter: step.voter}, nil
+}
+
+// takeJoinStep proposes the change of a step; a change that cannot be made now
+// is asked for again.
+func (l *loop) takeJoinStep(member raft.Member, step joinStep) error {
+	if step.refusal != "" {
+		l.logJoinRefusal(member, step.refusal)
+		return nil
+	}
+	if step.change == "" {
+		return nil
+	}
+	err := l.node.ChangeMembership(l.now(), step.target)
+	if errors.Is(err, raft.ErrChangePending) || errors.Is(err, raft.ErrNotCaughtUp) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	l.logger.Info("membership change proposed", "change", step.change,
+		"newcomer", string(member.ID), "name", member.Name, "replaces", string(step.replaces))
+	return nil
+}
+
+// logJoinRefusal logs at most one line each few seconds.
+func (l *loop) logJoinRefusal(member raft.Member, refusal string) {
+	now := l.now()
+	if l.refusalLogged != 0 && now-l.refusalLogged < refusalLogInterval {
+		return
+	}
+	l.refusalLogged = now
+	l.logger.Warn("newcomer has to wait", "newcomer", string(member.ID), "name", member.Name, "reason", refusal)
+}
--- /dev/null
+++ b/internal/replica/loop.go
@@ -0,0 +1,237 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// maxDrained bounds the messages taken in one turn of the loop, so that their
+// entries share one sync and heartbeats still go out in time.
+const maxDrained = 64
+
+// inbound is one RaftRequest.
+type inbound struct {
+	sender   raft.Member
+	messages []raft.Message
+}
+
+// loopCall runs in the loop's goroutine.
+type loopCall struct {
+	run  func(*loop) error
+	done chan error // of capacity 1
+}
+
+// loop is what belongs to the one goroutine that drives the node.
+type loop struct {
+	*Replica
+	ctx       context.Context
+	node      *raft.Node
+	transport *transport
+	lastTick  time.Duration
+	// failure ends the loop after the present turn.
+	failure error
+	// refusalLogged is when a newcomer was last told of in the log to wait.
+	refusalLogged time.Duration
+
+	pending pendingProposals
+	reads   pendingReads
+	// lastRequest numbers the reads.
+	lastRequest uint64
+	term        termRun
+	snapshots   snapshotState
+	// transfers are the replicas that a snapshot is being sent to.
+	transfers map[raft.ReplicaID]bool
+}
+
+func (r *Replica) newLoop(ctx context.Context, brandNew bool) (*loop, error) {
+	restored, err := r.restore()
+	if err != nil {
+		return nil, err
+	}
+	timing := r.config.Timing
+	quietUntil := r.now() + timing.ElectionTimeoutMax
+	if brandNew {
+		quietUntil = 0
+	}
+	node, err := raft.New(raft.Config{
+		ID:                 r.self.ID,
+		TickInterval:       timing.Tick,
+		ElectionTimeoutMin: timing.ElectionTimeoutMin,
+		ElectionTimeoutMax: timing.ElectionTimeoutMax,
+		LeaseDuration:      timing.Lease,
+		Seed:               r.start.UnixNano(),
+		QuietUntil:         quietUntil,
+	}, restored.raft)
+	if err != nil {
+		return nil, fmt.Errorf("start node: %w", err)
+	}
+	return &loop{
+		Replica:   r,
+		ctx:       ctx,
+		node:      node,
+		transport: newTransport(ctx, r),
+		pending:   make(pendingProposals),
+		reads:     make(pendingReads),
+		snapshots: newSnapshotState(restored.snapshot),
+		transfers: make(map[raft.ReplicaID]bool),
+	}, nil
+}
+
+// run drives the node until the context ends or a failure.
+func (l *loop) run() error {
+	err := l.turns()
+	l.publish(raft.Status{ID: l.self.ID, Membership: l.status.Load().Membership})
+	l.endTerm()
+	l.failWaiting()
+	close(l.stopped)
+	l.waitForLead()
+	return err
+}
+
+func (l *loop) turns() error {
+	ticker := time.NewTicker(l.config.Timing.Tick)
+	defer ticker.Stop()
+	l.node.Tick(l.now())
+	if err := l.handleReady(); err != nil {
+		return err
+	}
+	for {
+		if err := l.turn(ticker.C); err != nil {
+			return err
+		}
+		if l.ctx.Err() != nil {
+			return l.ctx.Err()
+		}
+	}
+}
+
+// turn waits for one thing to do, does it, and handles what follows from it.
+func (l *loop) turn(ticks <-chan time.Time) error {
+	select {
+	case <-l.ctx.Done():
+		return l.ctx.Err()
+	case <-ticks:
+	case received := <-l.inbox:
+		l.tick()
+		l.stepAll(received)
+	case first := <-l.proposals:
+		l.tick()
+		l.propose(first)
+	case call := <-l.calls:
+		l.tick()
+		call.done <- call.run(l)
+	}
+	if l.failure != nil {
+		return l.failure
+	}
+	l.tick()
+	return l.handleReady()
+}
+
+// fail ends the loop after the present turn.
+func (l *loop) fail(err error) { l.failure = err }
+
+// tick lets the node see the time before anything else does, also after the
+// process was frozen.
+func (l *loop) tick() {
+	now := l.now()
+	if now-l.lastTick < l.config.Timing.Tick {
+		return
+	}
+	l.lastTick = now
+	l.node.Tick(now)
+	if l.term.leading {
+		l.observeClock(l.self.ID, l.config.WallClock().UnixMilli(), now)
+	}
+}
+
+func (l *loop) stepAll(received inbound) {
+	for range maxDrained {
+		l.step(received)
+		select {
+		case received = <-l.inbox:
+		default:
+			return
+		}
+	}
+}
+
+func (l *loop) step(received inbound) {
+	l.transport.noteSender(received.sender)
+	for _, message := range received.messages {
+		now := l.now()
+		if err := l.node.Step(now, message); err != nil {
+			l.logger.Warn("raft message refused", "from", string(message.From), "error", err)
+			continue
+		}
+		if message.Kind == raft.MessageAppendAnswer && message.WallClock != 0 && l.term.leading {
+			l.observeClock(message.From, message.WallClock, now)
+		}
+	}
+}
+
+// handleReady persists, sends and applies until nothing is left to do. What
+// others must not believe any longer is published before a message goes out.
+func (l *loop) handleReady() error {
+	l.publish(l.node.Status())
+	for l.node.HasReady() {
+		if err := l.handleOne(l.node.Ready()); err != nil {
+			return err
+		}
+		l.publish(l.node.Status())
+	}
+	l.runTerm()
+	l.maybeSnapshot()
+	return nil
+}
+
+func (l *loop) handleOne(ready raft.Ready) error {
+	if ready.HardState != nil || len(ready.Entries) > 0 {
+		began := time.Now()
+		if err := l.config.Store.Save(ready.HardState, ready.Entries, ready.MustSync); err != nil {
+			return fmt.Errorf("save: %w", err)
+		}
+		if ready.MustSync {
+			l.metrics.saveSeconds.Observe(time.Since(began).Seconds())
+		}
+	}
+	l.send(ready.Messages)
+	if err := l.apply(ready.Committed); err != nil {
+		return err
+	}
+	l.reads.answer(ready.ReadStates)
+	l.node.Advance(ready)
+	return nil
+}
+
+func (l *loop) send(messages []raft.Message) {
+	for _, message := range messages {
+		if message.Kind == raft.MessageSnapshot {
+			l.startTransfer(message.To)
+		}
+		l.transport.send(message)
+	}
+}
+
+// call runs a function in the loop's goroutine and returns its error.
+func (r *Replica) call(ctx context.Context, run func(*loop) error) error {
+	call := loopCall{run: run, done: make(chan error, 1)}
+	select {
+	case r.calls <- call:
+	case <-r.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-call.done:
+		return err
+	case <-r.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/replica/metrics.go
@@ -0,0 +1,60 @@
+package replica
+
+import (
+	"fmt"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// metrics of a replica.
+type metrics struct {
+	term        prometheus.Gauge
+	isLeader    prometheus.Gauge
+	commit      prometheus.Gauge
+	applied     prometheus.Gauge
+	proposals   prometheus.Counter
+	saveSeconds prometheus.Histogram
+}
+
+func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "decklever", Subsystem: "replica", Name: name, Help: help})
+	}
+	m := &metrics{
+		term:     gauge("term", "Present term of the replicated log."),
+		isLeader: gauge("is_leader", "1 while this replica leads."),
+		commit:   gauge("commit_index", "Highest committed index known."),
+		applied:  gauge("applied_index", "Highest applied index."),
+		proposals: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "decklever", Subsystem: "replica", Name: "proposals_total",
+			Help: "Commands appended as leader.",
+		}),
+		saveSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "decklever", Subsystem: "replica", Name: "save_seconds",
+			Help:    "Time to save to the store with a sync.",
+			Buckets: prometheus.ExponentialBuckets(0.0002, 2, 14),
+		}),
+	}
+	if registerer == nil {
+		return m, nil
+	}
+	for _, collector := range []prometheus.Collector{m.term, m.isLeader, m.commit, m.applied, m.proposals, m.saveSeconds} {
+		if err := registerer.Register(collector); err != nil {
+			return nil, fmt.Errorf("register metrics: %w", err)
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) show(status raft.Status) {
+	m.term.Set(float64(status.Term))
+	m.commit.Set(float64(status.Commit))
+	m.applied.Set(float64(status.Applied))
+	if status.Role == raft.RoleLeader {
+		m.isLeader.Set(1)
+	} else {
+		m.isLeader.Set(0)
+	}
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,304 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/storage"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func startAll(machines []*machine) {
+	for _, m := range machines {
+		m.start()
+	}
+}
+
+func others(machines []*machine, left ...*machine) []*machine {
+	return slices.DeleteFunc(slices.Clone(machines), func(m *machine) bool { return slices.Contains(left, m) })
+}
+
+func sortedNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf("worker-%03d", i)
+	}
+	return names
+}
+
+func TestFormsCommitsAndFailsOver(t *testing.T) {
+	machines := newMachines(t, 3)
+	startAll(machines)
+	leader := leaderOf(t, machines...)
+	for _, m := range machines {
+		eventually(t, "three voters on "+m.name, func() bool { return len(voterIDs(m)) == 3 })
+	}
+	names := sortedNames(200)
+	token := leader.replica.Status().Term
+	var proposers sync.WaitGroup
+	indexes := make([]uint64, len(names))
+	for i, name := range names {
+		proposers.Go(func() {
+			result, err := leader.replica.Propose(t.Context(), token, registration(name))
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+			indexes[i] = result.Index
+		})
+	}
+	proposers.Wait()
+	slices.Sort(indexes)
+	if got := len(slices.Compact(indexes)); got != len(names) {
+		t.Fatalf("%d places for %d commands", got, len(names))
+	}
+	for _, m := range machines {
+		if got := workers(t, m); !slices.Equal(got, names) {
+			t.Fatalf("%s holds %d workers, want %d in order", m.name, len(got), len(names))
+		}
+	}
+	follower := others(machines, leader)[0]
+	if _, err := follower.replica.Propose(t.Context(), token, registration("x")); !errors.Is(err, ErrNotLeader) {
+		t.Fatalf("follower: %v, want ErrNotLeader", err)
+	}
+	if _, err := leader.replica.Propose(t.Context(), token-1, registration("x")); !errors.Is(err, ErrNotLeader) {
+		t.Fatalf("old token: %v, want ErrNotLeader", err)
+	}
+
+	clock := leader.replica.Now()
+	leader.crash()
+	if _, err := leader.replica.Propose(t.Context(), token, registration("x")); !errors.Is(err, ErrStopped) {
+		t.Fatalf("stopped replica: %v, want ErrStopped", err)
+	}
+	if leader.replica.HoldsLease(token) {
+		t.Fatal("a stopped replica claims the lease")
+	}
+	rest := others(machines, leader)
+	next := leaderOf(t, rest...)
+	if got := next.replica.Status().Term; got <= token {
+		t.Fatalf("new token %d is not above %d", got, token)
+	}
+	if got := next.replica.Now(); got < clock-1 {
+		t.Fatalf("cluster clock went back from %d to %d", clock, got)
+	}
+	if got := workers(t, next); !slices.Equal(got, names) {
+		t.Fatalf("new leader holds %d workers, want %d", len(got), len(names))
+	}
+	register(t, "zz-after", rest...)
+
+	leader.start() // on its own store
+	want := append(slices.Clone(names), "zz-after")
+	if got := workers(t, leader); !slices.Equal(got, want) {
+		t.Fatalf("restarted replica holds %d workers, want %d", len(got), len(want))
+	}
+}
+
+func TestHandOver(t *testing.T) {
+	machines := newMachines(t, 3)
+	startAll(machines)
+	leader := leaderOf(t, machines...)
+	token := leader.replica.Status().Term
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	leader.replica.HandOver(ctx)
+	if ctx.Err() != nil || leader.replica.HoldsLease(token) {
+		t.Fatalf("after the handover: %v, lease held %v", ctx.Err(), leader.replica.HoldsLease(token))
+	}
+	next := leaderOf(t, others(machines, leader)...)
+	if got := next.replica.Status().Term; got <= token {
+		t.Fatalf("new token %d is not above %d", got, token)
+	}
+}
+
+// replace gives a machine an empty disk and waits until its new replica votes.
+func replace(t *testing.T, m *machine, seed int64, rest []*machine) {
+	t.Helper()
+	old := m.replica.self.ID
+	m.crash()
+	m.store = storage.NewMemory(seed)
+	m.start()
+	for _, other := range rest {
+		eventually(t, m.name+" replaced on "+other.name, func() bool {
+			ids := voterIDs(other)
+			status := other.replica.Status()
+			return ids[m.replica.self.ID] && !ids[old] && len(ids) == 3 && len(status.Membership.Outgoing) == 0
+		})
+	}
+}
+
+func TestLostDiskIsReplaced(t *testing.T) {
+	for _, every := range []uint64{1_000_000, 20} { // without and with newer snapshots
+		t.Run(fmt.Sprintf("snapshot-every-%d", every), func(t *testing.T) {
+			machines := newMachines(t, 3)
+			for _, m := range machines {
+				m.every = every
+			}
+			startAll(machines)
+			names := sortedNames(100)
+			for _, name := range names {
+				register(t, name, leaderOf(t, machines...))
+			}
+			leader := leaderOf(t, machines...)
+			archived := record.ArchivedJob{ID: "ended", Index: 2, EndedAt: 1}
+			for _, m := range machines {
+				if err := m.store.Archive().Put([]record.ArchivedJob{archived}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			lost := others(machines, leader)[0]
+			replace(t, lost, 99, others(machines, lost))
+			if _, known, err := lost.store.Archive().Get("ended"); err != nil || !known {
+				t.Fatalf("the newcomer lacks the archived job: %v, %v", known, err)
+			}
+			// A second loss right after the repair: the newcomer must count.
+			second := others(machines, lost, leader)[0]
+			second.crash()
+			left := others(machines, second)
+			register(t, "zz-after", left...)
+			want := append(slices.Clone(names), "zz-after")
+			for _, m := range left {
+				if got := workers(t, m); !slices.Equal(got, want) {
+					t.Fatalf("%s holds %d workers, want %d", m.name, len(got), len(want))
+				}
+			}
+		})
+	}
+}
+
+func TestLaggingFollowerGetsASnapshot(t *testing.T) {
+	machines := newMachines(t, 3)
+	for _, m := range machines {
+		m.every = 10
+	}
+	startAll(machines)
+	leader := leaderOf(t, machines...)
+	lagging := others(machines, leader)[0]
+	lagging.crash()
+	names := sortedNames(100)
+	for _, name := range names {
+		register(t, name, others(machines, lagging)...)
+	}
+	lagging.start()
+	if got := workers(t, lagging); !slices.Equal(got, names) {
+		t.Fatalf("holds %d workers, want %d", len(got), len(names))
+	}
+	if loaded, err := lagging.store.Load(); err != nil || loaded.Snapshot.Index <= foundingIndex {
+		t.Fatalf("snapshot at %d, %v: want a newer one", loaded.Snapshot.Index, err)
+	}
+}
+
+func TestWaitsForAnUnansweredSeed(t *testing.T) {
+	machines := newMachines(t, 4)
+	startAll(machines[:3])
+	rounds := func(m *machine) bool { return len(m.replica.identity().Membership.Voters) > 0 }
+	for range 5 {
+		time.Sleep(formationInterval)
+		for _, m := range machines[:3] {
+			if rounds(m) || !m.store.Empty() || m.replica.running.Load() {
+				t.Fatalf("%s did not wait for the fourth seed", m.name)
+			}
+		}
+	}
+	machines[3].start()
+	leaderOf(t, machines...)
+	for _, m := range machines {
+		eventually(t, "four voters on "+m.name, func() bool { return len(voterIDs(m)) == 4 })
+	}
+}
+
+func TestProposalWithoutQuorum(t *testing.T) {
+	machines := newMachines(t, 3)
+	startAll(machines)
+	leader := leaderOf(t, machines...)
+	token := leader.replica.Status().Term
+	for _, m := range others(machines, leader) {
+		m.crash()
+	}
+	_, err := leader.replica.Propose(t.Context(), token, registration("maybe"))
+	if !errors.Is(err, ErrOutcomeUnknown) && !errors.Is(err, ErrNotLeader) {
+		t.Fatalf("got %v, want ErrOutcomeUnknown, or ErrNotLeader after stepping down", err)
+	}
+	eventually(t, "the lease ends", func() bool { return !leader.replica.HoldsLease(token) })
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if err := leader.replica.ReadBarrier(ctx); err == nil {
+		t.Fatal("a read was answered without a quorum")
+	}
+}
+
+func TestHangingPeerDelaysNobody(t *testing.T) {
+	machines := newMachines(t, 3)
+	startAll(machines)
+	leader := leaderOf(t, machines...)
+	token := leader.replica.Status().Term
+	others(machines, leader)[0].hangs.Store(true)
+	data := make([]byte, 256<<10) // many of them fill the lane to the hanging peer
+	for i := range 60 {
+		command := registration(fmt.Sprintf("worker-%03d", i))
+		command.Register.Workers[0].Zone = string(data)
+		if _, err := leader.replica.Propose(t.Context(), token, command); err != nil {
+			t.Fatalf("command %d: %v", i, err)
+		}
+	}
+	if !leader.replica.HoldsLease(token) {
+		t.Fatal("the lease was lost")
+	}
+	others(machines, leader)[0].hangs.Store(false)
+	if got := len(workers(t, others(machines, leader)[0])); got != 60 {
+		t.Fatalf("the peer caught up to %d workers, want 60", got)
+	}
+}
+
+func TestSingleReplicaRestartsFromDisk(t *testing.T) {
+	m := newMachines(t, 1)[0]
+	m.every = 10
+	directory := t.TempDir()
+	m.useDisk(directory)
+	m.start()
+	names := sortedNames(35)
+	for _, name := range names {
+		register(t, name, m)
+	}
+	token := leaderOf(t, m).replica.Status().Term
+	m.stop()
+	if err := m.store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	m.useDisk(directory)
+	m.start()
+	if got := workers(t, m); !slices.Equal(got, names) {
+		t.Fatalf("holds %d workers, want %d", len(got), len(names))
+	}
+	if got := m.replica.Status().Term; got <= token {
+		t.Fatalf("term %d is not above %d", got, token)
+	}
+}
+
+func BenchmarkPropose(b *testing.B) {
+	machines := newMachines(b, 3)
+	for _, m := range machines {
+		m.useDisk(b.TempDir())
+		m.every = 10_000
+	}
+	startAll(machines)
+	leader := leaderOf(b, machines...)
+	token := leader.replica.Status().Term
+	b.SetParallelism(64)
+	b.ResetTimer()
+	b.RunParallel(func(run *testing.PB) {
+		for run.Next() {
+			if _, err := leader.replica.Propose(b.Context(), token, registration("worker")); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commands/s")
+}
--- /dev/null
+++ b/internal/replica/snapshot.go
@@ -0,0 +1,137 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// snapshotState is what the loop knows for taking snapshots.
+type snapshotState struct {
+	// last is the index of the newest snapshot asked for.
+	last uint64
+	// writing: one is being written in the background.
+	writing bool
+	// membership is the one in force at the last applied entry.
+	membership raft.Membership
+	// terms are the places where the term of applied entries changes, oldest
+	// first. The first one may stand for all before it that are still needed.
+	terms []termStart
+}
+
+// termStart: entries from Index on are of this term.
+type termStart struct {
+	index uint64
+	term  uint64
+}
+
+func newSnapshotState(snapshot raft.SnapshotMeta) snapshotState {
+	return snapshotState{
+		last:       snapshot.Index,
+		membership: snapshot.Membership,
+		terms:      []termStart{{index: snapshot.Index, term: snapshot.Term}},
+	}
+}
+
+// noteApplied follows term and membership; the data were decoded before.
+func (s *snapshotState) noteApplied(entry raft.Entry) {
+	if s.terms[len(s.terms)-1].term != entry.Term {
+		s.terms = append(s.terms, termStart{index: entry.Index, term: entry.Term})
+	}
+	if entry.Kind != raft.EntryMembership {
+		return
+	}
+	if membership, err := raft.DecodeMembership(entry.Data); err == nil {
+		s.membership = membership
+	}
+}
+
+// termAt is the term of an applied entry; ok is false if it lies too far back.
+func (s *snapshotState) termAt(index uint64) (term uint64, ok bool) {
+	after := sort.Search(len(s.terms), func(i int) bool { return s.terms[i].index > index })
+	if after == 0 {
+		return 0, false
+	}
+	return s.terms[after-1].term, true
+}
+
+// forgetBefore drops terms that no place from index on needs.
+func (s *snapshotState) forgetBefore(index uint64) {
+	for len(s.terms) > 1 && s.terms[1].index <= index {
+		s.terms = s.terms[1:]
+	}
+}
+
+// maybeSnapshot captures the record every SnapshotEvery entries, and lets it be
+// written beside the loop.
+func (l *loop) maybeSnapshot() {
+	applied := l.applied.get()
+	if l.snapshots.writing || applied < l.snapshots.last+l.config.SnapshotEvery {
+		return
+	}
+	index, write, err := l.config.Record.Snapshot()
+	if err != nil {
+		l.logger.Error("snapshot failed", "error", err)
+		l.snapshots.last = applied // the next attempt after as many entries
+		return
+	}
+	term, _ := l.snapshots.termAt(index)
+	meta := raft.SnapshotMeta{Index: index, Term: term, Membership: l.snapshots.membership}
+	l.snapshots.last, l.snapshots.writing = index, true
+	l.background.Go(func() {
+		err := l.config.Store.SaveSnapshot(meta, l.config.KeepEntries, write)
+		_ = l.call(l.ctx, func(l *loop) error { return l.snapshotWritten(meta, err) })
+	})
+}
+
+func (l *loop) snapshotWritten(meta raft.SnapshotMeta, err error) error {
+	l.snapshots.writing = false
+	if err != nil {
+		l.logger.Error("snapshot failed", "index", meta.Index, "error", err)
+		return nil
+	}
+	l.logger.Info("snapshot written", "index", meta.Index, "term", meta.Term)
+	if meta.Index <= l.config.KeepEntries {
+		return nil
+	}
+	index := meta.Index - l.config.KeepEntries
+	if term, ok := l.snapshots.termAt(index); ok {
+		l.node.Compact(raft.SnapshotMeta{Index: index, Term: term})
+		l.snapshots.forgetBefore(index)
+	}
+	return nil
+}
+
+// errNotWanted: the log got ahead of the snapshot meanwhile.
+var errNotWanted = errors.New("replica: snapshot is not needed any more")
+
+// installSnapshot replaces record, store and log by a snapshot of the leader;
+// the archive up to it is here already. The record checks the checksum before
+// it changes. A failure after that leaves record and store at odds, and ends
+// the loop.
+func (l *loop) installSnapshot(meta raft.SnapshotMeta, source *snapshotSource) error {
+	if err := l.handleReady(); err != nil {
+		l.fail(err)
+		return err
+	}
+	if !l.node.WantsSnapshot(meta) {
+		return errNotWanted
+	}
+	if err := l.config.Record.Restore(source.reader()); err != nil {
+		return fmt.Errorf("restore record: %w", err)
+	}
+	if err := l.config.Store.InstallSnapshot(meta, source.reader()); err != nil {
+		err = fmt.Errorf("install snapshot: %w", err)
+		l.fail(err)
+		return err
+	}
+	l.node.SnapshotInstalled(l.now(), meta)
+	writing := l.snapshots.writing
+	l.snapshots = newSnapshotState(meta)
+	l.snapshots.writing = writing
+	l.applied.advance(meta.Index)
+	l.logger.Info("snapshot installed", "index", meta.Index, "term", meta.Term, "bytes", source.size())
+	return nil
+}
--- /dev/null
+++ b/internal/replica/transport.go
@@ -0,0 +1,102 @@
+package replica
+
+import (
+	"context"
+	"slices"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// maxGuests bounds the senders outside of the membership that answers are
+// kept for; it is the newest ones.
+const maxGuests = 8
+
+// transport sends messages to the other replicas. It belongs to the loop;
+// only the lanes' goroutines run beside it.
+type transport struct {
+	ctx     context.Context
+	replica *Replica
+	members map[raft.ReplicaID]*peerLink
+	// guests are senders that the membership does not list (yet): a replica
+	// that joins must answer a leader it has no membership from.
+	guests     map[raft.ReplicaID]*peerLink
+	guestOrder []raft.ReplicaID
+}
+
+func newTransport(ctx context.Context, replica *Replica) *transport {
+	return &transport{
+		ctx:     ctx,
+		replica: replica,
+		members: make(map[raft.ReplicaID]*peerLink),
+		guests:  make(map[raft.ReplicaID]*peerLink),
+	}
+}
+
+// setMembers starts and stops links to follow the membership.
+func (t *transport) setMembers(membership raft.Membership) {
+	wanted := make(map[raft.ReplicaID]*peerLink)
+	for _, member := range slices.Concat(membership.Voters, membership.Outgoing, membership.Learners) {
+		if member.ID == t.replica.self.ID || wanted[member.ID] != nil {
+			continue
+		}
+		link := t.members[member.ID]
+		if link == nil || link.address != member.Address {
+			link = t.start(member)
+		}
+		wanted[member.ID] = link
+		t.dropGuest(member.ID)
+	}
+	for id, link := range t.members {
+		if wanted[id] != link {
+			link.stop()
+		}
+	}
+	t.members = wanted
+}
+
+// noteSender remembers where to answer a sender outside of the membership.
+func (t *transport) noteSender(sender raft.Member) {
+	if sender.ID == "" || sender.ID == t.replica.self.ID || t.members[sender.ID] != nil {
+		return
+	}
+	if link := t.guests[sender.ID]; link != nil {
+		if link.address == sender.Address {
+			return
+		}
+		t.dropGuest(sender.ID)
+	}
+	if len(t.guestOrder) >= maxGuests {
+		t.dropGuest(t.guestOrder[0])
+	}
+	t.guests[sender.ID] = t.start(sender)
+	t.guestOrder = append(t.guestOrder, sender.ID)
+}
+
+func (t *transport) dropGuest(id raft.ReplicaID) {
+	link := t.guests[id]
+	if link == nil {
+		return
+	}
+	link.stop()
+	delete(t.guests, id)
+	t.guestOrder = slices.DeleteFunc(t.guestOrder, func(guest raft.ReplicaID) bool { return guest == id })
+}
+
+func (t *transport) start(member raft.Member) *peerLink {
+	link := newPeerLink(t.ctx, t.replica, member)
+	t.replica.background.Go(func() { link.urgent.run(link) })
+	t.replica.background.Go(func() { link.appends.run(link) })
+	return link
+}
+
+// send hands a message to its peer's link; it never blocks. What no link is
+// known for is dropped, raft sends it again.
+func (t *transport) send(message raft.Message) {
+	link := t.members[message.To]
+	if link == nil {
+		link = t.guests[message.To]
+	}
+	if link != nil {
+		link.send(message)
+	}
+}
