Place tasks incrementally, fullest worker first

The cost of a pass has to grow with what changed. Waiting tasks of one shape share a class that is skipped until a change could make room for it.

--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,173 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// tasksPerPass is how many runs end and how many tasks come between passes.
+const tasksPerPass = 100
+
+// accelerators is how many workers of a fleet have one.
+const accelerators = 100
+
+// load is a fleet near its full room on which tasks end and others come.
+type load struct {
+	engine  *Engine
+	running []Task
+	next    int
+}
+
+func newLoad(workers, running int) *load {
+	l := &load{engine: New(Config{})}
+	l.engine.SetQueues([]QueueRule{{Name: "q0", Weight: 1}, {Name: "q1", Weight: 2}, {Name: "q2", Weight: 3}})
+	perWorker := int64(running/workers + 2)
+	for i := range workers {
+		capacity := api.Resources{CPUMillis: perWorker * 250, MemoryMB: perWorker * 512}
+		if i < accelerators {
+			capacity.Accelerators = 1
+		}
+		l.engine.SetWorker(Worker{
+			ID: fmt.Sprint("id", i), Name: fmt.Sprintf("w%04d", i), Zone: fmt.Sprint("z", i%3),
+			Capacity: capacity,
+			Services: []string{"s", "x"}, Usable: true,
+		})
+	}
+	for range running {
+		task := l.task()
+		l.engine.Hold(task, fmt.Sprint("id", l.next%workers))
+		l.running = append(l.running, task)
+	}
+	return l
+}
+
+// task returns the next task; there are eight shapes.
+func (l *load) task() Task {
+	l.next++
+	return Task{
+		ID:    record.TaskID{Job: fmt.Sprint("job", l.next/20), Step: "a", Index: l.next % 20},
+		Queue: fmt.Sprint("q", l.next%3), Sequence: uint64(l.next),
+		Spec: &api.TaskSpec{
+			Service:   []string{"s", "x"}[l.next%2],
+			Resources: api.Resources{CPUMillis: 100 + int64(l.next%4)*50, MemoryMB: 256},
+		},
+	}
+}
+
+// measure times releases, adds and passes, and reports tasks placed a second.
+func (l *load) measure(b *testing.B) {
+	placed := 0
+	tasks := make(map[record.TaskID]Task, tasksPerPass)
+	for b.Loop() {
+		b.StopTimer()
+		ending := l.running[:tasksPerPass]
+		l.running = l.running[tasksPerPass:]
+		clear(tasks)
+		coming := make([]Task, tasksPerPass)
+		for i := range coming {
+			coming[i] = l.task()
+			tasks[coming[i].ID] = coming[i]
+		}
+		b.StartTimer()
+		for _, task := range ending {
+			l.engine.Release(task.ID)
+		}
+		for _, task := range coming {
+			l.engine.Add(task)
+		}
+		decisions := l.engine.Plan(tasksPerPass)
+		b.StopTimer()
+		if len(decisions) != tasksPerPass {
+			b.Fatalf("placed %d of %d", len(decisions), tasksPerPass)
+		}
+		for _, d := range decisions {
+			l.running = append(l.running, tasks[d.Task])
+		}
+		placed += len(decisions)
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(placed)/b.Elapsed().Seconds(), "tasks/s")
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, fleet := range []struct{ workers, running int }{{11, 200}, {1200, 22000}} {
+		b.Run(fmt.Sprintf("workers=%d", fleet.workers), func(b *testing.B) {
+			newLoad(fleet.workers, fleet.running).measure(b)
+		})
+	}
+}
+
+// addImpossible adds tasks that no worker can hold, in some 400 classes and
+// in groups of 20, ahead of all others.
+func (l *load) addImpossible(count int) {
+	for i := range count {
+		task := l.task()
+		task.ID.Job = fmt.Sprint("impossible", i/20)
+		task.Priority = 10
+		kind := int64(i / 20 % 100)
+		switch i / 20 % 4 {
+		case 0:
+			task.Spec.Resources.CPUMillis = 1_000_000 + kind
+		case 1:
+			task.Spec.Service = fmt.Sprint("none", kind)
+		case 2:
+			task.Spec.Labels = map[string]string{"none": fmt.Sprint(kind)}
+		case 3:
+			task.Spec.Resources.CPUMillis = 1_000_000 + kind
+			task.Group, task.GroupSize = task.ID.Job, 20
+		}
+		task.ID.Index = i % 20
+		l.engine.Add(task)
+	}
+}
+
+// addLargeGroups adds groups of 128 whose members fit one by one, but which
+// never have as many places: the fleet has 100 accelerators, or a zone takes 40
+// of a step.
+func (l *load) addLargeGroups(groups int, spread *api.Spread) {
+	for i := range groups * 128 {
+		task := l.task()
+		task.ID = record.TaskID{Job: fmt.Sprint("large", i/128), Step: "a", Index: i % 128}
+		task.Priority = 10
+		task.Spec = &api.TaskSpec{Service: "s", Resources: api.Resources{CPUMillis: 100 + int64(i/128%10)}, Spread: spread}
+		if spread == nil {
+			task.Spec.Resources = api.Resources{Accelerators: 1}
+		}
+		task.Group, task.GroupSize = task.ID.Job, 128
+		l.engine.Add(task)
+	}
+}
+
+// BenchmarkPlanWithGroups has groups that wait for room that every release
+// could add to.
+func BenchmarkPlanWithGroups(b *testing.B) {
+	spread := &api.Spread{By: api.SpreadByZone, MaxPerDomain: 40}
+	for _, c := range []struct {
+		name   string
+		groups int
+		spread *api.Spread
+	}{{"none", 0, nil}, {"alike", 150, nil}, {"spread", 150, spread}} {
+		b.Run(c.name, func(b *testing.B) {
+			l := newLoad(1200, 22000)
+			l.addLargeGroups(c.groups, c.spread)
+			l.measure(b)
+		})
+	}
+}
+
+func BenchmarkPlanWithWaiting(b *testing.B) {
+	for _, count := range []int{0, 1000, 20000} {
+		b.Run(fmt.Sprintf("waiting=%d", count), func(b *testing.B) {
+			l := newLoad(1200, 22000)
+			l.addImpossible(count)
+			l.engine.Plan(tasksPerPass)
+			l.measure(b)
+			if l.engine.Waiting() != count {
+				b.Fatalf("%d wait, expected %d", l.engine.Waiting(), count)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,113 @@
+package placement
+
+import "slices"
+
+// pass is one call of Plan.
+type pass struct {
+	engine    *Engine
+	limit     int
+	decisions []Decision
+}
+
+// Plan implements Planner.
+func (e *Engine) Plan(limit int) []Decision {
+	e.passes++
+	e.workers.refresh()
+	e.wakeClasses()
+	p := &pass{engine: e, limit: limit}
+	// Levels that run empty are dropped on the way, hence the copy.
+	for _, lv := range slices.Clone(e.levels) {
+		if !p.planLevel(lv) {
+			break
+		}
+	}
+	return p.decisions
+}
+
+// planLevel places what waits with one priority. It returns false once the
+// pass is over.
+func (p *pass) planLevel(lv *level) bool {
+	lines := lv.readyLines()
+	for len(p.decisions) < p.limit {
+		next := nextLine(lines)
+		if next == nil {
+			return true
+		}
+		if !p.planLane(next.ready[0]) {
+			return false
+		}
+	}
+	return false
+}
+
+// planLane places the first task of the lane, or its group, or takes the lane
+// out of this and later passes. It returns false once the pass is over.
+func (p *pass) planLane(l *lane) bool {
+	if l.class == nil {
+		return p.placeGroup(l)
+	}
+	if l.class.blocked {
+		l.makeUnready()
+		return true
+	}
+	w := p.engine.fullest(l.class)
+	if w == nil {
+		l.class.block()
+		l.makeUnready()
+		return true
+	}
+	first := l.tasks[0]
+	p.engine.open(&first.Task, w)
+	p.decide(first, w)
+	return true
+}
+
+// decide notes the decision and takes the task out of what waits.
+func (p *pass) decide(placed *waiting, on *worker) {
+	p.decisions = append(p.decisions, Decision{
+		Task:     placed.ID,
+		WorkerID: on.ID,
+		Worker:   on.Name,
+		Group:    placed.Group,
+	})
+	p.engine.forget(placed)
+}
+
+func (lv *level) readyLines() []*line {
+	var lines []*line
+	for _, l := range lv.lines {
+		if l.mayPlace() {
+			lines = append(lines, l)
+		}
+	}
+	return lines
+}
+
+// mayPlace reports whether the line has something to look at and its queue is
+// below its limit.
+func (l *line) mayPlace() bool { return len(l.ready) > 0 && withinQueueLimit(l.queue, 1) }
+
+// nextLine returns the line whose queue has the lowest share, then the one
+// with the lowest Sequence; nil if none may place.
+func nextLine(lines []*line) *line {
+	var best *line
+	for _, l := range lines {
+		if l.mayPlace() && (best == nil || l.before(best)) {
+			best = l
+		}
+	}
+	return best
+}
+
+func (l *line) before(other *line) bool {
+	if byShare := compareShare(l.queue, other.queue); byShare != 0 {
+		return byShare < 0
+	}
+	return compareWaiting(l.ready[0].tasks[0], other.ready[0].tasks[0]) < 0
+}
+
+// fullest returns the fullest worker that can take a task of the class, or nil.
+func (e *Engine) fullest(c *class) *worker { return c.pool.fullest(c, e.roomOf(c)) }
+
+// roomOf is the room that a task of the class takes.
+func (e *Engine) roomOf(c *class) float64 { return roomOf(c.key.need, e.workers.largest) }
--- /dev/null
+++ b/internal/placement/property_test.go
@@ -0,0 +1,306 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// model is the naive picture that the engine is held against.
+type model struct {
+	engine  *Engine
+	twin    *Engine // gets the same calls: decisions must be the same
+	workers map[string]Worker
+	queues  map[string]QueueRule
+	waiting map[record.TaskID]Task
+	open    map[record.TaskID]placement
+	tasks   map[record.TaskID]Task
+	next    int
+}
+
+type placement struct {
+	task   Task
+	worker string
+}
+
+func (m *model) both(call func(*Engine)) {
+	call(m.engine)
+	call(m.twin)
+}
+
+func (m *model) used(worker string) api.Resources {
+	var sum api.Resources
+	for _, p := range m.open {
+		if p.worker == worker {
+			sum = sum.Add(p.task.Spec.Resources)
+		}
+	}
+	return sum
+}
+
+func (m *model) running(queue string) int {
+	count := 0
+	for _, p := range m.open {
+		if p.task.Queue == queue {
+			count++
+		}
+	}
+	return count
+}
+
+// inDomain counts other open runs of the task's step in the worker's domain.
+func (m *model) inDomain(task Task, domain string) int {
+	count := 0
+	for id, p := range m.open {
+		w, known := m.workers[p.worker]
+		if !known || id == task.ID || stepKeyOf(id) != stepKeyOf(task.ID) {
+			continue
+		}
+		if other, ok := domainOf(&w, task.Spec.Spread.By); ok && other == domain {
+			count++
+		}
+	}
+	return count
+}
+
+// accepts applies every rule but the queue's limit, from scratch.
+func (m *model) accepts(task Task, w Worker) bool {
+	if !w.Usable || !offersService(&w, task.Spec.Service) || !hasLabels(&w, task.Spec.Labels) {
+		return false
+	}
+	if !task.Spec.Resources.Fits(w.Capacity.Sub(m.used(w.ID))) {
+		return false
+	}
+	if task.Spec.Spread == nil {
+		return true
+	}
+	domain, ok := domainOf(&w, task.Spec.Spread.By)
+	return ok && m.inDomain(task, domain) < max(task.Spec.Spread.MaxPerDomain, 1)
+}
+
+func (m *model) mayRun(queue string) bool {
+	limit := m.queues[queue].MaxRunning
+	return limit == 0 || m.running(queue) < limit
+}
+
+func drawWorker(t *rapid.T) Worker {
+	number := rapid.IntRange(0, 5).Draw(t, "worker")
+	return Worker{
+		ID: fmt.Sprint("id", number), Name: fmt.Sprint("w", number),
+		Zone:     rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone"),
+		Capacity: api.Resources{CPUMillis: rapid.Int64Range(0, 12).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(0, 12).Draw(t, "memory")},
+		Services: rapid.SampledFrom([][]string{{"s"}, {"s", "x"}, {"x"}}).Draw(t, "services"),
+		Labels:   rapid.SampledFrom([]map[string]string{nil, {"k": "1"}, {"k": "2"}}).Draw(t, "labels"),
+		Usable:   rapid.IntRange(0, 3).Draw(t, "usable") > 0,
+	}
+}
+
+func drawSpec(t *rapid.T) *api.TaskSpec {
+	return &api.TaskSpec{
+		Service:   rapid.SampledFrom([]string{"s", "x"}).Draw(t, "service"),
+		Resources: api.Resources{CPUMillis: rapid.Int64Range(0, 6).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(0, 6).Draw(t, "memory")},
+		Labels:    rapid.SampledFrom([]map[string]string{nil, nil, {"k": "1"}}).Draw(t, "labels"),
+		Spread: rapid.SampledFrom([]*api.Spread{
+			nil, nil, {By: "worker"}, {By: "zone", MaxPerDomain: 2}, {By: "label:k"},
+		}).Draw(t, "spread"),
+	}
+}
+
+// add adds a step: some tasks, or a group.
+func (m *model) add(t *rapid.T) {
+	m.next++
+	name := fmt.Sprint("job", m.next)
+	queue := rapid.SampledFrom([]string{"q1", "q2"}).Draw(t, "queue")
+	priority := rapid.IntRange(0, 2).Draw(t, "priority")
+	count := rapid.IntRange(1, 5).Draw(t, "count")
+	together := rapid.IntRange(0, 2).Draw(t, "together") == 0
+	spec := drawSpec(t)
+	for i := range count {
+		if rapid.IntRange(0, 3).Draw(t, "mixed") == 0 {
+			spec = drawSpec(t)
+		}
+		task := Task{
+			ID: record.TaskID{Job: name, Step: "a", Index: i}, Queue: queue, Priority: priority,
+			Sequence: uint64(m.next), Spec: spec,
+		}
+		if together {
+			task.Group, task.GroupSize = name+"/a", count
+		}
+		m.tasks[task.ID], m.waiting[task.ID] = task, task
+		m.both(func(e *Engine) { e.Add(task) })
+	}
+}
+
+func (m *model) draw(t *rapid.T) (Task, bool) {
+	if m.next == 0 {
+		return Task{}, false
+	}
+	id := record.TaskID{
+		Job: fmt.Sprint("job", rapid.IntRange(1, m.next).Draw(t, "job")), Step: "a",
+		Index: rapid.IntRange(0, 4).Draw(t, "index"),
+	}
+	task, ok := m.tasks[id]
+	return task, ok
+}
+
+func (m *model) release(t *rapid.T) {
+	if task, ok := m.draw(t); ok {
+		delete(m.open, task.ID)
+		m.both(func(e *Engine) { e.Release(task.ID) })
+	}
+}
+
+func (m *model) remove(t *rapid.T) {
+	if task, ok := m.draw(t); ok {
+		delete(m.waiting, task.ID)
+		m.both(func(e *Engine) { e.Remove(task.ID) })
+	}
+}
+
+// addAgain adds a known task again: the same, or alone as a retry is.
+func (m *model) addAgain(t *rapid.T) {
+	task, ok := m.draw(t)
+	if !ok {
+		return
+	}
+	if rapid.Bool().Draw(t, "alone") {
+		task.GroupSize = min(task.GroupSize, 1)
+	}
+	if _, held := m.open[task.ID]; !held {
+		m.tasks[task.ID], m.waiting[task.ID] = task, task
+	}
+	m.both(func(e *Engine) { e.Add(task) })
+}
+
+func (m *model) hold(t *rapid.T) {
+	worker := fmt.Sprint("id", rapid.IntRange(0, 5).Draw(t, "worker"))
+	if task, ok := m.draw(t); ok {
+		delete(m.waiting, task.ID)
+		m.open[task.ID] = placement{task, worker}
+		m.both(func(e *Engine) { e.Hold(task, worker) })
+	}
+}
+
+func (m *model) setWorker(t *rapid.T) {
+	w := drawWorker(t)
+	m.workers[w.ID] = w
+	m.both(func(e *Engine) { e.SetWorker(w) })
+}
+
+func (m *model) removeWorker(t *rapid.T) {
+	id := fmt.Sprint("id", rapid.IntRange(0, 5).Draw(t, "worker"))
+	delete(m.workers, id)
+	for task, p := range m.open {
+		if p.worker == id {
+			delete(m.open, task)
+		}
+	}
+	m.both(func(e *Engine) { e.RemoveWorker(id) })
+}
+
+func (m *model) setQueues(t *rapid.T) {
+	var rules []QueueRule
+	for _, name := range []string{"q1", "q2"} {
+		rule := QueueRule{
+			Name: name, Weight: rapid.IntRange(1, 3).Draw(t, "weight"),
+			MaxRunning: rapid.SampledFrom([]int{0, 0, 3, 8}).Draw(t, "limit"),
+		}
+		rules = append(rules, rule)
+		m.queues[name] = rule
+	}
+	m.both(func(e *Engine) { e.SetQueues(rules) })
+}
+
+// plan checks each decision against the model as of that decision.
+func (m *model) plan(t *rapid.T, limit int) {
+	decisions := m.engine.Plan(limit)
+	expectSame(t, decisions, m.twin.Plan(limit))
+	members := map[string]int{}
+	for _, d := range decisions {
+		task, waits := m.waiting[d.Task]
+		if !waits || d.Worker != m.workers[d.WorkerID].Name || d.Group != task.Group {
+			t.Fatalf("%v: waits %v, task %v", d, waits, task)
+		}
+		if !m.accepts(task, m.workers[d.WorkerID]) || !m.mayRun(task.Queue) {
+			t.Fatalf("%v breaks a rule", d)
+		}
+		delete(m.waiting, d.Task)
+		m.open[d.Task] = placement{task, d.WorkerID}
+		if task.GroupSize > 1 {
+			members[task.Group]++
+		}
+		if members[task.Group] == task.GroupSize {
+			delete(members, task.Group)
+		}
+	}
+	if len(members) > 0 {
+		t.Fatalf("groups split: %v", members)
+	}
+}
+
+// planAll checks that nothing that could be placed alone still waits.
+func (m *model) planAll(t *rapid.T) {
+	m.plan(t, 1_000_000)
+	for _, task := range m.waiting {
+		if (task.Group != "" && task.GroupSize > 1) || !m.mayRun(task.Queue) {
+			continue
+		}
+		for _, w := range m.workers {
+			if m.accepts(task, w) {
+				t.Fatalf("%v still waits but fits on %v: %s", task, w, m.engine.Reason(task.ID))
+			}
+		}
+	}
+}
+
+func expectSame(t *rapid.T, a, b []Decision) {
+	if fmt.Sprint(a) != fmt.Sprint(b) {
+		t.Fatalf("same calls, other decisions:\n%v\n%v", a, b)
+	}
+}
+
+// check compares what both know.
+func (m *model) check(t *rapid.T) {
+	if m.engine.Waiting() != len(m.waiting) {
+		t.Fatalf("%d wait, expected %d", m.engine.Waiting(), len(m.waiting))
+	}
+	for id, w := range m.workers {
+		if got, want := m.engine.workers.byID[id].free, w.Capacity.Sub(m.used(id)); got != want {
+			t.Fatalf("%s has %v free, expected %v", id, got, want)
+		}
+	}
+	for id := range m.waiting {
+		if m.engine.Reason(id) == "" {
+			t.Fatalf("%v has no reason", id)
+		}
+	}
+}
+
+func TestEngineAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			engine: New(Config{Seed: 1}), twin: New(Config{Seed: 1}),
+			workers: map[string]Worker{}, queues: map[string]QueueRule{},
+			waiting: map[record.TaskID]Task{}, open: map[record.TaskID]placement{}, tasks: map[record.TaskID]Task{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":             m.check,
+			"add":          m.add,
+			"addMore":      m.add,
+			"addAgain":     m.addAgain,
+			"release":      m.release,
+			"remove":       m.remove,
+			"hold":         m.hold,
+			"setWorker":    m.setWorker,
+			"addWorker":    m.setWorker,
+			"removeWorker": m.removeWorker,
+			"setQueues":    m.setQueues,
+			"planSome":     func(t *rapid.T) { m.plan(t, rapid.IntRange(1, 4).Draw(t, "limit")) },
+			"planAll":      m.planAll,
+		})
+	})
+}
--- /dev/null
+++ b/internal/placement/reasons.go
@@ -0,0 +1,213 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// Reasons that need no details.
+const (
+	reasonNoUsableWorker = "no usable worker"
+	reasonTurn           = "waits for its turn"
+)
+
+// Reason implements Planner. It is worked out from the state at the time of
+// the call; a task that would fit now waits for its turn.
+func (e *Engine) Reason(task record.TaskID) string {
+	w, ok := e.waiting[task]
+	if !ok {
+		return ""
+	}
+	if w.lane.class == nil {
+		return e.groupReason(w)
+	}
+	if !withinQueueLimit(w.lane.line.queue, 1) {
+		return limitReason(w.lane.line.queue)
+	}
+	return e.classReason(w)
+}
+
+func limitReason(q *queue) string {
+	return fmt.Sprintf("queue at its limit of %d running tasks", q.rule.MaxRunning)
+}
+
+func (e *Engine) groupReason(w *waiting) string {
+	l := w.lane
+	if !l.complete() {
+		return fmt.Sprintf("group has %d of %d members", len(l.tasks), l.size)
+	}
+	if !withinQueueLimit(l.line.queue, len(l.tasks)) {
+		return fmt.Sprintf("%s, group needs %d", limitReason(l.line.queue), len(l.tasks))
+	}
+	if reason := e.eligibilityReason(w); reason != "" {
+		return reason
+	}
+	if !l.tried {
+		return reasonTurn
+	}
+	return fmt.Sprintf("group needs %d places, %d free now", len(l.tasks), l.free)
+}
+
+// classReason explains a task that is placed alone.
+func (e *Engine) classReason(w *waiting) string {
+	if reason := e.eligibilityReason(w); reason != "" {
+		return reason
+	}
+	c := w.class
+	var most api.Resources
+	roomy, spreadable := false, false
+	for _, candidate := range c.pool.workers {
+		most = largestOf(most, candidate.free)
+		roomy = roomy || fits(c.key.need, candidate.free)
+		if c.fitsOn(candidate) {
+			return reasonTurn
+		}
+		spreadable = spreadable || withinSpread(c.spread, &candidate.Worker)
+	}
+	if !spreadable || roomy {
+		return spreadReason(c.key.spreadBy, c.key.maxPerDomain, roomy && spreadable)
+	}
+	return "no room: " + shortage(c.key.need, most, "most free")
+}
+
+// eligibilityReason says why no worker could ever take the task as the
+// workers are now; empty if one could, room and spread counts aside.
+func (e *Engine) eligibilityReason(w *waiting) string {
+	if len(w.class.pool.workers) > 0 {
+		return missingDomain(w.Spec, w.class.pool.workers)
+	}
+	var known, usable []Worker
+	for _, candidate := range e.workers.byID {
+		if !candidate.known {
+			continue
+		}
+		known = append(known, candidate.Worker)
+		if candidate.Usable {
+			usable = append(usable, candidate.Worker)
+		}
+	}
+	if len(usable) == 0 {
+		return reasonNoUsableWorker
+	}
+	if reason := mismatch(w.Spec, known); reason != "" {
+		return reason
+	}
+	return reasonNoUsableWorker
+}
+
+func missingDomain(spec *api.TaskSpec, workers []*worker) string {
+	if spec.Spread == nil {
+		return ""
+	}
+	for _, w := range workers {
+		if _, ok := domainOf(&w.Worker, spec.Spread.By); ok {
+			return ""
+		}
+	}
+	return noDomainReason(spec.Spread.By)
+}
+
+func noDomainReason(by string) string { return "spread: no worker has a " + by }
+
+func spreadReason(by string, maxPerDomain int, noRoomElsewhere bool) string {
+	reason := fmt.Sprintf("spread: at most %d running per %s", maxPerDomain, by)
+	if noRoomElsewhere {
+		reason += ", no room in others"
+	}
+	return reason
+}
+
+// shortage names the dimensions that fall short of need.
+func shortage(need, most api.Resources, found string) string {
+	dimensions := []struct {
+		name       string
+		need, most int64
+	}{
+		{"cpu_millis", need.CPUMillis, most.CPUMillis},
+		{"memory_mb", need.MemoryMB, most.MemoryMB},
+		{"accelerators", need.Accelerators, most.Accelerators},
+	}
+	var parts []string
+	for _, d := range dimensions {
+		if d.need > d.most {
+			parts = append(parts, fmt.Sprintf("needs %d %s, %s %d", d.need, d.name, found, d.most))
+		}
+	}
+	if len(parts) == 0 {
+		return "no worker has all that it needs at once"
+	}
+	return strings.Join(parts, "; ")
+}
+
+// mismatch says which of service, labels and spread domain no worker meets;
+// empty if one meets all.
+func mismatch(spec *api.TaskSpec, workers []Worker) string {
+	if len(workers) == 0 {
+		return "no worker"
+	}
+	left := keep(workers, func(w *Worker) bool { return offersService(w, spec.Service) })
+	if len(left) == 0 {
+		return fmt.Sprintf("no worker offers service %q", spec.Service)
+	}
+	left = keep(left, func(w *Worker) bool { return hasLabels(w, spec.Labels) })
+	if len(left) == 0 {
+		return "no worker with labels " + labelText(spec.Labels)
+	}
+	left = keepDomain(left, spec.Spread)
+	if len(left) == 0 {
+		return noDomainReason(spec.Spread.By)
+	}
+	return ""
+}
+
+func keep(workers []Worker, wanted func(*Worker) bool) []Worker {
+	var kept []Worker
+	for i := range workers {
+		if wanted(&workers[i]) {
+			kept = append(kept, workers[i])
+		}
+	}
+	return kept
+}
+
+func keepDomain(workers []Worker, spread *api.Spread) []Worker {
+	if spread == nil {
+		return workers
+	}
+	return keep(workers, func(w *Worker) bool {
+		_, ok := domainOf(w, spread.By)
+		return ok
+	})
+}
+
+func labelText(labels map[string]string) string {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(labels)) {
+		parts = append(parts, key+"="+labels[key])
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Possible implements Planner. It considers service, labels, the label of the
+// spread domain and full capacity; Usable does not matter.
+func (e *Engine) Possible(spec *api.TaskSpec, workers []Worker) (bool, string) {
+	if reason := mismatch(spec, workers); reason != "" {
+		return false, reason
+	}
+	matching := keepDomain(keep(workers, func(w *Worker) bool {
+		return offersService(w, spec.Service) && hasLabels(w, spec.Labels)
+	}), spec.Spread)
+	var most api.Resources
+	for i := range matching {
+		if fits(spec.Resources, matching[i].Capacity) {
+			return true, ""
+		}
+		most = largestOf(most, matching[i].Capacity)
+	}
+	return false, "no worker is large enough: " + shortage(spec.Resources, most, "largest has")
+}
--- /dev/null
+++ b/internal/placement/steps.go
@@ -0,0 +1,97 @@
+package placement
+
+import "github.com/decklever/decklever/internal/record"
+
+// stepKey names a step of a job.
+type stepKey struct{ job, step string }
+
+func stepKeyOf(task record.TaskID) stepKey { return stepKey{job: task.Job, step: task.Step} }
+
+// step counts the open runs of one step, as spread rules need it. It lives
+// while it has open runs or classes with a spread rule.
+type step struct {
+	key  stepKey
+	runs int
+	// workers counts open runs by worker.
+	workers map[*worker]int
+	// domains counts open runs by Spread.By, then by domain.
+	domains map[string]map[string]int
+	// classes are those with a spread rule on this step.
+	classes map[*class]struct{}
+}
+
+// spreadRule is api.Spread applied to one step.
+type spreadRule struct {
+	by           string
+	maxPerDomain int
+	step         *step
+}
+
+// remaining is how many more runs the worker's domain may take.
+func (r *spreadRule) remaining(worker *Worker) int {
+	domain, ok := domainOf(worker, r.by)
+	if !ok {
+		return 0
+	}
+	return r.maxPerDomain - r.step.domains[r.by][domain]
+}
+
+// step returns the state of a step and makes it if there is none.
+func (e *Engine) step(key stepKey) *step {
+	if found, ok := e.steps[key]; ok {
+		return found
+	}
+	made := &step{
+		key:     key,
+		workers: map[*worker]int{},
+		domains: map[string]map[string]int{},
+		classes: map[*class]struct{}{},
+	}
+	e.steps[key] = made
+	return made
+}
+
+// forgetIfUnused drops a step that nothing refers to.
+func (e *Engine) forgetIfUnused(s *step) {
+	if s.runs == 0 && len(s.classes) == 0 {
+		delete(e.steps, s.key)
+	}
+}
+
+// track starts counting by another kind of domain.
+func (s *step) track(by string) {
+	if _, ok := s.domains[by]; ok {
+		return
+	}
+	counts := map[string]int{}
+	s.domains[by] = counts
+	for worker, runs := range s.workers {
+		addToDomain(counts, worker, by, runs)
+	}
+}
+
+// count adds runs, which may be negative, on a worker.
+func (s *step) count(worker *worker, runs int) {
+	s.runs += runs
+	s.workers[worker] += runs
+	if s.workers[worker] == 0 {
+		delete(s.workers, worker)
+	}
+	for by, counts := range s.domains {
+		addToDomain(counts, worker, by, runs)
+	}
+}
+
+func addToDomain(counts map[string]int, worker *worker, by string, runs int) {
+	if !worker.known {
+		return
+	}
+	domain, ok := domainOf(&worker.Worker, by)
+	if !ok {
+		return
+	}
+	counts[domain] += runs
+	if counts[domain] == 0 {
+		delete(counts, domain)
+	}
+}
