--- /dev/null
+++ b/internal/scheduler/config.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"context"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// putConfig proposes a configuration. The outcome is decided when the command
+// is applied and kept under its order id, a refusal as well: the same order
+// gets the same answer for as long as it is kept.
+func (l *leader) putConfig(ctx context.Context, request fleet.PutConfigRequest) (fleet.PutConfigAnswer, error) {
+	command := &record.PutConfig{
+		OrderID: request.OrderID, Base: request.Base, Config: request.Config, Digest: request.Config.Digest(),
+	}
+	if fields := api.ValidateConfig(&request.Config); len(fields) > 0 {
+		command.Refusal = invalid("configuration", fields)
+	}
+	result, err := l.propose(ctx, record.Command{PutConfig: command})
+	if err != nil {
+		return fleet.PutConfigAnswer{}, l.proposalError(err)
+	}
+	if result.Config.Refusal != nil {
+		return fleet.PutConfigAnswer{}, result.Config.Refusal
+	}
+	return fleet.PutConfigAnswer{Version: result.Config.Version}, nil
+}
+
+// validateConfig checks a configuration without taking it.
+func (l *leader) validateConfig(request fleet.ValidateConfigRequest) (fleet.Empty, error) {
+	if fields := api.ValidateConfig(&request.Config); len(fields) > 0 {
+		return fleet.Empty{}, invalid("configuration", fields)
+	}
+	return fleet.Empty{}, nil
+}
+
+// getConfig answers with the configuration as it was given, so that reading it,
+// changing one thing and putting it back changes that one thing.
+func (l *leader) getConfig() (fleet.ConfigAnswer, error) {
+	var answer fleet.ConfigAnswer
+	l.log.Record().Read(func(view record.View) {
+		version, config := view.AcceptedConfig()
+		answer.Status = api.ConfigStatus{Version: version, Config: *config}
+	})
+	if !l.log.HoldsLease(l.token) {
+		return fleet.ConfigAnswer{}, l.notLeader()
+	}
+	return answer, nil
+}
+
+func (l *leader) configVersions() (fleet.ConfigVersionsAnswer, error) {
+	var answer fleet.ConfigVersionsAnswer
+	l.log.Record().Read(func(view record.View) {
+		answer.Versions.Versions = view.ConfigVersions()
+	})
+	if !l.log.HoldsLease(l.token) {
+		return fleet.ConfigVersionsAnswer{}, l.notLeader()
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/scheduler/errors.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/replica"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// overLimitRetryMillis is told to callers that met a limit.
+const overLimitRetryMillis = 1000
+
+// notLeaderError names the leader as known, so that the caller can go there.
+func notLeaderError(log replica.Log) *rpc.Error {
+	refusal := &rpc.Error{Code: rpc.CodeNotLeader, Message: "this scheduler is not acting"}
+	if leader, known := log.Leader(); known {
+		refusal.LeaderAddress = leader.Address
+	}
+	return refusal
+}
+
+func (l *leader) notLeader() *rpc.Error { return notLeaderError(l.log) }
+
+// proposalError tells the caller whether its command may have had an effect.
+func (l *leader) proposalError(err error) *rpc.Error {
+	switch {
+	case errors.Is(err, replica.ErrNotLeader):
+		return l.notLeader()
+	case errors.Is(err, replica.ErrOverloaded):
+		return &rpc.Error{Code: rpc.CodeUnavailable, Message: err.Error()}
+	case errors.Is(err, replica.ErrOutcomeUnknown), errors.Is(err, replica.ErrStopped),
+		errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return &rpc.Error{Code: rpc.CodeUnknownOutcome, Message: err.Error()}
+	default:
+		return &rpc.Error{Code: rpc.CodeUnavailable, Message: err.Error()}
+	}
+}
+
+func notFound(what, id string) *api.Error {
+	return &api.Error{Status: http.StatusNotFound, Code: api.CodeNotFound, Message: what + " " + id + " is not known"}
+}
+
+func invalid(what string, fields []api.FieldError) *api.Error {
+	return &api.Error{Status: http.StatusUnprocessableEntity, Code: api.CodeInvalid, Message: what + " is invalid", Fields: fields}
+}
--- /dev/null
+++ b/internal/scheduler/group.go
@@ -0,0 +1,160 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// groupState follows a step whose tasks must start together.
+type groupState struct {
+	key stepKey
+	// size is the number of members that must be placed together, 0 if one may
+	// be placed alone: the record's rule (record.Step.GroupSize).
+	size int
+	// ready are the members that wait; open the open runs, with true for
+	// those that were seen started.
+	ready map[record.TaskID]bool
+	open  map[record.RunID]bool
+	// broken is true from the loss of a member before all had started until
+	// no member has an open run: none may be placed meanwhile.
+	broken bool
+}
+
+func (g *groupState) allStarted() bool {
+	for _, started := range g.open {
+		if !started {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *leader) group(key stepKey) *groupState {
+	group, known := l.groups[key]
+	if !known {
+		group = &groupState{key: key, ready: make(map[record.TaskID]bool), open: make(map[record.RunID]bool)}
+		l.groups[key] = group
+	}
+	return group
+}
+
+func (l *leader) joinGroup(entry *waitingTask, step *record.Step) {
+	group := l.group(entry.step)
+	group.ready[entry.task.ID] = true
+	group.size = step.GroupSize()
+}
+
+func (l *leader) leaveGroup(group *groupState, task *record.Task) {
+	delete(group.ready, task.ID)
+	group.size = task.Step.GroupSize()
+	l.offerGroup(group)
+}
+
+// offerGroup lets the planner place the members that wait: all together, or
+// each alone once the group has started whole.
+func (l *leader) offerGroup(group *groupState) {
+	if group.broken || !l.groupDue(group) {
+		l.withholdGroup(group)
+		return
+	}
+	for id := range group.ready {
+		entry := l.waiting[id]
+		if entry.placing {
+			continue
+		}
+		task := entry.task
+		if group.size > 0 {
+			task.Group = group.key.job + "/" + group.key.step
+			task.GroupSize = group.size
+		}
+		l.planner.Remove(id)
+		l.planner.Add(task)
+	}
+}
+
+// groupDue tells whether the members that wait may be offered now.
+func (l *leader) groupDue(group *groupState) bool {
+	if group.size > 0 && len(group.ready) != group.size {
+		return false
+	}
+	for id := range group.ready {
+		if !l.waiting[id].due {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *leader) withholdGroup(group *groupState) {
+	for id := range group.ready {
+		l.planner.Remove(id)
+	}
+}
+
+func (l *leader) groupRunOpened(run *runState, step *record.Step) {
+	group := l.group(run.step)
+	delete(group.ready, run.id.Task)
+	group.open[run.id] = false
+	group.size = step.GroupSize()
+}
+
+func (l *leader) groupRunStopping(run *runState, step *record.Step) {
+	group := l.group(run.step)
+	group.size = step.GroupSize()
+	l.offerGroup(group)
+}
+
+func (l *leader) groupRunStarted(run *runState) {
+	if group, known := l.groups[run.step]; known {
+		group.open[run.id] = true
+	}
+}
+
+// groupRunClosed breaks the group if a member was lost before all had started.
+func (l *leader) groupRunClosed(run *runState, outcome api.Outcome, step *record.Step) {
+	group := l.group(run.step)
+	whole := group.allStarted()
+	delete(group.open, run.id)
+	group.size = step.GroupSize()
+	lost := outcome == api.OutcomeLost || outcome == api.OutcomeStopped
+	if lost && !whole && len(group.open) > 0 {
+		l.breakGroup(group)
+	}
+	if len(group.open) == 0 {
+		group.broken = false
+	}
+	l.offerGroup(group)
+}
+
+// breakGroup stops the other members, so that the group waits whole.
+func (l *leader) breakGroup(group *groupState) {
+	if group.broken {
+		return
+	}
+	group.broken = true
+	for id := range group.open {
+		run := l.runs[id]
+		l.closeIfNeverOrdered(run)
+		l.stopLater(run, record.StopGroup)
+	}
+}
+
+// loadGroup takes over a group at the start of a term. It cannot be known
+// whether all had started; members that wait without ever having failed show
+// that a run was lost, and then the group is taken as not whole.
+func (l *leader) loadGroup(step *record.Step) {
+	group := l.group(stepKey{job: step.Job.ID, step: step.Spec.Name})
+	group.size = step.GroupSize()
+	broken := slices.ContainsFunc(step.Tasks, func(task *record.Task) bool {
+		return task.Run != nil && task.Run.Stop == record.StopGroup
+	})
+	lost := slices.ContainsFunc(step.Tasks, func(task *record.Task) bool {
+		return task.State == record.TaskReady && task.LastRun > 0 && task.Failures == 0
+	})
+	if (broken || lost) && len(group.open) > 0 {
+		l.breakGroup(group)
+	}
+	l.offerGroup(group)
+}
--- /dev/null
+++ b/internal/scheduler/heartbeat.go
@@ -0,0 +1,226 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const (
+	// promptInterval is told to a worker whose reports were just taken: the
+	// room that they freed is likely to be given out within it.
+	promptInterval = 20 * time.Millisecond
+	// workersPerBaseInterval: beyond this many workers the heartbeat interval
+	// grows with their number, so that the leader's load does not.
+	workersPerBaseInterval = 200
+	// intervalsPerHold bounds the interval, so that a hold survives the loss
+	// of two heartbeats in a row.
+	intervalsPerHold = 4
+)
+
+// heartbeat answers one heartbeat of one worker. It looks at the lease before
+// it draws conclusions and right before it answers.
+func (l *leader) heartbeat(ctx context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
+	if !l.log.HoldsLease(l.token) {
+		return fleet.HeartbeatAnswer{}, l.notLeader()
+	}
+	observed, err := l.observe(request)
+	if err != nil {
+		return fleet.HeartbeatAnswer{}, err
+	}
+	if err := l.register(ctx, observed); err != nil {
+		return fleet.HeartbeatAnswer{}, err
+	}
+	acknowledged, err := l.commitReports(ctx, observed)
+	if err != nil {
+		return fleet.HeartbeatAnswer{}, err
+	}
+	return l.answerHeartbeat(observed, acknowledged)
+}
+
+// observation is a heartbeat in work.
+type observation struct {
+	request fleet.HeartbeatRequest
+	worker  *workerEntry
+	// lapses is the worker's count when the heartbeat was heard.
+	lapses uint64
+	// mustRegister is true if the record has to learn of the worker first.
+	mustRegister bool
+	differences  reconciliation
+}
+
+// observe notes the heartbeat and compares it with the record.
+func (l *leader) observe(request fleet.HeartbeatRequest) (*observation, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	heartbeat := request.Heartbeat
+	now := l.now()
+	worker, known := l.workers[heartbeat.WorkerID]
+	if !known {
+		worker = newWorkerEntry(workerInfo(request, l.log.Now()))
+		l.workers[heartbeat.WorkerID] = worker
+	}
+	if !worker.hear(heartbeat, now) {
+		l.metrics.heartbeats.WithLabelValues("not_newer").Inc()
+		return nil, &rpc.Error{Code: rpc.CodeUnavailable, Message: "heartbeat is not newer than one already heard"}
+	}
+	observed := &observation{request: request, worker: worker, lapses: worker.lapses}
+	observed.mustRegister = l.mustRegister(worker, workerInfo(request, 0), now)
+	observed.differences = reconcile(worker.runs, heartbeat)
+	l.noteDifferences(worker, &observed.differences)
+	return observed, nil
+}
+
+func workerInfo(request fleet.HeartbeatRequest, now record.Millis) record.Worker {
+	heartbeat := request.Heartbeat
+	return record.Worker{
+		Name: heartbeat.Name, ID: heartbeat.WorkerID, Zone: request.Zone, Capacity: heartbeat.Capacity,
+		Services: heartbeat.Services, Labels: heartbeat.Labels, RegisteredAt: now,
+	}
+}
+
+// mustRegister tells whether the record has to be told of the worker now. A
+// new incarnation waits until the hold of the one before it has lapsed.
+func (l *leader) mustRegister(worker *workerEntry, info record.Worker, now time.Duration) bool {
+	if worker.registered {
+		return !worker.info.Same(&info)
+	}
+	earlier, known := l.byName[info.Name]
+	if !known {
+		return true
+	}
+	return len(earlier.runs) == 0 && now > earlier.holdsUntil
+}
+
+// noteDifferences updates the mirror with what the heartbeat showed.
+func (l *leader) noteDifferences(worker *workerEntry, differences *reconciliation) {
+	for _, run := range differences.started {
+		run.listed = true
+		if run.together {
+			l.groupRunStarted(run)
+		}
+	}
+	for _, run := range differences.lost {
+		l.logger.Info("order had no effect", slog.String("run", run.id.Task.String()),
+			slog.Uint64("number", uint64(run.id.Number)), slog.String("worker", worker.info.Name))
+		l.closeLater(run, "the order did not take effect")
+	}
+}
+
+// register commits what the record must know of the worker. A worker that
+// cannot be registered yet is answered all the same, without orders.
+func (l *leader) register(ctx context.Context, observed *observation) error {
+	if !observed.mustRegister {
+		return nil
+	}
+	info := workerInfo(observed.request, l.log.Now())
+	result, err := l.propose(ctx, record.Command{Register: &record.RegisterWorkers{Workers: []record.Worker{info}}})
+	if err != nil {
+		return l.proposalError(err)
+	}
+	if len(result.RejectedWorkers) == 0 {
+		l.logger.Info("worker registered", slog.String("worker", info.Name),
+			slog.String("worker_id", info.ID), slog.String("zone", info.Zone))
+	}
+	return nil
+}
+
+// commitReports puts the worker's reports into the record and returns what may
+// be acknowledged.
+func (l *leader) commitReports(ctx context.Context, observed *observation) ([]api.RunRef, error) {
+	acknowledged := observed.differences.unreadable
+	ended := observed.differences.ended
+	if len(ended) == 0 {
+		return acknowledged, nil
+	}
+	if _, err := l.propose(ctx, record.Command{Close: &record.Close{Runs: ended}}); err != nil {
+		return nil, l.proposalError(err)
+	}
+	for _, end := range ended {
+		acknowledged = append(acknowledged, runRef(end.Run))
+	}
+	return acknowledged, nil
+}
+
+// answerHeartbeat gives the hold and the orders, unless the heartbeat has been
+// overtaken meanwhile by a newer one or by the lapse of the hold.
+func (l *leader) answerHeartbeat(observed *observation, acknowledged []api.RunRef) (fleet.HeartbeatAnswer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	worker := observed.worker
+	if worker.seq != observed.request.Heartbeat.Seq || worker.lapses != observed.lapses {
+		l.metrics.heartbeats.WithLabelValues("overtaken").Inc()
+		return fleet.HeartbeatAnswer{}, &rpc.Error{Code: rpc.CodeUnavailable, Message: "heartbeat was overtaken"}
+	}
+	worker.answer(l.now(), l.hold(), l.driftMargin())
+	if worker.usable != worker.canTakeWork(l.now(), l.hold()) {
+		l.tellPlanner(worker)
+		l.wake()
+	}
+	answer := api.HeartbeatAnswer{
+		Seq:            worker.seq,
+		Token:          l.token,
+		HoldMillis:     l.hold().Milliseconds(),
+		IntervalMillis: l.interval(len(acknowledged) > 0).Milliseconds(),
+		Start:          l.startOrders(worker),
+		Stop:           l.stopOrders(worker, observed.differences),
+		Acknowledged:   acknowledged,
+		ConfigVersion:  l.configVersion,
+	}
+	if !l.log.HoldsLease(l.token) {
+		return fleet.HeartbeatAnswer{}, l.notLeader()
+	}
+	l.metrics.heartbeats.WithLabelValues("answered").Inc()
+	l.metrics.orders.Add(float64(len(answer.Start)))
+	return fleet.HeartbeatAnswer{Answer: answer}, nil
+}
+
+// startOrders gives each run placed on the worker its one order.
+func (l *leader) startOrders(worker *workerEntry) []api.StartOrder {
+	orders := []api.StartOrder{}
+	if worker.leaving() {
+		l.withdrawUnordered(worker)
+		return orders
+	}
+	for _, run := range worker.runs {
+		if run.orderedAt != 0 || run.inherited || run.closing || run.stop != record.StopNone {
+			continue
+		}
+		run.orderedAt = worker.seq
+		orders = append(orders, api.StartOrder{RunRef: runRef(run.id), Spec: *run.spec})
+	}
+	return orders
+}
+
+// stopOrders names what the worker must stop. It is repeated in each answer
+// until the worker lists the run no more.
+func (l *leader) stopOrders(worker *workerEntry, differences reconciliation) []api.RunRef {
+	stops := append([]api.RunRef{}, differences.unwanted...)
+	for _, run := range differences.dropped {
+		if run.droppedAt == 0 {
+			run.droppedAt = worker.seq
+		}
+		stops = append(stops, runRef(run.id))
+	}
+	for _, run := range worker.runs {
+		if run.stop != record.StopNone && run.listed {
+			stops = append(stops, runRef(run.id))
+		}
+	}
+	return stops
+}
+
+// interval is the pause that workers are told to make between heartbeats.
+func (l *leader) interval(prompt bool) time.Duration {
+	if prompt {
+		return promptInterval
+	}
+	base := l.config.Timings.HeartbeatInterval.Std()
+	scaled := base * time.Duration(len(l.byName)) / workersPerBaseInterval
+	return min(max(base, scaled), max(base, l.hold()/intervalsPerHold))
+}
--- /dev/null
+++ b/internal/scheduler/jobs.go
@@ -0,0 +1,225 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/placement"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// submit takes a job in. A job that is known already is answered before any
+// check, so that a resend gets the same answer whatever changed meanwhile.
+func (l *leader) submit(ctx context.Context, request fleet.SubmitRequest) (fleet.SubmitAnswer, error) {
+	digest := request.Spec.Digest()
+	if err := l.admit(request); err != nil {
+		return fleet.SubmitAnswer{}, err
+	}
+	command := record.Command{Submit: &record.Submit{ID: request.ID, Spec: request.Spec, Digest: digest}}
+	result, err := l.propose(ctx, command)
+	if err != nil {
+		return fleet.SubmitAnswer{}, l.proposalError(err)
+	}
+	switch result.Submit.Outcome {
+	case record.SubmitAccepted:
+		return fleet.SubmitAnswer{Created: true}, nil
+	case record.SubmitSame:
+		return fleet.SubmitAnswer{}, nil
+	case record.SubmitConflict:
+		return fleet.SubmitAnswer{}, jobConflict(request.ID)
+	default:
+		unknown := api.FieldError{Field: "queue", Value: request.Spec.Queue, Expected: "a queue of the configuration in force"}
+		return fleet.SubmitAnswer{}, invalid("job", []api.FieldError{unknown})
+	}
+}
+
+func jobConflict(id string) *api.Error {
+	return &api.Error{Status: http.StatusConflict, Code: api.CodeConflict, Message: "job " + id + " is known with other content"}
+}
+
+// admit refuses what can be seen to be wrong, over a limit or impossible.
+func (l *leader) admit(request fleet.SubmitRequest) error {
+	var known bool
+	var refusal error
+	var workers []placement.Worker
+	l.log.Record().Read(func(view record.View) {
+		known = isKnown(view, request.ID)
+		if known {
+			return
+		}
+		_, config := view.Config()
+		if fields := api.ValidateJob(request.ID, &request.Spec, config); len(fields) > 0 {
+			refusal = invalid("job", fields)
+			return
+		}
+		refusal = overLimit(view, config, &request.Spec)
+		workers = knownWorkers(view)
+	})
+	if known || refusal != nil {
+		return refusal
+	}
+	return l.impossible(&request.Spec, workers)
+}
+
+func isKnown(view record.View, id string) bool {
+	if _, live := view.Job(id); live {
+		return true
+	}
+	_, known, err := view.Status(id, nil)
+	return known && err == nil
+}
+
+// overLimit checks the bounds on waiting tasks, of the queue and of all.
+func overLimit(view record.View, config *api.Config, spec *api.JobSpec) error {
+	tasks := 0
+	for _, step := range spec.Steps {
+		tasks += len(step.Tasks)
+	}
+	total := 0
+	for _, queue := range config.Queues {
+		pending := view.QueueCounts(queue.Name).PendingTasks
+		total += pending
+		if queue.Name == spec.Queue && queue.MaxPendingTasks > 0 && pending+tasks > queue.MaxPendingTasks {
+			return overLimitError(fmt.Sprintf("queue %s has %d waiting tasks of at most %d", queue.Name, pending, queue.MaxPendingTasks))
+		}
+	}
+	if total+tasks > config.Limits.MaxPendingTasks {
+		return overLimitError(fmt.Sprintf("%d tasks wait of at most %d", total, config.Limits.MaxPendingTasks))
+	}
+	return nil
+}
+
+func overLimitError(message string) *api.Error {
+	return &api.Error{Status: http.StatusTooManyRequests, Code: api.CodeOverLimit, Message: message, RetryAfterMillis: overLimitRetryMillis}
+}
+
+func knownWorkers(view record.View) []placement.Worker {
+	var workers []placement.Worker
+	for worker := range view.Workers() {
+		workers = append(workers, newWorkerEntry(*worker).planned(true))
+	}
+	return workers
+}
+
+// impossible refuses tasks that no known worker could hold even when empty.
+// While no worker is known nothing can be said, and all is let in.
+func (l *leader) impossible(spec *api.JobSpec, workers []placement.Worker) error {
+	if len(workers) == 0 {
+		return nil
+	}
+	var fields []api.FieldError
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s := range spec.Steps {
+		for t := range spec.Steps[s].Tasks {
+			task := &spec.Steps[s].Tasks[t]
+			if possible, reason := l.planner.Possible(task, workers); !possible {
+				path := fmt.Sprintf("steps[%d].tasks[%d]", s, t)
+				fields = append(fields, api.FieldError{Field: path, Value: task.Service, Expected: "a task that some worker could hold: " + reason})
+			}
+		}
+	}
+	if len(fields) == 0 {
+		return nil
+	}
+	return &api.Error{Status: http.StatusUnprocessableEntity, Code: api.CodeImpossible, Message: "no known worker could ever run the job", Fields: fields}
+}
+
+// cancel cancels a job and returns its state.
+func (l *leader) cancel(ctx context.Context, request fleet.CancelRequest) (fleet.JobAnswer, error) {
+	status, err := l.status(request.ID)
+	if err != nil || status.State.Final() {
+		return l.jobAnswer(status, err)
+	}
+	if _, err := l.propose(ctx, record.Command{Cancel: &record.Cancel{Jobs: []string{request.ID}}}); err != nil {
+		return fleet.JobAnswer{}, l.proposalError(err)
+	}
+	return l.jobAnswer(l.status(request.ID))
+}
+
+// getJob reads a job, held until it is final or the wait is over.
+func (l *leader) getJob(ctx context.Context, request fleet.GetJobRequest) (fleet.JobAnswer, error) {
+	status, err := l.status(request.ID)
+	if err != nil || status.State.Final() || request.WaitMillis <= 0 {
+		return l.jobAnswer(status, err)
+	}
+	timer := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-l.jobEnded(request.ID):
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-l.context.Done():
+	}
+	return l.jobAnswer(l.status(request.ID))
+}
+
+// jobAnswer gives out a state only while the lease shows that it is the
+// newest.
+func (l *leader) jobAnswer(status api.JobStatus, err error) (fleet.JobAnswer, error) {
+	if !l.log.HoldsLease(l.token) {
+		return fleet.JobAnswer{}, l.notLeader()
+	}
+	if err != nil {
+		return fleet.JobAnswer{}, err
+	}
+	return fleet.JobAnswer{Status: status}, nil
+}
+
+func (l *leader) status(id string) (api.JobStatus, error) {
+	var status api.JobStatus
+	var known bool
+	var err error
+	l.log.Record().Read(func(view record.View) {
+		status, known, err = view.Status(id, l.waitReason)
+	})
+	if err != nil {
+		return status, fmt.Errorf("read job %s: %w", id, err)
+	}
+	if !known {
+		return status, notFound("job", id)
+	}
+	return status, nil
+}
+
+// waitReason says why a ready task waits. The record calls it under its lock.
+func (l *leader) waitReason(task *record.Task) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, waits := l.waiting[task.ID]
+	switch {
+	case !waits:
+		return ""
+	case !entry.due:
+		return "not before " + time.UnixMilli(int64(entry.notBefore)).UTC().Format(time.RFC3339)
+	case entry.placing:
+		return "being placed"
+	default:
+		return l.planner.Reason(task.ID)
+	}
+}
+
+// jobEnded returns a channel that is closed when the job is final.
+func (l *leader) jobEnded(id string) <-chan struct{} {
+	var ended <-chan struct{}
+	l.log.Record().Read(func(view record.View) {
+		_, live := view.Job(id)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if !live {
+			closed := make(chan struct{})
+			close(closed)
+			ended = closed
+			return
+		}
+		if l.jobWaiters[id] == nil {
+			l.jobWaiters[id] = make(chan struct{})
+		}
+		ended = l.jobWaiters[id]
+	})
+	return ended
+}
--- /dev/null
+++ b/internal/scheduler/leader.go
@@ -0,0 +1,255 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/placement"
+	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/replica"
+)
+
+const (
+	// tickInterval is how often holds, timed starts and drains are looked at.
+	tickInterval = 50 * time.Millisecond
+	// planLimit bounds the placements of one pass, and so the size of one log
+	// entry and the time for which the leader's lock is held.
+	planLimit = 512
+	// proposalTimeout bounds the leader's own proposals.
+	proposalTimeout = 3 * time.Second
+)
+
+// leader is one term as acting scheduler.
+//
+// Lock order: the record's lock comes before mu, since the record calls
+// onEvent under its lock. So nothing that holds mu may read the record.
+type leader struct {
+	token   uint64
+	log     replica.Log
+	archive record.Archive
+	logger  *slog.Logger
+	metrics *metrics
+	now     func() time.Duration
+	context context.Context
+
+	// wakePlanner has room for one signal.
+	wakePlanner chan struct{}
+	// wakeProposer has room for one signal: pending is not empty.
+	wakeProposer chan struct{}
+
+	mu      sync.Mutex
+	planner placement.Planner
+	// config is in force here, with defaults filled in.
+	config        *api.Config
+	configVersion uint64
+	configChanged chan struct{}
+	// workers are incarnations by worker id; byName the registered ones.
+	workers map[string]*workerEntry
+	byName  map[string]*workerEntry
+	runs    map[record.RunID]*runState
+	waiting map[record.TaskID]*waitingTask
+	timers  taskTimers
+	groups  map[stepKey]*groupState
+	// pendingCloses and pendingStops are the leader's own commands that wait
+	// to be proposed.
+	pendingCloses []record.RunEnd
+	pendingStops  map[record.StopReason][]record.RunID
+	// jobWaiters are closed when the job ends.
+	jobWaiters map[string]chan struct{}
+	processes  map[string]*processEntry
+	startedAt  time.Duration
+}
+
+// leaderConfig makes a leader.
+type leaderConfig struct {
+	Log        replica.Log
+	Archive    record.Archive
+	Planner    placement.Planner
+	Logger     *slog.Logger
+	Metrics    *metrics
+	Now        func() time.Duration
+	Leadership replica.Leadership
+}
+
+func newLeader(config leaderConfig) *leader {
+	return &leader{
+		token:         config.Leadership.Token,
+		log:           config.Log,
+		archive:       config.Archive,
+		logger:        config.Logger.With(slog.Uint64("token", config.Leadership.Token)),
+		metrics:       config.Metrics,
+		now:           config.Now,
+		context:       config.Leadership.Context,
+		wakePlanner:   make(chan struct{}, 1),
+		wakeProposer:  make(chan struct{}, 1),
+		planner:       config.Planner,
+		configChanged: make(chan struct{}),
+		workers:       make(map[string]*workerEntry),
+		byName:        make(map[string]*workerEntry),
+		runs:          make(map[record.RunID]*runState),
+		waiting:       make(map[record.TaskID]*waitingTask),
+		groups:        make(map[stepKey]*groupState),
+		jobWaiters:    make(map[string]chan struct{}),
+		processes:     make(map[string]*processEntry),
+		pendingStops:  make(map[record.StopReason][]record.RunID),
+		startedAt:     config.Now(),
+	}
+}
+
+// run works until the term ends. ready is called once calls can be served.
+func (l *leader) run(ready func()) {
+	stopObserving := l.log.Record().Observe(l.load, l.onEvent)
+	defer stopObserving()
+	ready()
+	var loops sync.WaitGroup
+	loops.Go(l.tickLoop)
+	loops.Go(l.planLoop)
+	loops.Go(l.proposeLoop)
+	loops.Go(l.expireLoop)
+	<-l.context.Done()
+	loops.Wait()
+}
+
+// load builds the mirror from the record. Every worker with an open run counts
+// as answered now: an earlier leader may have done so a moment ago.
+func (l *leader) load(view record.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	version, config := view.Config()
+	l.setConfig(version, config)
+	for worker := range view.Workers() {
+		l.setWorkerInfo(worker)
+	}
+	holdsUntil := l.startedAt + l.hold() + l.driftMargin()
+	for open := range view.AllOpenRuns() {
+		run := l.openRun(open, true)
+		if worker, known := l.workers[run.workerID]; known {
+			worker.holdUntil(holdsUntil)
+		}
+	}
+	for job := range view.Jobs("") {
+		for _, step := range job.Steps {
+			l.loadStep(step)
+		}
+	}
+	l.wake()
+}
+
+// hold is how long an answer lets a worker run on.
+func (l *leader) hold() time.Duration { return l.config.Timings.Hold.Std() }
+
+func (l *leader) driftMargin() time.Duration { return l.config.Timings.DriftMargin.Std() }
+
+// wake makes the planner look again soon.
+func (l *leader) wake() { signal(l.wakePlanner) }
+
+// propose commits a command under this term's token.
+func (l *leader) propose(ctx context.Context, command record.Command) (record.Result, error) {
+	l.metrics.proposals.Inc()
+	return l.log.Propose(ctx, l.token, command)
+}
+
+// proposeUntilDone commits a command of the leader's own, again and again
+// until it is committed or the term ends. Every such command may be committed
+// twice without harm: the record decides on each run by its number. It returns
+// false if the term ended.
+func (l *leader) proposeUntilDone(what string, command record.Command) (record.Result, bool) {
+	for l.context.Err() == nil {
+		ctx, cancel := context.WithTimeout(l.context, proposalTimeout)
+		result, err := l.propose(ctx, command)
+		cancel()
+		if err == nil {
+			return result, true
+		}
+		l.logger.Warn("proposal failed", slog.String("what", what), slog.Any("error", err))
+		select {
+		case <-l.context.Done():
+		case <-time.After(tickInterval):
+		}
+	}
+	return record.Result{}, false
+}
+
+// tickLoop looks at holds, timed starts and drains.
+func (l *leader) tickLoop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.context.Done():
+			return
+		case <-ticker.C:
+			l.tick()
+		}
+	}
+}
+
+func (l *leader) tick() {
+	clusterNow := l.log.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	l.lapseHolds(now)
+	l.refreshUsable(now)
+	l.stopDrained(now)
+	l.releaseTimers(clusterNow)
+}
+
+// closeLater queues the closing of a run that no report asks for.
+func (l *leader) closeLater(run *runState, message string) {
+	if run.closing {
+		return
+	}
+	run.closing = true
+	end := record.RunEnd{Run: run.id, Outcome: api.OutcomeLost, Message: message}
+	l.pendingCloses = append(l.pendingCloses, end)
+	signal(l.wakeProposer)
+}
+
+// stopLater queues the stopping of a run.
+func (l *leader) stopLater(run *runState, reason record.StopReason) {
+	if run.stop != record.StopNone || run.closing {
+		return
+	}
+	run.stop = reason
+	l.pendingStops[reason] = append(l.pendingStops[reason], run.id)
+	signal(l.wakeProposer)
+}
+
+// proposeLoop commits what closeLater and stopLater have queued.
+func (l *leader) proposeLoop() {
+	for {
+		select {
+		case <-l.context.Done():
+			return
+		case <-l.wakeProposer:
+			l.proposePending()
+		}
+	}
+}
+
+func (l *leader) proposePending() {
+	l.mu.Lock()
+	closes := l.pendingCloses
+	stops := l.pendingStops
+	l.pendingCloses = nil
+	l.pendingStops = make(map[record.StopReason][]record.RunID)
+	l.mu.Unlock()
+	if len(closes) > 0 {
+		l.proposeUntilDone("close", record.Command{Close: &record.Close{Runs: closes}})
+	}
+	for reason, runs := range stops {
+		l.proposeUntilDone("stop", record.Command{Stop: &record.Stop{Runs: runs, Reason: reason}})
+	}
+}
+
+// signal wakes a loop whose channel has room for one signal.
+func signal(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/scheduler/list.go
@@ -0,0 +1,109 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/record"
+)
+
+const (
+	defaultListLimit = 100
+	maxListLimit     = 1000
+	// archiveBatch is how many archived jobs are read at a time for a list.
+	archiveBatch = 256
+)
+
+// listJobs returns a page of live and archived jobs in the order of their ids.
+// The page token is the last id of the page before.
+func (l *leader) listJobs(request fleet.ListJobsRequest) (fleet.ListJobsAnswer, error) {
+	limit := request.Limit
+	if limit <= 0 {
+		limit = defaultListLimit
+	}
+	limit = min(limit, maxListLimit)
+	live := l.listLive(request, limit+1)
+	archived, err := l.listArchived(request, limit+1)
+	if err != nil {
+		return fleet.ListJobsAnswer{}, err
+	}
+	if !l.log.HoldsLease(l.token) {
+		return fleet.ListJobsAnswer{}, l.notLeader()
+	}
+	rows := mergeByID(live, archived)
+	list := api.JobList{Jobs: rows}
+	if len(rows) > limit {
+		list.Jobs = rows[:limit]
+		list.NextPageToken = rows[limit-1].ID
+	}
+	return fleet.ListJobsAnswer{List: list}, nil
+}
+
+func (l *leader) listLive(request fleet.ListJobsRequest, limit int) []api.JobSummary {
+	rows := []api.JobSummary{}
+	l.log.Record().Read(func(view record.View) {
+		for job := range view.Jobs(request.PageToken) {
+			if len(rows) == limit {
+				return
+			}
+			if !matchesQueue(request, job.Spec.Queue) {
+				continue
+			}
+			if row := job.Summary(); matchesState(request, row.State) {
+				rows = append(rows, row)
+			}
+		}
+	})
+	return rows
+}
+
+func matchesQueue(request fleet.ListJobsRequest, queue string) bool {
+	return request.Queue == "" || request.Queue == queue
+}
+
+func matchesState(request fleet.ListJobsRequest, state api.State) bool {
+	return request.State == "" || request.State == state
+}
+
+func (l *leader) listArchived(request fleet.ListJobsRequest, limit int) ([]api.JobSummary, error) {
+	rows := []api.JobSummary{}
+	after := request.PageToken
+	for {
+		batch, err := l.archive.List(after, archiveBatch)
+		if err != nil {
+			return nil, fmt.Errorf("list archived jobs: %w", err)
+		}
+		for i := range batch {
+			job := &batch[i]
+			after = job.ID
+			if matchesQueue(request, job.Queue) && matchesState(request, job.State) {
+				rows = append(rows, job.Summary())
+			}
+			if len(rows) == limit {
+				return rows, nil
+			}
+		}
+		if len(batch) < archiveBatch {
+			return rows, nil
+		}
+	}
+}
+
+// mergeByID merges two lists that are each in the order of ids. A job that
+// moved to the archive between the two reads stands in both; one row stays.
+func mergeByID(live, archived []api.JobSummary) []api.JobSummary {
+	merged := make([]api.JobSummary, 0, len(live)+len(archived))
+	for len(live) > 0 && len(archived) > 0 {
+		switch {
+		case live[0].ID < archived[0].ID:
+			merged, live = append(merged, live[0]), live[1:]
+		case live[0].ID > archived[0].ID:
+			merged, archived = append(merged, archived[0]), archived[1:]
+		default:
+			merged, live, archived = append(merged, archived[0]), live[1:], archived[1:]
+		}
+	}
+	merged = append(merged, live...)
+	return append(merged, archived...)
+}
--- /dev/null
+++ b/internal/scheduler/metrics.go
@@ -0,0 +1,40 @@
+package scheduler
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the acting scheduler's own; they live as long as the process.
+type metrics struct {
+	proposals   prometheus.Counter
+	placements  prometheus.Counter
+	orders      prometheus.Counter
+	heartbeats  *prometheus.CounterVec
+	runsClosed  *prometheus.CounterVec
+	planSeconds prometheus.Histogram
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	const namespace = "decklever_scheduler"
+	m := &metrics{
+		proposals: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "proposals_total", Help: "Commands proposed to the log.",
+		}),
+		placements: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "placements_total", Help: "Runs opened.",
+		}),
+		orders: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "orders_total", Help: "Start orders given in answers.",
+		}),
+		heartbeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "heartbeats_total", Help: "Heartbeats heard, by result.",
+		}, []string{"result"}),
+		runsClosed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "runs_closed_total", Help: "Runs closed, by outcome.",
+		}, []string{"outcome"}),
+		planSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "plan_seconds", Help: "Time of one planning pass.",
+			Buckets: prometheus.ExponentialBuckets(0.00001, 4, 9),
+		}),
+	}
+	registerer.MustRegister(m.proposals, m.placements, m.orders, m.heartbeats, m.runsClosed, m.planSeconds)
+	return m
+}
--- /dev/null
+++ b/internal/scheduler/mirror.go
@@ -0,0 +1,330 @@
+package scheduler
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/placement"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// waitingTask is a ready task of the record.
+type waitingTask struct {
+	task placement.Task
+	step stepKey
+	// jobPriority is the job's own, without the queue's.
+	jobPriority int
+	lastRun     uint32
+	// notBefore is the earliest start on the cluster clock.
+	notBefore record.Millis
+	// due is true once that time has come.
+	due bool
+	// placing is true while a placement of the task is being committed.
+	placing bool
+}
+
+// onEvent keeps the mirror true to the record. The record calls it under its
+// lock, in the order of the log.
+func (l *leader) onEvent(event record.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch change := event.(type) {
+	case record.TaskBecameReady:
+		l.addWaiting(change.Task)
+	case record.TaskLeftReady:
+		l.removeWaiting(change.Task)
+	case record.RunOpened:
+		l.openRun(change.Run, false)
+	case record.RunStopping:
+		l.markStopping(change.Run)
+	case record.RunClosed:
+		l.closeRun(change.Run, change.Outcome)
+	case record.JobAdded:
+	case record.JobEnded:
+		l.endJob(change.Job)
+	case record.ConfigChanged:
+		l.setConfig(change.Version, change.Config)
+		l.drainByConfig()
+	case record.WorkerChanged:
+		l.setWorkerInfo(change.Worker)
+	case record.WorkerForgotten:
+		l.forgetWorker(change.Worker)
+	case record.StateReplaced:
+		// A leader never installs a snapshot; the term is about to end.
+	}
+	l.wake()
+}
+
+// loadStep takes over a step's waiting tasks at the start of a term.
+func (l *leader) loadStep(step *record.Step) {
+	for _, task := range step.Tasks {
+		if task.State == record.TaskReady {
+			l.addWaiting(task)
+		}
+	}
+	if step.Spec.Together {
+		l.loadGroup(step)
+	}
+}
+
+func (l *leader) addWaiting(task *record.Task) {
+	job := task.Step.Job
+	entry := &waitingTask{
+		task: placement.Task{
+			ID:       task.ID,
+			Queue:    job.Spec.Queue,
+			Priority: job.Spec.Priority + l.queuePriority(job.Spec.Queue),
+			Sequence: sequence(task),
+			Spec:     task.Spec,
+		},
+		step:        stepKey{job: task.ID.Job, step: task.ID.Step},
+		jobPriority: job.Spec.Priority,
+		lastRun:     task.LastRun,
+		notBefore:   task.NotBefore,
+		due:         task.NotBefore == 0,
+	}
+	l.waiting[task.ID] = entry
+	if task.Step.Spec.Together {
+		l.joinGroup(entry, task.Step)
+	}
+	if !entry.due {
+		l.timers.add(entry.notBefore, task.ID)
+		return
+	}
+	l.offer(entry)
+}
+
+// sequence orders tasks of equal priority by the time of submission.
+func sequence(task *record.Task) uint64 {
+	const (
+		tasksPerStep = 1 << 10
+		stepsPerJob  = 1 << 8
+	)
+	place := task.Step.Index%stepsPerJob*tasksPerStep + task.ID.Index%tasksPerStep
+	return uint64(task.Step.Job.SubmittedAt)*tasksPerStep*stepsPerJob + uint64(place)
+}
+
+// offer lets the planner place a task that is due. Members of a group go
+// through the group, which offers them together.
+func (l *leader) offer(entry *waitingTask) {
+	if group, grouped := l.groups[entry.step]; grouped {
+		l.offerGroup(group)
+		return
+	}
+	if !entry.placing {
+		l.planner.Add(entry.task)
+	}
+}
+
+// releaseTimers offers the tasks whose time has come.
+func (l *leader) releaseTimers(now record.Millis) {
+	due := l.timers.takeDue(now)
+	for _, id := range due {
+		entry, waits := l.waiting[id]
+		if !waits || entry.due || entry.notBefore > now {
+			continue
+		}
+		entry.due = true
+		l.offer(entry)
+	}
+	if len(due) > 0 {
+		l.wake()
+	}
+}
+
+func (l *leader) removeWaiting(task *record.Task) {
+	entry, waits := l.waiting[task.ID]
+	if !waits {
+		return
+	}
+	delete(l.waiting, task.ID)
+	l.planner.Remove(task.ID)
+	l.planner.Release(task.ID)
+	if group, grouped := l.groups[entry.step]; grouped {
+		l.leaveGroup(group, task)
+	}
+}
+
+// openRun mirrors an open run. inherited tells that it was placed under an
+// earlier token.
+func (l *leader) openRun(open *record.Run, inherited bool) *runState {
+	task := open.Task
+	run := &runState{
+		id:        open.ID(),
+		spec:      task.Spec,
+		step:      stepKey{job: task.ID.Job, step: task.ID.Step},
+		together:  task.Step.Spec.Together,
+		workerID:  open.WorkerID,
+		inherited: inherited,
+		stop:      open.Stop,
+	}
+	delete(l.waiting, task.ID)
+	l.planner.Remove(task.ID)
+	job := task.Step.Job
+	l.planner.Hold(placement.Task{ID: task.ID, Queue: job.Spec.Queue, Spec: task.Spec}, open.WorkerID)
+	l.runs[run.id] = run
+	worker := l.workers[open.WorkerID]
+	if worker == nil {
+		// The record accepts placements on registered incarnations only, so
+		// this is an older one that the record has replaced since.
+		worker = newWorkerEntry(record.Worker{ID: open.WorkerID, Name: open.Worker})
+		worker.holdUntil(l.startedAt + l.hold() + l.driftMargin())
+		l.workers[open.WorkerID] = worker
+	}
+	worker.runs[run.id] = run
+	if run.together {
+		l.groupRunOpened(run, task.Step)
+	}
+	if worker.leaving() {
+		l.closeIfNeverOrdered(run)
+	}
+	return run
+}
+
+func (l *leader) markStopping(open *record.Run) {
+	run, known := l.runs[open.ID()]
+	if !known {
+		return
+	}
+	run.stop = open.Stop
+	l.closeIfNeverOrdered(run)
+	if run.together {
+		l.groupRunStopping(run, open.Task.Step)
+	}
+}
+
+// closeIfNeverOrdered closes a run whose order was surely not given, so that
+// it need not be stopped.
+func (l *leader) closeIfNeverOrdered(run *runState) {
+	if run.orderedAt == 0 && !run.inherited {
+		l.closeLater(run, "withdrawn before it was ordered")
+	}
+}
+
+func (l *leader) closeRun(open *record.Run, outcome api.Outcome) {
+	run, known := l.runs[open.ID()]
+	if !known {
+		return
+	}
+	delete(l.runs, run.id)
+	l.planner.Release(run.id.Task)
+	worker := l.workers[run.workerID]
+	delete(worker.runs, run.id)
+	if len(worker.runs) == 0 && (worker.lapsed || !worker.registered) {
+		l.dropFromPlanner(worker)
+	}
+	if run.together {
+		l.groupRunClosed(run, outcome, open.Task.Step)
+	}
+	l.metrics.runsClosed.WithLabelValues(string(outcome)).Inc()
+}
+
+func (l *leader) endJob(job *record.Job) {
+	if waiter, waited := l.jobWaiters[job.ID]; waited {
+		close(waiter)
+		delete(l.jobWaiters, job.ID)
+	}
+	for _, step := range job.Steps {
+		delete(l.groups, stepKey{job: job.ID, step: step.Spec.Name})
+	}
+}
+
+// setWorkerInfo takes over what the record knows of a worker. The record
+// replaces an incarnation only when it has no open run.
+func (l *leader) setWorkerInfo(info *record.Worker) {
+	if earlier, known := l.byName[info.Name]; known && earlier.info.ID != info.ID {
+		earlier.registered = false
+		l.dropFromPlanner(earlier)
+		delete(l.workers, earlier.info.ID)
+	}
+	worker, known := l.workers[info.ID]
+	if !known {
+		worker = newWorkerEntry(*info)
+		l.workers[info.ID] = worker
+	}
+	worker.info = *info
+	worker.registered = true
+	l.byName[info.Name] = worker
+	l.setDrained(worker)
+	l.tellPlanner(worker)
+}
+
+func (l *leader) forgetWorker(info *record.Worker) {
+	worker, known := l.byName[info.Name]
+	if !known || worker.info.ID != info.ID {
+		return
+	}
+	l.dropFromPlanner(worker)
+	delete(l.byName, info.Name)
+	delete(l.workers, info.ID)
+}
+
+// tellPlanner brings the planner's picture of a worker up to date.
+func (l *leader) tellPlanner(worker *workerEntry) {
+	if !worker.registered {
+		return
+	}
+	worker.usable = worker.canTakeWork(l.now(), l.hold())
+	worker.inPlanner = true
+	l.planner.SetWorker(worker.planned(worker.usable))
+}
+
+func (l *leader) dropFromPlanner(worker *workerEntry) {
+	if !worker.inPlanner {
+		return
+	}
+	worker.inPlanner = false
+	worker.usable = false
+	l.planner.RemoveWorker(worker.info.ID)
+}
+
+// setConfig takes over a configuration.
+func (l *leader) setConfig(version uint64, config *api.Config) {
+	prioritiesChanged := l.config != nil && !maps.Equal(queuePriorities(l.config), queuePriorities(config))
+	l.config = config
+	l.configVersion = version
+	close(l.configChanged)
+	l.configChanged = make(chan struct{})
+	rules := make([]placement.QueueRule, 0, len(config.Queues))
+	for _, queue := range config.Queues {
+		rules = append(rules, placement.QueueRule{Name: queue.Name, MaxRunning: queue.MaxRunningTasks, Weight: queue.Weight})
+	}
+	l.planner.SetQueues(rules)
+	if prioritiesChanged {
+		l.reorderWaiting()
+	}
+	l.logger.Info("configuration in force", slog.Uint64("version", version))
+}
+
+func queuePriorities(config *api.Config) map[string]int {
+	priorities := make(map[string]int, len(config.Queues))
+	for _, queue := range config.Queues {
+		priorities[queue.Name] = queue.Priority
+	}
+	return priorities
+}
+
+func (l *leader) queuePriority(name string) int {
+	index := slices.IndexFunc(l.config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
+	if index < 0 {
+		return 0
+	}
+	return l.config.Queues[index].Priority
+}
+
+// reorderWaiting offers every waiting task anew, since a change of a queue's
+// priority changes where each stands.
+func (l *leader) reorderWaiting() {
+	l.logger.Info("queue priorities changed", slog.Int("waiting", len(l.waiting)))
+	for id := range l.waiting {
+		l.planner.Remove(id)
+	}
+	for _, entry := range l.waiting {
+		entry.task.Priority = entry.jobPriority + l.queuePriority(entry.task.Queue)
+		if entry.due {
+			l.offer(entry)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"log/slog"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// planLoop places waiting tasks whenever something changed.
+func (l *leader) planLoop() {
+	for {
+		select {
+		case <-l.context.Done():
+			return
+		case <-l.wakePlanner:
+		}
+		for l.placeOnce() {
+		}
+	}
+}
+
+// placeOnce plans and commits one batch. It returns false if there was nothing
+// to place or the term ended.
+func (l *leader) placeOnce() bool {
+	placements := l.plan()
+	if len(placements) == 0 {
+		return false
+	}
+	command := record.Command{Place: &record.Place{Placements: placements}}
+	result, done := l.proposeUntilDone("place", command)
+	if !done {
+		return false
+	}
+	l.metrics.placements.Add(float64(len(placements) - len(result.Rejected)))
+	l.takeBack(result.Rejected)
+	// When nothing held, planning again at once would only spin: the next
+	// change of the record or the next tick wakes the planner.
+	return len(result.Rejected) < len(placements)
+}
+
+// plan asks the planner for one batch of decisions.
+func (l *leader) plan() []record.Placement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	started := l.now()
+	decisions := l.planner.Plan(planLimit)
+	l.metrics.planSeconds.Observe((l.now() - started).Seconds())
+	placements := make([]record.Placement, 0, len(decisions))
+	for _, decision := range decisions {
+		entry, waits := l.waiting[decision.Task]
+		if !waits {
+			l.planner.Release(decision.Task)
+			continue
+		}
+		entry.placing = true
+		placements = append(placements, record.Placement{
+			Run:      record.RunID{Task: decision.Task, Number: entry.lastRun + 1},
+			WorkerID: decision.WorkerID,
+			Worker:   decision.Worker,
+		})
+	}
+	return placements
+}
+
+// takeBack offers tasks anew whose placement no longer held when it was
+// applied.
+func (l *leader) takeBack(rejected []record.RunID) {
+	if len(rejected) == 0 {
+		return
+	}
+	l.logger.Debug("placements rejected", slog.Int("count", len(rejected)))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, run := range rejected {
+		// A task that waits no more was placed by a doubled command, or is
+		// final; its room is accounted for already.
+		entry, waits := l.waiting[run.Task]
+		if !waits || !entry.placing {
+			continue
+		}
+		entry.placing = false
+		l.planner.Release(run.Task)
+		l.offer(entry)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/reconcile.go
@@ -0,0 +1,119 @@
+package scheduler
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// reconciliation is what follows from one heartbeat: the differences between
+// the record's open runs on the worker and what the worker lists.
+type reconciliation struct {
+	// started are runs seen for the first time.
+	started []*runState
+	// lost are runs whose order can no longer take effect, or that the worker
+	// surely does not run any more.
+	lost []*runState
+	// dropped are runs whose order was accepted and that the worker does not
+	// list: it is told to stop them before they count as lost.
+	dropped []*runState
+	// unwanted are runs that the worker lists and must not run.
+	unwanted []api.RunRef
+	// ended are the worker's reports.
+	ended []record.RunEnd
+	// unreadable are reports that name no task; they are acknowledged.
+	unreadable []api.RunRef
+}
+
+// reconcile compares a heartbeat, which is the newest of its worker, with the
+// runs open there. It changes nothing. The rules are the table "Holds, tokens
+// and the life of a run" in docs/DESIGN.md.
+func reconcile(runs map[record.RunID]*runState, heartbeat api.Heartbeat) reconciliation {
+	var result reconciliation
+	listed := make(map[record.RunID]bool, len(heartbeat.Running)+len(heartbeat.Ended))
+	for _, reference := range heartbeat.Running {
+		result.addRunning(runs, listed, reference)
+	}
+	for _, report := range heartbeat.Ended {
+		result.addEnded(runs, listed, report)
+	}
+	for _, run := range runs {
+		if !listed[run.id] && !run.closing {
+			result.addUnlisted(run, heartbeat)
+		}
+	}
+	return result
+}
+
+func (r *reconciliation) addRunning(runs map[record.RunID]*runState, listed map[record.RunID]bool, reference api.RunRef) {
+	id, ok := parseRun(reference)
+	if !ok {
+		r.unwanted = append(r.unwanted, reference)
+		return
+	}
+	listed[id] = true
+	run, open := runs[id]
+	if !open || run.closing {
+		r.unwanted = append(r.unwanted, reference)
+		return
+	}
+	if !run.listed {
+		r.started = append(r.started, run)
+	}
+}
+
+func (r *reconciliation) addEnded(runs map[record.RunID]*runState, listed map[record.RunID]bool, report api.EndedRun) {
+	id, ok := parseRun(report.RunRef)
+	if !ok {
+		r.unreadable = append(r.unreadable, report.RunRef)
+		return
+	}
+	listed[id] = true
+	if run, open := runs[id]; open && !run.listed {
+		r.started = append(r.started, run)
+	}
+	r.ended = append(r.ended, record.RunEnd{Run: id, Outcome: report.Outcome, Message: report.Message})
+}
+
+// addUnlisted decides on an open run that the worker lists neither as running
+// nor as ended.
+func (r *reconciliation) addUnlisted(run *runState, heartbeat api.Heartbeat) {
+	switch {
+	case run.orderedAt == 0 && !run.inherited:
+		// Not ordered yet: nothing to conclude.
+	case run.orderedAt == 0 && !run.listed:
+		// Inherited. Any answer of an earlier leader went to an earlier seq,
+		// which the worker accepts no more now that it has sent this one.
+		r.lost = append(r.lost, run)
+	case run.orderedAt >= heartbeat.Seq:
+		// The order went out with a later answer than this heartbeat.
+	case !run.listed && heartbeat.AcceptedSeq < run.orderedAt:
+		r.lost = append(r.lost, run)
+	case run.droppedAt != 0 && heartbeat.AcceptedSeq >= run.droppedAt:
+		// The worker accepted a stop for it and still does not list it.
+		r.lost = append(r.lost, run)
+	default:
+		r.dropped = append(r.dropped, run)
+	}
+}
+
+// parseRun reads "JOB/STEP/INDEX" and a run number.
+func parseRun(reference api.RunRef) (record.RunID, bool) {
+	parts := strings.Split(reference.Task, "/")
+	if len(parts) != 3 || reference.Run == 0 {
+		return record.RunID{}, false
+	}
+	index, err := strconv.Atoi(parts[2])
+	if err != nil || index < 0 {
+		return record.RunID{}, false
+	}
+	task := record.TaskID{Job: parts[0], Step: parts[1], Index: index}
+	return record.RunID{Task: task, Number: reference.Run}, true
+}
+
+// runRef is the form of a run's name that workers see.
+func runRef(id record.RunID) api.RunRef {
+	return api.RunRef{Task: id.Task.String(), Run: id.Number}
+}
--- /dev/null
+++ b/internal/scheduler/reconcile_test.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+func testRunID() record.RunID {
+	return record.RunID{Task: record.TaskID{Job: "j", Step: "s", Index: 0}, Number: 2}
+}
+
+// verdict is what reconcile decided about the one run of a test.
+type verdict struct {
+	Started, Lost, Dropped, Unwanted, Ended int
+}
+
+func TestReconcileOneRun(t *testing.T) {
+	reference := api.RunRef{Task: "j/s/0", Run: 2}
+	running := []api.RunRef{reference}
+	ended := []api.EndedRun{{RunRef: reference, Outcome: api.OutcomeSucceeded}}
+	tests := []struct {
+		name      string
+		run       *runState // nil: the record has no such run open here
+		heartbeat api.Heartbeat
+		want      verdict
+	}{
+		{"placed and not ordered stays", &runState{}, api.Heartbeat{Seq: 5, AcceptedSeq: 4}, verdict{}},
+		{"inherited and unlisted is lost", &runState{inherited: true}, api.Heartbeat{Seq: 5, AcceptedSeq: 4}, verdict{Lost: 1}},
+		{"inherited and running has started", &runState{inherited: true}, api.Heartbeat{Seq: 5, Running: running}, verdict{Started: 1}},
+		{"answer not accepted is lost", &runState{orderedAt: 4}, api.Heartbeat{Seq: 5, AcceptedSeq: 3}, verdict{Lost: 1}},
+		{"accepted and unlisted must be stopped first", &runState{orderedAt: 4}, api.Heartbeat{Seq: 5, AcceptedSeq: 4}, verdict{Dropped: 1}},
+		{"stop not accepted yet keeps it dropped", &runState{orderedAt: 4, droppedAt: 5}, api.Heartbeat{Seq: 6, AcceptedSeq: 4}, verdict{Dropped: 1}},
+		{"stop accepted and still unlisted is lost", &runState{orderedAt: 4, droppedAt: 5}, api.Heartbeat{Seq: 6, AcceptedSeq: 5}, verdict{Lost: 1}},
+		{"listed before and vanished must be stopped first", &runState{inherited: true, listed: true}, api.Heartbeat{Seq: 9, AcceptedSeq: 8}, verdict{Dropped: 1}},
+		{"older heartbeat than the order concludes nothing", &runState{orderedAt: 7}, api.Heartbeat{Seq: 7, AcceptedSeq: 6}, verdict{}},
+		{"running and listed already changes nothing", &runState{orderedAt: 4, listed: true}, api.Heartbeat{Seq: 6, AcceptedSeq: 5, Running: running}, verdict{}},
+		{"ended is reported", &runState{orderedAt: 4}, api.Heartbeat{Seq: 6, AcceptedSeq: 5, Ended: ended}, verdict{Started: 1, Ended: 1}},
+		{"not open but running is unwanted", nil, api.Heartbeat{Seq: 6, Running: running}, verdict{Unwanted: 1}},
+		{"not open but ended is still reported", nil, api.Heartbeat{Seq: 6, Ended: ended}, verdict{Ended: 1}},
+		{"being closed and running is unwanted", &runState{orderedAt: 4, closing: true}, api.Heartbeat{Seq: 6, Running: running}, verdict{Unwanted: 1}},
+		{"being closed and unlisted changes nothing", &runState{orderedAt: 4, closing: true}, api.Heartbeat{Seq: 6, AcceptedSeq: 2}, verdict{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runs := map[record.RunID]*runState{}
+			if test.run != nil {
+				test.run.id = testRunID()
+				runs[test.run.id] = test.run
+			}
+			result := reconcile(runs, test.heartbeat)
+			got := verdict{
+				Started: len(result.started), Lost: len(result.lost), Dropped: len(result.dropped),
+				Unwanted: len(result.unwanted), Ended: len(result.ended),
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("verdict (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestReconcileUnreadableNames(t *testing.T) {
+	bad := api.RunRef{Task: "not-a-task", Run: 1}
+	heartbeat := api.Heartbeat{Seq: 2, Running: []api.RunRef{bad}, Ended: []api.EndedRun{{RunRef: bad, Outcome: api.OutcomeFailed}}}
+	result := reconcile(nil, heartbeat)
+	if len(result.unwanted) != 1 || len(result.unreadable) != 1 || len(result.ended) != 0 {
+		t.Errorf("unwanted %v, unreadable %v, ended %v", result.unwanted, result.unreadable, result.ended)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/status.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// listWorkers describes every worker that the record or this term knows.
+func (l *leader) listWorkers() (fleet.WorkersAnswer, error) {
+	if !l.log.HoldsLease(l.token) {
+		return fleet.WorkersAnswer{}, l.notLeader()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := api.WorkerList{Workers: []api.WorkerStatus{}}
+	for _, worker := range l.workers {
+		list.Workers = append(list.Workers, l.workerStatus(worker))
+	}
+	slices.SortFunc(list.Workers, func(a, b api.WorkerStatus) int {
+		return strings.Compare(a.Name+" "+a.WorkerID, b.Name+" "+b.WorkerID)
+	})
+	return fleet.WorkersAnswer{List: list}, nil
+}
+
+func (l *leader) workerStatus(worker *workerEntry) api.WorkerStatus {
+	now := l.now()
+	state, reason := worker.state(now, l.hold())
+	status := api.WorkerStatus{
+		Name: worker.info.Name, WorkerID: worker.info.ID, Zone: worker.info.Zone,
+		State: state, Reason: reason,
+		Capacity: worker.info.Capacity, Services: append([]string{}, worker.info.Services...), Labels: worker.info.Labels,
+		Runs: len(worker.runs), SilentMillis: (now - max(worker.heardAt, l.startedAt)).Milliseconds(),
+	}
+	for _, run := range worker.runs {
+		status.Used = status.Used.Add(run.spec.Resources)
+	}
+	return status
+}
+
+// listMembers describes the control plane.
+func (l *leader) listMembers(now time.Duration) (fleet.MembersAnswer, error) {
+	if !l.log.HoldsLease(l.token) {
+		return fleet.MembersAnswer{}, l.notLeader()
+	}
+	status := l.log.Status()
+	list := api.MemberList{Token: status.Term, CommitIndex: status.Commit, Members: []api.MemberStatus{}}
+	add := func(member raft.Member, voter bool) {
+		list.Members = append(list.Members, memberStatus(status, member, voter, now))
+	}
+	for _, member := range status.Membership.Voters {
+		add(member, true)
+	}
+	for _, member := range status.Membership.Learners {
+		add(member, false)
+	}
+	return fleet.MembersAnswer{List: list}, nil
+}
+
+func memberStatus(status raft.Status, member raft.Member, voter bool, now time.Duration) api.MemberStatus {
+	row := api.MemberStatus{
+		ReplicaID: string(member.ID), Name: member.Name, Zone: member.Zone, Address: member.Address,
+		Leader: member.ID == status.Leader, Voter: voter,
+	}
+	if row.Leader {
+		row.Matched = status.LastIndex
+	}
+	for _, progress := range status.Progress {
+		if progress.ID == member.ID && !row.Leader {
+			row.Matched = progress.Match
+			row.SilentMillis = max(0, now-progress.LastSeen).Milliseconds()
+		}
+	}
+	return row
+}
+
+// listQueues counts what each queue holds.
+func (l *leader) listQueues() (fleet.QueuesAnswer, error) {
+	list := api.QueueList{Queues: []api.QueueStatus{}}
+	l.log.Record().Read(func(view record.View) {
+		_, config := view.Config()
+		for _, queue := range config.Queues {
+			counts := view.QueueCounts(queue.Name)
+			list.Queues = append(list.Queues, api.QueueStatus{
+				Name: queue.Name, Jobs: counts.Jobs, Pending: counts.PendingTasks, Running: counts.RunningTasks,
+			})
+		}
+	})
+	if !l.log.HoldsLease(l.token) {
+		return fleet.QueuesAnswer{}, l.notLeader()
+	}
+	return fleet.QueuesAnswer{List: list}, nil
+}
--- /dev/null
+++ b/internal/scheduler/timers.go
@@ -0,0 +1,45 @@
+package scheduler
+
+import (
+	"container/heap"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// timedTask is a ready task whose time may not have come.
+type timedTask struct {
+	due  record.Millis
+	task record.TaskID
+}
+
+// taskTimers is a heap of ready tasks by the cluster time at which they can be
+// placed.
+type taskTimers []timedTask
+
+func (t taskTimers) Len() int           { return len(t) }
+func (t taskTimers) Less(i, j int) bool { return t[i].due < t[j].due }
+func (t taskTimers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+
+// Push implements heap.Interface.
+func (t *taskTimers) Push(item any) { *t = append(*t, item.(timedTask)) }
+
+// Pop implements heap.Interface.
+func (t *taskTimers) Pop() any {
+	last := len(*t) - 1
+	item := (*t)[last]
+	*t = (*t)[:last]
+	return item
+}
+
+func (t *taskTimers) add(due record.Millis, task record.TaskID) {
+	heap.Push(t, timedTask{due: due, task: task})
+}
+
+// takeDue removes and returns the tasks whose time has come.
+func (t *taskTimers) takeDue(now record.Millis) []record.TaskID {
+	var due []record.TaskID
+	for t.Len() > 0 && (*t)[0].due <= now {
+		due = append(due, heap.Pop(t).(timedTask).task)
+	}
+	return due
+}
--- /dev/null
+++ b/internal/scheduler/watch.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+const (
+	// watchHold is how long a process may serve after it asked, without a
+	// newer answer. P8 allows 2 s from the acknowledgement of a configuration
+	// until no live process is without it.
+	watchHold = 1500 * time.Millisecond
+	// maxWatchWait bounds how long a watch is held, so that a process renews
+	// its hold in time even if one call is lost.
+	maxWatchWait = 500 * time.Millisecond
+	// forgetProcessAfter drops a process that was not heard from the roll-out.
+	forgetProcessAfter = 30 * time.Second
+)
+
+// processEntry is what a front or an agent last said.
+type processEntry struct {
+	role    string
+	zone    string
+	version uint64
+	heardAt time.Duration
+}
+
+// watch answers at once if the process does not know the newest configuration
+// or token, else when one changes or when the wait is over.
+func (l *leader) watch(ctx context.Context, request fleet.WatchRequest) (fleet.WatchAnswer, error) {
+	changed := l.noteProcess(request)
+	if changed != nil {
+		wait := min(time.Duration(request.MaxWaitMillis)*time.Millisecond, maxWatchWait)
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		case <-l.context.Done():
+		}
+	}
+	if !l.log.HoldsLease(l.token) {
+		return fleet.WatchAnswer{}, l.notLeader()
+	}
+	return l.watchAnswer(request), nil
+}
+
+// noteProcess records what the process has in force. It returns nil if the
+// process must be told something now, else a channel that is closed when the
+// configuration changes.
+func (l *leader) noteProcess(request fleet.WatchRequest) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.processes[request.Process] = &processEntry{
+		role: request.Role, zone: request.Zone, version: request.ConfigVersion, heardAt: l.now(),
+	}
+	if request.ConfigVersion != l.configVersion || request.Token != l.token {
+		return nil
+	}
+	return l.configChanged
+}
+
+func (l *leader) watchAnswer(request fleet.WatchRequest) fleet.WatchAnswer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answer := fleet.WatchAnswer{Token: l.token, ConfigVersion: l.configVersion, HoldMillis: watchHold.Milliseconds()}
+	if leader, known := l.log.Leader(); known {
+		answer.LeaderAddress = leader.Address
+	}
+	if request.ConfigVersion != l.configVersion {
+		answer.Config = l.config
+	}
+	return answer
+}
+
+// rollout says which process has which version. Complete counts only
+// processes that were heard within their hold: others have stopped serving.
+func (l *leader) rollout() (fleet.RolloutAnswer, error) {
+	if !l.log.HoldsLease(l.token) {
+		return fleet.RolloutAnswer{}, l.notLeader()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	rollout := api.Rollout{Version: l.configVersion, Complete: true, Processes: []api.ProcessRollout{}}
+	for name, process := range l.processes {
+		age := now - process.heardAt
+		if age > forgetProcessAfter {
+			delete(l.processes, name)
+			continue
+		}
+		if age <= watchHold && process.version != l.configVersion {
+			rollout.Complete = false
+		}
+		rollout.Processes = append(rollout.Processes, api.ProcessRollout{
+			Process: name, Role: process.role, Zone: process.zone, Version: process.version, AgeMillis: age.Milliseconds(),
+		})
+	}
+	slices.SortFunc(rollout.Processes, func(a, b api.ProcessRollout) int { return strings.Compare(a.Process, b.Process) })
+	return fleet.RolloutAnswer{Rollout: rollout}, nil
+}
--- /dev/null
+++ b/internal/scheduler/worker_entry.go
@@ -0,0 +1,166 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/placement"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// workerEntry is what was observed, in this term, of one worker incarnation,
+// beside a mirror of the runs that the record has open on it. All times are on
+// this process's monotonic clock.
+type workerEntry struct {
+	// info is what the worker last said of itself.
+	info record.Worker
+	// registered is true while the record has this incarnation as the newest
+	// under its name.
+	registered bool
+	// seq is the highest heartbeat heard; acceptedSeq what that one said.
+	seq         uint64
+	acceptedSeq uint64
+	heardAt     time.Duration
+	// answeredSeq and answeredAt are of the newest answer in this term.
+	answeredSeq uint64
+	answeredAt  time.Duration
+	// acceptedAt is when the newest answer known to be accepted was given.
+	acceptedAt time.Duration
+	// holdsUntil: until then the worker may be running whatever it was given.
+	holdsUntil time.Duration
+	// lapses counts how often holdsUntil has passed; a heartbeat that was in
+	// work meanwhile gets no answer.
+	lapses uint64
+	// lapsed is true from the lapse to the next heartbeat.
+	lapsed bool
+	// draining is the worker's own flag, drained the configuration's.
+	draining     bool
+	drained      bool
+	drainedSince time.Duration
+	// usable is what the planner was last told.
+	usable bool
+	// inPlanner is true while the planner knows the worker.
+	inPlanner bool
+	runs      map[record.RunID]*runState
+}
+
+// runState mirrors one open run of the record and adds what was observed.
+type runState struct {
+	id       record.RunID
+	spec     *api.TaskSpec
+	step     stepKey
+	together bool
+	workerID string
+	// inherited: placed under an earlier token, so that it is not known
+	// whether its order was given.
+	inherited bool
+	// orderedAt is the seq of the answer that carried the order; 0 if this
+	// leader has given none.
+	orderedAt uint64
+	// listed is true once a heartbeat listed the run as running or ended.
+	listed bool
+	stop   record.StopReason
+	// droppedAt is the seq of the first answer that told the worker to stop
+	// the run because it accepted the order and does not list it; 0 if none.
+	droppedAt uint64
+	// closing is true once a Close was proposed that no report asked for.
+	closing bool
+}
+
+// stepKey names a step of a job.
+type stepKey struct {
+	job  string
+	step string
+}
+
+func newWorkerEntry(info record.Worker) *workerEntry {
+	return &workerEntry{info: info, runs: make(map[record.RunID]*runState)}
+}
+
+// answered reports whether the worker was answered in this term: the ready
+// gate.
+func (w *workerEntry) answered() bool { return w.answeredSeq > 0 }
+
+// leaving reports whether the worker gets no new work.
+func (w *workerEntry) leaving() bool { return w.draining || w.drained }
+
+// canTakeWork tells whether new runs may be placed on the worker: it is the
+// registered incarnation, the ready gate is open, it is not leaving, and the
+// answers to it do arrive.
+func (w *workerEntry) canTakeWork(now, hold time.Duration) bool {
+	if !w.registered || !w.answered() || w.lapsed || w.leaving() {
+		return false
+	}
+	return now-w.acceptedAt < hold
+}
+
+// hear notes a heartbeat. It returns false if the heartbeat is no newer than
+// one heard before, which then allows no conclusion.
+func (w *workerEntry) hear(heartbeat api.Heartbeat, now time.Duration) bool {
+	if heartbeat.Seq <= w.seq {
+		return false
+	}
+	w.seq = heartbeat.Seq
+	w.acceptedSeq = heartbeat.AcceptedSeq
+	w.heardAt = now
+	w.draining = heartbeat.Draining
+	w.lapsed = false
+	if w.answered() && heartbeat.AcceptedSeq >= w.answeredSeq {
+		w.acceptedAt = w.answeredAt
+	}
+	return true
+}
+
+// answer notes that the newest heartbeat is being answered now.
+func (w *workerEntry) answer(now, hold, driftMargin time.Duration) {
+	if !w.answered() {
+		w.acceptedAt = now
+	}
+	w.answeredSeq = w.seq
+	w.answeredAt = now
+	w.holdUntil(now + hold + driftMargin)
+}
+
+func (w *workerEntry) holdUntil(until time.Duration) {
+	w.holdsUntil = max(w.holdsUntil, until)
+}
+
+// lapse notes that the hold has passed without a newer answer.
+func (w *workerEntry) lapse() {
+	w.lapses++
+	w.lapsed = true
+}
+
+// planned is the worker as the planner sees it.
+func (w *workerEntry) planned(usable bool) placement.Worker {
+	return placement.Worker{
+		ID:       w.info.ID,
+		Name:     w.info.Name,
+		Zone:     w.info.Zone,
+		Capacity: w.info.Capacity,
+		Services: w.info.Services,
+		Labels:   w.info.Labels,
+		Usable:   usable,
+	}
+}
+
+// state is the worker's state for people, with a reason where it takes no
+// work.
+func (w *workerEntry) state(now, hold time.Duration) (api.WorkerState, string) {
+	switch {
+	case w.lapsed || (!w.answered() && now > w.holdsUntil && w.seq == 0):
+		return api.WorkerLost, "no heartbeat within its hold"
+	case w.seq == 0 || now-w.heardAt > hold/2:
+		return api.WorkerSilent, "no heartbeat lately"
+	case w.draining:
+		return api.WorkerDraining, "the worker is leaving"
+	case w.drained:
+		return api.WorkerDraining, "drained by the configuration"
+	case !w.registered:
+		return api.WorkerWaiting, "another process under this name may still run tasks"
+	case !w.canTakeWork(now, hold):
+		return api.WorkerWaiting, "answers to it do not arrive"
+	default:
+		return api.WorkerReady, ""
+	}
+}
