--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,107 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/decklever/decklever/internal/leaderlink"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const (
+	// HeartbeatPath is where workers post their heartbeats.
+	HeartbeatPath = "/v1/heartbeat"
+	// maxHeartbeatBytes is the largest body of a heartbeat.
+	maxHeartbeatBytes = 1 << 20
+)
+
+// Config is what an Agent needs. All but Logger is required.
+type Config struct {
+	// Name is the agent's process name.
+	Name string
+	// Zone returns the zone now in the settings; it becomes the "zone" label
+	// of the workers.
+	Zone func() string
+	// RelayTimeout bounds the relay of one heartbeat, on the monotonic clock.
+	RelayTimeout time.Duration
+	Link         *leaderlink.Link
+	Client       *rpc.Client
+	// Status serves /healthz, /readyz and /metrics.
+	Status     http.Handler
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+}
+
+// Agent serves the workers of one machine. It is an http.Handler.
+type Agent struct {
+	config  Config
+	routes  *http.ServeMux
+	workers *sequences
+	metrics *metrics
+}
+
+// New makes an agent that is ready to serve.
+func New(config Config) (*Agent, error) {
+	if config.Name == "" || config.Zone == nil || config.Link == nil || config.Client == nil || config.RelayTimeout <= 0 {
+		return nil, errors.New("agent: Name, Zone, RelayTimeout, Link and Client are required")
+	}
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
+	metrics, err := newMetrics(config.Registerer, config.Link)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{config: config, routes: http.NewServeMux(), workers: newSequences(), metrics: metrics}
+	a.routes.HandleFunc(HeartbeatPath, a.serveHeartbeat)
+	if config.Status != nil {
+		for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+			a.routes.Handle(path, config.Status)
+		}
+	}
+	a.routes.HandleFunc("/", serveNothing)
+	return a, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (a *Agent) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	a.routes.ServeHTTP(writer, request)
+}
+
+func (a *Agent) serveHeartbeat(writer http.ResponseWriter, request *http.Request) {
+	if request.Method != http.MethodPost {
+		refuseMethod(writer)
+		return
+	}
+	heartbeat, refusal := readHeartbeat(http.MaxBytesReader(writer, request.Body, maxHeartbeatBytes))
+	if refusal != nil {
+		a.metrics.count(resultInvalid)
+		writeError(writer, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), a.config.RelayTimeout)
+	defer cancel()
+	turn, ok := a.workers.begin(heartbeat.WorkerID, heartbeat.Seq, cancel, time.Now())
+	if !ok {
+		a.metrics.count(resultOldSeq)
+		writeError(writer, oldSeq(heartbeat))
+		return
+	}
+	answer, refusal := a.relay(ctx, heartbeat)
+	newest := a.workers.end(turn)
+	if refusal == nil && !newest {
+		a.metrics.count(resultSuperseded)
+		refusal = unavailable("a newer heartbeat of this worker came in")
+	}
+	if refusal != nil {
+		writeError(writer, refusal)
+		return
+	}
+	a.metrics.count(resultRelayed)
+	writeJSON(writer, http.StatusOK, answer)
+}
--- /dev/null
+++ b/internal/agent/relay.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// zoneLabel is the worker label that the agent sets.
+const zoneLabel = "zone"
+
+// relay makes the one call that a heartbeat ever gets.
+func (a *Agent) relay(ctx context.Context, heartbeat api.Heartbeat) (api.HeartbeatAnswer, *api.Error) {
+	var none api.HeartbeatAnswer
+	leader, known := a.config.Link.Leader()
+	if !known {
+		a.metrics.count(resultNoLeader)
+		return none, unavailable("the leading scheduler is not known")
+	}
+	sentAt := time.Now()
+	reply, err := rpc.Call[fleet.HeartbeatRequest, fleet.HeartbeatAnswer](
+		ctx, a.config.Client, leader, fleet.MethodHeartbeat, a.request(heartbeat))
+	took := time.Since(sentAt)
+	a.metrics.relaySeconds.Observe(took.Seconds())
+	if err != nil {
+		return none, a.relayFailed(ctx, leader, heartbeat, err)
+	}
+	// An agent that was frozen finds answers that came long ago.
+	if took >= a.config.RelayTimeout {
+		a.metrics.count(resultLate)
+		return none, unavailable("the leading scheduler answered too late")
+	}
+	return a.check(heartbeat, reply.Answer)
+}
+
+// request adds what the agent knows about the worker's place.
+func (a *Agent) request(heartbeat api.Heartbeat) fleet.HeartbeatRequest {
+	zone := a.config.Zone()
+	labels := make(map[string]string, len(heartbeat.Labels)+1)
+	maps.Copy(labels, heartbeat.Labels)
+	labels[zoneLabel] = zone
+	heartbeat.Labels = labels
+	return fleet.HeartbeatRequest{Agent: a.config.Name, Zone: zone, Heartbeat: heartbeat}
+}
+
+// check drops an answer that the worker must not get.
+func (a *Agent) check(heartbeat api.Heartbeat, answer api.HeartbeatAnswer) (api.HeartbeatAnswer, *api.Error) {
+	if answer.Seq != heartbeat.Seq {
+		a.metrics.count(resultFailed)
+		return api.HeartbeatAnswer{}, unavailable("the answer was to another heartbeat")
+	}
+	if !a.config.Link.ObserveToken(answer.Token) {
+		a.metrics.count(resultStaleToken)
+		a.metrics.staleTokens.Inc()
+		a.config.Logger.Warn("answer under a stale token dropped", slog.String("worker_id", heartbeat.WorkerID),
+			slog.Uint64("token", answer.Token), slog.Uint64("highest", a.config.Link.Token()))
+		return api.HeartbeatAnswer{}, unavailable("the answer was given under a stale token")
+	}
+	return answer, nil
+}
+
+// relayFailed says what a failed call means for the worker and for the link.
+func (a *Agent) relayFailed(ctx context.Context, leader string, heartbeat api.Heartbeat, err error) *api.Error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		a.metrics.count(resultSuperseded)
+		return unavailable("a newer heartbeat of this worker came in, or it went away")
+	}
+	a.config.Logger.Debug("relay failed", slog.String("worker_id", heartbeat.WorkerID), slog.Uint64("seq", heartbeat.Seq),
+		slog.String("address", leader), slog.Any("error", err))
+	var failure *rpc.Error
+	if !errors.As(err, &failure) {
+		failure = &rpc.Error{Code: rpc.CodeTransport}
+	}
+	switch failure.Code {
+	case rpc.CodeNotLeader:
+		a.metrics.count(resultNotLeader)
+		a.redirect(leader, failure.LeaderAddress)
+		return unavailable("the scheduler asked does not lead")
+	case rpc.CodeRefused:
+		if failure.API != nil {
+			a.metrics.count(resultRefused)
+			return failure.API
+		}
+	case rpc.CodeTransport:
+		a.config.Link.Failed(leader)
+	}
+	a.metrics.count(resultFailed)
+	return unavailable("the leading scheduler did not answer")
+}
+
+// redirect takes the hint for the next heartbeat, unless the link has learned
+// of another leader since.
+func (a *Agent) redirect(asked, hint string) {
+	current, known := a.config.Link.Leader()
+	if known && current != asked {
+		return
+	}
+	if hint == asked {
+		hint = ""
+	}
+	a.config.Link.Hint(hint)
+}
--- /dev/null
+++ b/internal/agent/relay_worker_test.go
@@ -0,0 +1,134 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/worker"
+)
+
+// placedTask is what lossyLeader knows of one task and its newest run.
+type placedTask struct {
+	run       uint32
+	orderedAt uint64 // seq whose answer carries the order; 0 if none yet
+	listed    bool
+	done      bool
+}
+
+// lossyLeader orders each run in one answer, loses many answers, and closes a
+// run as lost by the rules of docs/DESIGN.md alone.
+type lossyLeader struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	tasks  map[string]*placedTask
+	newest uint64
+	closed int // runs closed as lost
+}
+
+func (l *lossyLeader) heartbeat(_ context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	heartbeat := request.Heartbeat
+	if heartbeat.Seq <= l.newest {
+		return fleet.HeartbeatAnswer{}, errors.New("seq came twice or late")
+	}
+	l.newest = heartbeat.Seq
+	answer := api.HeartbeatAnswer{Seq: heartbeat.Seq, Token: 1, HoldMillis: 3000, IntervalMillis: 10}
+	for _, ended := range heartbeat.Ended {
+		task := l.tasks[ended.Task]
+		if task.run == ended.Run && ended.Outcome == api.OutcomeSucceeded {
+			task.done = true
+		}
+		answer.Acknowledged = append(answer.Acknowledged, ended.RunRef)
+	}
+	for name, task := range l.tasks {
+		l.reconcile(heartbeat, name, task)
+		if task.orderedAt == 0 && !task.done && !heartbeat.Draining {
+			task.orderedAt = heartbeat.Seq
+			answer.Start = append(answer.Start, api.StartOrder{RunRef: api.RunRef{Task: name, Run: task.run}, Spec: api.TaskSpec{Service: "work"}})
+		}
+	}
+	if l.random.IntN(2) == 0 { // the answer is lost: its orders can take no effect
+		return fleet.HeartbeatAnswer{}, &rpc.Error{Code: rpc.CodeUnavailable}
+	}
+	return fleet.HeartbeatAnswer{Answer: answer}, nil
+}
+
+func (l *lossyLeader) reconcile(heartbeat api.Heartbeat, name string, task *placedTask) {
+	if slices.Contains(heartbeat.Running, api.RunRef{Task: name, Run: task.run}) {
+		task.listed = true
+	}
+	if task.done || task.listed || task.orderedAt == 0 || heartbeat.AcceptedSeq >= task.orderedAt {
+		return
+	}
+	task.run++
+	task.orderedAt = 0
+	l.closed++
+}
+
+func (l *lossyLeader) finished() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, task := range l.tasks {
+		if !task.done {
+			return false
+		}
+	}
+	return true
+}
+
+// TestLostAnswersNeverStartATaskTwice joins a real worker and agent with a
+// leader that loses half of its answers.
+func TestLostAnswersNeverStartATaskTwice(t *testing.T) {
+	leader := &lossyLeader{random: rand.New(rand.NewPCG(1, 2)), tasks: make(map[string]*placedTask)}
+	for i := range 40 {
+		leader.tasks[fmt.Sprintf("j/s/%d", i)] = &placedTask{run: 1}
+	}
+	server := rpc.NewServer(rpc.ServerConfig{})
+	rpc.Handle(server, fleet.MethodHeartbeat, leader.heartbeat)
+	scheduler := httptest.NewServer(server)
+	defer scheduler.Close()
+	agent := httptest.NewServer(startAgent(t, scheduler.Listener.Addr().String(), time.Second))
+	defer agent.Close()
+
+	var mutex sync.Mutex
+	started := make(map[string]int)
+	instance, err := worker.New(worker.Config{Name: "w1", AgentURL: agent.URL, DrainTimeout: -1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	instance.Handle("work", func(_ context.Context, task worker.Task) error {
+		mutex.Lock()
+		defer mutex.Unlock()
+		started[task.Task]++
+		return nil
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- instance.Run(ctx) }()
+	for !leader.finished() && t.Context().Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	cancel()
+	if err := <-result; err != nil {
+		t.Fatal(err)
+	}
+	for task, count := range started {
+		if count != 1 {
+			t.Errorf("%s was started %d times", task, count)
+		}
+	}
+	if len(started) != 40 || leader.closed == 0 {
+		t.Errorf("%d tasks started, %d runs closed as lost; want 40 and some", len(started), leader.closed)
+	}
+}
--- /dev/null
+++ b/internal/agent/validate.go
@@ -0,0 +1,105 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+
+	"github.com/decklever/decklever/api"
+)
+
+const (
+	maxWorkerIDBytes = 128
+	maxMessageBytes  = 1024
+)
+
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9._-]{1,64}$`)
+
+// readHeartbeat decodes and checks the body of a heartbeat.
+func readHeartbeat(body io.Reader) (api.Heartbeat, *api.Error) {
+	var heartbeat api.Heartbeat
+	if refusal := api.DecodeStrict(body, &heartbeat); refusal != nil {
+		return api.Heartbeat{}, refusal
+	}
+	if fields := validateHeartbeat(heartbeat); len(fields) > 0 {
+		return api.Heartbeat{}, &api.Error{
+			Status:  http.StatusUnprocessableEntity,
+			Code:    api.CodeInvalid,
+			Message: fmt.Sprintf("the heartbeat has %d wrong fields", len(fields)),
+			Fields:  fields,
+		}
+	}
+	return heartbeat, nil
+}
+
+// checker collects wrong fields.
+type checker struct{ fields []api.FieldError }
+
+func (c *checker) check(ok bool, field, value, expected string) {
+	const shown = 80
+	if ok {
+		return
+	}
+	if len(value) > shown {
+		value = value[:shown]
+	}
+	c.fields = append(c.fields, api.FieldError{Field: field, Value: value, Expected: expected})
+}
+
+// validateHeartbeat returns every wrong field.
+func validateHeartbeat(heartbeat api.Heartbeat) []api.FieldError {
+	var c checker
+	idOK := heartbeat.WorkerID != "" && len(heartbeat.WorkerID) <= maxWorkerIDBytes
+	c.check(idOK, "worker_id", heartbeat.WorkerID, "1 to 128 bytes, new for each life of the worker")
+	c.check(namePattern.MatchString(heartbeat.Name), "name", heartbeat.Name, "1 to 64 of a-z, A-Z, 0-9, '-', '_' or '.'")
+	c.check(heartbeat.Seq > 0, "seq", "0", "a number from 1")
+	c.check(heartbeat.AcceptedSeq < max(heartbeat.Seq, 1), "accepted_seq", strconv.FormatUint(heartbeat.AcceptedSeq, 10), "a number lower than seq")
+	c.capacity(heartbeat.Capacity)
+	for i, service := range heartbeat.Services {
+		c.check(service != "", fmt.Sprintf("services[%d]", i), service, "a name")
+	}
+	_, unnamed := heartbeat.Labels[""]
+	c.check(!unnamed, "labels", "", "no empty key")
+	c.runs(heartbeat)
+	return c.fields
+}
+
+func (c *checker) capacity(capacity api.Resources) {
+	for _, amount := range []struct {
+		field string
+		value int64
+	}{
+		{"capacity.cpu_millis", capacity.CPUMillis},
+		{"capacity.memory_mb", capacity.MemoryMB},
+		{"capacity.accelerators", capacity.Accelerators},
+	} {
+		c.check(amount.value >= 0, amount.field, strconv.FormatInt(amount.value, 10), "0 or more")
+	}
+}
+
+// runs checks both lists; no run may be named twice.
+func (c *checker) runs(heartbeat api.Heartbeat) {
+	seen := make(map[api.RunRef]bool, len(heartbeat.Running)+len(heartbeat.Ended))
+	for i, ref := range heartbeat.Running {
+		c.run(fmt.Sprintf("running[%d]", i), ref, seen)
+	}
+	for i, ended := range heartbeat.Ended {
+		path := fmt.Sprintf("ended[%d]", i)
+		c.run(path, ended.RunRef, seen)
+		c.check(reportable(ended.Outcome), path+".outcome", string(ended.Outcome), "succeeded, failed or stopped")
+		c.check(len(ended.Message) <= maxMessageBytes, path+".message", ended.Message, "at most 1024 bytes")
+	}
+}
+
+func (c *checker) run(path string, ref api.RunRef, seen map[api.RunRef]bool) {
+	c.check(ref.Task != "", path+".task", ref.Task, "JOB/STEP/INDEX")
+	c.check(ref.Run > 0, path+".run", "0", "a number from 1")
+	c.check(!seen[ref], path, ref.Task, "each run named once, in one list")
+	seen[ref] = true
+}
+
+func reportable(outcome api.Outcome) bool {
+	return outcome == api.OutcomeSucceeded || outcome == api.OutcomeFailed || outcome == api.OutcomeStopped
+}
--- /dev/null
+++ b/internal/builtin/builtin_test.go
@@ -0,0 +1,74 @@
+package builtin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/worker"
+)
+
+func run(ctx context.Context, t *testing.T, name, payload string, number uint32) (time.Duration, error) {
+	t.Helper()
+	task := worker.Task{
+		RunRef: api.RunRef{Task: "j/s/0", Run: number},
+		Spec:   api.TaskSpec{Payload: json.RawMessage(payload)},
+	}
+	began := time.Now()
+	err := Handlers()[name](ctx, task)
+	return time.Since(began), err
+}
+
+func TestHandlers(t *testing.T) {
+	cases := []struct {
+		name, payload string
+		run           uint32
+		took          time.Duration
+		fails         bool
+	}{
+		{Sleep, `{"millis":50}`, 1, 50 * time.Millisecond, false},
+		{Sleep, `{"millis":"x"}`, 1, 0, true},
+		{Sleep, ``, 1, 0, false},
+		{Fail, `{"millis":50}`, 9, 50 * time.Millisecond, true},
+		{Flaky, `{"failures":2}`, 2, 0, true},
+		{Flaky, `{"failures":2}`, 3, 0, false},
+		{Flaky, `{"probability":1}`, 3, 0, true},
+		{Slow, `{"millis":50}`, 1, 250 * time.Millisecond, false},
+		{Slow, `{"millis":50,"factor":2}`, 1, 100 * time.Millisecond, false},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			took, err := run(t.Context(), t, c.name, c.payload, c.run)
+			if took != c.took || (err != nil) != c.fails {
+				t.Errorf("%s %s run %d: took %v, %v", c.name, c.payload, c.run, took, err)
+			}
+		})
+	}
+}
+
+func TestStoppedHandlerReturnsTheCause(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(worker.ErrStopped)
+	if _, err := run(ctx, t, Sleep, `{"millis":100000}`, 1); !errors.Is(err, worker.ErrStopped) {
+		t.Fatal(err)
+	}
+}
+
+func TestServices(t *testing.T) {
+	services, err := Services([]string{"sleep", "swap=sleep", "charge=flaky"})
+	if err != nil || len(services) != 3 || services["swap"] == nil || services["charge"] == nil {
+		t.Fatalf("%v, %v", services, err)
+	}
+	for _, wrong := range []string{"nope", "swap=nope", "=sleep", ""} {
+		if _, err := Services([]string{wrong}); err == nil {
+			t.Errorf("%q was accepted", wrong)
+		}
+	}
+	if _, err := Services([]string{"sleep", "sleep=fail"}); err == nil {
+		t.Error("a service offered twice was accepted")
+	}
+}
--- /dev/null
+++ b/internal/leaderlink/link.go
@@ -0,0 +1,324 @@
+package leaderlink
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const (
+	// watchWait is how long the leader may hold a watch call.
+	watchWait = 500 * time.Millisecond
+	// watchTimeout bounds a held watch call.
+	watchTimeout = watchWait + 500*time.Millisecond
+	// probeTimeout bounds a call that only asks who leads.
+	probeTimeout = 300 * time.Millisecond
+	// roundPause is the least time between two calls.
+	roundPause = 10 * time.Millisecond
+	// firstRetryPause and longestRetryPause bound the jittered pause after a failure.
+	firstRetryPause   = 30 * time.Millisecond
+	longestRetryPause = 250 * time.Millisecond
+	// maxRedirects is how many hints in a row are followed without a pause.
+	maxRedirects = 2
+)
+
+// Config is what a Link needs.
+type Config struct {
+	// Process, Role ("front" or "agent") and Zone say who watches.
+	Process, Role, Zone string
+	// Seeds returns the schedulers' addresses now in the settings.
+	Seeds  func() []string
+	Client *rpc.Client
+	Logger *slog.Logger
+	// OnConfig is called from Run with each newer configuration, before it is
+	// confirmed to the leader. Optional; it must not block for long.
+	OnConfig func(version uint64, config *api.Config)
+}
+
+type watchFunc func(ctx context.Context, address string, request fleet.WatchRequest) (fleet.WatchAnswer, error)
+
+// Link tracks the leader. Its methods are safe for concurrent use.
+type Link struct {
+	config  Config
+	watch   watchFunc
+	started time.Time
+
+	mutex     sync.Mutex
+	zone      string
+	state     state
+	redirects int                // since the last accepted answer
+	interrupt context.CancelFunc // ends the round under way; nil between rounds
+}
+
+// New makes a link that knows nothing until Run has had an answer.
+func New(config Config) *Link {
+	link := &Link{
+		config:  config,
+		started: time.Now(),
+		zone:    config.Zone,
+		state:   state{failedAt: make(map[string]time.Duration)},
+	}
+	if link.config.Logger == nil {
+		link.config.Logger = slog.New(slog.DiscardHandler)
+	}
+	link.watch = func(ctx context.Context, address string, request fleet.WatchRequest) (fleet.WatchAnswer, error) {
+		return rpc.Call[fleet.WatchRequest, fleet.WatchAnswer](ctx, config.Client, address, fleet.MethodWatch, request)
+	}
+	return link
+}
+
+// Run watches until ctx ends; it returns nil.
+func (l *Link) Run(ctx context.Context) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstRetryPause
+	pause.MaxInterval = longestRetryPause
+	for ctx.Err() == nil {
+		l.round(ctx, pause)
+		sleep(ctx, roundPause)
+	}
+	return nil
+}
+
+// round makes one call and, if it failed, pauses. Hint, Failed and
+// ObserveToken cut both short.
+func (l *Link) round(ctx context.Context, pause *backoff.ExponentialBackOff) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.mutex.Lock()
+	l.interrupt = cancel
+	address, confirmed := l.state.target(l.config.Seeds())
+	l.mutex.Unlock()
+	defer l.endRound()
+
+	if address != "" && l.ask(ctx, address, confirmed) {
+		pause.Reset()
+		return
+	}
+	sleep(ctx, pause.NextBackOff())
+}
+
+func (l *Link) endRound() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.interrupt = nil
+}
+
+// ask makes one watch call and reports whether the next may follow at once.
+func (l *Link) ask(ctx context.Context, address string, confirmed bool) bool {
+	timeout := probeTimeout
+	if confirmed {
+		timeout = watchTimeout
+	}
+	callContext, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	sentAt := l.now()
+	answer, err := l.watch(callContext, address, l.request(confirmed))
+	if err != nil {
+		return l.refused(ctx, address, err)
+	}
+	if err := l.accept(sentAt, address, answer); err != nil {
+		l.config.Logger.Warn("watch answer refused", slog.String("address", address), slog.Any("error", err))
+		l.reject(address)
+		return false
+	}
+	return true
+}
+
+func (l *Link) request(confirmed bool) fleet.WatchRequest {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	request := fleet.WatchRequest{
+		Process:       l.config.Process,
+		Role:          l.config.Role,
+		Zone:          l.zone,
+		ConfigVersion: l.state.configVersion,
+		Token:         l.state.token,
+	}
+	if confirmed {
+		request.MaxWaitMillis = watchWait.Milliseconds()
+	}
+	return request
+}
+
+// refused handles a call without an answer and reports whether a hint makes
+// it worth asking again at once.
+func (l *Link) refused(ctx context.Context, address string, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	var refusal *rpc.Error
+	if errors.As(err, &refusal) && refusal.Code == rpc.CodeNotLeader {
+		return l.redirected(address, refusal.LeaderAddress)
+	}
+	l.config.Logger.Debug("watch failed", slog.String("address", address), slog.Any("error", err))
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if refusal == nil || refusal.Code == rpc.CodeTransport {
+		l.state.failed(l.now(), address)
+		return false
+	}
+	if l.state.leader == address {
+		l.state.forget()
+	}
+	return false
+}
+
+// redirected takes the hint of a scheduler that does not lead.
+func (l *Link) redirected(address, hint string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.state.leader == address {
+		l.state.forget()
+	}
+	if hint == "" || hint == address {
+		return false
+	}
+	l.state.hint(l.now(), hint)
+	// Schedulers may point at each other while they elect.
+	l.redirects++
+	return l.state.leader != "" && l.redirects <= maxRedirects
+}
+
+func (l *Link) reject(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.state.reject(l.now(), address)
+}
+
+func (l *Link) accept(sentAt time.Duration, address string, answer fleet.WatchAnswer) error {
+	l.mutex.Lock()
+	before := l.state.leader
+	newer, err := l.state.accept(l.now(), sentAt, address, answer)
+	leader := l.state.leader
+	if err == nil {
+		l.redirects = 0
+	}
+	l.mutex.Unlock()
+	if err != nil {
+		return err
+	}
+	if leader != before {
+		l.config.Logger.Info("leader learned", slog.String("address", leader), slog.Uint64("token", answer.Token))
+	}
+	if !newer {
+		return nil
+	}
+	if l.config.OnConfig != nil {
+		l.config.OnConfig(answer.ConfigVersion, answer.Config)
+	}
+	l.mutex.Lock()
+	l.state.adopt(answer.ConfigVersion, answer.Config)
+	l.mutex.Unlock()
+	l.config.Logger.Info("configuration in force", slog.Uint64("config_version", answer.ConfigVersion))
+	return nil
+}
+
+// Leader returns the address to send calls to, if one is known.
+func (l *Link) Leader() (address string, ok bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.leader, l.state.leader != ""
+}
+
+// Hint takes the leader's address from a refusal with rpc.CodeNotLeader. An
+// empty address means that the leader is unknown.
+func (l *Link) Hint(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.state.hint(l.now(), address) {
+		l.wake()
+	}
+}
+
+// Failed reports that a call to the address had no answer.
+func (l *Link) Failed(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.state.failed(l.now(), address) {
+		l.wake()
+	}
+}
+
+// ObserveToken reports whether the token is not lower than the highest seen,
+// and remembers it. An answer with a lower one must be dropped.
+func (l *Link) ObserveToken(token uint64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	current, raised := l.state.observe(token)
+	if raised {
+		l.wake()
+	}
+	return current
+}
+
+// Token returns the highest token seen.
+func (l *Link) Token() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.token
+}
+
+// ConfigVersion returns the version of the configuration in force here.
+func (l *Link) ConfigVersion() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.configVersion
+}
+
+// Config returns the configuration in force here, or nil before the first. It
+// must not be changed.
+func (l *Link) Config() *api.Config {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.config
+}
+
+// Fresh reports whether the last watch answer's hold still stands.
+func (l *Link) Fresh() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.fresh(l.now())
+}
+
+// Age returns the time since the last watch answer, and false if none was had.
+func (l *Link) Age() (time.Duration, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.state.freshUntil == 0 {
+		return 0, false
+	}
+	return l.now() - l.state.answeredAt, true
+}
+
+// SetZone changes the zone that later watch calls name.
+func (l *Link) SetZone(zone string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.zone = zone
+}
+
+// wake cuts the round under way short. The caller holds the mutex.
+func (l *Link) wake() {
+	if l.interrupt != nil {
+		l.interrupt()
+	}
+}
+
+func (l *Link) now() time.Duration { return time.Since(l.started) }
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/leaderlink/state.go
@@ -0,0 +1,154 @@
+package leaderlink
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+const (
+	// failedMemory is how long a hint to an address that failed is not
+	// followed: followers name a dead leader until they elect the next.
+	failedMemory = 500 * time.Millisecond
+	// confirmedGrace is how long after an answer of the leader reports of its
+	// failure are taken as late news from before.
+	confirmedGrace = 100 * time.Millisecond
+)
+
+var (
+	errStaleToken    = errors.New("token is lower than one seen")
+	errStaleConfig   = errors.New("configuration is older than the one in force here")
+	errMissingConfig = errors.New("answer names a newer configuration without its content")
+	errNoHold        = errors.New("answer grants no hold")
+	errHoldLapsed    = errors.New("answer came after its own hold")
+)
+
+// state is what the link knows; it is pure: time is an argument, in
+// nanoseconds since the link was made.
+type state struct {
+	leader        string
+	confirmedAt   time.Duration
+	confirmed     bool
+	failedAt      map[string]time.Duration
+	nextSeed      int
+	token         uint64
+	configVersion uint64
+	config        *api.Config
+	answeredAt    time.Duration
+	freshUntil    time.Duration
+}
+
+// target picks the address to ask next and says whether it has answered as
+// leader; one that has not is asked to answer at once.
+func (s *state) target(seeds []string) (address string, confirmed bool) {
+	if s.leader != "" {
+		return s.leader, s.confirmed
+	}
+	if len(seeds) == 0 {
+		return "", false
+	}
+	address = seeds[s.nextSeed%len(seeds)]
+	s.nextSeed++
+	return address, false
+}
+
+// failed notes that the address gave no answer and reports whether the leader
+// was forgotten for it.
+func (s *state) failed(now time.Duration, address string) bool {
+	if s.confirmed && address == s.leader && now-s.confirmedAt < confirmedGrace {
+		return false
+	}
+	return s.reject(now, address)
+}
+
+// reject bars the address for a while and reports whether the leader was
+// forgotten for it.
+func (s *state) reject(now time.Duration, address string) bool {
+	s.failedAt[address] = now
+	if s.leader == "" || address != s.leader {
+		return false
+	}
+	s.forget()
+	return true
+}
+
+// hint takes another process's word for who leads and reports whether that
+// is news.
+func (s *state) hint(now time.Duration, address string) bool {
+	if address == s.leader {
+		return false
+	}
+	if address == "" {
+		s.forget()
+		return true
+	}
+	failedAt, known := s.failedAt[address]
+	if known && now-failedAt < failedMemory {
+		s.forget()
+		return true
+	}
+	s.leader = address
+	s.confirmed = false
+	return true
+}
+
+func (s *state) forget() {
+	s.leader = ""
+	s.confirmed = false
+}
+
+// observe raises the highest token; it reports whether the token is not lower
+// than the highest, and whether it is higher.
+func (s *state) observe(token uint64) (current, raised bool) {
+	if token < s.token {
+		return false, false
+	}
+	raised = token > s.token
+	s.token = token
+	return true, raised
+}
+
+// accept takes a watch answer in whole or not at all. It reports whether a
+// newer configuration came with it; that is in force only after adopt.
+func (s *state) accept(now, sentAt time.Duration, address string, answer fleet.WatchAnswer) (newer bool, err error) {
+	if answer.Token < s.token {
+		return false, fmt.Errorf("%w: %d after %d", errStaleToken, answer.Token, s.token)
+	}
+	if answer.ConfigVersion < s.configVersion {
+		return false, fmt.Errorf("%w: %d after %d", errStaleConfig, answer.ConfigVersion, s.configVersion)
+	}
+	newer = answer.ConfigVersion > s.configVersion
+	if newer && answer.Config == nil {
+		return false, fmt.Errorf("%w: %d", errMissingConfig, answer.ConfigVersion)
+	}
+	if answer.HoldMillis <= 0 {
+		return false, errNoHold
+	}
+	until := sentAt + time.Duration(answer.HoldMillis)*time.Millisecond
+	if now >= until {
+		return false, errHoldLapsed
+	}
+	s.token = answer.Token
+	s.leader = address
+	if answer.LeaderAddress != "" {
+		s.leader = answer.LeaderAddress
+	}
+	s.confirmed = true
+	s.confirmedAt = now
+	s.answeredAt = now
+	s.freshUntil = until
+	clear(s.failedAt)
+	return newer, nil
+}
+
+// adopt puts a configuration in force.
+func (s *state) adopt(version uint64, config *api.Config) {
+	s.configVersion = version
+	s.config = config
+}
+
+// fresh reports whether the last accepted answer's hold still stands.
+func (s *state) fresh(now time.Duration) bool { return now < s.freshUntil }
--- /dev/null
+++ b/worker/execute.go
@@ -0,0 +1,55 @@
+package worker
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+
+	"github.com/decklever/decklever/api"
+)
+
+// execute runs one handler and returns how the run ended. It starts nothing
+// if the hold is gone by the time that the goroutine gets to run.
+func (w *Worker) execute(ctx context.Context, handler Handler, task Task) api.EndedRun {
+	if !task.Held() {
+		return notStarted(ctx, task)
+	}
+	if limit := task.Spec.MaxDuration.Std(); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, limit, ErrMaxDuration)
+		defer cancel()
+	}
+	event := Event{RunRef: task.RunRef, WorkerID: w.workerID, Worker: w.config.Name, Token: task.Token}
+	if w.config.OnStart != nil {
+		w.config.OnStart(event)
+	}
+	result := w.guard(ctx, handler, task)
+	ended := report(task.RunRef, result, context.Cause(ctx))
+	if w.config.OnEnd != nil {
+		event.Outcome = ended.Outcome
+		w.config.OnEnd(event)
+	}
+	return ended
+}
+
+// notStarted reports a run whose handler was never called.
+func notStarted(ctx context.Context, task Task) api.EndedRun {
+	cause := context.Cause(ctx)
+	if cause == nil {
+		cause = ErrHoldLapsed
+	}
+	return api.EndedRun{RunRef: task.RunRef, Outcome: api.OutcomeStopped, Message: "not started: " + cause.Error()}
+}
+
+// guard calls the handler and turns a panic into an error.
+func (w *Worker) guard(ctx context.Context, handler Handler, task Task) (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			w.config.Logger.Error("handler panicked", slog.String("task", task.Task), slog.Uint64("run", uint64(task.Run)),
+				slog.Any("panic", value), slog.String("stack", string(debug.Stack())))
+			err = fmt.Errorf("handler panicked: %v", value)
+		}
+	}()
+	return handler(ctx, task)
+}
--- /dev/null
+++ b/worker/journal.go
@@ -0,0 +1,90 @@
+package worker
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/decklever/decklever/api"
+)
+
+// Journal writes a line of JSON for each beginning and end of a handler. All
+// processes of one machine share its clock, CLOCK_MONOTONIC, so their
+// journals can be compared. Its methods are safe for concurrent use.
+type Journal struct {
+	file   *os.File
+	logger *slog.Logger
+}
+
+// JournalEvent says what a journal line tells.
+type JournalEvent string
+
+// Journal events.
+const (
+	JournalStart JournalEvent = "start"
+	JournalEnd   JournalEvent = "end"
+)
+
+// JournalLine is one line of a journal.
+type JournalLine struct {
+	// MonoNanos is CLOCK_MONOTONIC in nanoseconds.
+	MonoNanos int64        `json:"mono_ns"`
+	Event     JournalEvent `json:"event"`
+	api.RunRef
+	WorkerID string `json:"worker_id"`
+	Worker   string `json:"worker"`
+	Token    uint64 `json:"token"`
+	// Outcome is empty at the start.
+	Outcome api.Outcome `json:"outcome,omitempty"`
+}
+
+// OpenJournal opens a file to append to, and makes it if it is missing.
+// Errors of later writes go to the logger.
+func OpenJournal(path string, logger *slog.Logger) (*Journal, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("open journal: %w", err)
+	}
+	return &Journal{file: file, logger: logger}, nil
+}
+
+// Close closes the file.
+func (j *Journal) Close() error { return j.file.Close() }
+
+// Start writes the beginning of a handler; it fits Config.OnStart.
+func (j *Journal) Start(event Event) { j.write(JournalStart, event) }
+
+// End writes the end of a handler; it fits Config.OnEnd.
+func (j *Journal) End(event Event) { j.write(JournalEnd, event) }
+
+// write appends one line in one call, so that lines never mix.
+func (j *Journal) write(kind JournalEvent, event Event) {
+	now, clockErr := monotonicNow()
+	line, encodeErr := json.Marshal(JournalLine{
+		MonoNanos: now.Nanoseconds(),
+		Event:     kind,
+		RunRef:    event.RunRef,
+		WorkerID:  event.WorkerID,
+		Worker:    event.Worker,
+		Token:     event.Token,
+		Outcome:   event.Outcome,
+	})
+	_, writeErr := j.file.Write(append(line, '\n'))
+	if err := errors.Join(clockErr, encodeErr, writeErr); err != nil {
+		j.logger.Error("journal line not written", slog.String("task", event.Task), slog.Any("error", err))
+	}
+}
+
+// monotonicNow reads the clock that all processes of the machine share.
+func monotonicNow() (time.Duration, error) {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &now); err != nil {
+		return 0, fmt.Errorf("read CLOCK_MONOTONIC: %w", err)
+	}
+	return time.Duration(now.Nano()), nil
+}
--- /dev/null
+++ b/worker/loop.go
@@ -0,0 +1,297 @@
+package worker
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/decklever/decklever/api"
+)
+
+const (
+	// requestTimeout bounds a heartbeat; it is never more than half the hold.
+	requestTimeout = 1500 * time.Millisecond
+	// heartbeatSpacing is the least time between two heartbeats, so that ends
+	// close together share one.
+	heartbeatSpacing = 5 * time.Millisecond
+	// jitterPercent: each pause is longer or shorter by up to this part.
+	jitterPercent = 10
+	// complaintFirst and complaintNext time the log about handlers that go on
+	// after the hold lapsed.
+	complaintFirst = time.Second
+	complaintNext  = 10 * time.Second
+)
+
+// exchange is what came of one heartbeat.
+type exchange struct {
+	answer api.HeartbeatAnswer
+	err    error
+}
+
+// loop drives a session: it alone touches it. Request and handler goroutines
+// report to it over channels.
+type loop struct {
+	worker  *Worker
+	session *session
+	logger  *slog.Logger
+
+	answers chan exchange
+	ends    chan api.EndedRun
+	done    chan struct{} // closed once nobody reads ends
+	cancels map[api.RunRef]context.CancelCauseFunc
+	// holdUntil is the session's, for handlers that ask Task.Held.
+	holdUntil atomic.Int64
+
+	dueAt      time.Duration // of the next heartbeat
+	urgent     bool          // something ended while a heartbeat was outstanding
+	failing    bool          // the last heartbeat had no usable answer
+	cancelAt   time.Duration // when a draining worker cancels its runs
+	leaveAt    time.Duration // when it leaves in any case
+	cancelled  bool
+	complainAt time.Duration
+}
+
+func newLoop(w *Worker) *loop {
+	return &loop{
+		worker:  w,
+		session: newSession(w.identity()),
+		logger:  w.config.Logger.With(slog.String("worker", w.config.Name), slog.String("worker_id", w.workerID)),
+		answers: make(chan exchange, 1),
+		ends:    make(chan api.EndedRun),
+		done:    make(chan struct{}),
+		cancels: make(map[api.RunRef]context.CancelCauseFunc),
+	}
+}
+
+func (l *loop) run(ctx context.Context) error {
+	var requests sync.WaitGroup
+	requestContext, cancelRequests := context.WithCancel(context.WithoutCancel(ctx))
+	defer requests.Wait()
+	defer cancelRequests()
+	defer close(l.done)
+	handlerContext := context.WithoutCancel(ctx)
+	leave := ctx.Done()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := l.now()
+		l.checkTimes(now)
+		if l.over(now) {
+			return l.leave()
+		}
+		if !l.session.outstanding && now >= l.dueAt {
+			l.send(requestContext, &requests, now)
+		}
+		timer.Reset(l.wakeAt() - now)
+		select {
+		case <-leave:
+			leave = nil
+			l.drain(l.now())
+		case result := <-l.answers:
+			l.received(handlerContext, result)
+		case ended := <-l.ends:
+			l.finished(ended)
+		case <-timer.C:
+		}
+	}
+}
+
+func (l *loop) now() time.Duration { return l.worker.config.Clock() }
+
+// checkTimes does what is due by the clock alone.
+func (l *loop) checkTimes(now time.Duration) {
+	l.expire(now)
+	if l.session.draining && !l.cancelled && now >= l.cancelAt {
+		l.cancelled = true
+		l.cancelRuns(l.session.stopAll(), ErrDraining)
+	}
+	if l.session.blocked() && now >= l.complainAt {
+		l.complainAt = now + complaintNext
+		l.logger.Error("handlers go on although the hold lapsed", slog.Any("runs", l.session.runningRefs()))
+	}
+}
+
+// expire stops everything if the hold has lapsed.
+func (l *loop) expire(now time.Duration) {
+	stop := l.session.expire(now)
+	if len(stop) == 0 {
+		return
+	}
+	l.logger.Warn("hold lapsed, all runs are stopped", slog.Int("runs", len(stop)))
+	l.complainAt = now + complaintFirst
+	l.cancelRuns(stop, ErrHoldLapsed)
+}
+
+func (l *loop) cancelRuns(refs []api.RunRef, cause error) {
+	for _, ref := range refs {
+		l.cancels[ref](cause)
+	}
+}
+
+// send starts the next heartbeat. now was read before, so the hold is counted
+// from no later than the moment of sending.
+func (l *loop) send(ctx context.Context, requests *sync.WaitGroup, now time.Duration) {
+	heartbeat := l.session.nextHeartbeat(now)
+	timeout := requestTimeout
+	if l.session.hold > 0 {
+		timeout = min(timeout, l.session.hold/2)
+	}
+	requests.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		answer, err := l.worker.client.post(ctx, heartbeat)
+		l.answers <- exchange{answer: answer, err: err}
+	})
+}
+
+// received handles the end of a heartbeat's request.
+func (l *loop) received(ctx context.Context, result exchange) {
+	now := l.now()
+	l.expire(now)
+	if result.err != nil {
+		l.heartbeatFailed(now, "heartbeat failed", result.err)
+		return
+	}
+	todo, err := l.session.accept(now, result.answer)
+	if err != nil {
+		l.heartbeatFailed(now, "heartbeat answer refused", err)
+		return
+	}
+	if l.failing {
+		l.logger.Info("heartbeats are answered again", slog.Uint64("seq", l.session.seq))
+	}
+	l.failing = false
+	l.holdUntil.Store(int64(l.session.holdUntil))
+	l.dueAt = l.session.sentAt + jitter(l.session.interval)
+	l.cancelRuns(todo.stop, ErrStopped)
+	for _, order := range todo.start {
+		l.start(ctx, order)
+	}
+	l.logOrders(todo)
+	if l.urgent || len(todo.refused) > 0 {
+		l.urgent = false
+		l.hurry(now)
+	}
+}
+
+func (l *loop) heartbeatFailed(now time.Duration, message string, err error) {
+	level := slog.LevelDebug
+	if !l.failing {
+		level = slog.LevelWarn
+	}
+	l.logger.Log(context.Background(), level, message, slog.Uint64("seq", l.session.seq), slog.Any("error", err))
+	l.session.abandon()
+	l.failing = true
+	l.urgent = false
+	l.dueAt = now + jitter(l.session.interval)
+}
+
+func (l *loop) logOrders(todo actions) {
+	for _, ref := range todo.doubled {
+		l.logger.Error("order for a known run ignored", slog.String("task", ref.Task), slog.Uint64("run", uint64(ref.Run)))
+	}
+	for _, run := range todo.refused {
+		l.logger.Warn("order refused", slog.String("task", run.Task), slog.Uint64("run", uint64(run.Run)), slog.String("reason", run.Message))
+	}
+}
+
+// start runs the handler of an accepted order in its own goroutine.
+func (l *loop) start(ctx context.Context, order api.StartOrder) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	l.cancels[order.RunRef] = cancel
+	task := Task{RunRef: order.RunRef, Token: l.session.token, Spec: order.Spec}
+	task.held = func() bool { return ctx.Err() == nil && int64(l.now()) < l.holdUntil.Load() }
+	handler := l.worker.handlers[order.Spec.Service]
+	l.logger.Debug("run starts", slog.String("task", order.Task), slog.Uint64("run", uint64(order.Run)))
+	go func() {
+		ended := l.worker.execute(ctx, handler, task)
+		select {
+		case l.ends <- ended:
+		case <-l.done:
+		}
+	}()
+}
+
+// finished handles the return of a handler.
+func (l *loop) finished(ended api.EndedRun) {
+	l.cancels[ended.RunRef](nil)
+	delete(l.cancels, ended.RunRef)
+	l.session.finish(ended)
+	l.logger.Debug("run ended", slog.String("task", ended.Task), slog.Uint64("run", uint64(ended.Run)),
+		slog.String("outcome", string(ended.Outcome)), slog.String("reason", ended.Message))
+	l.hurry(l.now())
+}
+
+// hurry makes the next heartbeat go at once, or right after the outstanding
+// one. While heartbeats fail the usual pause stays.
+func (l *loop) hurry(now time.Duration) {
+	if l.failing {
+		return
+	}
+	if l.session.outstanding {
+		l.urgent = true
+		return
+	}
+	l.dueAt = min(l.dueAt, max(now, l.session.sentAt+heartbeatSpacing))
+}
+
+func (l *loop) drain(now time.Duration) {
+	l.logger.Info("draining", slog.Int("runs", len(l.session.running)))
+	l.session.drain()
+	l.cancelAt = now + l.worker.config.DrainTimeout
+	l.leaveAt = l.cancelAt + l.worker.config.ReportTimeout
+	l.hurry(now)
+}
+
+// over reports whether a draining worker may or must leave.
+func (l *loop) over(now time.Duration) bool {
+	if !l.session.draining {
+		return false
+	}
+	nothingOpen := len(l.session.running) == 0 && len(l.session.ended) == 0
+	unheard := l.failing && !l.session.outstanding && nothingOpen
+	return l.session.settled() || unheard || now >= l.leaveAt
+}
+
+// leave ends whatever is left.
+func (l *loop) leave() error {
+	if count := len(l.session.ended); count > 0 {
+		l.logger.Warn("left with reports not acknowledged", slog.Int("reports", count))
+	}
+	if len(l.session.running) == 0 {
+		return nil
+	}
+	l.cancelRuns(l.session.runningRefs(), ErrDraining)
+	l.logger.Error("left with handlers running", slog.Any("runs", l.session.runningRefs()))
+	return ErrHandlersRunning
+}
+
+// wakeAt is the next moment at which something is due by the clock.
+func (l *loop) wakeAt() time.Duration {
+	wakeAt := l.now() + time.Hour
+	if !l.session.outstanding {
+		wakeAt = min(wakeAt, l.dueAt)
+	}
+	if len(l.session.running) > 0 && !l.session.blocked() {
+		wakeAt = min(wakeAt, l.session.holdUntil)
+	}
+	if l.session.blocked() {
+		wakeAt = min(wakeAt, l.complainAt)
+	}
+	if l.session.draining {
+		wakeAt = min(wakeAt, l.leaveAt)
+	}
+	if l.session.draining && !l.cancelled {
+		wakeAt = min(wakeAt, l.cancelAt)
+	}
+	return wakeAt
+}
+
+// jitter returns the pause, longer or shorter by up to jitterPercent.
+func jitter(pause time.Duration) time.Duration {
+	spread := pause * jitterPercent / 100
+	return pause - spread + rand.N(2*spread+1)
+}
--- /dev/null
+++ b/worker/protocol.go
@@ -0,0 +1,333 @@
+package worker
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+)
+
+const (
+	// defaultInterval is the pause between heartbeats until an answer names one.
+	defaultInterval = 200 * time.Millisecond
+	// minInterval is the shortest pause that an answer can ask for.
+	minInterval = 10 * time.Millisecond
+	// holdShare: the interval is never longer than this part of the hold.
+	holdShare = 3
+	// maxHold bounds what an answer may grant.
+	maxHold = time.Hour
+)
+
+// Why an answer is refused. Nothing in a refused answer is used.
+var (
+	errStaleSeq   = errors.New("answer is not to the newest heartbeat")
+	errStaleToken = errors.New("token is lower than the highest accepted")
+	errLateAnswer = errors.New("answer came after its own hold")
+	errBadHold    = errors.New("answer grants no sensible hold")
+)
+
+// identity is what every heartbeat says about the worker.
+type identity struct {
+	WorkerID string
+	Name     string
+	Capacity api.Resources
+	Services []string
+	Labels   map[string]string
+}
+
+// openRun is a run that was accepted and whose handler has not returned.
+type openRun struct {
+	stopping bool
+	lapsed   bool
+}
+
+// actions is what the worker must do at once.
+type actions struct {
+	start []api.StartOrder
+	stop  []api.RunRef
+	// refused lists orders that were reported as ended without a start.
+	refused []api.EndedRun
+	// doubled lists orders for runs that are known already.
+	doubled []api.RunRef
+}
+
+// session is the worker's side of the protocol for one life of the process.
+// It is pure: now is time on the worker's monotonic clock, in nanoseconds
+// since an arbitrary start.
+//
+// The rules are those of docs/DESIGN.md, "Holds, tokens and the life of a run".
+type session struct {
+	identity identity
+
+	seq         uint64
+	outstanding bool
+	sentAt      time.Duration
+	sentDrain   bool
+
+	acceptedSeq   uint64
+	acceptedDrain bool // an answer to a heartbeat that said draining was accepted
+	token         uint64
+	hold          time.Duration
+	holdUntil     time.Duration
+	interval      time.Duration
+	draining      bool
+
+	running map[api.RunRef]*openRun
+	ended   map[api.RunRef]api.EndedRun
+}
+
+func newSession(who identity) *session {
+	return &session{
+		identity: who,
+		interval: defaultInterval,
+		running:  make(map[api.RunRef]*openRun),
+		ended:    make(map[api.RunRef]api.EndedRun),
+	}
+}
+
+// nextHeartbeat numbers and forms the next heartbeat. From here on no answer
+// to an earlier one is accepted. now must be read before the request leaves.
+func (s *session) nextHeartbeat(now time.Duration) api.Heartbeat {
+	s.seq++
+	s.outstanding = true
+	s.sentAt = now
+	s.sentDrain = s.draining
+	return api.Heartbeat{
+		WorkerID:    s.identity.WorkerID,
+		Name:        s.identity.Name,
+		Seq:         s.seq,
+		AcceptedSeq: s.acceptedSeq,
+		Capacity:    s.identity.Capacity,
+		Services:    s.identity.Services,
+		Labels:      s.identity.Labels,
+		Running:     s.runningRefs(),
+		Ended:       s.endedRuns(),
+		Draining:    s.draining || s.blocked(),
+	}
+}
+
+// abandon gives up the outstanding heartbeat: its request has failed.
+func (s *session) abandon() { s.outstanding = false }
+
+// lapsed reports whether the hold is over (or there never was one).
+func (s *session) lapsed(now time.Duration) bool { return now >= s.holdUntil }
+
+// expire stops everything if the hold is over. It must be called before
+// anything else is done with a new time.
+func (s *session) expire(now time.Duration) []api.RunRef {
+	if !s.lapsed(now) {
+		return nil
+	}
+	var stop []api.RunRef
+	for ref, run := range s.running {
+		if run.lapsed {
+			continue
+		}
+		run.lapsed = true
+		run.stopping = true
+		stop = append(stop, ref)
+	}
+	slices.SortFunc(stop, compareRefs)
+	return stop
+}
+
+// blocked reports whether a handler goes on although the hold lapsed under
+// it. Until it returns the worker takes no new work.
+func (s *session) blocked() bool {
+	for _, run := range s.running {
+		if run.lapsed {
+			return true
+		}
+	}
+	return false
+}
+
+// accept takes an answer, in whole or not at all. expire must have been
+// called with the same now.
+func (s *session) accept(now time.Duration, answer api.HeartbeatAnswer) (actions, error) {
+	hold, err := s.check(now, answer)
+	if err != nil {
+		return actions{}, err
+	}
+	s.outstanding = false
+	s.acceptedSeq = answer.Seq
+	s.acceptedDrain = s.acceptedDrain || s.sentDrain
+	s.token = answer.Token
+	s.hold = hold
+	s.holdUntil = s.sentAt + hold
+	s.interval = s.boundInterval(answer.IntervalMillis)
+
+	for _, ref := range answer.Acknowledged {
+		delete(s.ended, ref)
+	}
+	var todo actions
+	for _, ref := range answer.Stop {
+		s.stop(ref, &todo)
+	}
+	for _, order := range answer.Start {
+		s.order(order, answer.Stop, &todo)
+	}
+	return todo, nil
+}
+
+// check reports whether the answer may be used, and its hold.
+func (s *session) check(now time.Duration, answer api.HeartbeatAnswer) (time.Duration, error) {
+	if !s.outstanding || answer.Seq != s.seq {
+		return 0, fmt.Errorf("%w: %d, newest is %d", errStaleSeq, answer.Seq, s.seq)
+	}
+	if answer.Token < s.token {
+		return 0, fmt.Errorf("%w: %d after %d", errStaleToken, answer.Token, s.token)
+	}
+	if answer.HoldMillis <= 0 || answer.HoldMillis > maxHold.Milliseconds() {
+		return 0, fmt.Errorf("%w: %d ms", errBadHold, answer.HoldMillis)
+	}
+	hold := time.Duration(answer.HoldMillis) * time.Millisecond
+	if now >= s.sentAt+hold {
+		return 0, fmt.Errorf("%w: %v after it was sent", errLateAnswer, now-s.sentAt)
+	}
+	return hold, nil
+}
+
+func (s *session) boundInterval(millis int64) time.Duration {
+	interval := defaultInterval
+	if millis > 0 && millis <= maxHold.Milliseconds() {
+		interval = time.Duration(millis) * time.Millisecond
+	}
+	return max(minInterval, min(interval, s.hold/holdShare))
+}
+
+func (s *session) stop(ref api.RunRef, todo *actions) {
+	run, known := s.running[ref]
+	if !known || run.stopping {
+		return
+	}
+	run.stopping = true
+	todo.stop = append(todo.stop, ref)
+}
+
+// order takes one order to start. An order that is not followed is reported as
+// ended, so that its run is closed; one for a known run changes nothing.
+func (s *session) order(order api.StartOrder, stops []api.RunRef, todo *actions) {
+	ref := order.RunRef
+	if s.knows(ref) {
+		todo.doubled = append(todo.doubled, ref)
+		return
+	}
+	refusal := s.refusal(order, stops, todo)
+	if refusal != nil {
+		s.ended[ref] = *refusal
+		todo.refused = append(todo.refused, *refusal)
+		return
+	}
+	s.running[ref] = &openRun{}
+	todo.start = append(todo.start, order)
+}
+
+func (s *session) knows(ref api.RunRef) bool {
+	_, running := s.running[ref]
+	_, ended := s.ended[ref]
+	return running || ended
+}
+
+// refusal says why an order must not be followed, or nil.
+func (s *session) refusal(order api.StartOrder, stops []api.RunRef, todo *actions) *api.EndedRun {
+	stopped := func(message string) *api.EndedRun {
+		return &api.EndedRun{RunRef: order.RunRef, Outcome: api.OutcomeStopped, Message: message}
+	}
+	switch {
+	case s.draining:
+		return stopped("not started: worker is draining")
+	case s.blocked():
+		return stopped("not started: a handler goes on although the hold lapsed")
+	case slices.Contains(stops, order.RunRef):
+		return stopped("not started: the same answer stops it")
+	case s.succeeded(order.Task):
+		return stopped("not started: an earlier run of the task has succeeded")
+	case s.stopOthers(order.RunRef, todo):
+		return stopped("not started: another run of the task is still open")
+	case !slices.Contains(s.identity.Services, order.Spec.Service):
+		return &api.EndedRun{
+			RunRef: order.RunRef, Outcome: api.OutcomeFailed,
+			Message: shorten(fmt.Sprintf("no handler for service %q", order.Spec.Service)),
+		}
+	}
+	return nil
+}
+
+// succeeded reports whether a success of the task waits to be acknowledged.
+func (s *session) succeeded(task string) bool {
+	for ref, ended := range s.ended {
+		if ref.Task == task && ended.Outcome == api.OutcomeSucceeded {
+			return true
+		}
+	}
+	return false
+}
+
+// stopOthers reports whether another run of the same task is open here. Runs
+// older than the one ordered are stopped: the record has given them up.
+func (s *session) stopOthers(ordered api.RunRef, todo *actions) bool {
+	found := false
+	for ref := range s.running {
+		if ref.Task != ordered.Task {
+			continue
+		}
+		found = true
+		if ref.Run < ordered.Run {
+			s.stop(ref, todo)
+		}
+	}
+	return found
+}
+
+// finish notes that the handler of a run has returned.
+func (s *session) finish(ended api.EndedRun) {
+	if _, open := s.running[ended.RunRef]; !open {
+		return
+	}
+	delete(s.running, ended.RunRef)
+	s.ended[ended.RunRef] = ended
+}
+
+// drain makes the worker refuse new work for the rest of its life.
+func (s *session) drain() { s.draining = true }
+
+// stopAll marks every open run as told to stop and returns those that were not.
+func (s *session) stopAll() []api.RunRef {
+	var todo actions
+	for _, ref := range s.runningRefs() {
+		s.stop(ref, &todo)
+	}
+	return todo.stop
+}
+
+// settled reports whether a draining worker may leave: nothing is open or
+// unacknowledged, and the leader knows that it drains.
+func (s *session) settled() bool {
+	return s.draining && s.acceptedDrain && !s.outstanding && len(s.running) == 0 && len(s.ended) == 0
+}
+
+func (s *session) runningRefs() []api.RunRef {
+	refs := make([]api.RunRef, 0, len(s.running))
+	for ref := range s.running {
+		refs = append(refs, ref)
+	}
+	slices.SortFunc(refs, compareRefs)
+	return refs
+}
+
+func (s *session) endedRuns() []api.EndedRun {
+	runs := make([]api.EndedRun, 0, len(s.ended))
+	for _, run := range s.ended {
+		runs = append(runs, run)
+	}
+	slices.SortFunc(runs, func(a, b api.EndedRun) int { return compareRefs(a.RunRef, b.RunRef) })
+	return runs
+}
+
+func compareRefs(a, b api.RunRef) int {
+	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+}
