--- /dev/null
+++ b/internal/front/config_calls.go
@@ -0,0 +1,141 @@
+package front
+
+import (
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+// maxConfigBytes bounds the body of a configuration.
+const maxConfigBytes = 4 << 20
+
+// Headers of PUT /v1/config.
+const (
+	baseHeader  = "If-Match"
+	orderHeader = "Idempotency-Key"
+)
+
+// orderPattern is the form of an order id: printable, without spaces.
+var orderPattern = regexp.MustCompile(`^[!-~]{1,128}$`)
+
+// getConfig serves GET /v1/config.
+func (f *Front) getConfig(writer http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	answer, refusal := read[fleet.ConfigAnswer](request, f, fleet.MethodGetConfig)
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	setVersion(writer, answer.Status.Version)
+	answer.Status.Config.Queues = listOf(answer.Status.Config.Queues)
+	return http.StatusOK, answer.Status, nil
+}
+
+// putConfig serves PUT /v1/config.
+func (f *Front) putConfig(writer http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	base, orderID, refusal := orderOf(request.Header)
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	config, refusal := readConfig(writer, request)
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	answer, refusal := relay[fleet.PutConfigRequest, fleet.PutConfigAnswer](request.Context(), f, relayCall[fleet.PutConfigRequest]{
+		method:  fleet.MethodPutConfig,
+		request: fleet.PutConfigRequest{OrderID: orderID, Base: base, Config: config},
+		effect:  true,
+	})
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	setVersion(writer, answer.Version)
+	return http.StatusOK, api.ConfigStatus{Version: answer.Version, Config: config}, nil
+}
+
+// validateConfig serves POST /v1/config/validate.
+func (f *Front) validateConfig(writer http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	config, refusal := readConfig(writer, request)
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	_, refusal = relay[fleet.ValidateConfigRequest, fleet.Empty](request.Context(), f, relayCall[fleet.ValidateConfigRequest]{
+		method:  fleet.MethodValidateConfig,
+		request: fleet.ValidateConfigRequest{Config: config},
+	})
+	return http.StatusOK, api.ValidateAnswer{Valid: true}, refusal
+}
+
+// configVersions serves GET /v1/config/versions.
+func (f *Front) configVersions(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	answer, refusal := read[fleet.ConfigVersionsAnswer](request, f, fleet.MethodConfigVersions)
+	answer.Versions.Versions = listOf(answer.Versions.Versions)
+	return http.StatusOK, answer.Versions, refusal
+}
+
+// rollout serves GET /v1/config/rollout.
+func (f *Front) rollout(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	answer, refusal := read[fleet.RolloutAnswer](request, f, fleet.MethodRollout)
+	answer.Rollout.Processes = listOf(answer.Rollout.Processes)
+	return http.StatusOK, answer.Rollout, refusal
+}
+
+// readConfig reads and checks a configuration.
+func readConfig(writer http.ResponseWriter, request *http.Request) (api.Config, *api.Error) {
+	var config api.Config
+	if refusal := api.DecodeStrict(http.MaxBytesReader(writer, request.Body, maxConfigBytes), &config); refusal != nil {
+		return config, refusal
+	}
+	if fields := api.ValidateConfig(&config); len(fields) > 0 {
+		return config, invalid("configuration", fields)
+	}
+	return config, nil
+}
+
+// orderOf reads the base version and the order id of a PUT.
+func orderOf(header http.Header) (base uint64, orderID string, refusal *api.Error) {
+	baseText, orderID := header.Get(baseHeader), header.Get(orderHeader)
+	var missing []api.FieldError
+	if baseText == "" {
+		missing = append(missing, api.FieldError{Field: baseHeader, Expected: "the version that this replaces, such as \"12\""})
+	}
+	if orderID == "" {
+		missing = append(missing, api.FieldError{Field: orderHeader, Expected: "an id of this order, the same when it is sent again"})
+	}
+	if len(missing) > 0 {
+		return 0, "", noBase(missing)
+	}
+	base, err := strconv.ParseUint(unquote(baseText), 10, 64)
+	if err != nil {
+		return 0, "", malformed(baseHeader, baseText, "a version number, plain or quoted")
+	}
+	if !orderPattern.MatchString(orderID) {
+		return 0, "", malformed(orderHeader, orderID, "1 to 128 printable characters without spaces")
+	}
+	return base, orderID, nil
+}
+
+// noBase is the refusal of a PUT that does not say what it replaces.
+func noBase(missing []api.FieldError) *api.Error {
+	return &api.Error{
+		Status:  http.StatusPreconditionRequired,
+		Code:    api.CodeNoBase,
+		Message: "a configuration needs the headers If-Match and Idempotency-Key",
+		Fields:  missing,
+	}
+}
+
+// unquote takes the quotes from an entity tag.
+func unquote(tag string) string {
+	if len(tag) >= 2 && strings.HasPrefix(tag, `"`) && strings.HasSuffix(tag, `"`) {
+		return tag[1 : len(tag)-1]
+	}
+	return tag
+}
+
+// setVersion answers with the version as the entity tag.
+func setVersion(writer http.ResponseWriter, version uint64) {
+	writer.Header().Set("ETag", strconv.Quote(strconv.FormatUint(version, 10)))
+}
--- /dev/null
+++ b/internal/front/fakes_test.go
@@ -0,0 +1,160 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const goodJob = `{"queue":"default","steps":[{"name":"a","tasks":[{"service":"s","resources":{"cpu_millis":1}}]}]}`
+
+const goodConfig = `{"queues":[{"name":"default"}]}`
+
+// fakeLink is a Link that the test steers.
+type fakeLink struct {
+	mutex  sync.Mutex
+	leader string
+	config *api.Config
+	stale  bool
+	failed []string
+}
+
+func (l *fakeLink) Leader() (string, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.leader, l.leader != ""
+}
+
+func (l *fakeLink) Hint(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.leader = address
+}
+
+func (l *fakeLink) Failed(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.failed = append(l.failed, address)
+}
+
+func (l *fakeLink) Config() *api.Config {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.config
+}
+
+func (l *fakeLink) Fresh() bool { return !l.stale }
+
+// fakeLeader is a scheduler with the handlers that the test gives it.
+type fakeLeader struct {
+	server  *rpc.Server
+	address string
+	mutex   sync.Mutex
+	calls   []fleet.Method
+}
+
+func newLeader(t *testing.T) *fakeLeader {
+	t.Helper()
+	leader := &fakeLeader{server: rpc.NewServer(rpc.ServerConfig{})}
+	server := httptest.NewServer(leader.server)
+	t.Cleanup(server.Close)
+	leader.address = server.Listener.Addr().String()
+	return leader
+}
+
+// on serves a method; the handler gets the number of the call, from 1.
+func on[Request, Answer any](leader *fakeLeader, method fleet.Method, handler func(context.Context, Request, int) (Answer, error)) {
+	rpc.Handle(leader.server, method, func(ctx context.Context, request Request) (Answer, error) {
+		leader.mutex.Lock()
+		leader.calls = append(leader.calls, method)
+		number := len(leader.calls)
+		leader.mutex.Unlock()
+		return handler(ctx, request, number)
+	})
+}
+
+func (l *fakeLeader) count() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.calls)
+}
+
+// refuse serves a method with one error.
+func refuse[Request, Answer any](leader *fakeLeader, method fleet.Method, err error) {
+	on(leader, method, func(context.Context, Request, int) (Answer, error) {
+		var none Answer
+		return none, err
+	})
+}
+
+func newFront(t *testing.T, link *fakeLink, settings Settings) *Front {
+	t.Helper()
+	client := rpc.NewClient(rpc.ClientConfig{Timeout: MaxTry + time.Second})
+	t.Cleanup(client.Close)
+	front, err := New(Config{
+		Link: link, Client: client, Settings: settings,
+		Status: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("broken") }),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return front
+}
+
+// ask sends a request and returns the answer; headers are name, value pairs.
+func ask(t *testing.T, front http.Handler, method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	t.Helper()
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	for pair := range slices.Chunk(headers, 2) {
+		request.Header.Set(pair[0], pair[1])
+	}
+	recorder := httptest.NewRecorder()
+	front.ServeHTTP(recorder, request)
+	return recorder
+}
+
+// wantError checks status, code and the one shape of errors.
+func wantError(t *testing.T, answer *httptest.ResponseRecorder, status int, code api.ErrorCode) api.Error {
+	t.Helper()
+	var shape api.Error
+	if refusal := api.DecodeStrict(answer.Body, &shape); refusal != nil {
+		t.Fatalf("status %d without the error shape: %v", answer.Code, refusal)
+	}
+	if answer.Code != status || shape.Status != status || shape.Code != code || shape.Message == "" {
+		t.Fatalf("status %d with %+v, want %d %s", answer.Code, shape, status, code)
+	}
+	if answer.Header().Get("Content-Type") != "application/json" || answer.Header().Get(requestIDHeader) == "" {
+		t.Fatalf("headers %v", answer.Header())
+	}
+	if retryable(status) && (answer.Header().Get("Retry-After") == "" || shape.RetryAfterMillis <= 0) {
+		t.Fatalf("%d does not say when to ask again: %+v", status, shape)
+	}
+	return shape
+}
+
+func wantOK[T any](t *testing.T, answer *httptest.ResponseRecorder, status int) T {
+	t.Helper()
+	var body T
+	if err := json.Unmarshal(answer.Body.Bytes(), &body); err != nil || answer.Code != status {
+		t.Fatalf("status %d, want %d: %s", answer.Code, status, answer.Body)
+	}
+	return body
+}
+
+func apiError(status int, code api.ErrorCode, retryAfterMillis int64) *api.Error {
+	return &api.Error{Status: status, Code: code, Message: "because", RetryAfterMillis: retryAfterMillis}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// Defaults of Settings.
+const (
+	// DefaultDeadline bounds a call to the leader with all its tries.
+	DefaultDeadline = 3 * time.Second
+	// DefaultMaxInflight bounds requests served at once.
+	DefaultMaxInflight = 1024
+)
+
+// Link says where the leader is and what configuration is in force here;
+// *leaderlink.Link is one.
+type Link interface {
+	// Leader returns the address of the leader, if it is known.
+	Leader() (address string, ok bool)
+	// Hint takes the leader's address as another scheduler said it.
+	Hint(address string)
+	// Failed reports that a call to the address had no answer.
+	Failed(address string)
+	// Config is the configuration in force here, nil before the first.
+	Config() *api.Config
+	// Fresh reports whether Config can be relied on at present.
+	Fresh() bool
+}
+
+// Settings can change while the front serves. A zero means the default.
+type Settings struct {
+	// Deadline bounds a call to the leader with all its tries, besides the
+	// time that a read is held. Default 3s.
+	Deadline time.Duration
+	// MaxInflight bounds the held reads served at once and, separately, all
+	// other requests, so that held reads never keep a submission out. Default
+	// 1024.
+	MaxInflight int
+}
+
+// Config is what a Front needs.
+type Config struct {
+	Link Link
+	// Client carries the calls. Its Timeout must be longer than MaxTry.
+	Client *rpc.Client
+	// Settings may be changed later with Apply.
+	Settings Settings
+	// Status serves /healthz, /readyz and /metrics. Optional.
+	Status http.Handler
+	// Logger defaults to none.
+	Logger *slog.Logger
+	// Registerer takes the front's metrics. Optional.
+	Registerer prometheus.Registerer
+}
+
+// Front serves the HTTP interface.
+type Front struct {
+	link      Link
+	client    *rpc.Client
+	logger    *slog.Logger
+	settings  atomic.Pointer[Settings]
+	admission *admission
+	metrics   *metrics
+	handler   http.Handler
+}
+
+// New makes a front; it starts no goroutine.
+func New(config Config) (*Front, error) {
+	if config.Link == nil || config.Client == nil {
+		return nil, errors.New("a front needs a link to the leader and an rpc client")
+	}
+	front := &Front{link: config.Link, client: config.Client, logger: config.Logger, admission: newAdmission()}
+	if front.logger == nil {
+		front.logger = slog.New(slog.DiscardHandler)
+	}
+	measured, err := newMetrics(config.Registerer, front.admission)
+	if err != nil {
+		return nil, err
+	}
+	front.metrics = measured
+	front.Apply(config.Settings)
+	front.handler = front.routes(config.Status)
+	return front, nil
+}
+
+// Apply puts changed settings in force; requests under way keep the old.
+func (f *Front) Apply(settings Settings) {
+	if settings.Deadline <= 0 {
+		settings.Deadline = DefaultDeadline
+	}
+	if settings.MaxInflight <= 0 {
+		settings.MaxInflight = DefaultMaxInflight
+	}
+	f.settings.Store(&settings)
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	f.handler.ServeHTTP(writer, request)
+}
+
+// limits are those of the configuration in force here, or the defaults.
+func (f *Front) limits() api.LimitConfig {
+	if config := f.link.Config(); config != nil {
+		return config.Limits.WithDefaults()
+	}
+	return api.LimitConfig{}.WithDefaults()
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,192 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+func TestRefusalsOfTheFrontItself(t *testing.T) {
+	link := &fakeLink{config: &api.Config{Limits: api.LimitConfig{MaxJobBytes: 200}}}
+	front := newFront(t, link, Settings{})
+	order := []string{"If-Match", "0", "Idempotency-Key", "o"}
+	cases := []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		code                     api.ErrorCode
+		fields                   []string
+	}{
+		{"unknown path", "GET", "/v2/jobs", "", nil, 404, api.CodeNotFound, nil},
+		{"unknown path below v1", "GET", "/v1/nothing", "", nil, 404, api.CodeNotFound, nil},
+		{"wrong method", "DELETE", "/v1/jobs/a", "", nil, 405, api.CodeWrongMethod, nil},
+		{"job too large", "PUT", "/v1/jobs/a", strings.Repeat(" ", 300), nil, 413, api.CodeTooLarge, nil},
+		{"config too large", "PUT", "/v1/config", strings.Repeat(" ", 4<<20+1), order, 413, api.CodeTooLarge, nil},
+		{"empty body", "PUT", "/v1/jobs/a", "", nil, 400, api.CodeMalformed, nil},
+		{"unknown field", "PUT", "/v1/jobs/a", `{"queue":"q","stepz":[]}`, nil, 400, api.CodeMalformed, []string{"stepz"}},
+		{"invalid job", "PUT", "/v1/jobs/a", `{"queue":"q","steps":[{"name":"a"}]}`, nil, 422, api.CodeInvalid, []string{"queue", "steps[0].tasks"}},
+		{"invalid id", "PUT", "/v1/jobs/a%2Fb", goodJob, nil, 422, api.CodeInvalid, []string{"id", "queue"}},
+		{"no such id", "GET", "/v1/jobs/-", "", nil, 404, api.CodeNotFound, nil},
+		{"cancel no such id", "POST", "/v1/jobs/-/cancel", "", nil, 404, api.CodeNotFound, nil},
+		{"bad wait", "GET", "/v1/jobs/a?wait=10", "", nil, 400, api.CodeMalformed, []string{"wait"}},
+		{"bad state", "GET", "/v1/jobs?state=done", "", nil, 400, api.CodeMalformed, []string{"state"}},
+		{"bad limit", "GET", "/v1/jobs?limit=1001", "", nil, 400, api.CodeMalformed, []string{"limit"}},
+		{"no base", "PUT", "/v1/config", goodConfig, nil, 428, api.CodeNoBase, []string{"If-Match", "Idempotency-Key"}},
+		{"no order id", "PUT", "/v1/config", goodConfig, []string{"If-Match", "1"}, 428, api.CodeNoBase, []string{"Idempotency-Key"}},
+		{"bad base", "PUT", "/v1/config", goodConfig, []string{"If-Match", "*", "Idempotency-Key", "o"}, 400, api.CodeMalformed, []string{"If-Match"}},
+		{"invalid config", "PUT", "/v1/config", `{"queues":[]}`, order, 422, api.CodeInvalid, []string{"queues"}},
+		{"validate invalid config", "POST", "/v1/config/validate", `{"queues":[]}`, nil, 422, api.CodeInvalid, []string{"queues"}},
+		{"panic", "GET", "/healthz", "", nil, 500, api.CodeInternal, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			shape := wantError(t, ask(t, front, c.method, c.path, c.body, c.headers...), c.status, c.code)
+			var fields []string
+			for _, field := range shape.Fields {
+				fields = append(fields, field.Field)
+			}
+			if !slices.Equal(fields, c.fields) {
+				t.Fatalf("wrong fields %v, want %v", fields, c.fields)
+			}
+		})
+	}
+	if allow := ask(t, front, "POST", "/v1/jobs/a", "").Header().Get("Allow"); allow != "GET, PUT" {
+		t.Fatalf("Allow %q", allow)
+	}
+}
+
+func TestSubmitAnswers(t *testing.T) {
+	cases := []struct {
+		name       string
+		answer     fleet.SubmitAnswer
+		err        error
+		status     int
+		code       api.ErrorCode
+		retryAfter string
+	}{
+		{"new", fleet.SubmitAnswer{Created: true}, nil, 201, "", ""},
+		{"same again", fleet.SubmitAnswer{}, nil, 200, "", ""},
+		{"other content", fleet.SubmitAnswer{}, apiError(409, api.CodeConflict, 0), 409, api.CodeConflict, ""},
+		{"impossible", fleet.SubmitAnswer{}, apiError(422, api.CodeImpossible, 0), 422, api.CodeImpossible, ""},
+		{"over a limit", fleet.SubmitAnswer{}, apiError(429, api.CodeOverLimit, 1500), 429, api.CodeOverLimit, "2"},
+		{"not now", fleet.SubmitAnswer{}, apiError(503, api.CodeUnavailable, 0), 503, api.CodeUnavailable, "1"},
+		{"no status", fleet.SubmitAnswer{}, apiError(0, api.CodeInternal, 0), 500, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			leader := newLeader(t)
+			on(leader, fleet.MethodSubmit, func(_ context.Context, request fleet.SubmitRequest, _ int) (fleet.SubmitAnswer, error) {
+				if request.ID != "a:b" || request.Spec.Queue != "default" {
+					t.Errorf("relayed %+v", request)
+				}
+				return c.answer, c.err
+			})
+			// The configuration known here lacks the queue; the leader decides.
+			front := newFront(t, &fakeLink{leader: leader.address, config: &api.Config{}}, Settings{})
+			answer := ask(t, front, "PUT", "/v1/jobs/a%3Ab", goodJob)
+			if c.err == nil {
+				if body := wantOK[api.SubmitAnswer](t, answer, c.status); body != (api.SubmitAnswer{ID: "a:b", Created: c.answer.Created}) {
+					t.Fatalf("body %+v", body)
+				}
+			} else if c.code != "" {
+				wantError(t, answer, c.status, c.code)
+			}
+			if answer.Code != c.status || answer.Header().Get("Retry-After") != c.retryAfter || leader.count() != 1 {
+				t.Fatalf("status %d, Retry-After %q, %d calls", answer.Code, answer.Header().Get("Retry-After"), leader.count())
+			}
+		})
+	}
+}
+
+func TestReadsAndConfiguration(t *testing.T) {
+	leader := newLeader(t)
+	on(leader, fleet.MethodGetConfig, func(context.Context, fleet.Empty, int) (fleet.ConfigAnswer, error) {
+		return fleet.ConfigAnswer{Status: api.ConfigStatus{Version: 7}}, nil
+	})
+	on(leader, fleet.MethodPutConfig, func(_ context.Context, request fleet.PutConfigRequest, _ int) (fleet.PutConfigAnswer, error) {
+		if request.Base != 7 {
+			return fleet.PutConfigAnswer{}, apiError(412, api.CodeLostRace, 0)
+		}
+		if request.OrderID != "order-1" || len(request.Config.Queues) != 1 {
+			t.Errorf("relayed %+v", request)
+		}
+		return fleet.PutConfigAnswer{Version: 8}, nil
+	})
+	on(leader, fleet.MethodValidateConfig, func(context.Context, fleet.ValidateConfigRequest, int) (fleet.Empty, error) {
+		return fleet.Empty{}, nil
+	})
+	refuse[fleet.GetJobRequest, fleet.JobAnswer](leader, fleet.MethodGetJob, apiError(404, api.CodeNotFound, 0))
+	on(leader, fleet.MethodListJobs, func(_ context.Context, request fleet.ListJobsRequest, _ int) (fleet.ListJobsAnswer, error) {
+		if request != (fleet.ListJobsRequest{Queue: "q", State: api.StateFailed, Limit: 5, PageToken: "t"}) {
+			t.Errorf("relayed %+v", request)
+		}
+		return fleet.ListJobsAnswer{}, nil
+	})
+	front := newFront(t, &fakeLink{leader: leader.address}, Settings{})
+
+	answer := ask(t, front, "GET", "/v1/config", "")
+	if body := wantOK[api.ConfigStatus](t, answer, 200); body.Version != 7 || answer.Header().Get("ETag") != `"7"` {
+		t.Fatalf("version %d, ETag %q", body.Version, answer.Header().Get("ETag"))
+	}
+	for _, base := range []string{`"7"`, "7"} {
+		answer = ask(t, front, "PUT", "/v1/config", goodConfig, "If-Match", base, "Idempotency-Key", "order-1")
+		if body := wantOK[api.ConfigStatus](t, answer, 200); body.Version != 8 || answer.Header().Get("ETag") != `"8"` {
+			t.Fatalf("base %s: version %d, ETag %q", base, body.Version, answer.Header().Get("ETag"))
+		}
+	}
+	wantError(t, ask(t, front, "PUT", "/v1/config", goodConfig, "If-Match", `"6"`, "Idempotency-Key", "order-2"), 412, api.CodeLostRace)
+	wantOK[api.ValidateAnswer](t, ask(t, front, "POST", "/v1/config/validate", goodConfig), 200)
+	wantError(t, ask(t, front, "GET", "/v1/jobs/a", ""), 404, api.CodeNotFound)
+	list := ask(t, front, "GET", "/v1/jobs?queue=q&state=failed&limit=5&page_token=t", "")
+	if list.Code != 200 || list.Body.String() != "{\"jobs\":[]}\n" {
+		t.Fatalf("list %d %s", list.Code, list.Body)
+	}
+}
+
+func TestInflightBoundsAreSeparate(t *testing.T) {
+	leader := newLeader(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	on(leader, fleet.MethodSubmit, func(context.Context, fleet.SubmitRequest, int) (fleet.SubmitAnswer, error) {
+		entered <- struct{}{}
+		<-release
+		return fleet.SubmitAnswer{Created: true}, nil
+	})
+	on(leader, fleet.MethodGetJob, func(context.Context, fleet.GetJobRequest, int) (fleet.JobAnswer, error) {
+		return fleet.JobAnswer{Status: api.JobStatus{State: api.StateSucceeded}}, nil
+	})
+	front := newFront(t, &fakeLink{leader: leader.address}, Settings{MaxInflight: 1})
+	first := make(chan *httptest.ResponseRecorder)
+	go func() { first <- ask(t, front, "PUT", "/v1/jobs/a", goodJob) }()
+	<-entered
+	wantError(t, ask(t, front, "GET", "/v1/jobs/a", ""), http.StatusServiceUnavailable, api.CodeUnavailable)
+	wantOK[api.JobStatus](t, ask(t, front, "GET", "/v1/jobs/a?wait=1s", ""), 200)
+	close(release)
+	wantOK[api.SubmitAnswer](t, <-first, 201)
+	wantOK[api.JobStatus](t, ask(t, front, "GET", "/v1/jobs/a", ""), 200)
+}
+
+func TestSubmitRate(t *testing.T) {
+	leader := newLeader(t)
+	on(leader, fleet.MethodSubmit, func(context.Context, fleet.SubmitRequest, int) (fleet.SubmitAnswer, error) {
+		return fleet.SubmitAnswer{Created: true}, nil
+	})
+	link := &fakeLink{leader: leader.address, config: &api.Config{Limits: api.LimitConfig{SubmitsPerSecond: 1}}}
+	front := newFront(t, link, Settings{})
+	statuses := map[int]int{}
+	for range 20 {
+		answer := ask(t, front, "PUT", "/v1/jobs/a", goodJob)
+		statuses[answer.Code]++
+		if answer.Code != 201 {
+			wantError(t, answer, 429, api.CodeOverLimit)
+		}
+	}
+	if statuses[201] != leader.count() || statuses[429] == 0 || statuses[201] == 0 {
+		t.Fatalf("statuses %v with %d calls", statuses, leader.count())
+	}
+}
--- /dev/null
+++ b/internal/front/job_calls.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+// Bounds of a page of GET /v1/jobs.
+const (
+	defaultPageJobs = 100
+	maxPageJobs     = 1000
+)
+
+// submitJob serves PUT /v1/jobs/{id}: 201 for a new job, 200 for the same
+// again.
+func (f *Front) submitJob(writer http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	id := jobID(request)
+	limits := f.limits()
+	var spec api.JobSpec
+	if refusal := api.DecodeStrict(http.MaxBytesReader(writer, request.Body, limits.MaxJobBytes), &spec); refusal != nil {
+		return 0, nil, refusal
+	}
+	if fields := f.wrongFields(id, &spec); len(fields) > 0 {
+		return 0, nil, invalid("job", fields)
+	}
+	if refusal := f.admission.submit(limits.SubmitsPerSecond); refusal != nil {
+		f.metrics.refused(refusedRate)
+		return 0, nil, refusal
+	}
+	answer, refusal := relay[fleet.SubmitRequest, fleet.SubmitAnswer](request.Context(), f, relayCall[fleet.SubmitRequest]{
+		method:  fleet.MethodSubmit,
+		request: fleet.SubmitRequest{ID: id, Spec: spec},
+		effect:  true,
+	})
+	status := http.StatusOK
+	if answer.Created {
+		status = http.StatusCreated
+	}
+	return status, api.SubmitAnswer{ID: id, Created: answer.Created}, refusal
+}
+
+// wrongFields checks what is wrong under any configuration: a newer one than
+// this front knows may have the queue. Only if something is wrong anyway does
+// the list tell what the configuration known here adds.
+func (f *Front) wrongFields(id string, spec *api.JobSpec) []api.FieldError {
+	fields := api.ValidateJob(id, spec, nil)
+	config := f.link.Config()
+	if len(fields) == 0 || config == nil || !f.link.Fresh() {
+		return fields
+	}
+	return api.ValidateJob(id, spec, config)
+}
+
+// getJob serves GET /v1/jobs/{id}, held if the caller says ?wait=.
+func (f *Front) getJob(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	id := jobID(request)
+	wait, refusal := waitOf(request.URL.Query())
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	if !api.ValidJobID(id) {
+		return 0, nil, noJob(id)
+	}
+	status, refusal := f.waitForJob(request.Context(), id, wait)
+	return http.StatusOK, status, refusal
+}
+
+// cancelJob serves POST /v1/jobs/{id}/cancel.
+func (f *Front) cancelJob(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	id := jobID(request)
+	if !api.ValidJobID(id) {
+		return 0, nil, noJob(id)
+	}
+	answer, refusal := relay[fleet.CancelRequest, fleet.JobAnswer](request.Context(), f, relayCall[fleet.CancelRequest]{
+		method:  fleet.MethodCancel,
+		request: fleet.CancelRequest{ID: id},
+		effect:  true,
+	})
+	return http.StatusOK, answer.Status, refusal
+}
+
+// listJobs serves GET /v1/jobs.
+func (f *Front) listJobs(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	query, refusal := listQuery(request.URL.Query())
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	answer, refusal := relay[fleet.ListJobsRequest, fleet.ListJobsAnswer](request.Context(), f, relayCall[fleet.ListJobsRequest]{
+		method:  fleet.MethodListJobs,
+		request: query,
+	})
+	answer.List.Jobs = listOf(answer.List.Jobs)
+	return http.StatusOK, answer.List, refusal
+}
+
+// listQuery reads the parameters of a list.
+func listQuery(values url.Values) (fleet.ListJobsRequest, *api.Error) {
+	query := fleet.ListJobsRequest{
+		Queue:     values.Get("queue"),
+		State:     api.State(values.Get("state")),
+		Limit:     defaultPageJobs,
+		PageToken: values.Get("page_token"),
+	}
+	switch query.State {
+	case "", api.StatePending, api.StateRunning, api.StateSucceeded, api.StateFailed, api.StateCancelled:
+	default:
+		return query, malformed("state", string(query.State), "pending, running, succeeded, failed or cancelled")
+	}
+	if text := values.Get("limit"); text != "" {
+		limit, err := strconv.Atoi(text)
+		if err != nil || limit < 1 || limit > maxPageJobs {
+			return query, malformed("limit", text, fmt.Sprintf("1 to %d", maxPageJobs))
+		}
+		query.Limit = limit
+	}
+	return query, nil
+}
+
+// waitOf reads ?wait=; what is over api.MaxWait counts as that.
+func waitOf(values url.Values) (time.Duration, *api.Error) {
+	text := values.Get("wait")
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 {
+		return 0, malformed("wait", text, fmt.Sprintf("a duration such as \"10s\", up to %v", api.MaxWait))
+	}
+	return min(wait, api.MaxWait), nil
+}
+
+// jobID reads the id from the path, where it may be escaped.
+func jobID(request *http.Request) string {
+	id := chi.URLParam(request, "id")
+	if plain, err := url.PathUnescape(id); err == nil && request.URL.RawPath != "" {
+		return plain
+	}
+	return id
+}
+
+// noJob is the refusal for an id that no job has.
+func noJob(id string) *api.Error { return notFound(fmt.Sprintf("there is no job %q", id)) }
--- /dev/null
+++ b/internal/front/relay.go
@@ -0,0 +1,203 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const (
+	// tryTimeout bounds one try, besides the time that the answer is held.
+	tryTimeout = time.Second
+	// MaxTry is the longest that one try can take.
+	MaxTry = tryTimeout + maxHeld
+	// firstBackoff and lastBackoff bound the pause between tries; it is
+	// jittered by half.
+	firstBackoff = 20 * time.Millisecond
+	lastBackoff  = 200 * time.Millisecond
+	// promptRedirects is how many hints of one call are followed without a
+	// pause; schedulers that name each other would otherwise be asked without
+	// end.
+	promptRedirects = 2
+	// finishTime is how long a call goes on after its request's context ended.
+	finishTime = 500 * time.Millisecond
+	// retryAfterRelay is what a caller is told after a call was given up.
+	retryAfterRelay = 500 * time.Millisecond
+)
+
+// relayCall is one call to the leader, however often it is tried.
+type relayCall[Request any] struct {
+	method  fleet.Method
+	request Request
+	// effect: the call changes something, so a lost answer leaves its outcome
+	// unknown.
+	effect bool
+	// held is how long the leader may hold the answer.
+	held time.Duration
+	// deadline bounds all tries. Zero: the settings' Deadline and held.
+	deadline time.Time
+}
+
+// relay calls the leader until there is an answer, a final refusal, or the
+// deadline. Any call may be tried again, since all are idempotent.
+func relay[Request, Answer any](ctx context.Context, f *Front, call relayCall[Request]) (Answer, *api.Error) {
+	if call.deadline.IsZero() {
+		call.deadline = time.Now().Add(f.settings.Load().Deadline + call.held)
+	}
+	if call.held == 0 {
+		lingering, release := linger(ctx, finishTime)
+		defer release()
+		ctx = lingering
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.deadline)
+	defer cancel()
+	tries := relayTries{front: f, method: call.method, effect: call.effect}
+	for {
+		address, known := f.link.Leader()
+		if known {
+			answer, err := tryOnce[Request, Answer](ctx, f, address, call)
+			if err == nil {
+				return answer, nil
+			}
+			if final := tries.failed(ctx, address, err); final != nil {
+				return answer, final
+			}
+		}
+		if !tries.pause(ctx, address) {
+			var none Answer
+			return none, tries.giveUp()
+		}
+	}
+}
+
+// tryOnce makes one try.
+func tryOnce[Request, Answer any](ctx context.Context, f *Front, address string, call relayCall[Request]) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout+call.held)
+	defer cancel()
+	return rpc.Call[Request, Answer](ctx, f.client, address, call.method, call.request)
+}
+
+// relayTries remembers what the tries of one call came to.
+type relayTries struct {
+	front  *Front
+	method fleet.Method
+	effect bool
+	// maybeDone: a try may have had its effect.
+	maybeDone bool
+	// last is the newest failure; empty if no leader was known.
+	last      string
+	pauses    int
+	redirects int
+}
+
+// failed takes in a failed try. It returns the refusal to answer with if
+// trying again cannot help.
+func (t *relayTries) failed(ctx context.Context, address string, err error) *api.Error {
+	var failure *rpc.Error
+	if !errors.As(err, &failure) {
+		return internal(err.Error())
+	}
+	t.last = failure.Error()
+	t.front.metrics.retried(t.method, string(failure.Code))
+	switch failure.Code {
+	case rpc.CodeRefused:
+		return t.refused(failure)
+	case rpc.CodeNotLeader:
+		t.front.link.Hint(failure.LeaderAddress)
+	case rpc.CodeUnavailable:
+	case rpc.CodeUnknownOutcome:
+		t.maybeDone = true
+	case rpc.CodeTransport:
+		t.maybeDone = t.maybeDone || !failure.Unsent
+		// A try that was cut short from our side says nothing about the leader.
+		if ctx.Err() == nil {
+			t.front.link.Failed(address)
+		}
+	default:
+		return internal(failure.Error())
+	}
+	return nil
+}
+
+// refused takes in the leader's final word. That the leader does not take a
+// call now does not say that an earlier try of it was not taken.
+func (t *relayTries) refused(failure *rpc.Error) *api.Error {
+	if failure.API == nil {
+		return internal(failure.Error())
+	}
+	notNow := retryable(failure.API.Status) || failure.API.Code == api.CodeImpossible
+	if t.effect && t.maybeDone && notNow {
+		return t.giveUp()
+	}
+	return failure.API
+}
+
+// pause waits before the next try and reports whether there is time for one.
+// A hint to another address is followed at once.
+func (t *relayTries) pause(ctx context.Context, asked string) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	next, known := t.front.link.Leader()
+	if known && next != asked && t.redirects < promptRedirects {
+		t.redirects++
+		return true
+	}
+	longest := min(firstBackoff<<min(t.pauses, 8), lastBackoff)
+	t.pauses++
+	return sleep(ctx, longest/2+rand.N(longest/2))
+}
+
+// giveUp is the refusal of a call that had no answer in time.
+func (t *relayTries) giveUp() *api.Error {
+	refusal := &api.Error{
+		Status:           http.StatusServiceUnavailable,
+		Code:             api.CodeUnavailable,
+		Message:          "no scheduler could answer; nothing was done",
+		RetryAfterMillis: retryAfterRelay.Milliseconds(),
+	}
+	if t.effect && t.maybeDone {
+		refusal.Code = api.CodeOutcomeUnknown
+		refusal.Message = "no scheduler answered in time; it may have been done, send the same again"
+	}
+	if t.last != "" {
+		refusal.Message += fmt.Sprintf(" (%s)", t.last)
+	}
+	return refusal
+}
+
+// linger returns a context that ends a while after its parent does, so that a
+// call under way when the process is told to stop can still be answered.
+func linger(parent context.Context, length time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	release := context.AfterFunc(parent, func() {
+		sleep(ctx, length)
+		cancel()
+	})
+	return ctx, func() {
+		release()
+		cancel()
+	}
+}
+
+// sleep waits, unless the context would end before; it reports whether it did.
+func sleep(ctx context.Context, length time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= length {
+		return false
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/front/relay_test.go
@@ -0,0 +1,215 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const shortDeadline = 250 * time.Millisecond
+
+var orderHeaders = []string{"If-Match", "1", "Idempotency-Key", "o"}
+
+func created(context.Context, fleet.SubmitRequest, int) (fleet.SubmitAnswer, error) {
+	return fleet.SubmitAnswer{Created: true}, nil
+}
+
+func TestHintIsFollowed(t *testing.T) {
+	old, leader := newLeader(t), newLeader(t)
+	refuse[fleet.SubmitRequest, fleet.SubmitAnswer](old, fleet.MethodSubmit, &rpc.Error{Code: rpc.CodeNotLeader, LeaderAddress: leader.address})
+	on(leader, fleet.MethodSubmit, created)
+	link := &fakeLink{leader: old.address}
+	front := newFront(t, link, Settings{})
+	wantOK[api.SubmitAnswer](t, ask(t, front, "PUT", "/v1/jobs/a", goodJob), 201)
+	if old.count() != 1 || leader.count() != 1 || len(link.failed) != 0 {
+		t.Fatalf("%d and %d calls, failed %v", old.count(), leader.count(), link.failed)
+	}
+}
+
+func TestSchedulersThatNameEachOtherAreNotAskedWithoutEnd(t *testing.T) {
+	one, other := newLeader(t), newLeader(t)
+	refuse[fleet.Empty, fleet.QueuesAnswer](one, fleet.MethodQueues, &rpc.Error{Code: rpc.CodeNotLeader, LeaderAddress: other.address})
+	refuse[fleet.Empty, fleet.QueuesAnswer](other, fleet.MethodQueues, &rpc.Error{Code: rpc.CodeNotLeader, LeaderAddress: one.address})
+	front := newFront(t, &fakeLink{leader: one.address}, Settings{Deadline: shortDeadline})
+	wantError(t, ask(t, front, "GET", "/v1/queues", ""), 503, api.CodeUnavailable)
+	if calls := one.count() + other.count(); calls < 3 || calls > 30 {
+		t.Fatalf("%d calls", calls)
+	}
+}
+
+// TestGivingUp checks which calls are answered with an unknown outcome.
+func TestGivingUp(t *testing.T) {
+	silent, refusing := newLeader(t), newLeader(t)
+	hang(silent, fleet.MethodSubmit, fleet.SubmitRequest{}, fleet.SubmitAnswer{})
+	hang(silent, fleet.MethodCancel, fleet.CancelRequest{}, fleet.JobAnswer{})
+	hang(silent, fleet.MethodPutConfig, fleet.PutConfigRequest{}, fleet.PutConfigAnswer{})
+	hang(silent, fleet.MethodGetJob, fleet.GetJobRequest{}, fleet.JobAnswer{})
+	refuse[fleet.SubmitRequest, fleet.SubmitAnswer](refusing, fleet.MethodSubmit, &rpc.Error{Code: rpc.CodeUnavailable})
+	cases := []struct {
+		name, leader, method, path, body string
+		code                             api.ErrorCode
+	}{
+		{"submit unanswered", silent.address, "PUT", "/v1/jobs/a", goodJob, api.CodeOutcomeUnknown},
+		{"cancel unanswered", silent.address, "POST", "/v1/jobs/a/cancel", "", api.CodeOutcomeUnknown},
+		{"config unanswered", silent.address, "PUT", "/v1/config", goodConfig, api.CodeOutcomeUnknown},
+		{"read unanswered", silent.address, "GET", "/v1/jobs/a", "", api.CodeUnavailable},
+		{"submit not taken", refusing.address, "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
+		{"no connection", closedAddress(t), "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
+		{"no leader known", "", "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			front := newFront(t, &fakeLink{leader: c.leader}, Settings{Deadline: shortDeadline})
+			wantError(t, ask(t, front, c.method, c.path, c.body, orderHeaders...), 503, c.code)
+		})
+	}
+}
+
+// hang serves a method that never answers within its deadline.
+func hang[Request, Answer any](leader *fakeLeader, method fleet.Method, _ Request, none Answer) {
+	on(leader, method, func(ctx context.Context, _ Request, _ int) (Answer, error) {
+		<-ctx.Done()
+		return none, &rpc.Error{Code: rpc.CodeUnknownOutcome}
+	})
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func TestUnknownOutcomeIsRetriedAtTheNextLeader(t *testing.T) {
+	old, leader := newLeader(t), newLeader(t)
+	link := &fakeLink{leader: old.address}
+	on(old, fleet.MethodSubmit, func(context.Context, fleet.SubmitRequest, int) (fleet.SubmitAnswer, error) {
+		link.Hint(leader.address)
+		return fleet.SubmitAnswer{}, &rpc.Error{Code: rpc.CodeUnknownOutcome}
+	})
+	on(leader, fleet.MethodSubmit, func(context.Context, fleet.SubmitRequest, int) (fleet.SubmitAnswer, error) {
+		return fleet.SubmitAnswer{Created: false}, nil
+	})
+	front := newFront(t, link, Settings{})
+	wantOK[api.SubmitAnswer](t, ask(t, front, "PUT", "/v1/jobs/a", goodJob), 200)
+	if old.count() != 1 || leader.count() != 1 {
+		t.Fatalf("%d and %d calls", old.count(), leader.count())
+	}
+}
+
+// TestRefusalAfterUnknownOutcome: "not now" to a resend says nothing about
+// the first try; a conflict does.
+func TestRefusalAfterUnknownOutcome(t *testing.T) {
+	for code, want := range map[api.ErrorCode]struct {
+		given, status int
+		code          api.ErrorCode
+	}{
+		api.CodeOverLimit:  {429, 503, api.CodeOutcomeUnknown},
+		api.CodeImpossible: {422, 503, api.CodeOutcomeUnknown},
+		api.CodeConflict:   {409, 409, api.CodeConflict},
+	} {
+		leader := newLeader(t)
+		on(leader, fleet.MethodSubmit, func(_ context.Context, _ fleet.SubmitRequest, number int) (fleet.SubmitAnswer, error) {
+			if number == 1 {
+				return fleet.SubmitAnswer{}, &rpc.Error{Code: rpc.CodeUnknownOutcome}
+			}
+			return fleet.SubmitAnswer{}, apiError(want.given, code, 0)
+		})
+		front := newFront(t, &fakeLink{leader: leader.address}, Settings{})
+		wantError(t, ask(t, front, "PUT", "/v1/jobs/a", goodJob), want.status, want.code)
+		if leader.count() != 2 {
+			t.Fatalf("%d calls", leader.count())
+		}
+	}
+}
+
+func TestWaitGoesOnAcrossLeaders(t *testing.T) {
+	old, leader := newLeader(t), newLeader(t)
+	on(old, fleet.MethodGetJob, func(_ context.Context, request fleet.GetJobRequest, number int) (fleet.JobAnswer, error) {
+		if request.WaitMillis <= 0 || request.WaitMillis > maxHeld.Milliseconds() {
+			t.Errorf("held for %d ms", request.WaitMillis)
+		}
+		if number == 1 {
+			return fleet.JobAnswer{Status: api.JobStatus{State: api.StateRunning}}, nil
+		}
+		return fleet.JobAnswer{}, &rpc.Error{Code: rpc.CodeNotLeader, LeaderAddress: leader.address}
+	})
+	on(leader, fleet.MethodGetJob, func(_ context.Context, _ fleet.GetJobRequest, number int) (fleet.JobAnswer, error) {
+		if number == 1 {
+			return fleet.JobAnswer{Status: api.JobStatus{State: api.StateRunning}}, nil
+		}
+		return fleet.JobAnswer{Status: api.JobStatus{State: api.StateSucceeded}}, nil
+	})
+	front := newFront(t, &fakeLink{leader: old.address}, Settings{})
+	if body := wantOK[api.JobStatus](t, ask(t, front, "GET", "/v1/jobs/a?wait=10s", ""), 200); body.State != api.StateSucceeded {
+		t.Fatalf("state %s", body.State)
+	}
+	if old.count() != 2 || leader.count() != 2 {
+		t.Fatalf("%d and %d calls", old.count(), leader.count())
+	}
+}
+
+func TestWaitEndsWithTheNewestState(t *testing.T) {
+	leader := newLeader(t)
+	on(leader, fleet.MethodGetJob, func(_ context.Context, _ fleet.GetJobRequest, number int) (fleet.JobAnswer, error) {
+		if number == 1 {
+			return fleet.JobAnswer{Status: api.JobStatus{State: api.StateRunning}}, nil
+		}
+		return fleet.JobAnswer{}, &rpc.Error{Code: rpc.CodeUnavailable}
+	})
+	front := newFront(t, &fakeLink{leader: leader.address}, Settings{})
+	if body := wantOK[api.JobStatus](t, ask(t, front, "GET", "/v1/jobs/a?wait=200ms", ""), 200); body.State != api.StateRunning {
+		t.Fatalf("state %s", body.State)
+	}
+	if leader.count() < 2 {
+		t.Fatal("the wait ended with the first answer")
+	}
+}
+
+func TestWaitOutlastsTheServersReadTimeout(t *testing.T) {
+	leader := newLeader(t)
+	const wait = 300 * time.Millisecond
+	started := time.Now()
+	on(leader, fleet.MethodGetJob, func(context.Context, fleet.GetJobRequest, int) (fleet.JobAnswer, error) {
+		if time.Since(started) < wait {
+			return fleet.JobAnswer{Status: api.JobStatus{State: api.StateRunning}}, nil
+		}
+		return fleet.JobAnswer{Status: api.JobStatus{State: api.StateSucceeded}}, nil
+	})
+	server := httptest.NewUnstartedServer(newFront(t, &fakeLink{leader: leader.address}, Settings{}))
+	server.Config.ReadTimeout = wait / 3
+	server.Start()
+	defer server.Close()
+	client, err := api.NewClient(api.ClientConfig{Endpoints: []string{server.URL}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	status, err := client.Job(t.Context(), "a", 10*time.Second)
+	if err != nil || status.State != api.StateSucceeded {
+		t.Fatalf("state %q, error %v", status.State, err)
+	}
+}
+
+func TestCallUnderWayIsFinishedWhenTheProcessStops(t *testing.T) {
+	leader := newLeader(t)
+	ctx, stop := context.WithCancel(t.Context())
+	on(leader, fleet.MethodSubmit, func(ctx context.Context, request fleet.SubmitRequest, number int) (fleet.SubmitAnswer, error) {
+		stop()
+		return created(ctx, request, number)
+	})
+	front := newFront(t, &fakeLink{leader: leader.address}, Settings{})
+	recorder := httptest.NewRecorder()
+	front.ServeHTTP(recorder, httptest.NewRequestWithContext(ctx, "PUT", "/v1/jobs/a", strings.NewReader(goodJob)))
+	wantOK[api.SubmitAnswer](t, recorder, 201)
+}
--- /dev/null
+++ b/internal/front/routes.go
@@ -0,0 +1,85 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/decklever/decklever/api"
+)
+
+// endpoint serves one call: it returns the status and the body, or a refusal.
+type endpoint func(writer http.ResponseWriter, request *http.Request) (status int, body any, refusal *api.Error)
+
+// routes builds the router. Every request passes identify, measure and
+// recoverPanic; those of the interface pass bound as well.
+func (f *Front) routes(status http.Handler) http.Handler {
+	router := chi.NewRouter()
+	router.Use(identify, f.measure, f.recoverPanic)
+	router.NotFound(func(writer http.ResponseWriter, request *http.Request) {
+		writeError(writer, notFound(fmt.Sprintf("there is nothing at %s", request.URL.Path)))
+	})
+	router.MethodNotAllowed(func(writer http.ResponseWriter, request *http.Request) {
+		refuseMethod(writer, request, router)
+	})
+	if status != nil {
+		for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+			router.Method(http.MethodGet, path, status)
+		}
+	}
+	router.Route("/v1", func(v1 chi.Router) {
+		v1.Use(f.bound)
+		f.jobRoutes(v1)
+		f.configRoutes(v1)
+		v1.Get("/workers", serve(f.workers))
+		v1.Get("/members", serve(f.members))
+		v1.Get("/queues", serve(f.queues))
+	})
+	return router
+}
+
+func (f *Front) jobRoutes(v1 chi.Router) {
+	v1.Get("/jobs", serve(f.listJobs))
+	v1.Put("/jobs/{id}", serve(f.submitJob))
+	v1.Get("/jobs/{id}", serve(f.getJob))
+	v1.Post("/jobs/{id}/cancel", serve(f.cancelJob))
+}
+
+func (f *Front) configRoutes(v1 chi.Router) {
+	v1.Get("/config", serve(f.getConfig))
+	v1.Put("/config", serve(f.putConfig))
+	v1.Post("/config/validate", serve(f.validateConfig))
+	v1.Get("/config/versions", serve(f.configVersions))
+	v1.Get("/config/rollout", serve(f.rollout))
+}
+
+// serve makes an endpoint an HTTP handler.
+func serve(call endpoint) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		status, body, refusal := call(writer, request)
+		if refusal != nil {
+			writeError(writer, refusal)
+			return
+		}
+		writeJSON(writer, status, body)
+	}
+}
+
+// refuseMethod answers a method that the path does not have, and says in
+// Allow which it has.
+func refuseMethod(writer http.ResponseWriter, request *http.Request, router chi.Router) {
+	var allowed []string
+	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost} {
+		if router.Match(chi.NewRouteContext(), method, request.URL.Path) {
+			allowed = append(allowed, method)
+		}
+	}
+	writer.Header().Set("Allow", strings.Join(allowed, ", "))
+	writeError(writer, &api.Error{
+		Status:  http.StatusMethodNotAllowed,
+		Code:    api.CodeWrongMethod,
+		Message: fmt.Sprintf("%s has no %s; it has %s", request.URL.Path, request.Method, strings.Join(allowed, ", ")),
+	})
+}
