--- /dev/null
+++ b/internal/cli/complete_names.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/decklever/decklever/api"
+)
+
+const (
+	// defaultCompletionTimeout bounds the call behind a press of the tab key.
+	defaultCompletionTimeout = 500 * time.Millisecond
+	// completedJobs bounds the ids that are offered.
+	completedJobs = 200
+)
+
+// completeFiles offers YAML and JSON files.
+func completeFiles(_ *cobra.Command, arguments []string, _ string) ([]string, cobra.ShellCompDirective) {
+	if len(arguments) > 0 {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	return []string{"yaml", "yml", "json"}, cobra.ShellCompDirectiveFilterFileExt
+}
+
+// completeJobs offers ids of jobs, for this many arguments at most; 0 for any
+// number.
+func (a *app) completeJobs(most int) cobra.CompletionFunc {
+	return func(command *cobra.Command, arguments []string, _ string) ([]string, cobra.ShellCompDirective) {
+		if most > 0 && len(arguments) >= most {
+			return nil, cobra.ShellCompDirectiveNoFileComp
+		}
+		return a.offer(command, arguments, func(ctx context.Context, client *api.Client) ([]string, error) {
+			list, err := client.Jobs(ctx, api.JobsQuery{Limit: completedJobs})
+			return namesIn(list.Jobs, func(job api.JobSummary) string { return job.ID }), err
+		})
+	}
+}
+
+// completeWorkers offers names of workers.
+func (a *app) completeWorkers(command *cobra.Command, arguments []string, _ string) ([]string, cobra.ShellCompDirective) {
+	return a.offer(command, arguments, func(ctx context.Context, client *api.Client) ([]string, error) {
+		list, err := client.Workers(ctx)
+		return namesIn(list.Workers, func(worker api.WorkerStatus) string { return worker.Name }), err
+	})
+}
+
+// completeZones offers the zones of workers.
+func (a *app) completeZones(command *cobra.Command, arguments []string, _ string) ([]string, cobra.ShellCompDirective) {
+	return a.offer(command, arguments, func(ctx context.Context, client *api.Client) ([]string, error) {
+		list, err := client.Workers(ctx)
+		return namesIn(list.Workers, func(worker api.WorkerStatus) string { return worker.Zone }), err
+	})
+}
+
+// completeQueues offers names of queues.
+func (a *app) completeQueues(command *cobra.Command, _ []string, _ string) ([]string, cobra.ShellCompDirective) {
+	return a.offer(command, nil, func(ctx context.Context, client *api.Client) ([]string, error) {
+		list, err := client.Queues(ctx)
+		return namesIn(list.Queues, func(queue api.QueueStatus) string { return queue.Name }), err
+	})
+}
+
+// offer asks the fleet for names and leaves out those already given. Without
+// an answer it offers nothing: there is no place for an error in a completion.
+func (a *app) offer(command *cobra.Command, given []string, ask func(context.Context, *api.Client) ([]string, error)) ([]string, cobra.ShellCompDirective) {
+	client, err := a.client()
+	if err != nil {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(command.Context(), a.completionTimeout)
+	defer cancel()
+	names, err := ask(ctx, client)
+	if err != nil {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	names = slices.DeleteFunc(names, func(name string) bool { return slices.Contains(given, name) })
+	return names, cobra.ShellCompDirectiveNoFileComp
+}
+
+// namesIn collects names, sorted, each once.
+func namesIn[T any](list []T, nameOf func(T) string) []string {
+	names := make([]string, 0, len(list))
+	for _, one := range list {
+		names = append(names, nameOf(one))
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
--- /dev/null
+++ b/internal/cli/config_history.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/decklever/decklever/api"
+)
+
+// digestShown is how much of a digest stands in a table, in characters.
+const digestShown = 12
+
+// configHistoryCommand lists the versions that were accepted.
+func (a *app) configHistoryCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:               "history",
+		Short:             "List the versions that were accepted, newest first",
+		Example:           "  decklever config history\n  decklever config history -o yaml",
+		Args:              cobra.NoArgs,
+		ValidArgsFunction: cobra.NoFileCompletions,
+		RunE: a.run(func(ctx context.Context, client *api.Client, _ []string) error {
+			history, err := read(ctx, a, "read the versions", client.ConfigVersions)
+			if err != nil {
+				return err
+			}
+			return a.print(history, func(writer io.Writer) {
+				versions := newGrid("version", "accepted", "order", "digest")
+				for _, version := range history.Versions {
+					digest := version.Digest[:min(digestShown, len(version.Digest))]
+					versions.add(version.Version, a.clock(version.AcceptedAt), version.OrderID, digest)
+				}
+				versions.render(writer)
+			})
+		}),
+	}
+}
--- /dev/null
+++ b/internal/cli/diff.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+)
+
+// diffContext is the number of equal lines around a change.
+const diffContext = 3
+
+// edit is one line of a comparison.
+type edit struct {
+	// mark is ' ' for a line of both, '-' for one of the old, '+' of the new.
+	mark byte
+	line string
+}
+
+// unifiedDiff compares two texts by lines, in the unified format of diff -u.
+// It is empty if they are equal.
+func unifiedDiff(oldName, newName string, oldText, newText []byte) string {
+	edits := compareLines(linesOf(oldText), linesOf(newText))
+	var text strings.Builder
+	oldLine, newLine := 1, 1
+	for start := 0; start < len(edits); {
+		end, changed := hunkEnd(edits, start)
+		if !changed {
+			break
+		}
+		first := max(start, firstChange(edits, start)-diffContext)
+		oldLine, newLine = oldLine+first-start, newLine+first-start
+		writeHunk(&text, edits[first:end], &oldLine, &newLine)
+		start = end
+	}
+	if text.Len() == 0 {
+		return ""
+	}
+	return fmt.Sprintf("--- %s\n+++ %s\n%s", oldName, newName, text.String())
+}
+
+// linesOf splits a text that ends with a line end.
+func linesOf(text []byte) []string {
+	trimmed := strings.TrimSuffix(string(text), "\n")
+	if trimmed == "" {
+		return nil
+	}
+	return strings.Split(trimmed, "\n")
+}
+
+// compareLines finds the fewest removed and added lines by the longest common
+// subsequence (dynamic programming over all pairs; configurations are small).
+func compareLines(before, after []string) []edit {
+	// common[i][j] is the length for before[i:] and after[j:].
+	common := make([][]int, len(before)+1)
+	for i := range common {
+		common[i] = make([]int, len(after)+1)
+	}
+	for i := len(before) - 1; i >= 0; i-- {
+		for j := len(after) - 1; j >= 0; j-- {
+			if before[i] == after[j] {
+				common[i][j] = common[i+1][j+1] + 1
+			} else {
+				common[i][j] = max(common[i+1][j], common[i][j+1])
+			}
+		}
+	}
+	return walk(before, after, common)
+}
+
+// walk reads the edits off the table, removed lines before added ones.
+func walk(before, after []string, common [][]int) []edit {
+	var edits []edit
+	i, j := 0, 0
+	for i < len(before) || j < len(after) {
+		switch {
+		case i < len(before) && j < len(after) && before[i] == after[j]:
+			edits = append(edits, edit{' ', before[i]})
+			i, j = i+1, j+1
+		case j == len(after) || i < len(before) && common[i+1][j] >= common[i][j+1]:
+			edits = append(edits, edit{'-', before[i]})
+			i++
+		default:
+			edits = append(edits, edit{'+', after[j]})
+			j++
+		}
+	}
+	return edits
+}
+
+// firstChange is the index of the first changed line from start on, or the
+// number of edits.
+func firstChange(edits []edit, start int) int {
+	for index := start; index < len(edits); index++ {
+		if edits[index].mark != ' ' {
+			return index
+		}
+	}
+	return len(edits)
+}
+
+// hunkEnd finds where the next hunk ends: changes with no more than two
+// contexts of equal lines between them stand in one.
+func hunkEnd(edits []edit, start int) (end int, changed bool) {
+	index := firstChange(edits, start)
+	if index == len(edits) {
+		return index, false
+	}
+	for {
+		for index < len(edits) && edits[index].mark != ' ' {
+			index++
+		}
+		next := firstChange(edits, index)
+		if next == len(edits) || next-index > 2*diffContext {
+			return min(index+diffContext, len(edits)), true
+		}
+		index = next
+	}
+}
+
+// writeHunk writes one hunk and moves both line numbers behind it.
+func writeHunk(text *strings.Builder, hunk []edit, oldLine, newLine *int) {
+	oldCount, newCount := 0, 0
+	for _, one := range hunk {
+		if one.mark != '+' {
+			oldCount++
+		}
+		if one.mark != '-' {
+			newCount++
+		}
+	}
+	fmt.Fprintf(text, "@@ -%s +%s @@\n", lineRange(*oldLine, oldCount), lineRange(*newLine, newCount))
+	for _, one := range hunk {
+		fmt.Fprintf(text, "%c%s\n", one.mark, one.line)
+	}
+	*oldLine += oldCount
+	*newLine += newCount
+}
+
+// lineRange is a range of a hunk's head; an empty one names the line before.
+func lineRange(first, count int) string {
+	if count == 0 {
+		first--
+	}
+	return fmt.Sprintf("%d,%d", first, count)
+}
--- /dev/null
+++ b/internal/cli/worker_list.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/decklever/decklever/api"
+)
+
+// workerListCommand lists the registry.
+func (a *app) workerListCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:               "list",
+		Short:             "List workers with their state and room",
+		Long:              "List workers with their state and room; room is shown as used/all.",
+		Example:           "  decklever worker list\n  decklever worker list -o json",
+		Args:              cobra.NoArgs,
+		ValidArgsFunction: cobra.NoFileCompletions,
+		RunE: a.run(func(ctx context.Context, client *api.Client, _ []string) error {
+			list, err := read(ctx, a, "list workers", client.Workers)
+			if err != nil {
+				return err
+			}
+			return a.print(list, func(writer io.Writer) { workerGrid(list).render(writer) })
+		}),
+	}
+}
+
+func workerGrid(list api.WorkerList) *grid {
+	workers := newGrid("name", "zone", "state", "runs", "cpu millis", "memory mb", "accelerators", "silent", "services", "reason")
+	for _, worker := range list.Workers {
+		workers.add(worker.Name, worker.Zone, worker.State, worker.Runs,
+			shareOf(worker.Used.CPUMillis, worker.Capacity.CPUMillis),
+			shareOf(worker.Used.MemoryMB, worker.Capacity.MemoryMB),
+			shareOf(worker.Used.Accelerators, worker.Capacity.Accelerators),
+			millis(worker.SilentMillis), namesOf(worker.Services), worker.Reason)
+	}
+	return workers
+}
--- /dev/null
+++ b/internal/cli/yaml.go
@@ -0,0 +1,222 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/big"
+	"unicode"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// maxYAMLDepth bounds nesting, which aliases can make endless; maxFileBytes
+// bounds what they repeat.
+const maxYAMLDepth = 100
+
+// YAML tags of JSON's values.
+const (
+	tagText      = "!!str"
+	tagInteger   = "!!int"
+	tagFloat     = "!!float"
+	tagBool      = "!!bool"
+	tagNull      = "!!null"
+	tagTimestamp = "!!timestamp"
+)
+
+// yamlFromJSON turns one JSON document into YAML with the same order of
+// fields: JSON is YAML in another style.
+func yamlFromJSON(data []byte) ([]byte, error) {
+	var document yaml.Node
+	if err := yaml.Unmarshal(escapeNonASCII(data), &document); err != nil {
+		return nil, err
+	}
+	plainStyle(&document)
+	var buffer bytes.Buffer
+	encoder := yaml.NewEncoder(&buffer)
+	encoder.SetIndent(2)
+	if err := encoder.Encode(&document); err != nil {
+		return nil, err
+	}
+	if err := encoder.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// escapeNonASCII writes characters beyond ASCII, which stand only within
+// strings, as YAML escapes: JSON allows some that YAML has only in that form.
+func escapeNonASCII(data []byte) []byte {
+	escaped := make([]byte, 0, len(data))
+	for _, character := range string(data) {
+		if character < unicode.MaxASCII {
+			escaped = append(escaped, byte(character))
+			continue
+		}
+		escaped = fmt.Appendf(escaped, `\U%08X`, character)
+	}
+	return escaped
+}
+
+// plainStyle makes the encoder choose the style of each node. Empty lists and
+// objects stay as they are, since they have no other form.
+func plainStyle(node *yaml.Node) {
+	if node.Kind == yaml.ScalarNode || len(node.Content) > 0 {
+		node.Style = 0
+	}
+	for _, child := range node.Content {
+		plainStyle(child)
+	}
+}
+
+// jsonFromYAML turns one YAML document into JSON. Unlike decoding into Go
+// values, it keeps the digits of numbers and the text of dates as written.
+func jsonFromYAML(data []byte) ([]byte, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	var document, next yaml.Node
+	err := decoder.Decode(&document)
+	if errors.Is(err, io.EOF) {
+		return nil, errors.New("the file is empty")
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := decoder.Decode(&next); !errors.Is(err, io.EOF) {
+		return nil, errors.New("more than one YAML document; expected one")
+	}
+	writer := jsonWriter{}
+	if err := writer.node(document.Content[0], 0); err != nil {
+		return nil, err
+	}
+	return writer.buffer.Bytes(), nil
+}
+
+// jsonWriter writes YAML nodes as JSON.
+type jsonWriter struct{ buffer bytes.Buffer }
+
+func (w *jsonWriter) node(node *yaml.Node, depth int) error {
+	if depth > maxYAMLDepth || w.buffer.Len() > maxFileBytes {
+		return lineError(node, "too deep or, with its aliases, too large")
+	}
+	switch node.Kind {
+	case yaml.AliasNode:
+		return w.node(node.Alias, depth+1)
+	case yaml.MappingNode:
+		return w.object(node, depth)
+	case yaml.SequenceNode:
+		return w.list(node, depth)
+	default:
+		return w.scalar(node)
+	}
+}
+
+func (w *jsonWriter) object(node *yaml.Node, depth int) error {
+	seen := make(map[string]bool, len(node.Content)/2)
+	w.buffer.WriteByte('{')
+	for index := 0; index < len(node.Content); index += 2 {
+		key, value := node.Content[index], node.Content[index+1]
+		if key.Kind != yaml.ScalarNode || key.ShortTag() == "!!merge" {
+			return lineError(key, "keys must be plain text; merge keys are not supported")
+		}
+		if seen[key.Value] {
+			return lineError(key, fmt.Sprintf("the key %q stands twice", key.Value))
+		}
+		seen[key.Value] = true
+		if index > 0 {
+			w.buffer.WriteByte(',')
+		}
+		w.text(key.Value)
+		w.buffer.WriteByte(':')
+		if err := w.node(value, depth+1); err != nil {
+			return err
+		}
+	}
+	w.buffer.WriteByte('}')
+	return nil
+}
+
+func (w *jsonWriter) list(node *yaml.Node, depth int) error {
+	w.buffer.WriteByte('[')
+	for index, element := range node.Content {
+		if index > 0 {
+			w.buffer.WriteByte(',')
+		}
+		if err := w.node(element, depth+1); err != nil {
+			return err
+		}
+	}
+	w.buffer.WriteByte(']')
+	return nil
+}
+
+func (w *jsonWriter) scalar(node *yaml.Node) error {
+	switch node.ShortTag() {
+	case tagText, tagTimestamp:
+		w.text(node.Value)
+	case tagNull:
+		w.buffer.WriteString("null")
+	case tagBool:
+		return w.boolean(node)
+	case tagInteger:
+		return w.integer(node)
+	case tagFloat:
+		return w.float(node)
+	default:
+		return lineError(node, fmt.Sprintf("values of type %s have no JSON form", node.Tag))
+	}
+	return nil
+}
+
+func (w *jsonWriter) boolean(node *yaml.Node) error {
+	var value bool
+	if err := node.Decode(&value); err != nil {
+		return lineError(node, err.Error())
+	}
+	fmt.Fprint(&w.buffer, value)
+	return nil
+}
+
+// integer keeps decimal digits as they are and turns other bases into them.
+func (w *jsonWriter) integer(node *yaml.Node) error {
+	if json.Valid([]byte(node.Value)) {
+		w.buffer.WriteString(node.Value)
+		return nil
+	}
+	value, ok := new(big.Int).SetString(node.Value, 0)
+	if !ok {
+		return lineError(node, fmt.Sprintf("%q is not a whole number", node.Value))
+	}
+	w.buffer.WriteString(value.String())
+	return nil
+}
+
+// float keeps the digits, unless JSON would not have them in this form.
+func (w *jsonWriter) float(node *yaml.Node) error {
+	if json.Valid([]byte(node.Value)) {
+		w.buffer.WriteString(node.Value)
+		return nil
+	}
+	var value float64
+	if err := node.Decode(&value); err != nil {
+		return lineError(node, err.Error())
+	}
+	data, err := json.Marshal(value)
+	if err != nil {
+		return lineError(node, fmt.Sprintf("%s has no JSON form", node.Value))
+	}
+	w.buffer.Write(data)
+	return nil
+}
+
+// text writes a JSON string. Marshalling text cannot fail.
+func (w *jsonWriter) text(value string) {
+	data, _ := json.Marshal(value)
+	w.buffer.Write(data)
+}
+
+// lineError names the line of a wrong node.
+func lineError(node *yaml.Node, reason string) error {
+	return fmt.Errorf("line %d: %s", node.Line, reason)
+}
