--- /dev/null
+++ b/cmd/decklever-scheduler/process.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/placement"
+	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/replica"
+	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/scheduler"
+	"github.com/decklever/decklever/internal/settings"
+	"github.com/decklever/decklever/internal/storage"
+	"github.com/decklever/decklever/internal/telemetry"
+)
+
+const (
+	program = "decklever-scheduler"
+	// healthInterval is the pause between two looks at the log.
+	healthInterval = 100 * time.Millisecond
+	// logPart names the replicated log in /readyz.
+	logPart = "log"
+)
+
+// process is one scheduler with all its parts.
+type process struct {
+	initial settings.Scheduler
+	options settings.LoadOptions
+	level   *slog.LevelVar
+	logger  *slog.Logger
+	health  *telemetry.Health
+	// wallOffset is added to the wall clock, for trials.
+	wallOffset atomic.Int64
+	store      *storage.Disk
+	client     *rpc.Client
+	replica    *replica.Replica
+	handler    http.Handler
+}
+
+// newProcess opens the data folder and makes the parts; none is at work yet.
+func newProcess(initial settings.Scheduler, options settings.LoadOptions) (*process, error) {
+	p := &process{initial: initial, options: options, level: new(slog.LevelVar), health: telemetry.NewHealth()}
+	p.logger = telemetry.NewLogger(telemetry.LoggerConfig{
+		Level: p.level, Format: initial.Log.Format, Program: program, Process: initial.Name, Zone: initial.Zone,
+	})
+	p.apply(initial)
+	store, err := storage.OpenDisk(storage.DiskConfig{Directory: initial.DataDir, Logger: p.logger})
+	if err != nil {
+		return nil, fmt.Errorf("open the data folder: %w", err)
+	}
+	p.store = store
+	p.client = rpc.NewClient(rpc.ClientConfig{})
+	if err := p.assemble(); err != nil {
+		return nil, errors.Join(err, store.Close())
+	}
+	return p, nil
+}
+
+// assemble connects the record, the replica and the acting scheduler.
+func (p *process) assemble() error {
+	registry := telemetry.NewRegistry()
+	service := scheduler.NewService(scheduler.Config{
+		Archive:    p.store.Archive(),
+		NewPlanner: func() placement.Planner { return placement.New(placement.Config{}) },
+		Logger:     p.logger,
+		Registerer: registry,
+	})
+	made, err := replica.New(p.replicaConfig(registry, service.Lead))
+	if err != nil {
+		return fmt.Errorf("make the replica: %w", err)
+	}
+	p.replica = made
+	service.SetLog(made)
+	server := rpc.NewServer(rpc.ServerConfig{Logger: p.logger})
+	made.Register(server)
+	service.Register(server)
+	mux := http.NewServeMux()
+	mux.Handle("/rpc/", server)
+	mux.Handle("/", telemetry.Handler(registry, p.health))
+	p.handler = mux
+	p.checkHealth()
+	return nil
+}
+
+func (p *process) replicaConfig(registerer prometheus.Registerer, lead func(replica.Leadership)) replica.Config {
+	timing := p.initial.Timing
+	return replica.Config{
+		Name:    p.initial.Name,
+		Zone:    p.initial.Zone,
+		Address: p.initial.Reach(),
+		Seeds:   p.initial.Seeds,
+		Store:   p.store,
+		Record:  record.NewMachine(record.Config{Archive: p.store.Archive()}),
+		Client:  p.client,
+		WallClock: func() time.Time {
+			return time.Now().Add(time.Duration(p.wallOffset.Load()))
+		},
+		Timing: replica.Timing{
+			Tick:               timing.Tick.Std(),
+			ElectionTimeoutMin: timing.ElectionTimeoutMin.Std(),
+			ElectionTimeoutMax: timing.ElectionTimeoutMax.Std(),
+			Lease:              timing.Lease.Std(),
+		},
+		SnapshotEvery: p.initial.SnapshotEvery,
+		Logger:        p.logger,
+		Registerer:    registerer,
+		Lead:          lead,
+	}
+}
+
+// run serves until the context ends or a signal stops the process. Leadership
+// is handed over first.
+func (p *process) run(ctx context.Context) error {
+	err := daemon.Run(ctx, daemon.Config{
+		Program:    program,
+		Listen:     p.initial.Listen,
+		Handler:    p.handler,
+		Logger:     p.logger,
+		Background: []func(context.Context) error{p.replica.Run, p.watchSettings, p.watchHealth},
+		BeforeStop: p.replica.HandOver,
+	})
+	p.client.Close()
+	return errors.Join(err, p.store.Close())
+}
+
+// watchSettings puts changes of the settings file in force.
+func (p *process) watchSettings(ctx context.Context) error {
+	return settings.Watch(ctx, settings.WatchConfig[settings.Scheduler]{
+		Options: p.options,
+		Initial: p.initial,
+		Apply:   p.apply,
+		Logger:  p.logger,
+	})
+}
+
+// apply puts in force what can change while the process runs. The log level
+// has been checked with the other settings.
+func (p *process) apply(changed settings.Scheduler) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(changed.Log.Level)); err == nil {
+		p.level.Set(level)
+	}
+	p.wallOffset.Store(int64(changed.Test.WallClockOffset.Std()))
+	if p.replica != nil {
+		p.replica.SetSeeds(changed.Seeds)
+	}
+}
+
+// watchHealth keeps /readyz in step with the log.
+func (p *process) watchHealth(ctx context.Context) error {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			p.checkHealth()
+		}
+	}
+}
+
+// checkHealth: a scheduler is ready while it knows a leader.
+func (p *process) checkHealth() {
+	if _, known := p.replica.Leader(); known {
+		p.health.SetReady(logPart, true, "")
+		return
+	}
+	p.health.SetReady(logPart, false, "no leader is known")
+}
--- /dev/null
+++ b/cmd/decklever-worker/process.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/decklever/decklever/internal/builtin"
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/settings"
+	"github.com/decklever/decklever/internal/telemetry"
+	"github.com/decklever/decklever/worker"
+)
+
+const program = "decklever-worker"
+
+// run works until SIGTERM or SIGINT, then drains.
+func run(ctx context.Context, initial settings.Worker, options settings.LoadOptions) (err error) {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	level := new(slog.LevelVar)
+	setLevel(level, initial)
+	logger := telemetry.NewLogger(telemetry.LoggerConfig{
+		Level: level, Format: initial.Log.Format, Program: program, Process: initial.Name,
+	})
+	services, err := builtin.Services(initial.Services)
+	if err != nil {
+		return fmt.Errorf("%w: %w", daemon.ErrUsage, err)
+	}
+	config := worker.Config{
+		Name:     initial.Name,
+		AgentURL: initial.Agent,
+		Capacity: initial.Capacity,
+		Labels:   initial.Labels,
+		Logger:   logger,
+	}
+	if initial.Journal != "" {
+		journal, openErr := worker.OpenJournal(initial.Journal, logger)
+		if openErr != nil {
+			return openErr
+		}
+		defer func() { err = errors.Join(err, journal.Close()) }()
+		config.OnStart = journal.Start
+		config.OnEnd = journal.End
+	}
+	instance, err := worker.New(config)
+	if err != nil {
+		return err
+	}
+	for service, handler := range services {
+		instance.Handle(service, handler)
+	}
+	var background sync.WaitGroup
+	defer background.Wait()
+	defer stop()
+	background.Go(func() { watchSettings(ctx, initial, options, level, logger) })
+	return instance.Run(ctx)
+}
+
+// watchSettings puts changes of the log level in force; it ends with ctx.
+func watchSettings(ctx context.Context, initial settings.Worker, options settings.LoadOptions, level *slog.LevelVar, logger *slog.Logger) {
+	err := settings.Watch(ctx, settings.WatchConfig[settings.Worker]{
+		Options: options,
+		Initial: initial,
+		Apply:   func(changed settings.Worker) { setLevel(level, changed) },
+		Logger:  logger,
+	})
+	if err != nil {
+		logger.Error("settings are not watched", slog.Any("error", err))
+	}
+}
+
+// setLevel puts the log level in force; it has been checked with the settings.
+func setLevel(level *slog.LevelVar, changed settings.Worker) {
+	var parsed slog.Level
+	if err := parsed.UnmarshalText([]byte(changed.Log.Level)); err == nil {
+		level.Set(parsed)
+	}
+}
