--- /dev/null
+++ b/cmd/decklever-lab/run.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/decklever/decklever/lab/scenario"
+	"github.com/decklever/decklever/lab/trial"
+)
+
+const defaultDuration = 60 * time.Second
+
+func newRunCommand() *cobra.Command {
+	var chosen target
+	var name, out string
+	var seed uint64
+	var duration time.Duration
+	command := &cobra.Command{
+		Use:   "run",
+		Short: "Load a fleet during a scenario; print a JSON summary; exit 1 if a promise was broken",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			course, err := scenario.Find(name)
+			if err != nil {
+				return err
+			}
+			if duration < course.MinDuration {
+				return fmt.Errorf("duration is %v, expected at least %v for %s", duration, course.MinDuration, name)
+			}
+			return run(command, &chosen, trial.Config{Scenario: course, Seed: seed, Duration: duration, Out: out})
+		},
+	}
+	chosen.bind(command)
+	flags := command.Flags()
+	flags.StringVar(&name, "scenario", "steady", "what happens during the load; see the command scenarios")
+	flags.Uint64Var(&seed, "seed", 1, "seed of the load")
+	flags.DurationVar(&duration, "duration", defaultDuration, "how long callers submit")
+	flags.StringVar(&out, "out", "", "new or empty folder for all files (default: a temporary one)")
+	return command
+}
+
+func run(command *cobra.Command, chosen *target, config trial.Config) error {
+	var err error
+	if config.Deployment, config.Binaries, err = chosen.resolve(); err != nil {
+		return err
+	}
+	if config.Out, err = folder(config.Out); err != nil {
+		return err
+	}
+	config.LogLevel = chosen.logLevel
+	config.Progress = command.ErrOrStderr()
+	summary, err := trial.Run(command.Context(), config)
+	if err != nil {
+		return err
+	}
+	if err := summary.WriteText(command.ErrOrStderr()); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(command.ErrOrStderr(), "files: %s\n", config.Out); err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(command.OutOrStdout())
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(summary); err != nil {
+		return fmt.Errorf("print summary: %w", err)
+	}
+	if !summary.Passed {
+		return errBroken
+	}
+	return nil
+}
+
+func newScenariosCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "scenarios",
+		Short: "List the scenarios",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			table := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)
+			for _, one := range scenario.All() {
+				if _, err := fmt.Fprintf(table, "%s\t%s\tat least %v\n", one.Name, one.Summary, one.MinDuration); err != nil {
+					return err
+				}
+			}
+			return table.Flush()
+		},
+	}
+}
--- /dev/null
+++ b/lab/check/check.go
@@ -0,0 +1,135 @@
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/journal"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// Promise is a number of the list in docs/DESIGN.md, such as "P1".
+type Promise string
+
+// Promises that the checker can see from outside.
+const (
+	P1  Promise = "P1"
+	P2  Promise = "P2"
+	P3  Promise = "P3"
+	P4  Promise = "P4"
+	P5  Promise = "P5"
+	P6  Promise = "P6"
+	P7  Promise = "P7"
+	P8  Promise = "P8"
+	P9  Promise = "P9"
+	P10 Promise = "P10"
+	P11 Promise = "P11"
+	P12 Promise = "P12"
+)
+
+// Bounds that the promises name.
+const (
+	readBound         = 3 * time.Second
+	earlyStartBound   = 250 * time.Millisecond
+	cancelStartBound  = 3 * time.Second
+	cancelEndBound    = 5 * time.Second
+	workerDrainBound  = 2 * time.Second
+	zoneDrainBound    = 5 * time.Second
+	groupWaitBound    = 5 * time.Second
+	serviceGapBound   = 12 * time.Second
+	restartBound      = 6 * time.Second
+	defaultHold       = 3 * time.Second
+	defaultDrift      = 300 * time.Millisecond
+	defaultFailures   = 3
+	defaultSpreadRoom = 1
+)
+
+// Worker is what the deployment says of a worker.
+type Worker struct {
+	Name     string
+	Zone     string
+	Capacity api.Resources
+	// Services are the names offered, without their handlers.
+	Services []string
+	Labels   map[string]string
+	// Agent is the process name of the worker's agent.
+	Agent string
+}
+
+// Input is all that the checker goes by.
+type Input struct {
+	Entries []ledger.Entry
+	Lines   []journal.Line
+	Workers []Worker
+	// Config is the first configuration.
+	Config api.Config
+	// Anchor maps wall times, such as not_before, to journal times.
+	Anchor monoclock.Anchor
+	// LoadFrom and LoadTo bound the time in which callers submitted.
+	LoadFrom, LoadTo monoclock.Nanos
+	// EndedAt is when observing ended.
+	EndedAt monoclock.Nanos
+}
+
+// Violation is one broken promise.
+type Violation struct {
+	Promise Promise `json:"promise"`
+	// Subject is the task, job, worker or order concerned.
+	Subject string `json:"subject"`
+	Text    string `json:"text"`
+	// At are the times concerned, in the order in which Text names them.
+	At []monoclock.Nanos `json:"at_ns"`
+}
+
+// String returns one line for people.
+func (v Violation) String() string {
+	return fmt.Sprintf("%s %s: %s %v", v.Promise, v.Subject, v.Text, v.At)
+}
+
+// Result is what the checker found.
+type Result struct {
+	Violations []Violation
+	// DuplicateSuccesses counts second successes of a task whose first one
+	// may never have been acknowledged, because a fault hit its worker or
+	// agent around its end. They break no promise.
+	DuplicateSuccesses int
+	// LongestSubmitGap is the longest time between accepted submits.
+	LongestSubmitGap time.Duration
+	// LongestStartGap is the longest time between starts.
+	LongestStartGap time.Duration
+}
+
+// All runs every check.
+func All(input Input) Result {
+	f := newFacts(input)
+	result := Result{
+		DuplicateSuccesses: f.duplicateSuccesses(),
+		LongestSubmitGap:   f.longestSubmitGap(),
+		LongestStartGap:    f.longestStartGap(),
+	}
+	checks := []func() []Violation{
+		f.checkUnknownTasks, f.checkOverlap, f.checkRestartAfterSuccess,
+		f.checkJobsEnd, f.checkStates, f.checkReads, f.checkResends,
+		f.checkFailures,
+		f.checkStepOrder, f.checkNotBefore,
+		f.checkCapacity, f.checkPlace, f.checkSpread,
+		f.checkCancels,
+		f.checkDrains,
+		f.checkConfigOrders, f.checkConfigReads,
+		f.checkGroups,
+		f.checkServiceGap,
+		f.checkRestartDelay,
+		f.checkTokens,
+	}
+	for _, check := range checks {
+		result.Violations = append(result.Violations, check()...)
+	}
+	slices.SortStableFunc(result.Violations, func(a, b Violation) int {
+		return cmp.Or(cmp.Compare(len(a.Promise), len(b.Promise)), cmp.Compare(a.Promise, b.Promise), cmp.Compare(a.Subject, b.Subject))
+	})
+	return result
+}
--- /dev/null
+++ b/lab/check/config.go
@@ -0,0 +1,141 @@
+package check
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// acceptedPuts returns acknowledged configurations, one for each version, in
+// the order of their versions.
+func (f *facts) acceptedPuts() []ledger.Entry {
+	var puts []ledger.Entry
+	for _, entry := range f.input.Entries {
+		if entry.Kind == ledger.KindConfigPut && entry.Accepted() {
+			puts = append(puts, entry)
+		}
+	}
+	slices.SortStableFunc(puts, func(a, b ledger.Entry) int { return cmp.Compare(a.Version, b.Version) })
+	return slices.CompactFunc(puts, func(a, b ledger.Entry) bool { return a.Version == b.Version })
+}
+
+// checkDrains (P7): a drained worker gets no start after 2 s, one in an
+// evacuated zone none after 5 s, until a configuration that takes the drain
+// back was sent.
+func (f *facts) checkDrains() []Violation {
+	var found []Violation
+	puts := f.acceptedPuts()
+	for index, put := range puts {
+		until := f.input.EndedAt
+		if index+1 < len(puts) {
+			until = puts[index+1].Sent
+		}
+		for _, one := range f.runs {
+			if one.Mono >= until {
+				break
+			}
+			if bound, drained := f.drainBound(one.Worker, put.Config); drained && one.Mono > put.Answered.Add(bound) {
+				found = append(found, Violation{P7, one.Task, "started on " + one.Worker + " although that is drained", []monoclock.Nanos{one.Mono, put.Answered}})
+			}
+		}
+	}
+	return found
+}
+
+func (f *facts) drainBound(worker string, config *api.Config) (time.Duration, bool) {
+	if config == nil {
+		return 0, false
+	}
+	if slices.Contains(config.Drains.Workers, worker) {
+		return workerDrainBound, true
+	}
+	return zoneDrainBound, slices.Contains(config.Drains.Zones, f.workers[worker].Zone)
+}
+
+// checkConfigOrders (P8): each order id has one version, each version one
+// order id, and an order sent after another's acknowledgement has a higher
+// version.
+func (f *facts) checkConfigOrders() []Violation {
+	versionOf := map[string]uint64{}
+	orderOf := map[uint64]string{}
+	var highest uint64
+	var highestAt monoclock.Nanos
+	var found []Violation
+	for _, entry := range f.input.Entries {
+		if entry.Kind != ledger.KindConfigPut || !entry.Accepted() {
+			continue
+		}
+		at := []monoclock.Nanos{entry.Answered}
+		version, resent := versionOf[entry.OrderID]
+		if resent && version != entry.Version {
+			found = append(found, Violation{P8, entry.OrderID, fmt.Sprintf("acknowledged as version %d and as %d", version, entry.Version), at})
+		}
+		if other, taken := orderOf[entry.Version]; taken && other != entry.OrderID {
+			found = append(found, Violation{P8, entry.OrderID, fmt.Sprintf("has version %d, as has order %s", entry.Version, other), at})
+		}
+		if !resent && entry.Version <= highest && entry.Sent > highestAt {
+			found = append(found, Violation{P8, entry.OrderID, fmt.Sprintf("acknowledged as version %d after version %d", entry.Version, highest), at})
+		}
+		versionOf[entry.OrderID] = entry.Version
+		orderOf[entry.Version] = entry.OrderID
+		if entry.Version > highest {
+			highest, highestAt = entry.Version, entry.Answered
+		}
+	}
+	return found
+}
+
+// checkConfigReads (P8): the version read never slides back, and what is in
+// force is what won that version, not what was refused.
+func (f *facts) checkConfigReads() []Violation {
+	won := map[uint64]string{}
+	for _, put := range f.acceptedPuts() {
+		won[put.Version] = canonical(put.Config)
+	}
+	var highest uint64
+	var highestAt monoclock.Nanos
+	var found []Violation
+	for _, entry := range f.input.Entries {
+		if !entry.Accepted() || (entry.Kind != ledger.KindConfigRead && entry.Kind != ledger.KindConfigPut) {
+			continue
+		}
+		if entry.Kind == ledger.KindConfigRead {
+			found = append(found, checkRead(entry, won, highest, highestAt)...)
+		}
+		if entry.Version > highest {
+			highest, highestAt = entry.Version, entry.Answered
+		}
+	}
+	return found
+}
+
+func checkRead(entry ledger.Entry, won map[uint64]string, highest uint64, highestAt monoclock.Nanos) []Violation {
+	var found []Violation
+	subject := fmt.Sprintf("version %d", entry.Version)
+	if entry.Version < highest && entry.Sent > highestAt {
+		found = append(found, Violation{P8, subject, fmt.Sprintf("read after version %d", highest), []monoclock.Nanos{entry.Answered, highestAt}})
+	}
+	if content, known := won[entry.Version]; known && content != canonical(entry.Config) {
+		found = append(found, Violation{P8, subject, "in force with a content other than the one acknowledged", []monoclock.Nanos{entry.Answered}})
+	}
+	return found
+}
+
+// canonical is the text by which configurations are compared, with defaults
+// filled in.
+func canonical(config *api.Config) string {
+	if config == nil {
+		return ""
+	}
+	text, err := json.Marshal(config.WithDefaults())
+	if err != nil {
+		return fmt.Sprintf("not encodable: %v", err)
+	}
+	return string(text)
+}
--- /dev/null
+++ b/lab/check/facts.go
@@ -0,0 +1,210 @@
+package check
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/journal"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// run is a journalled run with the time at which it surely was over.
+type run struct {
+	journal.Run
+	name journal.TaskName
+	// over is the time of the end line, else when its worker exited, else
+	// the end of observation.
+	over monoclock.Nanos
+	// cut is true if the run has no end line and its worker exited.
+	cut bool
+}
+
+// jobFacts is all that is known about one job.
+type jobFacts struct {
+	id   string
+	spec *api.JobSpec
+	// submits, polls and cancels are in the order of their answers.
+	submits, polls, cancels []ledger.Entry
+	// accepted is when the first accepting answer came; 0 if none did.
+	accepted monoclock.Nanos
+	// cancelled is when the first accepting answer to a cancel came; 0 if none
+	// did. cancelSent is when the first cancel left; 0 if none did.
+	cancelled, cancelSent monoclock.Nanos
+}
+
+// lastState returns the last observed state; empty if none was seen.
+func (j *jobFacts) lastState() api.State {
+	state := api.State("")
+	for _, poll := range j.polls {
+		if poll.State != "" {
+			state = poll.State
+		}
+	}
+	return state
+}
+
+// step returns the step of that name, or nil.
+func (j *jobFacts) step(name string) *api.StepSpec {
+	for i := range j.spec.Steps {
+		if j.spec.Steps[i].Name == name {
+			return &j.spec.Steps[i]
+		}
+	}
+	return nil
+}
+
+// task returns the description of a task, or nil.
+func (j *jobFacts) task(name journal.TaskName) *api.TaskSpec {
+	step := j.step(name.Step)
+	if step == nil || name.Index < 0 || name.Index >= len(step.Tasks) {
+		return nil
+	}
+	return &step.Tasks[name.Index]
+}
+
+// facts is an Input, sorted out.
+type facts struct {
+	input   Input
+	workers map[string]Worker
+	// exits and faults are by process name, in the order of time.
+	exits, faults map[string][]monoclock.Nanos
+	jobs          map[string]*jobFacts
+	jobIDs        []string
+	// runs are in the order of their starts; byTask is the same by task.
+	runs    []run
+	byTask  map[string][]run
+	unknown []journal.Line
+}
+
+func newFacts(input Input) *facts {
+	f := &facts{
+		input:   input,
+		workers: map[string]Worker{},
+		exits:   map[string][]monoclock.Nanos{},
+		faults:  map[string][]monoclock.Nanos{},
+		jobs:    map[string]*jobFacts{},
+		byTask:  map[string][]run{},
+	}
+	f.input.Entries = slices.Clone(input.Entries)
+	slices.SortStableFunc(f.input.Entries, func(a, b ledger.Entry) int { return cmp.Compare(a.Answered, b.Answered) })
+	f.input.Lines = slices.Clone(input.Lines)
+	journal.Sort(f.input.Lines)
+	for _, worker := range input.Workers {
+		f.workers[worker.Name] = worker
+	}
+	for _, entry := range f.input.Entries {
+		f.addEntry(entry)
+	}
+	f.jobIDs = slices.Sorted(maps.Keys(f.jobs))
+	f.addRuns()
+	return f
+}
+
+func (f *facts) addEntry(entry ledger.Entry) {
+	switch entry.Kind {
+	case ledger.KindFault:
+		if entry.Action == ledger.ActionExit {
+			f.exits[entry.Process] = append(f.exits[entry.Process], entry.Answered)
+		}
+		f.faults[entry.Process] = append(f.faults[entry.Process], entry.Answered)
+	case ledger.KindSubmit:
+		job := f.job(entry.JobID)
+		if job.spec == nil {
+			job.spec = entry.Spec
+		}
+		job.submits = append(job.submits, entry)
+		if entry.Accepted() && job.accepted == 0 {
+			job.accepted = entry.Answered
+		}
+	case ledger.KindPoll:
+		job := f.job(entry.JobID)
+		job.polls = append(job.polls, entry)
+	case ledger.KindCancel:
+		job := f.job(entry.JobID)
+		job.cancels = append(job.cancels, entry)
+		if job.cancelSent == 0 || entry.Sent < job.cancelSent {
+			job.cancelSent = entry.Sent
+		}
+		if entry.Accepted() && job.cancelled == 0 {
+			job.cancelled = entry.Answered
+		}
+	}
+}
+
+func (f *facts) job(id string) *jobFacts {
+	job, found := f.jobs[id]
+	if !found {
+		job = &jobFacts{id: id}
+		f.jobs[id] = job
+	}
+	return job
+}
+
+func (f *facts) addRuns() {
+	for _, journalled := range journal.Runs(f.input.Lines) {
+		name, err := journal.ParseTask(journalled.Task)
+		if err != nil || f.spec(name) == nil {
+			f.unknown = append(f.unknown, journalled.Line)
+			continue
+		}
+		one := run{Run: journalled, name: name}
+		one.over, one.cut = f.overAt(journalled)
+		f.runs = append(f.runs, one)
+		f.byTask[one.Task] = append(f.byTask[one.Task], one)
+	}
+}
+
+func (f *facts) overAt(journalled journal.Run) (over monoclock.Nanos, cut bool) {
+	if journalled.End != 0 {
+		return journalled.End, false
+	}
+	if exit := firstAfter(f.exits[journalled.Worker], journalled.Mono); exit != 0 {
+		return exit, true
+	}
+	return f.input.EndedAt, false
+}
+
+// spec returns the description of a task that a caller handed in, or nil.
+func (f *facts) spec(name journal.TaskName) *api.TaskSpec {
+	job, found := f.jobs[name.Job]
+	if !found || job.spec == nil {
+		return nil
+	}
+	return job.task(name)
+}
+
+// hold is how long a worker may run on after its last accepted heartbeat, as
+// the scheduler reckons.
+func (f *facts) hold() time.Duration {
+	hold := cmp.Or(f.input.Config.Timings.Hold.Std(), defaultHold)
+	return hold + cmp.Or(f.input.Config.Timings.DriftMargin.Std(), defaultDrift)
+}
+
+// disturbed reports whether a fault hit the run's worker or its agent so near
+// to a time that a report of that time may never have been acknowledged.
+func (f *facts) disturbed(one run, at monoclock.Nanos) bool {
+	from, to := at.Add(-f.hold()), at.Add(f.hold())
+	for _, process := range []string{one.Worker, f.workers[one.Worker].Agent} {
+		for _, fault := range f.faults[process] {
+			if fault >= from && fault <= to {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// firstAfter returns the first of sorted times that lies after a time; 0 if
+// none does.
+func firstAfter(times []monoclock.Nanos, after monoclock.Nanos) monoclock.Nanos {
+	for _, at := range times {
+		if at > after {
+			return at
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/lab/check/jobs.go
@@ -0,0 +1,133 @@
+package check
+
+import (
+	"fmt"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// checkJobsEnd (P2): each accepted job is found in a final state at the end,
+// and not wrongly failed or cancelled.
+func (f *facts) checkJobsEnd() []Violation {
+	var found []Violation
+	for _, id := range f.jobIDs {
+		job := f.jobs[id]
+		if job.accepted == 0 {
+			continue
+		}
+		at := []monoclock.Nanos{job.accepted}
+		state := job.lastState()
+		switch {
+		case !state.Final():
+			found = append(found, Violation{P2, id, fmt.Sprintf("accepted, but its last seen state is %q", state), at})
+		case state == api.StateCancelled && job.cancelSent == 0:
+			found = append(found, Violation{P2, id, "shown as cancelled, but no one cancelled it", at})
+		case state == api.StateFailed && !f.mayFail(job):
+			found = append(found, Violation{P2, id, "shown as failed, but no run of it failed", at})
+		case state == api.StateSucceeded:
+			found = append(found, f.checkSucceeded(job)...)
+		}
+	}
+	return found
+}
+
+// mayFail reports whether any run of the job failed.
+func (f *facts) mayFail(job *jobFacts) bool {
+	for _, one := range f.runs {
+		if one.name.Job == job.id && one.Outcome == api.OutcomeFailed {
+			return true
+		}
+	}
+	return false
+}
+
+// checkSucceeded (P2): a job that is shown as succeeded ran all of its tasks.
+func (f *facts) checkSucceeded(job *jobFacts) []Violation {
+	var found []Violation
+	for _, step := range job.spec.Steps {
+		for index := range step.Tasks {
+			task := fmt.Sprintf("%s/%s/%d", job.id, step.Name, index)
+			if !f.succeeded(task) {
+				found = append(found, Violation{P2, task, "its job is shown as succeeded, but no run of it succeeded", []monoclock.Nanos{job.accepted}})
+			}
+		}
+	}
+	return found
+}
+
+func (f *facts) succeeded(task string) bool {
+	for _, one := range f.byTask[task] {
+		if one.End != 0 && one.Outcome == api.OutcomeSucceeded {
+			return true
+		}
+	}
+	return false
+}
+
+// checkStates (P2): a final state never changes, and an accepted job is never
+// unknown. Only polls sent after the earlier answer came are compared.
+func (f *facts) checkStates() []Violation {
+	var found []Violation
+	for _, id := range f.jobIDs {
+		job := f.jobs[id]
+		final := api.State("")
+		var finalAt monoclock.Nanos
+		for _, poll := range job.polls {
+			if poll.Code == api.CodeNotFound && job.accepted != 0 && poll.Sent > job.accepted {
+				found = append(found, Violation{P2, id, "accepted, but answered as not found", []monoclock.Nanos{poll.Answered, job.accepted}})
+			}
+			if poll.State == "" {
+				continue
+			}
+			if final != "" && poll.Sent > finalAt && poll.State != final {
+				text := fmt.Sprintf("shown as %s after it was shown as %s", poll.State, final)
+				found = append(found, Violation{P2, id, text, []monoclock.Nanos{poll.Answered, finalAt}})
+			}
+			if final == "" && poll.State.Final() {
+				final, finalAt = poll.State, poll.Answered
+			}
+		}
+	}
+	return found
+}
+
+// checkReads (P2): a job's state is readable within 3 s, beyond the time that
+// the caller allowed the fleet to hold the request.
+func (f *facts) checkReads() []Violation {
+	var found []Violation
+	for _, id := range f.jobIDs {
+		for _, poll := range f.jobs[id].polls {
+			if poll.Code == api.CodeNotFound {
+				continue
+			}
+			delay := poll.Answered.Sub(poll.Sent) - poll.Wait
+			if delay > readBound {
+				text := fmt.Sprintf("its state could not be read for %v", delay)
+				found = append(found, Violation{P2, id, text, []monoclock.Nanos{poll.Sent, poll.Answered}})
+			}
+		}
+	}
+	return found
+}
+
+// checkResends (P2): a job that is handed in again is answered as the same.
+func (f *facts) checkResends() []Violation {
+	var found []Violation
+	for _, id := range f.jobIDs {
+		job := f.jobs[id]
+		for _, submit := range job.submits {
+			if job.accepted == 0 || submit.Sent <= job.accepted {
+				continue
+			}
+			at := []monoclock.Nanos{submit.Answered, job.accepted}
+			if submit.Created {
+				found = append(found, Violation{P2, id, "handed in again and answered as new", at})
+			}
+			if submit.Code == api.CodeConflict {
+				found = append(found, Violation{P2, id, "handed in again unchanged and answered as other content", at})
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/lab/check/place.go
@@ -0,0 +1,129 @@
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// change is a start or an end of a run.
+type change struct {
+	at    monoclock.Nanos
+	start bool
+	one   run
+}
+
+// changes lists starts and ends in the order of time; of equal times, ends go
+// first.
+func changes(runs []run) []change {
+	var all []change
+	for _, one := range runs {
+		all = append(all, change{one.Mono, true, one}, change{one.over, false, one})
+	}
+	slices.SortStableFunc(all, func(a, b change) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(order(a.start), order(b.start)))
+	})
+	return all
+}
+
+func order(start bool) int {
+	if start {
+		return 1
+	}
+	return 0
+}
+
+// checkCapacity (P5): the open runs on a worker never take more than its room.
+func (f *facts) checkCapacity() []Violation {
+	used := map[string]api.Resources{}
+	var found []Violation
+	for _, change := range changes(f.runs) {
+		worker := change.one.Worker
+		need := f.spec(change.one.name).Resources
+		if !change.start {
+			used[worker] = used[worker].Sub(need)
+			continue
+		}
+		used[worker] = used[worker].Add(need)
+		if room := f.workers[worker].Capacity; !used[worker].Fits(room) {
+			text := fmt.Sprintf("overfilled %s: %+v of %+v", worker, used[worker], room)
+			found = append(found, Violation{P5, change.one.Task, text, []monoclock.Nanos{change.at}})
+		}
+	}
+	return found
+}
+
+// checkPlace (P5): the worker offers the service and has the labels.
+func (f *facts) checkPlace() []Violation {
+	var found []Violation
+	for _, one := range f.runs {
+		spec := f.spec(one.name)
+		worker, known := f.workers[one.Worker]
+		switch {
+		case !known:
+			found = append(found, Violation{P5, one.Task, "ran on the unknown worker " + one.Worker, []monoclock.Nanos{one.Mono}})
+		case !slices.Contains(worker.Services, spec.Service):
+			found = append(found, Violation{P5, one.Task, one.Worker + " does not offer " + spec.Service, []monoclock.Nanos{one.Mono}})
+		default:
+			for key, value := range spec.Labels {
+				if worker.label(key) != value {
+					text := fmt.Sprintf("%s has not the label %s=%s", one.Worker, key, value)
+					found = append(found, Violation{P5, one.Task, text, []monoclock.Nanos{one.Mono}})
+				}
+			}
+		}
+	}
+	return found
+}
+
+// zoneLabel is the label that an agent adds for its workers.
+const zoneLabel = "zone"
+
+func (w Worker) label(key string) string {
+	if key == zoneLabel {
+		return w.Zone
+	}
+	return w.Labels[key]
+}
+
+// domain returns the spread domain that the worker lies in.
+func (w Worker) domain(by string) string {
+	switch {
+	case by == api.SpreadByWorker:
+		return w.Name
+	case by == api.SpreadByZone:
+		return w.Zone
+	default:
+		return w.label(strings.TrimPrefix(by, api.SpreadByLabelPrefix))
+	}
+}
+
+// checkSpread (P5): no start puts more runs of a step into a domain than its
+// spread rule allows.
+func (f *facts) checkSpread() []Violation {
+	type place struct{ job, step, by, domain string }
+	open := map[place]int{}
+	var found []Violation
+	for _, change := range changes(f.runs) {
+		spread := f.spec(change.one.name).Spread
+		if spread == nil {
+			continue
+		}
+		name := change.one.name
+		at := place{name.Job, name.Step, spread.By, f.workers[change.one.Worker].domain(spread.By)}
+		if !change.start {
+			open[at]--
+			continue
+		}
+		open[at]++
+		if room := cmp.Or(spread.MaxPerDomain, defaultSpreadRoom); open[at] > room {
+			text := fmt.Sprintf("%d runs of its step in %s %q, %d allowed", open[at], spread.By, at.domain, room)
+			found = append(found, Violation{P5, change.one.Task, text, []monoclock.Nanos{change.at}})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,217 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/ledger"
+)
+
+const (
+	// programPrefix and a role make the name of a program.
+	programPrefix = "decklever-"
+	// stopTimeout is how long a process may take to end when asked to.
+	stopTimeout = 3 * time.Second
+	killTimeout = 5 * time.Second
+)
+
+// Config says what to start.
+type Config struct {
+	Deployment deployment.Deployment
+	// Directory gets settings, logs, data and journals.
+	Directory string
+	// Binaries is the folder of the programs.
+	Binaries string
+	// Ledger gets starts, faults and exits.
+	Ledger *ledger.Ledger
+	// LogLevel of all processes. Default "info".
+	LogLevel string
+}
+
+// Fleet is the processes of one deployment.
+type Fleet struct {
+	config    Config
+	layout    layout
+	launcher  *launcher
+	client    *api.Client
+	processes []*Process
+	byName    map[string]*Process
+}
+
+// New writes the settings files; it starts nothing yet. Stop must be called in
+// the end.
+func New(config Config) (*Fleet, error) {
+	if config.LogLevel == "" {
+		config.LogLevel = "info"
+	}
+	root, err := filepath.Abs(config.Directory)
+	if err != nil {
+		return nil, fmt.Errorf("fleet folder: %w", err)
+	}
+	client, err := api.NewClient(api.ClientConfig{Endpoints: config.Deployment.FrontURLs()})
+	if err != nil {
+		return nil, fmt.Errorf("client of the fleet: %w", err)
+	}
+	f := &Fleet{config: config, layout: layout{root}, client: client, byName: map[string]*Process{}}
+	if err := f.layout.prepare(); err != nil {
+		return nil, err
+	}
+	if err := f.addProcesses(); err != nil {
+		return nil, err
+	}
+	f.launcher = newLauncher()
+	for _, process := range f.processes {
+		process.launcher = f.launcher
+	}
+	return f, nil
+}
+
+func (f *Fleet) addProcesses() error {
+	for _, spec := range f.config.Deployment.Processes {
+		program, err := findProgram(f.config.Binaries, spec.Role)
+		if err != nil {
+			return err
+		}
+		if err := f.layout.writeSettings(spec, f.config.Deployment.Seeds(), f.config.LogLevel); err != nil {
+			return err
+		}
+		process := &Process{
+			Spec: spec, program: program, settings: f.layout.settings(spec.Name),
+			logPath: f.layout.log(spec.Name), ledger: f.config.Ledger,
+		}
+		f.processes = append(f.processes, process)
+		f.byName[spec.Name] = process
+	}
+	return nil
+}
+
+// findProgram returns the path of a role's program.
+func findProgram(directory string, role deployment.Role) (string, error) {
+	path, err := filepath.Abs(filepath.Join(directory, programPrefix+string(role)))
+	if err != nil {
+		return "", fmt.Errorf("find program: %w", err)
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", fmt.Errorf("find program: %w", err)
+	}
+	if info.IsDir() || info.Mode()&0o111 == 0 {
+		return "", fmt.Errorf("find program: %s cannot be run", path)
+	}
+	return path, nil
+}
+
+// Start starts all processes. It refuses if anything listens on one of their
+// addresses already, such as another fleet of the same instance.
+func (f *Fleet) Start() error {
+	for _, process := range f.processes {
+		if err := addressFree(process.Spec); err != nil {
+			return err
+		}
+	}
+	for _, process := range f.processes {
+		if err := process.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func addressFree(process deployment.Process) error {
+	if process.Role == deployment.RoleWorker {
+		return nil
+	}
+	listener, err := net.Listen("tcp", process.Address)
+	if err != nil {
+		return fmt.Errorf("address of %s is not free: %w", process.Name, err)
+	}
+	return listener.Close()
+}
+
+// stopOrder lets each role say its last words to those that it speaks to.
+var stopOrder = []deployment.Role{
+	deployment.RoleWorker, deployment.RoleAgent, deployment.RoleFront, deployment.RoleScheduler,
+}
+
+// Stop asks all processes to end, role by role, and kills those that have not
+// ended in time.
+func (f *Fleet) Stop() error {
+	var failures []error
+	for _, role := range stopOrder {
+		failures = append(failures, f.stopRole(role))
+	}
+	f.launcher.close()
+	return errors.Join(failures...)
+}
+
+func (f *Fleet) stopRole(role deployment.Role) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout+killTimeout)
+	defer cancel()
+	processes := f.ByRole(role)
+	failures := make([]error, len(processes))
+	var waiting sync.WaitGroup
+	for index, process := range processes {
+		waiting.Go(func() { failures[index] = process.stop(ctx) })
+	}
+	waiting.Wait()
+	return errors.Join(failures...)
+}
+
+// stop ends the process, frozen or not.
+func (p *Process) stop(ctx context.Context) error {
+	if err := p.Terminate(); errors.Is(err, errNotRunning) {
+		return nil
+	}
+	if err := p.Resume(); err != nil && !errors.Is(err, errNotRunning) {
+		return err
+	}
+	return p.end(ctx)
+}
+
+// Client returns a client of all fronts.
+func (f *Fleet) Client() *api.Client { return f.client }
+
+// Deployment returns what the fleet was made from.
+func (f *Fleet) Deployment() deployment.Deployment { return f.config.Deployment }
+
+// JournalDirectory returns the folder of the workers' journals.
+func (f *Fleet) JournalDirectory() string { return f.layout.journals() }
+
+// LogDirectory returns the folder of the processes' logs.
+func (f *Fleet) LogDirectory() string { return filepath.Dir(f.layout.log("")) }
+
+// Process returns the process of that name, or nil.
+func (f *Fleet) Process(name string) *Process { return f.byName[name] }
+
+// ByRole returns all processes of a role.
+func (f *Fleet) ByRole(role deployment.Role) []*Process {
+	var found []*Process
+	for _, process := range f.processes {
+		if process.Spec.Role == role {
+			found = append(found, process)
+		}
+	}
+	return found
+}
+
+// Leader returns the scheduler that the members call names as the leader.
+func (f *Fleet) Leader(ctx context.Context) (*Process, error) {
+	members, err := f.client.Members(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("find the leader: %w", err)
+	}
+	for _, member := range members.Members {
+		if process := f.byName[member.Name]; member.Leader && process != nil {
+			return process, nil
+		}
+	}
+	return nil, errors.New("find the leader: no member is shown as the leader")
+}
--- /dev/null
+++ b/lab/fleet/fleet_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/internal/settings"
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/ledger"
+)
+
+// TestSettingsFilesAreWhatTheDaemonsTake loads each written file the way the
+// daemons do, which refuses unknown and wrong keys.
+func TestSettingsFilesAreWhatTheDaemonsTake(t *testing.T) {
+	d, err := deployment.New("cartago", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	binaries := t.TempDir()
+	for _, role := range []string{"scheduler", "front", "agent", "worker"} {
+		if err := os.WriteFile(filepath.Join(binaries, programPrefix+role), nil, 0o755); err != nil {
+			t.Fatal(err)
+		}
+	}
+	book, err := ledger.Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := New(Config{Deployment: d, Directory: t.TempDir(), Binaries: binaries, Ledger: book})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := f.Stop(); err != nil {
+			t.Error(err)
+		}
+	}()
+	for _, process := range f.processes {
+		if err := load(process); err != nil {
+			t.Errorf("%s: %v", process.Spec.Name, err)
+		}
+	}
+}
+
+func load(process *Process) error {
+	options := settings.LoadOptions{Path: process.settings}
+	var err error
+	switch process.Spec.Role {
+	case deployment.RoleScheduler:
+		_, err = settings.Load[settings.Scheduler](options)
+	case deployment.RoleFront:
+		_, err = settings.Load[settings.Front](options)
+	case deployment.RoleAgent:
+		_, err = settings.Load[settings.Agent](options)
+	case deployment.RoleWorker:
+		_, err = settings.Load[settings.Worker](options)
+	}
+	return err
+}
+
+func TestNewNamesTheProgramThatIsMissing(t *testing.T) {
+	d, err := deployment.New("restrepo", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(Config{Deployment: d, Directory: t.TempDir(), Binaries: t.TempDir()}); err == nil {
+		t.Fatal("a fleet without programs was made")
+	}
+}
+
+func TestStartRefusesAnAddressInUse(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := deployment.Process{Name: "front-01", Role: deployment.RoleFront, Address: listener.Addr().String()}
+	f := &Fleet{processes: []*Process{{Spec: taken}}}
+	if err := f.Start(); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("Start returned %v, want that the address is in use", err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := addressFree(taken); err != nil {
+		t.Errorf("the address is free again, but: %v", err)
+	}
+}
+
+func TestProcessFilesAreRead(t *testing.T) {
+	stat := "12 (a (b) c) S 1 12 12 0 -1 4194304 900 0 0 0 250 50 0 0 20 0 9 0 77 1 2"
+	cpu, err := parseProcessorTime([]byte(stat))
+	if err != nil || cpu != 3*time.Second {
+		t.Errorf("processor time is %v, %v, want 3s", cpu, err)
+	}
+	memory, err := parseResidentMemory([]byte("Name:\tx\nVmRSS:\t   2048 kB\nThreads:\t3\n"))
+	if err != nil || memory != 2048*1024 {
+		t.Errorf("resident memory is %d, %v, want 2 MiB", memory, err)
+	}
+	if _, err := parseProcessorTime([]byte("12 (x) S 1")); err == nil {
+		t.Error("a short stat line was taken")
+	}
+	if _, err := parseResidentMemory([]byte("Name:\tx\n")); err == nil {
+		t.Error("a status without VmRSS was taken")
+	}
+}
--- /dev/null
+++ b/lab/fleet/process.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// errNotRunning is returned for an action on a process that does not run.
+var errNotRunning = errors.New("process is not running")
+
+// Process is one process of the fleet, over all of its lives.
+type Process struct {
+	// Spec is what the deployment says of it.
+	Spec deployment.Process
+
+	program  string
+	settings string
+	logPath  string
+	launcher *launcher
+	ledger   *ledger.Ledger
+
+	mutex sync.Mutex
+	life  *life
+}
+
+// life is one start of a process.
+type life struct {
+	command *exec.Cmd
+	// ended is closed once the process was reaped.
+	ended chan struct{}
+	// expected is true once the lab told the process to end.
+	expected bool
+}
+
+// Start starts the process.
+func (p *Process) Start() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running() != nil {
+		return fmt.Errorf("start %s: it already runs", p.Spec.Name)
+	}
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("open log of %s: %w", p.Spec.Name, err)
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(p.program, "--settings", p.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := p.launcher.start(command); err != nil {
+		return fmt.Errorf("start %s: %w", p.Spec.Name, err)
+	}
+	p.note(ledger.ActionStart, true)
+	p.life = &life{command: command, ended: make(chan struct{})}
+	go p.reap(p.life)
+	return nil
+}
+
+// reap waits for the end of a life and notes it.
+func (p *Process) reap(one *life) {
+	_ = one.command.Wait()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.note(ledger.ActionExit, one.expected)
+	close(one.ended)
+}
+
+// running returns the present life, or nil. The mutex must be held.
+func (p *Process) running() *life {
+	if p.life == nil {
+		return nil
+	}
+	select {
+	case <-p.life.ended:
+		return nil
+	default:
+		return p.life
+	}
+}
+
+func (p *Process) note(action ledger.Action, expected bool) {
+	now := monoclock.Now()
+	p.ledger.Add(ledger.Entry{Kind: ledger.KindFault, Sent: now, Answered: now, Process: p.Spec.Name, Action: action, Expected: expected})
+}
+
+// PID returns the process id; 0 if the process does not run.
+func (p *Process) PID() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if one := p.running(); one != nil {
+		return one.command.Process.Pid
+	}
+	return 0
+}
+
+// Kill ends the process at once, with SIGKILL.
+func (p *Process) Kill() error { return p.signal(ledger.ActionKill, syscall.SIGKILL) }
+
+// Terminate asks the process to end, with SIGTERM.
+func (p *Process) Terminate() error { return p.signal(ledger.ActionTerminate, syscall.SIGTERM) }
+
+// Freeze stops the process from running, with SIGSTOP.
+func (p *Process) Freeze() error { return p.signal(ledger.ActionFreeze, syscall.SIGSTOP) }
+
+// Resume lets a frozen process run on.
+func (p *Process) Resume() error { return p.signal(ledger.ActionResume, syscall.SIGCONT) }
+
+func (p *Process) signal(action ledger.Action, signal syscall.Signal) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	one := p.running()
+	if one == nil {
+		return fmt.Errorf("%s %s: %w", action, p.Spec.Name, errNotRunning)
+	}
+	if action == ledger.ActionKill || action == ledger.ActionTerminate {
+		one.expected = true
+	}
+	p.note(action, true)
+	err := one.command.Process.Signal(signal)
+	if errors.Is(err, os.ErrProcessDone) {
+		err = errNotRunning
+	}
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", action, p.Spec.Name, err)
+	}
+	return nil
+}
+
+// Wait waits until the process does not run or the context ends.
+func (p *Process) Wait(ctx context.Context) error {
+	p.mutex.Lock()
+	one := p.running()
+	p.mutex.Unlock()
+	if one == nil {
+		return nil
+	}
+	select {
+	case <-one.ended:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait for the end of %s: %w", p.Spec.Name, ctx.Err())
+	}
+}
+
+// Restart asks the process to end, waits for that, and starts it again. A
+// process that does not end in time is killed.
+func (p *Process) Restart(ctx context.Context) error {
+	if err := p.Terminate(); err != nil && !errors.Is(err, errNotRunning) {
+		return err
+	}
+	if err := p.end(ctx); err != nil {
+		return err
+	}
+	return p.Start()
+}
+
+// end waits for stopTimeout and kills the process if it still runs then.
+func (p *Process) end(ctx context.Context) error {
+	patient, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if p.Wait(patient) == nil {
+		return nil
+	}
+	if err := p.Kill(); err != nil && !errors.Is(err, errNotRunning) {
+		return err
+	}
+	return p.Wait(ctx)
+}
--- /dev/null
+++ b/lab/fleet/ready.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/operator"
+)
+
+const (
+	readyPollInterval = 50 * time.Millisecond
+	readyCallTimeout  = time.Second
+	// firstOrderID names the order that puts the first configuration.
+	firstOrderID = "lab-first-configuration"
+)
+
+// WaitReady waits until every process that listens is ready, sees that the
+// first configuration is in force, and waits until all workers are ready.
+func (f *Fleet) WaitReady(ctx context.Context, desk *operator.Operator) error {
+	if err := f.waitListening(ctx); err != nil {
+		return err
+	}
+	if err := f.pushFirstConfig(ctx, desk); err != nil {
+		return err
+	}
+	return f.WaitWorkers(ctx, len(f.ByRole(deployment.RoleWorker)))
+}
+
+func (f *Fleet) waitListening(ctx context.Context) error {
+	for _, process := range f.processes {
+		if process.Spec.Role == deployment.RoleWorker {
+			continue
+		}
+		if err := process.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until the process answers that it is ready.
+func (p *Process) WaitReady(ctx context.Context) error {
+	var last string
+	err := until(ctx, func() bool {
+		if p.PID() == 0 {
+			last = "it does not run"
+			return true
+		}
+		last = readyAnswer(ctx, p.Spec.URL()+"/readyz")
+		return last == ""
+	})
+	if err == nil && last != "" {
+		err = errNotRunning
+	}
+	if err != nil {
+		return fmt.Errorf("%s is not ready: %s: %w", p.Spec.Name, last, err)
+	}
+	return nil
+}
+
+// readyAnswer returns why a process is not ready, or "".
+func readyAnswer(ctx context.Context, url string) string {
+	ctx, cancel := context.WithTimeout(ctx, readyCallTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err.Error()
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return answer.Status
+	}
+	return ""
+}
+
+func (f *Fleet) pushFirstConfig(ctx context.Context, desk *operator.Operator) error {
+	present, err := desk.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("read the configuration in force: %w", err)
+	}
+	if present.Version != 0 {
+		return nil
+	}
+	if _, err := desk.Put(ctx, present.Version, firstOrderID, f.config.Deployment.Config); err != nil {
+		return fmt.Errorf("put the first configuration: %w", err)
+	}
+	return nil
+}
+
+// WaitWorkers waits until that many workers are ready.
+func (f *Fleet) WaitWorkers(ctx context.Context, count int) error {
+	ready := 0
+	err := until(ctx, func() bool {
+		list, err := f.client.Workers(ctx)
+		ready = 0
+		for _, worker := range list.Workers {
+			if worker.State == api.WorkerReady {
+				ready++
+			}
+		}
+		return err == nil && ready >= count
+	})
+	if err != nil {
+		return fmt.Errorf("%d of %d workers are ready: %w", ready, count, err)
+	}
+	return nil
+}
+
+// until repeats a question until it is answered true or the context ends.
+func until(ctx context.Context, question func() bool) error {
+	ticker := time.NewTicker(readyPollInterval)
+	defer ticker.Stop()
+	for {
+		if question() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/lab/journal/journal_test.go
@@ -0,0 +1,82 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/decklever/decklever/api"
+)
+
+const (
+	startLine = `{"mono_ns":100,"event":"start","task":"j/s/0","run":1,"worker_id":"w1","worker":"worker-01","token":3}` + "\n"
+	endLine   = `{"mono_ns":200,"event":"end","task":"j/s/0","run":1,"worker_id":"w1","worker":"worker-01","token":3,"outcome":"succeeded"}` + "\n"
+)
+
+func appendFile(t *testing.T, path, text string) {
+	t.Helper()
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := file.WriteString(text); err != nil {
+		t.Fatal(err)
+	}
+	if err := file.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestReaderTakesALineOnceItIsWhole(t *testing.T) {
+	directory := t.TempDir()
+	path := filepath.Join(directory, "worker-01"+Suffix)
+	reader := NewReader(directory)
+	appendFile(t, path, startLine+endLine[:20])
+	reader.Poll()
+	if got := len(reader.Lines()); got != 1 {
+		t.Fatalf("%d lines after a torn write, want 1", got)
+	}
+	appendFile(t, path, endLine[20:])
+	reader.Poll()
+	reader.Poll()
+	runs := Runs(reader.Lines())
+	if len(runs) != 1 || runs[0].End != 200 || runs[0].Outcome != api.OutcomeSucceeded {
+		t.Fatalf("runs are %+v, want one that succeeded at 200", runs)
+	}
+	if errs := reader.Errors(); len(errs) != 0 {
+		t.Fatalf("errors: %v", errs)
+	}
+}
+
+func TestReaderGoesOnBehindALineTornByAKill(t *testing.T) {
+	directory := t.TempDir()
+	path := filepath.Join(directory, "worker-01"+Suffix)
+	appendFile(t, path, endLine[:30]+startLine+endLine)
+	reader := NewReader(directory)
+	reader.Poll()
+	if got := len(reader.Lines()); got != 2 {
+		t.Fatalf("%d lines, want 2: %v", got, reader.Errors())
+	}
+}
+
+func TestReaderReportsWhatItCannotRead(t *testing.T) {
+	directory := t.TempDir()
+	appendFile(t, filepath.Join(directory, "worker-01"+Suffix), "nonsense\n"+startLine)
+	reader := NewReader(directory)
+	reader.Poll()
+	if len(reader.Errors()) != 1 || len(reader.Lines()) != 1 {
+		t.Fatalf("%d errors and %d lines, want 1 and 1", len(reader.Errors()), len(reader.Lines()))
+	}
+}
+
+func TestParseTask(t *testing.T) {
+	name, err := ParseTask("job-1/step/12")
+	if err != nil || name != (TaskName{Job: "job-1", Step: "step", Index: 12}) || name.String() != "job-1/step/12" {
+		t.Fatalf("got %+v, %v", name, err)
+	}
+	for _, wrong := range []string{"", "a/b", "a/b/c", "a/b/1/2"} {
+		if _, err := ParseTask(wrong); err == nil {
+			t.Errorf("%q was taken", wrong)
+		}
+	}
+}
--- /dev/null
+++ b/lab/journal/line.go
@@ -0,0 +1,99 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// Event is what a line tells.
+type Event string
+
+// Events. Lines with other events are skipped.
+const (
+	EventStart Event = "start"
+	EventEnd   Event = "end"
+)
+
+// Line is one line of a worker's journal.
+type Line struct {
+	Mono  monoclock.Nanos `json:"mono_ns"`
+	Event Event           `json:"event"`
+	// Task is "JOB/STEP/INDEX".
+	Task     string `json:"task"`
+	Run      uint32 `json:"run"`
+	WorkerID string `json:"worker_id"`
+	// Worker is the worker's name, the same over restarts.
+	Worker string `json:"worker"`
+	// Token is the token of the answer that ordered the start.
+	Token uint64 `json:"token"`
+	// Outcome stands on end lines.
+	Outcome api.Outcome `json:"outcome,omitempty"`
+}
+
+// TaskName is the split form of "JOB/STEP/INDEX".
+type TaskName struct {
+	Job   string
+	Step  string
+	Index int
+}
+
+// ParseTask splits a task's full name.
+func ParseTask(task string) (TaskName, error) {
+	parts := strings.Split(task, "/")
+	if len(parts) != 3 {
+		return TaskName{}, fmt.Errorf("task is %q, expected JOB/STEP/INDEX", task)
+	}
+	index, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return TaskName{}, fmt.Errorf("task is %q, expected a number as its last part", task)
+	}
+	return TaskName{Job: parts[0], Step: parts[1], Index: index}, nil
+}
+
+// String returns the full name.
+func (n TaskName) String() string { return fmt.Sprintf("%s/%s/%d", n.Job, n.Step, n.Index) }
+
+// parse reads whole lines. It returns the lines and the number of bytes that
+// it read; a last line without its newline is left for the next call.
+func parse(data []byte) (lines []Line, read int, err error) {
+	for {
+		end := bytes.IndexByte(data[read:], '\n')
+		if end < 0 {
+			return lines, read, nil
+		}
+		text := data[read : read+end]
+		read += end + 1
+		line, ok, err := parseLine(text)
+		if err != nil {
+			return lines, read, err
+		}
+		if ok {
+			lines = append(lines, line)
+		}
+	}
+}
+
+// parseLine reads one line. A worker that was killed while it wrote leaves
+// half a line, to which its next life appends: then only what follows the last
+// opening of an object is a line.
+func parseLine(text []byte) (Line, bool, error) {
+	text = bytes.TrimSpace(text)
+	if len(text) == 0 {
+		return Line{}, false, nil
+	}
+	var line Line
+	err := json.Unmarshal(text, &line)
+	if err != nil {
+		whole := bytes.LastIndex(text, []byte(`{"`))
+		if whole <= 0 || json.Unmarshal(text[whole:], &line) != nil {
+			return Line{}, false, fmt.Errorf("journal line %q: %w", text, err)
+		}
+	}
+	return line, line.Event == EventStart || line.Event == EventEnd, nil
+}
--- /dev/null
+++ b/lab/ledger/ledger.go
@@ -0,0 +1,66 @@
+package ledger
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+)
+
+// Ledger is an append-only list of entries. It is safe for use by many
+// goroutines.
+type Ledger struct {
+	mutex   sync.Mutex
+	entries []Entry
+	file    *os.File
+	writer  *bufio.Writer
+	failure error
+}
+
+// Open returns a ledger that also writes to a new file at path. With an empty
+// path it stands in memory only.
+func Open(path string) (*Ledger, error) {
+	if path == "" {
+		return &Ledger{}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, fmt.Errorf("create ledger: %w", err)
+	}
+	return &Ledger{file: file, writer: bufio.NewWriter(file)}, nil
+}
+
+// Add appends an entry. A failure to write is kept for Close.
+func (l *Ledger) Add(entry Entry) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.entries = append(l.entries, entry)
+	if l.writer == nil || l.failure != nil {
+		return
+	}
+	if err := json.NewEncoder(l.writer).Encode(entry); err != nil {
+		l.failure = fmt.Errorf("write ledger: %w", err)
+	}
+}
+
+// Entries returns all entries in the order in which they were added.
+func (l *Ledger) Entries() []Entry {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.entries)
+}
+
+// Close writes out what is buffered.
+func (l *Ledger) Close() error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.writer == nil {
+		return nil
+	}
+	err := errors.Join(l.failure, l.writer.Flush(), l.file.Close())
+	l.writer, l.file = nil, nil
+	return err
+}
--- /dev/null
+++ b/lab/ledger/ledger_test.go
@@ -0,0 +1,32 @@
+package ledger
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func TestLedgerKeepsOrderInMemoryAndOnDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ledger.jsonl")
+	ledger, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ledger.Add(Entry{Kind: KindSubmit, JobID: "a"})
+	ledger.Add(Entry{Kind: KindPoll, JobID: "b"})
+	if err := ledger.Close(); err != nil {
+		t.Fatal(err)
+	}
+	entries := ledger.Entries()
+	if len(entries) != 2 || entries[0].JobID != "a" || entries[1].JobID != "b" {
+		t.Fatalf("entries are %+v", entries)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if lines := bytes.Count(data, []byte("\n")); lines != 2 {
+		t.Fatalf("%d lines on disk, want 2", lines)
+	}
+}
--- /dev/null
+++ b/lab/load/caller.go
@@ -0,0 +1,137 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+	"github.com/decklever/decklever/lab/operator"
+)
+
+const (
+	// pollWait is how long a front may hold a poll. It is shorter than the
+	// 3 s in which a state must be readable, because the client waits anew at
+	// the next front when one is gone.
+	pollWait = 2 * time.Second
+	// callTimeout is how long a caller tries one call at all fronts before
+	// the ledger notes that there was no answer.
+	callTimeout = 15 * time.Second
+	// pollPause follows a poll that failed or was answered early.
+	pollPause = 50 * time.Millisecond
+
+	idleConnections = 256
+)
+
+func newTransport() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConns: 0, MaxIdleConnsPerHost: idleConnections}}
+}
+
+// caller is one caller of the fleet.
+type caller struct {
+	client *api.Client
+	ledger *ledger.Ledger
+	// shown are the tasks that a poll showed as succeeded already.
+	shown map[string]bool
+}
+
+// submit hands in a job until there is a plain answer. It reports whether the
+// job was accepted.
+func (c *caller) submit(ctx context.Context, one plan) bool {
+	for {
+		entry := c.submitOnce(ctx, one, false)
+		switch {
+		case entry.Accepted():
+			return true
+		case entry.Code != api.CodeUnavailable && entry.Code != api.CodeOutcomeUnknown:
+			return false
+		case ctx.Err() != nil:
+			return false
+		}
+	}
+}
+
+// resend hands in an accepted job once more.
+func (c *caller) resend(ctx context.Context, one plan) { c.submitOnce(ctx, one, true) }
+
+func (c *caller) submitOnce(ctx context.Context, one plan, resend bool) ledger.Entry {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry := ledger.Entry{Kind: ledger.KindSubmit, Sent: monoclock.Now(), JobID: one.id, Spec: &one.spec, Resend: resend}
+	created, err := c.client.SubmitJob(ctx, one.id, one.spec)
+	entry.Answered, entry.Created = monoclock.Now(), created
+	entry.Code, entry.Error = operator.Refusal(err)
+	c.ledger.Add(entry)
+	return entry
+}
+
+// watch polls a job until it is final. It reports false if the context ended
+// before that.
+func (c *caller) watch(ctx context.Context, one plan) bool {
+	c.shown = map[string]bool{}
+	for ctx.Err() == nil {
+		state := c.poll(ctx, one.id)
+		if state.Final() {
+			return true
+		}
+		pause(ctx, pollPause)
+	}
+	return false
+}
+
+func (c *caller) poll(ctx context.Context, id string) api.State {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry := ledger.Entry{Kind: ledger.KindPoll, Sent: monoclock.Now(), JobID: id, Wait: pollWait}
+	status, err := c.client.Job(limited, id, pollWait)
+	if ctx.Err() != nil {
+		return ""
+	}
+	entry.Answered, entry.State = monoclock.Now(), status.State
+	entry.Code, entry.Error = operator.Refusal(err)
+	entry.Succeeded = c.newlySucceeded(status)
+	c.ledger.Add(entry)
+	return status.State
+}
+
+// newlySucceeded returns tasks that no earlier poll showed as succeeded.
+func (c *caller) newlySucceeded(status api.JobStatus) []string {
+	var tasks []string
+	for _, step := range status.Steps {
+		for _, task := range step.Tasks {
+			if task.State == api.StateSucceeded && !c.shown[task.Task] {
+				c.shown[task.Task] = true
+				tasks = append(tasks, task.Task)
+			}
+		}
+	}
+	return tasks
+}
+
+// cancel cancels a job, until there is an answer or the context ends.
+func (c *caller) cancel(ctx context.Context, id string) {
+	for ctx.Err() == nil {
+		limited, stop := context.WithTimeout(ctx, callTimeout)
+		entry := ledger.Entry{Kind: ledger.KindCancel, Sent: monoclock.Now(), JobID: id}
+		status, err := c.client.CancelJob(limited, id)
+		stop()
+		entry.Answered, entry.State = monoclock.Now(), status.State
+		entry.Code, entry.Error = operator.Refusal(err)
+		c.ledger.Add(entry)
+		if err == nil || entry.Code == api.CodeNotFound {
+			return
+		}
+		pause(ctx, pollPause)
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,140 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/ledger"
+)
+
+func TestPlansComeFromTheSeedAndAreValid(t *testing.T) {
+	d, err := deployment.New("restrepo", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	same, again, other := newPlanner(7, "short", d.Shapes.Short, true), newPlanner(7, "short", d.Shapes.Short, true), newPlanner(8, "short", d.Shapes.Short, true)
+	differs := false
+	var length time.Duration
+	const count = 500
+	for range count {
+		one := same.next()
+		if difference := cmp.Diff(one, again.next(), cmp.AllowUnexported(plan{})); difference != "" {
+			t.Fatalf("the same seed gave another job: %s", difference)
+		}
+		differs = differs || one.after != other.next().after
+		if wrong := api.ValidateJob(one.id, &one.spec, &d.Config); len(wrong) != 0 {
+			t.Fatalf("%s is not valid: %v", one.id, wrong)
+		}
+		length += one.after
+	}
+	if !differs {
+		t.Error("another seed gave the same jobs")
+	}
+	if rate := count / length.Seconds(); rate < 11 || rate > 16 {
+		t.Errorf("%.1f jobs a second, want about 13.5", rate)
+	}
+}
+
+// standIn is a front that knows every job and lets it end at its second poll.
+type standIn struct {
+	mutex sync.Mutex
+	polls map[string]int
+}
+
+func (s *standIn) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id, _, cancel := strings.Cut(strings.TrimPrefix(request.URL.Path, "/v1/jobs/"), "/")
+	status := api.JobStatus{ID: id, State: api.StateRunning}
+	switch {
+	case request.Method == http.MethodPut:
+		_, known := s.polls[id]
+		if !known {
+			s.polls[id] = 0
+		}
+		_ = json.NewEncoder(writer).Encode(api.SubmitAnswer{ID: id, Created: !known})
+		return
+	case cancel:
+		s.polls[id]++
+	default:
+		s.polls[id]++
+	}
+	if s.polls[id] > 1 {
+		status.State = api.StateSucceeded
+		status.Steps = []api.StepStatus{{Name: "s", Tasks: []api.TaskStatus{{Task: id + "/s/0", State: api.StateSucceeded}}}}
+	}
+	_ = json.NewEncoder(writer).Encode(status)
+}
+
+func TestLedgerHoldsWhatTheCallerSaw(t *testing.T) {
+	server := httptest.NewServer(&standIn{polls: map[string]int{}})
+	defer server.Close()
+	client, err := api.NewClient(api.ClientConfig{Endpoints: []string{server.URL}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	book, err := ledger.Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := plan{id: "j", resend: true}
+	caller := &caller{client: client, ledger: book}
+	if !caller.submit(t.Context(), one) {
+		t.Fatal("the job was not accepted")
+	}
+	caller.resend(t.Context(), one)
+	if !caller.watch(t.Context(), one) {
+		t.Fatal("the job did not end")
+	}
+	var kinds []ledger.Kind
+	entries := book.Entries()
+	for _, entry := range entries {
+		kinds = append(kinds, entry.Kind)
+	}
+	want := []ledger.Kind{ledger.KindSubmit, ledger.KindSubmit, ledger.KindPoll, ledger.KindPoll}
+	if difference := cmp.Diff(want, kinds); difference != "" {
+		t.Fatal(difference)
+	}
+	if !entries[0].Created || entries[1].Created || !entries[1].Resend {
+		t.Errorf("submits are %+v and %+v", entries[0], entries[1])
+	}
+	if entries[2].State != api.StateRunning || !cmp.Equal(entries[3].Succeeded, []string{"j/s/0"}) {
+		t.Errorf("polls are %+v and %+v", entries[2], entries[3])
+	}
+}
+
+func TestFinishStopsFollowersWhenItsTimeIsOver(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	book, err := ledger.Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := deployment.New("restrepo", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	generator, err := New(Config{Endpoints: []string{server.URL}, Shapes: d.Shapes, Seed: 1, Ledger: book})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	generator.Run(ended)
+	generator.Finish(ended)
+	if counts := generator.Counts(); counts.Accepted != 0 || counts.Submitted < int64(d.Shapes.EndlessJobs) {
+		t.Errorf("counts are %+v", counts)
+	}
+}
--- /dev/null
+++ b/lab/load/plan.go
@@ -0,0 +1,135 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/deployment"
+)
+
+// Shares of jobs that use one of the rules which few callers need.
+const (
+	resendShare   = 0.02
+	timedShare    = 0.05
+	togetherShare = 0.05
+	spreadShare   = 0.05
+	labelShare    = 0.05
+
+	// timedDelay is how far in the future a timed step lies when handed in.
+	timedDelay = time.Second
+	// spreadZones is how many zones must be there for all tasks of a step that
+	// is spread by zone to run at once.
+	spreadZones = deployment.Zones - 1
+)
+
+// plan is one job that will be handed in.
+type plan struct {
+	id   string
+	spec api.JobSpec
+	// after is the pause since the job before it.
+	after time.Duration
+	// resend: it is handed in again once it was accepted.
+	resend bool
+	// timed: its last step gets a not_before when it is handed in.
+	timed bool
+}
+
+// planner draws the jobs of one shape. The same seed gives the same jobs.
+type planner struct {
+	prefix string
+	shape  deployment.Shape
+	random *rand.Rand
+	count  int
+	// special allows the rules that few callers need.
+	special bool
+}
+
+func newPlanner(seed uint64, kind string, shape deployment.Shape, special bool) *planner {
+	var stream uint64
+	for _, letter := range kind {
+		stream = stream*31 + uint64(letter)
+	}
+	return &planner{
+		prefix: fmt.Sprintf("lab-%d-%s", seed, kind), shape: shape, special: special,
+		random: rand.New(rand.NewPCG(seed, stream)),
+	}
+}
+
+// next draws the next job.
+func (p *planner) next() plan {
+	p.count++
+	one := plan{id: fmt.Sprintf("%s-%06d", p.prefix, p.count), spec: p.spec()}
+	if p.shape.PerSecond > 0 {
+		one.after = time.Duration(p.random.ExpFloat64() / p.shape.PerSecond * float64(time.Second))
+	}
+	one.resend = p.random.Float64() < resendShare
+	one.timed = p.drawSpecial(timedShare)
+	p.addRules(&one.spec.Steps[0])
+	return one
+}
+
+func (p *planner) spec() api.JobSpec {
+	spec := api.JobSpec{Queue: p.shape.Queue}
+	steps := p.shape.MinSteps + p.random.IntN(p.shape.MaxSteps-p.shape.MinSteps+1)
+	for index := range steps {
+		step := api.StepSpec{Name: fmt.Sprintf("step-%d", index+1)}
+		if index > 0 {
+			step.After = []string{spec.Steps[index-1].Name}
+		}
+		for range p.shape.Tasks {
+			step.Tasks = append(step.Tasks, p.task())
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	return spec
+}
+
+// sleepPayload is what the worker's sleep handler takes.
+type sleepPayload struct {
+	Millis int64 `json:"millis"`
+}
+
+func (p *planner) task() api.TaskSpec {
+	length := p.shape.MinRun + time.Duration(p.random.Int64N(int64(p.shape.MaxRun-p.shape.MinRun)+1))
+	payload, err := json.Marshal(sleepPayload{length.Milliseconds()})
+	if err != nil {
+		panic(fmt.Sprintf("load: a payload has no JSON form: %v", err))
+	}
+	return api.TaskSpec{
+		Service: p.shape.Service, Payload: payload, Resources: p.shape.Resources,
+		UntilCancelled: p.shape.PerSecond == 0,
+	}
+}
+
+// addRules draws which rules the first step has.
+func (p *planner) addRules(step *api.StepSpec) {
+	step.Together = p.drawSpecial(togetherShare)
+	spread := p.drawSpecial(spreadShare)
+	labelled := p.drawSpecial(labelShare)
+	room := (len(step.Tasks) + spreadZones - 1) / spreadZones
+	for index := range step.Tasks {
+		if spread {
+			step.Tasks[index].Spread = &api.Spread{By: api.SpreadByZone, MaxPerDomain: room}
+		}
+		if labelled {
+			step.Tasks[index].Labels = map[string]string{deployment.RackLabel: deployment.RackName(1)}
+		}
+	}
+}
+
+func (p *planner) drawSpecial(share float64) bool {
+	drawn := p.random.Float64() < share
+	return p.special && drawn
+}
+
+// setTime gives a timed job its earliest start.
+func (one *plan) setTime(now time.Time) {
+	if !one.timed {
+		return
+	}
+	notBefore := now.Add(timedDelay).UTC().Round(time.Millisecond)
+	one.spec.Steps[len(one.spec.Steps)-1].NotBefore = &notBefore
+}
--- /dev/null
+++ b/lab/operator/operator.go
@@ -0,0 +1,56 @@
+// Package operator puts and reads configurations as an operator does, and
+// keeps each order and its answer in the ledger.
+package operator
+
+import (
+	"context"
+	"errors"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// Operator is one operator's desk.
+type Operator struct {
+	client *api.Client
+	ledger *ledger.Ledger
+}
+
+// New returns an operator who uses that client.
+func New(client *api.Client, book *ledger.Ledger) *Operator {
+	return &Operator{client: client, ledger: book}
+}
+
+// Put proposes a configuration on a base version.
+func (o *Operator) Put(ctx context.Context, base uint64, orderID string, config api.Config) (uint64, error) {
+	entry := ledger.Entry{Kind: ledger.KindConfigPut, Sent: monoclock.Now(), OrderID: orderID, Base: base, Config: &config}
+	version, err := o.client.PutConfig(ctx, base, orderID, config)
+	entry.Answered, entry.Version = monoclock.Now(), version
+	entry.Code, entry.Error = Refusal(err)
+	o.ledger.Add(entry)
+	return version, err
+}
+
+// Read returns the configuration in force.
+func (o *Operator) Read(ctx context.Context) (api.ConfigStatus, error) {
+	entry := ledger.Entry{Kind: ledger.KindConfigRead, Sent: monoclock.Now()}
+	status, err := o.client.Config(ctx)
+	entry.Answered, entry.Version, entry.Config = monoclock.Now(), status.Version, &status.Config
+	entry.Code, entry.Error = Refusal(err)
+	o.ledger.Add(entry)
+	return status, err
+}
+
+// Refusal returns the code and text of an error as they stand in a ledger
+// entry; both are empty for nil.
+func Refusal(err error) (api.ErrorCode, string) {
+	if err == nil {
+		return "", ""
+	}
+	var refusal *api.Error
+	if errors.As(err, &refusal) {
+		return refusal.Code, refusal.Error()
+	}
+	return "", err.Error()
+}
--- /dev/null
+++ b/lab/report/report_test.go
@@ -0,0 +1,104 @@
+package report
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/check"
+	"github.com/decklever/decklever/lab/journal"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+func at(millis int64) monoclock.Nanos {
+	return monoclock.Nanos(time.Duration(millis) * time.Millisecond)
+}
+
+// observed is a job of two steps of one task: ready at 100 and 400, started
+// at 150 and 430, over at 600, seen as over at 620.
+func observed() check.Input {
+	step := func(name string, after ...string) api.StepSpec {
+		return api.StepSpec{Name: name, After: after, Tasks: []api.TaskSpec{{Service: "swap"}}}
+	}
+	spec := &api.JobSpec{Queue: "swaps", Steps: []api.StepSpec{step("a"), step("b", "a")}}
+	line := func(millis int64, event journal.Event, task string, outcome api.Outcome) journal.Line {
+		return journal.Line{Mono: at(millis), Event: event, Task: task, Run: 1, WorkerID: "w", Worker: "worker-01", Outcome: outcome}
+	}
+	return check.Input{
+		LoadFrom: at(0), LoadTo: at(1000), EndedAt: at(2000),
+		Entries: []ledger.Entry{
+			{Kind: ledger.KindSubmit, Sent: at(90), Answered: at(100), JobID: "j", Spec: spec, Created: true},
+			{Kind: ledger.KindSubmit, Sent: at(110), Answered: at(120), JobID: "k", Spec: spec, Code: api.CodeOverLimit},
+			{Kind: ledger.KindPoll, Sent: at(200), Answered: at(620), JobID: "j", State: api.StateSucceeded},
+		},
+		Lines: []journal.Line{
+			line(150, journal.EventStart, "j/a/0", ""), line(400, journal.EventEnd, "j/a/0", api.OutcomeSucceeded),
+			line(430, journal.EventStart, "j/b/0", ""), line(600, journal.EventEnd, "j/b/0", api.OutcomeSucceeded),
+		},
+	}
+}
+
+func TestSummaryCountsAndMeasures(t *testing.T) {
+	summary := Build(Input{Deployment: "restrepo", Scenario: "steady", Observed: observed()})
+	if summary.JobsSubmitted != 2 || summary.JobsAccepted != 1 || summary.JobsEnded != 1 || summary.Refusals[api.CodeOverLimit] != 1 {
+		t.Errorf("jobs are counted wrong: %+v", summary)
+	}
+	if summary.TasksStarted != 2 || summary.StartsPerSecond != 2 {
+		t.Errorf("%d starts, %f a second, want 2 and 2", summary.TasksStarted, summary.StartsPerSecond)
+	}
+	near := func(name string, got, want float64) {
+		if got < want*0.99 || got > want*1.01 {
+			t.Errorf("%s is %f ms, want %f", name, got, want)
+		}
+	}
+	near("submit answer", summary.SubmitAnswer.Max, 10)
+	near("ready to start p50", summary.ReadyToStart.P50, 30)
+	near("ready to start max", summary.ReadyToStart.Max, 50)
+	near("end to visible", summary.EndToVisible.Max, 20)
+	if !summary.Passed {
+		t.Error("a clean run did not pass")
+	}
+}
+
+func TestReadyCountsFromTheSuccessThatWasRecorded(t *testing.T) {
+	input := observed()
+	repeat := input.Lines[0]
+	repeat.Run, repeat.Mono = 2, at(405)
+	end := input.Lines[1]
+	end.Run, end.Mono = 2, at(420)
+	input.Lines = append(input.Lines, repeat, end)
+	journal.Sort(input.Lines)
+	delays := newObservations(input).readyToStart()
+	want := []time.Duration{50 * time.Millisecond, 10 * time.Millisecond}
+	if !slices.Equal(delays, want) {
+		t.Errorf("delays are %v, want %v", delays, want)
+	}
+}
+
+func TestSummaryDoesNotPassWhatIsBroken(t *testing.T) {
+	cases := map[string]func(*Input){
+		"a broken promise": func(input *Input) { input.Result.Violations = []check.Violation{{Promise: check.P1}} },
+		"an error":         func(input *Input) { input.Errors = []error{errors.New("journal")} },
+		"a process that ended by itself": func(input *Input) {
+			input.Observed.Entries = append(input.Observed.Entries, ledger.Entry{Kind: ledger.KindFault, Action: ledger.ActionExit, Process: "front-01"})
+		},
+		"a job that did not end": func(input *Input) { input.Observed.Entries[2].State = api.StateRunning },
+		"no accepted job":        func(input *Input) { input.Observed.Entries = nil },
+	}
+	for name, spoil := range cases {
+		input := Input{Observed: observed()}
+		spoil(&input)
+		summary := Build(input)
+		if summary.Passed {
+			t.Errorf("passed in spite of %s", name)
+		}
+		var text strings.Builder
+		if err := summary.WriteText(&text); err != nil || !strings.HasPrefix(text.String(), "BROKEN") {
+			t.Errorf("%s: text is %q, %v", name, text.String(), err)
+		}
+	}
+}
--- /dev/null
+++ b/lab/report/text.go
@@ -0,0 +1,55 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// shownViolations bounds how many broken promises the text lists.
+const shownViolations = 20
+
+// WriteText writes a short form for people.
+func (s Summary) WriteText(writer io.Writer) error {
+	var text strings.Builder
+	verdict := "PASSED"
+	if !s.Passed {
+		verdict = "BROKEN"
+	}
+	fmt.Fprintf(&text, "%s: %s %s, seed %d, %s\n", verdict, s.Deployment, s.Scenario, s.Seed, s.Duration)
+	fmt.Fprintf(&text, "jobs: %d submitted, %d accepted, %d ended %v, refusals %v\n", s.JobsSubmitted, s.JobsAccepted, s.JobsEnded, s.JobsByState, s.Refusals)
+	fmt.Fprintf(&text, "tasks: %d started, %.1f/s; duplicate successes %d\n", s.TasksStarted, s.StartsPerSecond, s.DuplicateSuccesses)
+	writePercentiles(&text, "submit answer", s.SubmitAnswer)
+	writePercentiles(&text, "ready to start", s.ReadyToStart)
+	writePercentiles(&text, "end to visible", s.EndToVisible)
+	fmt.Fprintf(&text, "longest gap: %.0f ms between accepted submits, %.0f ms between starts\n", s.LongestSubmitGapMillis, s.LongestStartGapMillis)
+	for _, usage := range s.Usage {
+		fmt.Fprintf(&text, "%-9s of a core: median %.1f%%, max %.1f%%; resident: median %.1f MB, max %.1f MB\n",
+			usage.Role, 100*usage.CPUMedian, 100*usage.CPUMax, usage.MemoryMedianMB, usage.MemoryMaxMB)
+	}
+	s.writeFaults(&text)
+	if _, err := io.WriteString(writer, text.String()); err != nil {
+		return fmt.Errorf("write summary: %w", err)
+	}
+	return nil
+}
+
+func writePercentiles(text *strings.Builder, name string, p Percentiles) {
+	fmt.Fprintf(text, "%-14s p50 %.1f ms, p95 %.1f ms, p99 %.1f ms, max %.1f ms (%d)\n", name, p.P50, p.P95, p.P99, p.Max, p.Count)
+}
+
+func (s Summary) writeFaults(text *strings.Builder) {
+	for index, violation := range s.Broken {
+		if index == shownViolations {
+			fmt.Fprintf(text, "... and %d more\n", len(s.Broken)-shownViolations)
+			break
+		}
+		fmt.Fprintf(text, "broken: %s\n", violation)
+	}
+	for _, name := range s.UnexpectedExits {
+		fmt.Fprintf(text, "ended by itself: %s\n", name)
+	}
+	for _, failure := range s.Errors {
+		fmt.Fprintf(text, "error: %s\n", failure)
+	}
+}
--- /dev/null
+++ b/lab/scenario/drains.go
@@ -0,0 +1,44 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/deployment"
+)
+
+func drainWorkers(ctx context.Context, bench Bench) error {
+	return drainForHalf(ctx, bench, api.DrainConfig{Workers: []string{"worker-01", "worker-02"}})
+}
+
+func evacuateZone(ctx context.Context, bench Bench) error {
+	return drainForHalf(ctx, bench, api.DrainConfig{Zones: []string{deployment.ZoneName(1)}})
+}
+
+// drainForHalf drains from the first to the third quarter of the load.
+func drainForHalf(ctx context.Context, bench Bench, drains api.DrainConfig) error {
+	if err := pause(ctx, bench.Duration/4); err != nil {
+		return err
+	}
+	if err := setDrains(ctx, bench, "lab-drain", drains); err != nil {
+		return err
+	}
+	if err := pause(ctx, bench.Duration/2); err != nil {
+		return err
+	}
+	return setDrains(ctx, bench, "lab-take-back", api.DrainConfig{})
+}
+
+// setDrains puts the configuration in force with other drains.
+func setDrains(ctx context.Context, bench Bench, orderID string, drains api.DrainConfig) error {
+	present, err := bench.Operator.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("read the configuration in force: %w", err)
+	}
+	present.Config.Drains = drains
+	if _, err := bench.Operator.Put(ctx, present.Version, orderID, present.Config); err != nil {
+		return fmt.Errorf("put drains: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/trial/trial.go
@@ -0,0 +1,236 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/decklever/decklever/lab/check"
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/fleet"
+	"github.com/decklever/decklever/lab/journal"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/load"
+	"github.com/decklever/decklever/lab/monoclock"
+	"github.com/decklever/decklever/lab/operator"
+	"github.com/decklever/decklever/lab/report"
+	"github.com/decklever/decklever/lab/scenario"
+)
+
+const (
+	// readyTimeout bounds the start of a fleet.
+	readyTimeout = 60 * time.Second
+	// finishTimeout bounds the wait for all jobs to end after the load.
+	finishTimeout = 30 * time.Second
+	// settleTimeout bounds the wait for runs of cancelled jobs to stop. It is
+	// longer than the 5 s that the checker allows for that.
+	settleTimeout = 6 * time.Second
+	settleStep    = 100 * time.Millisecond
+	// SummaryFile is the name of the JSON summary in the out folder.
+	SummaryFile = "summary.json"
+	ledgerFile  = "ledger.jsonl"
+)
+
+// Config says what to run.
+type Config struct {
+	Deployment deployment.Deployment
+	Scenario   scenario.Scenario
+	Seed       uint64
+	// Duration is how long callers submit.
+	Duration time.Duration
+	// Out is a new or empty folder for all files of the run.
+	Out string
+	// Binaries is the folder of the programs.
+	Binaries string
+	LogLevel string
+	// Progress gets a line every 5 s.
+	Progress io.Writer
+}
+
+// trial is a run under way.
+type trial struct {
+	config   Config
+	book     *ledger.Ledger
+	fleet    *fleet.Fleet
+	desk     *operator.Operator
+	callers  *load.Generator
+	journals *journal.Reader
+	sampler  *fleet.Sampler
+	failures []error
+}
+
+// Run runs one trial. An error means that there is no summary: the fleet did
+// not start or the context ended.
+func Run(ctx context.Context, config Config) (report.Summary, error) {
+	t, err := open(config)
+	if err != nil {
+		return report.Summary{}, err
+	}
+	anchor := monoclock.NewAnchor()
+	observed, err := t.observe(ctx)
+	stopErr := errors.Join(t.fleet.Stop(), t.book.Close())
+	if err != nil {
+		return report.Summary{}, errors.Join(err, stopErr)
+	}
+	if stopErr != nil {
+		t.failures = append(t.failures, stopErr)
+	}
+	observed.Anchor = anchor
+	summary := t.summarize(observed)
+	return summary, writeSummary(filepath.Join(config.Out, SummaryFile), summary)
+}
+
+// open makes everything and starts nothing.
+func open(config Config) (*trial, error) {
+	if err := emptyFolder(config.Out); err != nil {
+		return nil, err
+	}
+	book, err := ledger.Open(filepath.Join(config.Out, ledgerFile))
+	if err != nil {
+		return nil, err
+	}
+	t := &trial{config: config, book: book}
+	t.fleet, err = fleet.New(fleet.Config{
+		Deployment: config.Deployment, Directory: filepath.Join(config.Out, "fleet"),
+		Binaries: config.Binaries, Ledger: book, LogLevel: config.LogLevel,
+	})
+	if err != nil {
+		return nil, errors.Join(err, book.Close())
+	}
+	t.desk = operator.New(t.fleet.Client(), book)
+	t.journals = journal.NewReader(t.fleet.JournalDirectory())
+	t.sampler = fleet.NewSampler(t.fleet)
+	return t, nil
+}
+
+func emptyFolder(path string) error {
+	if err := os.MkdirAll(path, 0o755); err != nil {
+		return fmt.Errorf("out folder: %w", err)
+	}
+	found, err := os.ReadDir(path)
+	if err != nil {
+		return fmt.Errorf("out folder: %w", err)
+	}
+	if len(found) > 0 {
+		return fmt.Errorf("out folder %s is not empty", path)
+	}
+	return nil
+}
+
+// observe runs the fleet and returns what was seen.
+func (t *trial) observe(ctx context.Context) (check.Input, error) {
+	if err := t.start(ctx); err != nil {
+		return check.Input{}, err
+	}
+	watching, stopWatching := context.WithCancel(ctx)
+	var watchers sync.WaitGroup
+	defer watchers.Wait()
+	defer stopWatching()
+	watchers.Go(func() { t.journals.Follow(watching) })
+	watchers.Go(func() { t.sampler.Run(watching) })
+	watchers.Go(func() { t.reportProgress(watching) })
+
+	from := monoclock.Now()
+	to := t.loadAndDisturb(ctx)
+	t.finish(ctx)
+	if err := ctx.Err(); err != nil {
+		return check.Input{}, fmt.Errorf("run: %w", err)
+	}
+	t.journals.Poll()
+	return check.Input{
+		Entries: t.book.Entries(), Lines: t.journals.Lines(), Workers: workers(t.config.Deployment),
+		Config: t.config.Deployment.Config, LoadFrom: from, LoadTo: to, EndedAt: monoclock.Now(),
+	}, nil
+}
+
+func (t *trial) start(ctx context.Context) error {
+	if err := t.fleet.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	began := time.Now()
+	if err := t.fleet.WaitReady(ctx, t.desk); err != nil {
+		return fmt.Errorf("the fleet did not start, see %s: %w", t.fleet.LogDirectory(), err)
+	}
+	t.progress("fleet ready after %v", time.Since(began).Round(time.Millisecond))
+	var err error
+	t.callers, err = load.New(load.Config{
+		Endpoints: t.config.Deployment.FrontURLs(), Shapes: t.config.Deployment.Shapes, Seed: t.config.Seed, Ledger: t.book,
+	})
+	return err
+}
+
+// loadAndDisturb runs load and scenario side by side until both are over. It
+// returns the end of the load.
+func (t *trial) loadAndDisturb(ctx context.Context) monoclock.Nanos {
+	loading, cancel := context.WithTimeout(ctx, t.config.Duration)
+	defer cancel()
+	var course sync.WaitGroup
+	var failure error
+	course.Go(func() {
+		failure = t.config.Scenario.Run(ctx, scenario.Bench{Fleet: t.fleet, Operator: t.desk, Duration: t.config.Duration})
+	})
+	t.callers.Run(loading)
+	to := monoclock.Now()
+	course.Wait()
+	if failure != nil {
+		t.failures = append(t.failures, fmt.Errorf("scenario %s: %w", t.config.Scenario.Name, failure))
+	}
+	return to
+}
+
+// finish waits until all jobs and their runs have ended.
+func (t *trial) finish(ctx context.Context) {
+	finishing, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	t.callers.Finish(finishing)
+	if _, err := t.desk.Read(finishing); err != nil {
+		t.failures = append(t.failures, fmt.Errorf("last read of the configuration: %w", err))
+	}
+	settling, cancelSettling := context.WithTimeout(ctx, settleTimeout)
+	defer cancelSettling()
+	t.settle(settling)
+}
+
+// settle waits until the journals show no open run or the context ends.
+func (t *trial) settle(ctx context.Context) {
+	ticker := time.NewTicker(settleStep)
+	defer ticker.Stop()
+	for {
+		if starts, ends := t.journals.Counts(); starts == ends {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// summarize has what was observed checked.
+func (t *trial) summarize(observed check.Input) report.Summary {
+	return report.Build(report.Input{
+		Deployment: t.config.Deployment.Name, Scenario: t.config.Scenario.Name, Seed: t.config.Seed,
+		Duration: t.config.Duration, Observed: observed, Result: check.All(observed),
+		Usage: t.sampler.Usages(), Errors: append(t.failures, t.journals.Errors()...),
+	})
+}
+
+func writeSummary(path string, summary report.Summary) error {
+	data, err := json.MarshalIndent(summary, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode summary: %w", err)
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("write summary: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/trial/workers.go
@@ -0,0 +1,29 @@
+package trial
+
+import (
+	"strings"
+
+	"github.com/decklever/decklever/lab/check"
+	"github.com/decklever/decklever/lab/deployment"
+)
+
+// workers is what the checker must know of a deployment's workers.
+func workers(d deployment.Deployment) []check.Worker {
+	agents := map[string]string{}
+	for _, agent := range d.ByRole(deployment.RoleAgent) {
+		agents[agent.URL()] = agent.Name
+	}
+	var all []check.Worker
+	for _, worker := range d.ByRole(deployment.RoleWorker) {
+		one := check.Worker{
+			Name: worker.Name, Zone: worker.Zone, Capacity: worker.Capacity,
+			Labels: worker.Labels, Agent: agents[worker.Agent],
+		}
+		for _, service := range worker.Services {
+			name, _, _ := strings.Cut(service, "=")
+			one.Services = append(one.Services, name)
+		}
+		all = append(all, one)
+	}
+	return all
+}
