--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/decklever/decklever/api"
@@ -151,22 +152,24 @@
 
 func TestInflightBoundsAreSeparate(t *testing.T) {
 	leader := newLeader(t)
-	entered, release := make(chan struct{}), make(chan struct{})
+	entered, done := make(chan struct{}, 1), make(chan struct{})
+	release := sync.OnceFunc(func() { close(done) })
+	t.Cleanup(release) // before the leader's server waits for its handlers
 	on(leader, fleet.MethodSubmit, func(context.Context, fleet.SubmitRequest, int) (fleet.SubmitAnswer, error) {
 		entered <- struct{}{}
-		<-release
+		<-done
 		return fleet.SubmitAnswer{Created: true}, nil
 	})
 	on(leader, fleet.MethodGetJob, func(context.Context, fleet.GetJobRequest, int) (fleet.JobAnswer, error) {
 		return fleet.JobAnswer{Status: api.JobStatus{State: api.StateSucceeded}}, nil
 	})
 	front := newFront(t, &fakeLink{leader: leader.address}, Settings{MaxInflight: 1})
-	first := make(chan *httptest.ResponseRecorder)
+	first := make(chan *httptest.ResponseRecorder, 1)
 	go func() { first <- ask(t, front, "PUT", "/v1/jobs/a", goodJob) }()
 	<-entered
 	wantError(t, ask(t, front, "GET", "/v1/jobs/a", ""), http.StatusServiceUnavailable, api.CodeUnavailable)
 	wantOK[api.JobStatus](t, ask(t, front, "GET", "/v1/jobs/a?wait=1s", ""), 200)
-	close(release)
+	release()
 	wantOK[api.SubmitAnswer](t, <-first, 201)
 	wantOK[api.JobStatus](t, ask(t, front, "GET", "/v1/jobs/a", ""), 200)
 }
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -41,15 +41,18 @@
 	effect bool
 	// held is how long the leader may hold the answer.
 	held time.Duration
-	// deadline bounds all tries. Zero: the settings' Deadline and held.
+	// deadline bounds all tries. Zero: the settings' Deadline from now on.
 	deadline time.Time
+	// renew changes the call before it is tried again, as time has passed.
+	// Optional.
+	renew func(call *relayCall[Request])
 }
 
 // relay calls the leader until there is an answer, a final refusal, or the
 // deadline. Any call may be tried again, since all are idempotent.
 func relay[Request, Answer any](ctx context.Context, f *Front, call relayCall[Request]) (Answer, *api.Error) {
 	if call.deadline.IsZero() {
-		call.deadline = time.Now().Add(f.settings.Load().Deadline + call.held)
+		call.deadline = time.Now().Add(f.settings.Load().Deadline)
 	}
 	if call.held == 0 {
 		lingering, release := linger(ctx, finishTime)
@@ -74,6 +77,9 @@
 			var none Answer
 			return none, tries.giveUp()
 		}
+		if call.renew != nil {
+			call.renew(&call)
+		}
 	}
 }
 
--- a/internal/front/wait.go
+++ b/internal/front/wait.go
@@ -28,8 +28,8 @@
 	var newest *api.JobStatus
 	for {
 		started := time.Now()
-		held := min(maxHeld, max(0, end.Sub(started)))
-		answer, refusal := relay[fleet.GetJobRequest, fleet.JobAnswer](ctx, f, f.heldRead(id, held, end, newest != nil))
+		call := f.heldRead(id, end, newest != nil)
+		answer, refusal := relay[fleet.GetJobRequest, fleet.JobAnswer](ctx, f, call)
 		switch {
 		case refusal == nil:
 			newest = &answer.Status
@@ -39,30 +39,29 @@
 		if newest.State.Final() || time.Until(end) <= 0 || ctx.Err() != nil {
 			return *newest, nil
 		}
-		if time.Since(started) < held/2 {
+		if time.Since(started) < call.held/2 {
 			sleep(ctx, min(earlyPause, time.Until(end)))
 		}
 	}
 }
 
-// heldRead is one call of a wait. Once a state is known, no call goes on for
-// longer than the wait.
-func (f *Front) heldRead(id string, held time.Duration, end time.Time, known bool) relayCall[fleet.GetJobRequest] {
+// heldRead is one call of a wait that is over at end. Each try of it is held no
+// longer than what is left of the wait, so that a leader lost in the middle of
+// it delays the answer by the one try that it did not answer. While no state is
+// known the call goes on for Deadline beyond the wait; a known state is
+// answered once the wait is over.
+func (f *Front) heldRead(id string, end time.Time, known bool) relayCall[fleet.GetJobRequest] {
 	call := relayCall[fleet.GetJobRequest]{
-		method:  fleet.MethodGetJob,
-		request: fleet.GetJobRequest{ID: id, WaitMillis: held.Milliseconds()},
-		held:    held,
+		method: fleet.MethodGetJob,
+		renew: func(call *relayCall[fleet.GetJobRequest]) {
+			call.held = min(maxHeld, max(0, time.Until(end)))
+			call.request = fleet.GetJobRequest{ID: id, WaitMillis: call.held.Milliseconds()}
+		},
 	}
+	call.renew(&call)
+	call.deadline = end.Add(f.settings.Load().Deadline)
 	if known {
-		call.deadline = earlier(end.Add(afterWait), time.Now().Add(f.settings.Load().Deadline+held))
+		call.deadline = end.Add(afterWait)
 	}
 	return call
 }
-
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
