Set the borders of bookings, teams, preemption and mass cancel

The configuration's fields, the planner's calls, the record's commands and the calls between processes are fixed first, so that their parts can be built side by side. None of it acts yet.

--- a/api/config.go
+++ b/api/config.go
@@ -7,6 +7,8 @@
 type Config struct {
 	// Queues take jobs; at least one. Names are unique.
 	Queues []QueueConfig `json:"queues"`
+	// Teams bound what their queues take together. Default none.
+	Teams []TeamConfig `json:"teams,omitempty"`
 	// Drains name what gets no new work.
 	Drains DrainConfig `json:"drains"`
 	// Limits bound what callers may ask for.
@@ -32,6 +34,53 @@
 	MaxPendingTasks int `json:"max_pending_tasks,omitempty"`
 	// DefaultAllowedFailures applies to tasks that name none. Default 3.
 	DefaultAllowedFailures int `json:"default_allowed_failures,omitempty"`
+	// Team names the team whose bounds the queue shares. Default none.
+	Team string `json:"team,omitempty"`
+	// Bookings reserve room for the queue ahead of events. Default none.
+	Bookings []BookingConfig `json:"bookings,omitempty"`
+}
+
+// TeamConfig bounds the queues that name the team, taken together.
+type TeamConfig struct {
+	// Name is 1 to 64 of a-z, 0-9, '-', '_' or '.'. Required.
+	Name string `json:"name"`
+	// MaxRunningTasks bounds open runs. Default 0: no bound.
+	MaxRunningTasks int `json:"max_running_tasks,omitempty"`
+	// MaxPendingTasks bounds waiting tasks; a job beyond it is answered 429.
+	// Default 0: no bound of its own.
+	MaxPendingTasks int `json:"max_pending_tasks,omitempty"`
+}
+
+// BookingConfig is a standing booking: at each time of its schedule, room on
+// real workers is kept for the queue's tasks. Exactly one of Cron and DailyAt
+// is given.
+type BookingConfig struct {
+	// Name is unique in the queue, 1 to 64 of a-z, 0-9, '-', '_' or '.'.
+	Name string `json:"name"`
+	// Cron is a schedule of five fields: minute, hour, day, month, weekday.
+	Cron string `json:"cron,omitempty"`
+	// DailyAt is a local time of each day, "HH:MM". On a day on which it does
+	// not exist the window begins at the first moment after it; on one on which
+	// it comes twice, at the first of the two.
+	DailyAt string `json:"daily_at,omitempty"`
+	// TimeZone is an IANA name such as "America/Bogota". Default "UTC".
+	TimeZone string `json:"time_zone,omitempty"`
+	// Duration is the length of each window; over 0, at most 24h.
+	Duration Duration `json:"duration"`
+	// Lead is how long before the window room is kept free for it. Default 5m.
+	// Work without a declared maximum duration that starts before the lead may
+	// still be running at the window.
+	Lead Duration `json:"lead,omitempty"`
+	// Slots is the number of equal slices, each for one task; at least 1.
+	Slots int `json:"slots"`
+	// Slice is the room of one slice.
+	Slice Resources `json:"slice"`
+	// Service and Labels say which workers the slices may lie on. Default any.
+	Service string            `json:"service,omitempty"`
+	Labels  map[string]string `json:"labels,omitempty"`
+	// BestEffort accepts that the registered room may not hold all slots; a
+	// booking that is not best effort is refused then.
+	BestEffort bool `json:"best_effort,omitempty"`
 }
 
 // DrainConfig names workers and zones that get no new work.
@@ -71,6 +120,9 @@
 	// DrainGrace is how long tasks of a drained worker or evacuated zone may
 	// go on before they are stopped and placed elsewhere. Default 10s.
 	DrainGrace Duration `json:"drain_grace,omitempty"`
+	// MaxPreemptions is how often one task is preempted; after that it counts
+	// as not preemptible. Default 3.
+	MaxPreemptions int `json:"max_preemptions,omitempty"`
 	// Retention is how long an ended job can be read back. Default 168h.
 	Retention Duration `json:"retention,omitempty"`
 }
--- a/api/status.go
+++ b/api/status.go
@@ -1,5 +1,7 @@
 package api
 
+import "time"
+
 // WorkerState is how the scheduler sees a worker.
 type WorkerState string
 
@@ -74,3 +76,71 @@
 type QueueList struct {
 	Queues []QueueStatus `json:"queues"`
 }
+
+// BookingStatus is a row of GET /v1/bookings: one window, past its lead or yet
+// to come.
+type BookingStatus struct {
+	Queue   string `json:"queue"`
+	Booking string `json:"booking"`
+	// Start and End frame the window; room is kept from HeldFrom on.
+	Start    time.Time `json:"start"`
+	End      time.Time `json:"end"`
+	HeldFrom time.Time `json:"held_from"`
+	// State is "planned", "held" (within the lead), "open" (within the window)
+	// or "released" (given back early).
+	State BookingState `json:"state"`
+	Slots int          `json:"slots"`
+	// Placed is the number of slices that lie on workers, Used those in use.
+	Placed     int       `json:"placed"`
+	Used       int       `json:"used"`
+	Slice      Resources `json:"slice"`
+	Service    string    `json:"service,omitempty"`
+	BestEffort bool      `json:"best_effort,omitempty"`
+	// Workers are where the slices lie now.
+	Workers []BookingSlices `json:"workers,omitempty"`
+}
+
+// BookingState is how far a window is.
+type BookingState string
+
+// Booking states.
+const (
+	BookingPlanned  BookingState = "planned"
+	BookingHeld     BookingState = "held"
+	BookingOpen     BookingState = "open"
+	BookingReleased BookingState = "released"
+)
+
+// BookingSlices counts a window's slices on one worker.
+type BookingSlices struct {
+	Worker string `json:"worker"`
+	Slots  int    `json:"slots"`
+	Used   int    `json:"used"`
+}
+
+// BookingList is the answer of GET /v1/bookings, in the order of Start.
+type BookingList struct {
+	Bookings []BookingStatus `json:"bookings"`
+}
+
+// ReleaseRequest is the body of POST /v1/bookings/release: the queue has no
+// more work for a window, and its room is given back.
+type ReleaseRequest struct {
+	Queue   string `json:"queue"`
+	Booking string `json:"booking"`
+	// Start is the window's start, as GET /v1/bookings gives it.
+	Start time.Time `json:"start"`
+}
+
+// CancelRequest is the body of POST /v1/cancellations: many jobs at once, by id
+// or all of a queue. Exactly one of the two is given.
+type CancelRequest struct {
+	Jobs  []string `json:"jobs,omitempty"`
+	Queue string   `json:"queue,omitempty"`
+}
+
+// CancelAnswer says how many jobs were cancelled by the call; those unknown,
+// ended or cancelled before do not count.
+type CancelAnswer struct {
+	Cancelled int `json:"cancelled"`
+}
--- /dev/null
+++ b/internal/booking/doc.go
@@ -0,0 +1,4 @@
+// Package booking works out standing bookings: the windows that a schedule
+// gives in a time zone, and whether the bookings of a configuration fit the
+// registered room together. It is pure.
+package booking
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -41,6 +41,9 @@
 	MethodWorkers        Method = "workers"
 	MethodMembers        Method = "members"
 	MethodQueues         Method = "queues"
+	MethodBookings       Method = "bookings"
+	MethodRelease        Method = "release"
+	MethodCancelMany     Method = "cancel-many"
 )
 
 // Empty is a request or answer without content.
@@ -251,3 +254,28 @@
 type QueuesAnswer struct {
 	List api.QueueList `cbor:"1,keyasint"`
 }
+
+// BookingsRequest asks for the windows that overlap the coming hours.
+type BookingsRequest struct {
+	HorizonMillis int64 `cbor:"1,keyasint"`
+}
+
+// BookingsAnswer carries the windows.
+type BookingsAnswer struct {
+	List api.BookingList `cbor:"1,keyasint"`
+}
+
+// ReleaseRequest gives the room of a window back. Doubled: no effect.
+type ReleaseRequest struct {
+	Release api.ReleaseRequest `cbor:"1,keyasint"`
+}
+
+// CancelManyRequest cancels jobs by id or queue; idempotent.
+type CancelManyRequest struct {
+	Cancel api.CancelRequest `cbor:"1,keyasint"`
+}
+
+// CancelManyAnswer says how many were cancelled.
+type CancelManyAnswer struct {
+	Answer api.CancelAnswer `cbor:"1,keyasint"`
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -30,6 +30,68 @@
 	// GroupSize is the number of members that must wait here together.
 	Group     string
 	GroupSize int
+	// StartedAt is when the run was placed; for Hold only.
+	StartedAt record.Millis
+	// Preemptions is how often the task was preempted; from the bound on it
+	// counts as not preemptible.
+	Preemptions int
+}
+
+// TeamRule is what the engine must know of a team.
+type TeamRule struct {
+	Name       string
+	MaxRunning int
+}
+
+// Reservation is one window of a booking whose room is to be kept now: from the
+// lead until the window's end.
+type Reservation struct {
+	// ID is "QUEUE/BOOKING/START", START in Unix milliseconds.
+	ID      string
+	Queue   string
+	Start   record.Millis
+	End     record.Millis
+	Slots   int
+	Slice   api.Resources
+	Service string
+	Labels  map[string]string
+}
+
+// Preemption asks for a run to be stopped so that Beneficiary can be placed.
+type Preemption struct {
+	Task        record.TaskID
+	WorkerID    string
+	Beneficiary record.TaskID
+}
+
+// Slices counts a reservation's slices on one worker.
+type Slices struct {
+	Reservation string
+	WorkerID    string
+	Worker      string
+	Slots       int
+	Used        int
+}
+
+// Booker lists the calls of Engine that concern time, bookings, teams and
+// preemption.
+type Booker interface {
+	// SetTeams replaces the rules of all teams; QueueRule.Team joins a queue.
+	SetTeams(rules []TeamRule)
+	// SetMaxPreemptions sets the bound on preemptions of one task.
+	SetMaxPreemptions(most int)
+	// SetTime tells the cluster time; it decides which tasks of other queues
+	// end before a window, by their MaxDuration.
+	SetTime(now record.Millis)
+	// SetReservations replaces the windows that are kept now. Slices of those
+	// known before stay where they are, if their worker still serves.
+	SetReservations(reservations []Reservation)
+	// Slices says where slices lie.
+	Slices() []Slices
+	// Preemptions returns and forgets the runs that the last Plan wants
+	// stopped. Their room counts as taken until Release; the same run is not
+	// named twice.
+	Preemptions() []Preemption
 }
 
 // Decision places one task.
@@ -46,6 +108,8 @@
 	// MaxRunning bounds open runs; 0 is no bound.
 	MaxRunning int
 	Weight     int
+	// Team is the queue's team, or empty.
+	Team string
 }
 
 // Planner lists the calls of Engine.
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -98,6 +98,8 @@
 	Run *Run
 	// LastWorker names the worker of the newest run.
 	LastWorker string
+	// Preemptions counts runs that were stopped to make room for others.
+	Preemptions int
 	// NotBefore is the earliest next start: the step's or the retry's.
 	NotBefore Millis
 	// Reason says how a final task ended or why the last run did.
@@ -164,6 +166,7 @@
 	Register  *RegisterWorkers `cbor:"9,keyasint,omitempty"`
 	Forget    *ForgetWorkers   `cbor:"10,keyasint,omitempty"`
 	Expire    *ExpireArchive   `cbor:"11,keyasint,omitempty"`
+	Release   *ReleaseWindow   `cbor:"12,keyasint,omitempty"`
 }
 
 // Submit adds a job.
@@ -242,6 +245,15 @@
 	Limit  int    `cbor:"2,keyasint"`
 }
 
+// ReleaseWindow gives the room of one window of a booking back before its end.
+type ReleaseWindow struct {
+	Queue   string `cbor:"1,keyasint"`
+	Booking string `cbor:"2,keyasint"`
+	Start   Millis `cbor:"3,keyasint"`
+	// End is the window's end; the release is forgotten after it.
+	End Millis `cbor:"4,keyasint"`
+}
+
 // Result is what Apply tells the proposer.
 type Result struct {
 	// Index is the entry's place in the log.
@@ -322,6 +334,9 @@
 // WorkerForgotten: the name is no longer known.
 type WorkerForgotten struct{ Worker *Worker }
 
+// WindowReleased: a window's room was given back.
+type WindowReleased struct{ Window ReleaseWindow }
+
 // StateReplaced: a snapshot was restored; all must be read anew.
 type StateReplaced struct{}
 
@@ -335,6 +350,7 @@
 func (ConfigChanged) event()   {}
 func (WorkerChanged) event()   {}
 func (WorkerForgotten) event() {}
+func (WindowReleased) event()  {}
 func (StateReplaced) event()   {}
 
 // View reads the record. It is valid only inside the callback that it was
@@ -363,6 +379,8 @@
 	ConfigVersions() []api.ConfigVersion
 	// Order returns the outcome of a configuration order.
 	Order(id string) (result ConfigResult, digest string, known bool)
+	// ReleasedWindows returns the windows given back whose end has not passed.
+	ReleasedWindows() []ReleaseWindow
 	// QueueCounts returns what a queue holds.
 	QueueCounts(queue string) QueueCounts
 	// Status builds the answer to a caller, live or archived. reason gives
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -98,6 +98,9 @@
 	return kept.Result, kept.Digest, true
 }
 
+// ReleasedWindows implements View.
+func (v view) ReleasedWindows() []ReleaseWindow { return nil }
+
 // QueueCounts implements View.
 func (v view) QueueCounts(queue string) QueueCounts {
 	if counts := v.machine.state.queues[queue]; counts != nil {
