Keep released windows, preemption counts and team quotas in the record

A release is told to an operator, so it must outlive a leader; a task may not be preempted without end; a team's quota must hold whoever plans.

--- a/internal/record/close.go
+++ b/internal/record/close.go
@@ -47,7 +47,8 @@
 	m.taskEnded(task)
 }
 
-// stateAfterRun decides what becomes of the task and notes failures. A run
+// stateAfterRun decides what becomes of the task and notes failures and
+// preemptions; one that came too late for a success is none. A run
 // that was to be stopped has not failed, whatever its worker made of the stop.
 func (m *Machine) stateAfterRun(run *Run, end *RunEnd) TaskState {
 	task := run.Task
@@ -55,6 +56,9 @@
 		task.Reason = ""
 		return TaskSucceeded
 	}
+	if run.Stop == StopPreempted {
+		task.Preemptions++
+	}
 	if run.Stop == StopCancelled || task.Step.Job.Cancelled {
 		task.Reason = reasonJobCancelled
 		return TaskCancelled
--- a/internal/record/config.go
+++ b/internal/record/config.go
@@ -17,8 +17,9 @@
 	// accepted is as the operator gave it; effective has defaults filled in.
 	accepted  *api.Config
 	effective *api.Config
-	// queues is by name.
+	// queues and teams are by name.
 	queues map[string]api.QueueConfig
+	teams  map[string]api.TeamConfig
 	// versions is the history, oldest first.
 	versions []api.ConfigVersion
 	orders   orderBook
@@ -56,6 +57,10 @@
 	for _, queue := range effective.Queues {
 		c.queues[queue.Name] = queue
 	}
+	c.teams = make(map[string]api.TeamConfig, len(effective.Teams))
+	for _, team := range effective.Teams {
+		c.teams[team.Name] = team
+	}
 }
 
 func (c *configuration) addVersion(version api.ConfigVersion) {
@@ -117,6 +122,7 @@
 		return ConfigResult{Version: settings.version, Refusal: lostRace(put.Base, settings.version)}
 	}
 	settings.use(settings.version+1, &put.Config)
+	m.state.recountTeams()
 	settings.addVersion(api.ConfigVersion{
 		Version:    settings.version,
 		OrderID:    put.OrderID,
--- a/internal/record/fuzz_test.go
+++ b/internal/record/fuzz_test.go
@@ -17,6 +17,7 @@
 		{Place: &Place{Placements: []Placement{onWorker(id("j", "a", 0), 1, "w")}}},
 		{Close: &Close{Runs: []RunEnd{{Run: RunID{Task: id("j", "a", 0), Number: 1}, Outcome: api.OutcomeFailed}}}},
 		{Register: &RegisterWorkers{Workers: []Worker{testWorker("w")}}},
+		{Release: &ReleaseWindow{Queue: testQueue, Booking: "b", Start: 2000, End: 3000}},
 	}
 	for _, seed := range seeds {
 		data, err := Encode(seed)
@@ -44,6 +45,7 @@
 	r.register(testWorker("w"))
 	r.submit("j", step("a", 2), step("b", 1, "a"))
 	r.mustPlace(onWorker(id("j", "a", 0), 1, "w"))
+	r.apply(Command{Release: &ReleaseWindow{Queue: testQueue, Booking: "b", Start: 2000, End: 3000}})
 	data := snapshotBytes(f, r.machine)
 	f.Add(data[len(snapshotMagic) : len(data)-sha256.Size])
 	f.Add([]byte{0xa1, 0x01, 0x01})
--- a/internal/record/helper_test.go
+++ b/internal/record/helper_test.go
@@ -57,6 +57,8 @@
 		return "worker " + e.Worker.ID
 	case WorkerForgotten:
 		return "forgotten " + e.Worker.ID
+	case WindowReleased:
+		return fmt.Sprintf("released %s/%s/%d", e.Window.Queue, e.Window.Booking, e.Window.Start)
 	}
 	return "replaced"
 }
--- a/internal/record/machine.go
+++ b/internal/record/machine.go
@@ -63,7 +63,7 @@
 		return Result{}, fmt.Errorf("entry %d after %d: %w", index, m.state.applied, ErrOutOfOrder)
 	}
 	m.state.applied = index
-	m.state.clock = max(m.state.clock, command.Time)
+	m.state.advance(command.Time)
 	result := Result{Index: index}
 	if err := m.dispatch(&command, &result); err != nil {
 		return Result{}, fmt.Errorf("entry %d: %w", index, err)
@@ -94,6 +94,8 @@
 		m.applyForget(command.Forget)
 	case command.Expire != nil:
 		return m.applyExpire(command.Expire)
+	case command.Release != nil:
+		m.applyRelease(command.Release)
 	default:
 		return ErrNoCommand
 	}
--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -139,7 +139,7 @@
 	if worker == nil || worker.ID != placement.WorkerID {
 		return false
 	}
-	if !c.workerHolds(worker, task) || !c.queueHolds(task) {
+	if !c.workerHolds(worker, task) || !c.boundsHold(task) {
 		return false
 	}
 	c.taken = append(c.taken, takenPlace{task: task, worker: worker})
@@ -216,14 +216,24 @@
 	return worker.Labels[strings.TrimPrefix(spread.By, api.SpreadByLabelPrefix)]
 }
 
-func (c *placeCheck) queueHolds(task *Task) bool {
-	name := task.Step.Job.Spec.Queue
-	most := c.state.settings.queues[name].MaxRunningTasks
+// boundsHold checks the bounds of the task's queue and of its team.
+func (c *placeCheck) boundsHold(task *Task) bool {
+	queue := c.state.settings.queues[task.Step.Job.Spec.Queue]
+	if !c.roomWithin(queue.MaxRunningTasks, c.state.queues[queue.Name]) {
+		return false
+	}
+	team := c.state.settings.teams[queue.Team]
+	return c.roomWithin(team.MaxRunningTasks, c.state.teams[team.Name])
+}
+
+// roomWithin reports whether a bound on open runs, 0 for none, lets in one more
+// than what is counted and was taken. counts is nil if nothing is counted.
+func (c *placeCheck) roomWithin(most int, counts *QueueCounts) bool {
 	if most <= 0 {
 		return true
 	}
 	running := len(c.taken) // a unit lies within one job, hence one queue
-	if counts := c.state.queues[name]; counts != nil {
+	if counts != nil {
 		running += counts.RunningTasks
 	}
 	return running < most
--- a/internal/record/property_test.go
+++ b/internal/record/property_test.go
@@ -102,6 +102,8 @@
 		{"workers", a.workers, b.workers},
 		{"loads", a.loads, b.loads},
 		{"queues", a.queues, b.queues},
+		{"teams", a.teams, b.teams},
+		{"released", slices.Concat(a.released), slices.Concat(b.released)},
 		{"versions", slices.Concat(a.settings.versions), slices.Concat(b.settings.versions)},
 		{"orders", a.settings.orders.oldestFirst(), b.settings.orders.oldestFirst()},
 	}
@@ -114,7 +116,7 @@
 
 func drawCommand(t *rapid.T, machine *Machine, expiry bool) Command {
 	command := Command{Time: machine.state.clock + Millis(rapid.IntRange(-50, 300).Draw(t, "time")), Token: 1}
-	most := 13
+	most := 15
 	if expiry {
 		most++
 	}
@@ -131,12 +133,14 @@
 		command.Close = drawClose(t, machine)
 	case 12:
 		command.Register = drawRegister(t)
-	case 13:
+	case 13, 14:
 		if rapid.Bool().Draw(t, "stop") {
-			command.Stop = &Stop{Runs: drawOpen(t, machine), Reason: rapid.SampledFrom([]StopReason{StopDrained, StopGroup}).Draw(t, "reason")}
+			command.Stop = &Stop{Runs: drawOpen(t, machine), Reason: rapid.SampledFrom([]StopReason{StopDrained, StopGroup, StopPreempted}).Draw(t, "reason")}
 		} else {
 			command.Forget = &ForgetWorkers{Names: []string{drawWorker.Draw(t, "name")}}
 		}
+	case 15:
+		command.Release = drawRelease(t, machine)
 	default:
 		command.Expire = &ExpireArchive{Before: machine.state.clock - 100, Limit: 2}
 	}
@@ -164,6 +168,10 @@
 func drawPutConfig(t *rapid.T) *PutConfig {
 	config := testConfig()
 	config.Queues[1].MaxRunningTasks = rapid.IntRange(0, 2).Draw(t, "max")
+	config.Teams = []api.TeamConfig{{Name: "t", MaxRunningTasks: rapid.IntRange(0, 3).Draw(t, "team max")}}
+	for i := range config.Queues {
+		config.Queues[i].Team = rapid.SampledFrom([]string{"", "t"}).Draw(t, "team")
+	}
 	return &PutConfig{
 		OrderID: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "order")),
 		Base:    uint64(rapid.IntRange(0, 3).Draw(t, "base")),
@@ -172,6 +180,16 @@
 	}
 }
 
+func drawRelease(t *rapid.T, machine *Machine) *ReleaseWindow {
+	start := Millis(rapid.IntRange(0, 3).Draw(t, "start")) * 1000
+	return &ReleaseWindow{
+		Queue:   rapid.SampledFrom([]string{testQueue, "narrow"}).Draw(t, "queue"),
+		Booking: "b",
+		Start:   start,
+		End:     machine.state.clock + Millis(rapid.IntRange(-50, 9000).Draw(t, "end")),
+	}
+}
+
 func drawRegister(t *rapid.T) *RegisterWorkers {
 	worker := testWorker(drawWorker.Draw(t, "name"))
 	worker.ID = fmt.Sprintf("%s-%d", worker.Name, rapid.IntRange(1, 2).Draw(t, "incarnation"))
@@ -229,12 +247,18 @@
 	lastRun  map[*Task]uint32
 	final    map[*Task]TaskState
 	accepted map[string]bool
+	// preempted counts as Task.Preemptions should.
+	preempted map[*Task]int
+	released  []ReleaseWindow
+	// releasedBefore is the length of released before the newest command.
+	releasedBefore int
 }
 
 func newChecker(t *rapid.T, machine *Machine) *checker {
 	c := &checker{
 		t: t, machine: machine, open: make(map[RunID]bool), lastRun: make(map[*Task]uint32),
 		final: make(map[*Task]TaskState), accepted: make(map[string]bool),
+		preempted: make(map[*Task]int),
 	}
 	machine.Observe(nil, c.event)
 	return c
@@ -251,11 +275,17 @@
 		}
 		c.lastRun[e.Run.Task] = e.Run.Number
 		c.open[e.Run.ID()] = true
+		c.boundsHold(e.Run.Task.Step.Job.Spec.Queue)
 	case RunClosed:
 		if !c.open[e.Run.ID()] {
 			c.t.Fatalf("%v closed but not open", e.Run.ID())
 		}
 		delete(c.open, e.Run.ID())
+		if e.Run.Stop == StopPreempted && e.Outcome != api.OutcomeSucceeded {
+			c.preempted[e.Run.Task]++
+		}
+	case WindowReleased:
+		c.released = append(c.released, e.Window)
 	case JobEnded:
 		for _, step := range e.Job.Steps {
 			for _, task := range step.Tasks {
@@ -265,11 +295,45 @@
 	}
 }
 
+// boundsHold checks queue and team right after a run was opened.
+func (c *checker) boundsHold(queue string) {
+	s := c.machine.state
+	most := s.settings.queues[queue].MaxRunningTasks
+	if most > 0 && s.queues[queue].RunningTasks > most {
+		c.t.Fatalf("queue %s runs more than %d tasks", queue, most)
+	}
+	team := s.settings.queues[queue].Team
+	most = s.settings.teams[team].MaxRunningTasks
+	if most > 0 && s.teams[team].RunningTasks > most {
+		c.t.Fatalf("team %s runs more than %d tasks", team, most)
+	}
+}
+
+// windows holds the released windows against those that events told of.
+func (c *checker) windows(command Command, before int) {
+	s := c.machine.state
+	if release := command.Release; release != nil {
+		known := slices.ContainsFunc(c.released[:before], func(other ReleaseWindow) bool {
+			return other.End > s.clock && release.sameWindow(other)
+		})
+		if told := len(c.released) > before; told == (known || release.End <= s.clock) {
+			c.t.Fatalf("release of %v told: %v", *release, told)
+		}
+	}
+	c.released = slices.DeleteFunc(c.released, func(window ReleaseWindow) bool { return window.End <= s.clock })
+	slices.SortFunc(c.released, compareReleases)
+	if !slices.Equal(c.released, s.released) {
+		c.t.Fatalf("released %v, expected %v", s.released, c.released)
+	}
+}
+
 func (c *checker) after(command Command, result Result) {
 	if command.Submit != nil && result.Submit.Outcome == SubmitAccepted {
 		c.accepted[command.Submit.ID] = true
 	}
 	s := c.machine.state
+	c.windows(command, c.releasedBefore)
+	c.releasedBefore = len(c.released)
 	runs, used, queues := 0, make(map[string]api.Resources), make(map[string]QueueCounts)
 	for _, job := range s.jobList {
 		open := 0
@@ -296,6 +360,7 @@
 		}
 	}
 	c.totals(runs, used, queues)
+	c.teams(queues)
 	c.jobsAreFound()
 }
 
@@ -309,6 +374,9 @@
 	if (task.State == TaskPlaced) != (task.Run != nil) {
 		c.t.Fatalf("%s: state %d and run do not match", task.ID, task.State)
 	}
+	if task.Preemptions != c.preempted[task] {
+		c.t.Fatalf("%s: %d preemptions, expected %d", task.ID, task.Preemptions, c.preempted[task])
+	}
 	if task.Failures > task.AllowedFailures || (task.Failures == task.AllowedFailures) != (task.State == TaskFailed) {
 		c.t.Fatalf("%s: %d failures of %d allowed in state %d", task.ID, task.Failures, task.AllowedFailures, task.State)
 	}
@@ -335,6 +403,27 @@
 	}
 }
 
+// teams holds a team's counts against the sum over its queues.
+func (c *checker) teams(queues map[string]QueueCounts) {
+	s := c.machine.state
+	var sum QueueCounts
+	for name, counts := range queues {
+		if s.settings.queues[name].Team == "t" {
+			sum.Jobs += counts.Jobs
+			sum.PendingTasks += counts.PendingTasks
+			sum.RunningTasks += counts.RunningTasks
+		}
+	}
+	c.machine.Read(func(v View) {
+		if got := v.TeamCounts("t"); got != sum {
+			c.t.Fatalf("team counted %v, expected %v", got, sum)
+		}
+	})
+	if sum == (QueueCounts{}) && len(s.teams) > 0 {
+		c.t.Fatal("a team is left over")
+	}
+}
+
 func (c *checker) jobsAreFound() {
 	expired := c.machine.state.expiredBefore > 0
 	c.machine.Read(func(v View) {
--- a/internal/record/restore.go
+++ b/internal/record/restore.go
@@ -97,6 +97,9 @@
 	r.state.clock = header.Clock
 	r.state.expiredBefore = header.ExpiredBefore
 	r.state.settings.use(header.ConfigVersion, &header.Config)
+	for _, window := range header.Released {
+		r.state.release(window)
+	}
 }
 
 // readParts reads what the header counts; a count beyond the data ends in an
@@ -201,6 +204,7 @@
 	task.LastWorker = read.LastWorker
 	task.NotBefore = read.NotBefore
 	task.Reason = read.Reason
+	task.Preemptions = read.Preemptions
 	task.Step.Job.started = task.Step.Job.started || read.LastRun > 0
 	restoreCounts(task)
 	return r.restoreRun(task, read.Run)
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -29,6 +29,9 @@
 	Orders        int        `cbor:"8,keyasint"`
 	Workers       int        `cbor:"9,keyasint"`
 	Jobs          int        `cbor:"10,keyasint"`
+	// Released is absent from snapshots of earlier programs, as is
+	// snapshotTask.Preemptions.
+	Released []ReleaseWindow `cbor:"11,keyasint,omitempty"`
 }
 
 // snapshotJob is a live job. Steps and Tasks are in the order of the spec.
@@ -55,6 +58,7 @@
 	NotBefore       Millis       `cbor:"6,keyasint,omitempty"`
 	Reason          string       `cbor:"7,keyasint,omitempty"`
 	Run             *snapshotRun `cbor:"8,keyasint,omitempty"`
+	Preemptions     int          `cbor:"9,keyasint,omitempty"`
 }
 
 // snapshotRun is the open run; its number and worker are the task's last.
@@ -143,6 +147,7 @@
 		Orders:        len(c.orders),
 		Workers:       len(c.workers),
 		Jobs:          len(c.jobs),
+		Released:      s.released,
 	}
 	return c
 }
@@ -166,6 +171,7 @@
 		LastWorker:      task.LastWorker,
 		NotBefore:       task.NotBefore,
 		Reason:          task.Reason,
+		Preemptions:     task.Preemptions,
 		Run:             c.addRun(task.Run),
 	})
 }
--- a/internal/record/state.go
+++ b/internal/record/state.go
@@ -30,8 +30,13 @@
 	workers     map[string]*Worker
 	workersByID map[string]*Worker
 	// loads is by incarnation; those without an open run have none.
-	loads  map[string]*load
+	loads map[string]*load
+	// queues and teams hold counts that are not zero, by name.
 	queues map[string]*QueueCounts
+	teams  map[string]*QueueCounts
+	// released holds windows given back that have not ended, by end. What lies
+	// in the slice is never changed, so that a capture may share it.
+	released []ReleaseWindow
 }
 
 // load is what the open runs on one worker incarnation take.
@@ -49,6 +54,7 @@
 		workersByID: make(map[string]*Worker),
 		loads:       make(map[string]*load),
 		queues:      make(map[string]*QueueCounts),
+		teams:       make(map[string]*QueueCounts),
 	}
 }
 
@@ -62,12 +68,11 @@
 
 // indexJob counts a job's tasks and runs.
 func (s *state) indexJob(job *Job) {
-	counts := s.queue(job.Spec.Queue)
-	counts.Jobs++
+	s.count(job.Spec.Queue, QueueCounts{Jobs: 1})
 	for _, step := range job.Steps {
 		s.taskTotal += len(step.Tasks)
 		for _, task := range step.Tasks {
-			s.countTask(counts, task.State, 1)
+			s.count(job.Spec.Queue, countOf(task.State))
 			if task.Run != nil {
 				s.addRun(task.Run)
 			}
@@ -81,11 +86,7 @@
 	for _, step := range job.Steps {
 		s.taskTotal -= len(step.Tasks)
 	}
-	counts := s.queue(job.Spec.Queue)
-	counts.Jobs--
-	if *counts == (QueueCounts{}) {
-		delete(s.queues, job.Spec.Queue)
-	}
+	s.count(job.Spec.Queue, QueueCounts{Jobs: -1})
 }
 
 // fewRemovals is the number up to which removing one at a time is cheaper
@@ -130,30 +131,11 @@
 	return nil
 }
 
-func (s *state) queue(name string) *QueueCounts {
-	counts := s.queues[name]
-	if counts == nil {
-		counts = &QueueCounts{}
-		s.queues[name] = counts
-	}
-	return counts
-}
-
 // setState changes a task's state and the counts of its queue.
 func (s *state) setState(task *Task, next TaskState) {
-	counts := s.queue(task.Step.Job.Spec.Queue)
-	s.countTask(counts, task.State, -1)
+	change := countOf(next).minus(countOf(task.State))
 	task.State = next
-	s.countTask(counts, next, 1)
-}
-
-func (s *state) countTask(counts *QueueCounts, in TaskState, change int) {
-	switch in {
-	case TaskBlocked, TaskReady:
-		counts.PendingTasks += change
-	case TaskPlaced:
-		counts.RunningTasks += change
-	}
+	s.count(task.Step.Job.Spec.Queue, change)
 }
 
 func (s *state) addRun(run *Run) {
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -98,7 +98,8 @@
 	Run *Run
 	// LastWorker names the worker of the newest run.
 	LastWorker string
-	// Preemptions counts runs that were stopped to make room for others.
+	// Preemptions counts runs that were stopped to make room for others and
+	// did not succeed.
 	Preemptions int
 	// NotBefore is the earliest next start: the step's or the retry's.
 	NotBefore Millis
@@ -194,7 +195,7 @@
 
 // Place opens runs. It is checked again when applied: each one must still fit
 // (task ready, time come, worker incarnation current, room, service, labels,
-// spread); one that does not is rejected alone, except that a group is
+// spread, bounds of queue and team); one that does not is rejected alone, except that a group is
 // rejected whole.
 type Place struct {
 	Placements []Placement `cbor:"1,keyasint"`
@@ -246,6 +247,7 @@
 }
 
 // ReleaseWindow gives the room of one window of a booking back before its end.
+// A window that has ended or was released before is passed over.
 type ReleaseWindow struct {
 	Queue   string `cbor:"1,keyasint"`
 	Booking string `cbor:"2,keyasint"`
@@ -379,10 +381,14 @@
 	ConfigVersions() []api.ConfigVersion
 	// Order returns the outcome of a configuration order.
 	Order(id string) (result ConfigResult, digest string, known bool)
-	// ReleasedWindows returns the windows given back whose end has not passed.
+	// ReleasedWindows returns the windows given back whose end has not passed,
+	// by end, then by queue, booking and start.
 	ReleasedWindows() []ReleaseWindow
 	// QueueCounts returns what a queue holds.
 	QueueCounts(queue string) QueueCounts
+	// TeamCounts returns what the queues of a team hold together, by the
+	// configuration in force.
+	TeamCounts(team string) QueueCounts
 	// Status builds the answer to a caller, live or archived. reason gives
 	// the text for a task that waits; it may be nil.
 	Status(id string, reason func(*Task) string) (api.JobStatus, bool, error)
@@ -392,7 +398,7 @@
 	Applied() uint64
 }
 
-// QueueCounts is the content of one queue.
+// QueueCounts is the content of one queue, or of all queues of a team.
 type QueueCounts struct {
 	Jobs, PendingTasks, RunningTasks int
 }
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -99,11 +99,22 @@
 }
 
 // ReleasedWindows implements View.
-func (v view) ReleasedWindows() []ReleaseWindow { return nil }
+func (v view) ReleasedWindows() []ReleaseWindow {
+	return slices.Clone(v.machine.state.released)
+}
 
 // QueueCounts implements View.
 func (v view) QueueCounts(queue string) QueueCounts {
-	if counts := v.machine.state.queues[queue]; counts != nil {
+	return countsIn(v.machine.state.queues, queue)
+}
+
+// TeamCounts implements View.
+func (v view) TeamCounts(team string) QueueCounts {
+	return countsIn(v.machine.state.teams, team)
+}
+
+func countsIn(all map[string]*QueueCounts, name string) QueueCounts {
+	if counts := all[name]; counts != nil {
 		return *counts
 	}
 	return QueueCounts{}
