--- a/cmd/decklever-scheduler/process.go
+++ b/cmd/decklever-scheduler/process.go
@@ -57,7 +57,6 @@
 		return nil, fmt.Errorf("open the data folder: %w", err)
 	}
 	p.store = store
-	p.client = rpc.NewClient(rpc.ClientConfig{})
 	if err := p.assemble(); err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
@@ -67,9 +66,14 @@
 // assemble connects the record, the replica and the acting scheduler.
 func (p *process) assemble() error {
 	registry := telemetry.NewRegistry()
+	counted, err := rpc.NewMetrics(registry)
+	if err != nil {
+		return err
+	}
+	p.client = rpc.NewClient(rpc.ClientConfig{Dialer: rpc.DialFrom(p.initial.Source), Metrics: counted})
 	service := scheduler.NewService(scheduler.Config{
 		Archive:    p.store.Archive(),
-		NewPlanner: func() placement.Planner { return placement.New(placement.Config{}) },
+		NewPlanner: func() scheduler.Planner { return placement.New(placement.Config{}) },
 		Logger:     p.logger,
 		Registerer: registry,
 	})
@@ -79,7 +83,7 @@
 	}
 	p.replica = made
 	service.SetLog(made)
-	server := rpc.NewServer(rpc.ServerConfig{Logger: p.logger})
+	server := rpc.NewServer(rpc.ServerConfig{Logger: p.logger, Metrics: counted})
 	made.Register(server)
 	service.Register(server)
 	mux := http.NewServeMux()
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -171,3 +171,60 @@
 		})
 	}
 }
+
+// reserve books slices that are found room for, in windows of four queues: one
+// open, the others to come.
+func (l *load) reserve(slices int) {
+	var windows []Reservation
+	for i := range 4 {
+		windows = append(windows, Reservation{
+			ID: fmt.Sprint("window", i), Queue: fmt.Sprint("booked", i), Service: "s",
+			Start: record.Millis(1 + i*600_000), End: record.Millis(1 + i*600_000 + 3_600_000),
+			Slots: slices / 4, Slice: api.Resources{CPUMillis: 200, MemoryMB: 128},
+		})
+	}
+	l.engine.SetTime(1)
+	l.engine.SetReservations(windows)
+	l.engine.Plan(0)
+}
+
+// newLoadWithReservations has room for its tasks beside the slices.
+func newLoadWithReservations() *load {
+	l := newLoad(1200, 22000)
+	for i := range 1200 {
+		w := l.engine.workers.byID[fmt.Sprint("id", i)].Worker
+		w.Capacity.CPUMillis += 400
+		w.Capacity.MemoryMB += 512
+		l.engine.SetWorker(w)
+	}
+	l.reserve(2000)
+	return l
+}
+
+// BenchmarkPlanWithReservations has 2,000 slices on 1,200 workers.
+func BenchmarkPlanWithReservations(b *testing.B) {
+	for _, count := range []int{0, 1000, 20000} {
+		b.Run(fmt.Sprintf("waiting=%d", count), func(b *testing.B) {
+			l := newLoadWithReservations()
+			placed := 0
+			for _, s := range l.engine.Slices() {
+				placed += s.Slots
+			}
+			if placed != 2000 {
+				b.Fatalf("%d slices have a worker, expected 2000", placed)
+			}
+			l.addImpossible(count)
+			l.engine.Plan(tasksPerPass)
+			l.measure(b)
+		})
+	}
+}
+
+// BenchmarkAssignSlices finds workers for 2,000 slices at once.
+func BenchmarkAssignSlices(b *testing.B) {
+	l := newLoadWithReservations()
+	for b.Loop() {
+		l.engine.SetReservations(nil)
+		l.reserve(2000)
+	}
+}
--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -11,10 +12,15 @@
 )
 
 // classKey is the shape of a task: all that decides where it fits. The step
-// is part of it only where a spread rule applies.
+// is part of it only where a spread rule applies, the queue only while a window
+// of it is kept.
 type classKey struct {
-	selector     selector
-	need         api.Resources
+	selector    selector
+	need        api.Resources
+	queue       string
+	preemptible bool
+	// duration bounds a run; 0 is no bound.
+	duration     record.Millis
 	spreadBy     string
 	maxPerDomain int
 	step         stepKey
@@ -33,10 +39,19 @@
 	// blocked is set when a pass found no room; it stays until a worker of the
 	// pool changed and could hold the class, or a run of its step ended.
 	blocked bool
-	// groups are those parked until this class may find room.
-	groups map[*lane]struct{}
+	// groups are those parked until this class may find room, with the value
+	// of freed at which it may; wakeAt is the least of these.
+	groups map[*lane]uint64
+	wakeAt uint64
+	// freed counts places that came on workers that changed; it may count one
+	// place often.
+	freed uint64
 	// counted is the last count of places for groups.
 	counted placesCount
+	// bookings are the reservations whose slices the class may use.
+	bookings []*reservation
+	// now points to the engine's time.
+	now *record.Millis
 }
 
 // canonicalLabels is the same text for equal labels. Lengths keep apart what
@@ -54,10 +69,19 @@
 	return text.String()
 }
 
-func classKeyOf(id record.TaskID, spec *api.TaskSpec) classKey {
+func (e *Engine) classKeyOf(task *Task) classKey {
+	id, spec := task.ID, task.Spec
 	key := classKey{
-		selector: selector{service: spec.Service, labels: canonicalLabels(spec.Labels)},
-		need:     spec.Resources,
+		selector:    selector{service: spec.Service, labels: canonicalLabels(spec.Labels)},
+		need:        spec.Resources,
+		preemptible: e.isPreemptible(task),
+	}
+	if !key.preemptible {
+		key.duration = durationOf(spec)
+		key.selector.firm = key.duration == 0
+	}
+	if q, known := e.queues[task.Queue]; known && q.booked {
+		key.queue = task.Queue
 	}
 	if spec.Spread != nil {
 		key.spreadBy = spec.Spread.By
@@ -67,9 +91,20 @@
 	return key
 }
 
+// durationOf is the spec's longest run in whole seconds, rounded up so that
+// there are not too many classes; 0 is no bound.
+func durationOf(spec *api.TaskSpec) record.Millis {
+	const second = 1000
+	longest := record.Millis(spec.MaxDuration.Std().Milliseconds())
+	if longest <= 0 {
+		return 0
+	}
+	return (longest + second - 1) / second * second
+}
+
 // joinClass returns the class of a task and counts the task in.
 func (e *Engine) joinClass(task *Task) *class {
-	key := classKeyOf(task.ID, task.Spec)
+	key := e.classKeyOf(task)
 	c, ok := e.classes[key]
 	if !ok {
 		c = e.newClass(key, task.Spec)
@@ -81,10 +116,13 @@
 func (e *Engine) newClass(key classKey, spec *api.TaskSpec) *class {
 	c := &class{
 		key:    key,
-		pool:   e.workers.acquire(spec),
+		pool:   e.workers.acquire(key.selector, spec.Labels),
 		lanes:  map[*lane]struct{}{},
-		groups: map[*lane]struct{}{},
+		groups: map[*lane]uint64{},
+		wakeAt: math.MaxUint64,
+		now:    &e.now,
 	}
+	c.bookings = e.bookingsOf(c)
 	if spec.Spread != nil {
 		step := e.step(key.step)
 		step.track(key.spreadBy)
@@ -110,9 +148,36 @@
 	}
 }
 
-// fitsOn reports whether the class fits on a worker of its pool now.
+// roomOn is the room that the class may use on a worker outside of slices of
+// its own: one that can be made to leave uses all that is free, others leave
+// what slices need before their run surely ends.
+func (c *class) roomOn(w *worker) api.Resources {
+	if len(w.points) == 0 || c.key.preemptible {
+		return w.free
+	}
+	if c.key.duration == 0 {
+		return w.firm
+	}
+	slack, bound := w.slackUntil(*c.now + c.key.duration)
+	if !bound {
+		return w.free
+	}
+	return smallestOf(w.free, slack)
+}
+
+// fitsOn reports whether the class fits on a worker of its pool now, outside
+// of slices.
 func (c *class) fitsOn(w *worker) bool {
-	return fits(c.key.need, w.free) && withinSpread(c.spread, &w.Worker)
+	if !fits(c.key.need, w.free) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
+		return false
+	}
+	return withinSpread(c.spread, &w.Worker)
+}
+
+// mayUse reports whether the class may find room on a worker that changed: a
+// slice counts even if a preemptible run has its room.
+func (c *class) mayUse(w *worker) bool {
+	return c.fitsOn(w) || c.openSlots(w.slices) > 0
 }
 
 // block marks that a pass found no room.
@@ -123,30 +188,51 @@
 
 // wake makes everything that waits for the class ready to be looked at again.
 func (c *class) wake() {
+	c.wakeLanes()
+	for l := range c.groups {
+		l.makeReady()
+	}
+}
+
+func (c *class) wakeLanes() {
 	c.blocked = false
-	delete(c.pool.blocked, c)
+	c.leaveBlocked()
 	for l := range c.lanes {
 		l.makeReady()
 	}
-	for l := range c.groups {
-		l.makeReady()
+}
+
+// leaveBlocked stops looking at changed workers once nothing waits for them.
+func (c *class) leaveBlocked() {
+	if c.blocked || len(c.groups) > 0 {
+		return
 	}
+	c.wakeAt = math.MaxUint64
+	delete(c.pool.blocked, c)
 }
 
 // wakeClasses looks at blocked classes again, but only where a worker changed
-// and only if the class would fit on that worker.
-func (e *Engine) wakeClasses() {
-	for _, w := range e.workers.takeChanged() {
+// and only if the class may have room on that worker.
+func (e *Engine) wakeClasses(changed []*worker) {
+	for _, w := range changed {
 		for _, p := range w.pools {
 			for c := range p.blocked {
-				if c.fitsOn(w) {
-					c.wake()
-				}
+				c.workerChanged(w)
 			}
 		}
 	}
 }
 
+func (c *class) workerChanged(w *worker) {
+	if c.blocked && c.mayUse(w) {
+		c.wakeLanes()
+	}
+	if len(c.groups) > 0 {
+		c.freed += c.placesFreed(w)
+		c.wakeGroups()
+	}
+}
+
 // wakeStep looks again at classes whose spread rule counts runs of the step.
 func wakeStep(s *step) {
 	for c := range s.classes {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -15,8 +15,13 @@
 	Seed int64
 }
 
-// Engine implements Planner. It is not safe for concurrent use.
+// defaultMaxPreemptions holds until SetMaxPreemptions.
+const defaultMaxPreemptions = 3
+
+// Engine implements Planner and Booker. It is not safe for concurrent use.
 type Engine struct {
+	// now is the cluster time as last told.
+	now     record.Millis
 	workers workerIndex
 	classes map[classKey]*class
 	steps   map[stepKey]*step
@@ -29,17 +34,56 @@
 	runs    map[record.TaskID]*run
 	// passes counts calls of Plan.
 	passes uint64
+	teams  map[string]*team
+	// reservations are ordered by the start of their windows.
+	reservations []*reservation
+	// units are promised room, in the order in which they are placed.
+	units []*unit
+	// preemptions are those asked for since Preemptions was called.
+	preemptions    []Preemption
+	maxPreemptions int
+	// victims counts by priority the runs that may be preempted.
+	victims map[int]int
+	// hopeful are blocked lanes, in the order in which they get another trial
+	// to preempt; unfinished are those that the last pass had no time for.
+	hopeful, unfinished []*lane
+	// gathering is the group for which room is put aside, or nil.
+	gathering *gathering
 }
 
-var _ Planner = (*Engine)(nil)
+var (
+	_ Planner = (*Engine)(nil)
+	_ Booker  = (*Engine)(nil)
+)
 
-// run is an open run: it holds room on its worker.
+// run is an open run, or a nominated one: it holds room on its worker.
 type run struct {
-	task   record.TaskID
-	need   api.Resources
-	worker *worker
-	queue  *queue
-	step   *step
+	task     record.TaskID
+	service  string
+	need     api.Resources
+	worker   *worker
+	queue    *queue
+	step     *step
+	priority int
+	// started is when it was placed, end when the worker stops it at last.
+	started, end record.Millis
+	preemptions  int
+	// mayStop is the spec's Preemptible; preemptible is false once the task was
+	// preempted too often.
+	mayStop, preemptible bool
+	// stopping is set once it was named for preemption.
+	stopping bool
+	// nominated is set while the room is only promised.
+	nominated bool
+	// slice is where the run counts; booked tells whether it was placed in one.
+	slice  *sliceSet
+	booked bool
+}
+
+// startAt sets when the run starts, and so when it ends at the latest.
+func (r *run) startAt(moment record.Millis, spec *api.TaskSpec) {
+	r.started = moment
+	r.end = endOf(moment, spec)
 }
 
 // New returns an Engine that knows no worker, queue or task.
@@ -52,6 +96,10 @@
 		groups:  map[string]*lane{},
 		waiting: map[record.TaskID]*waiting{},
 		runs:    map[record.TaskID]*run{},
+		teams:   map[string]*team{},
+		victims: map[int]int{},
+
+		maxPreemptions: defaultMaxPreemptions,
 	}
 }
 
@@ -66,8 +114,12 @@
 		e.queue(rule.Name).rule = rule
 	}
 	for _, q := range e.queues {
+		e.joinTeam(q)
 		q.wake()
 	}
+	for _, t := range e.teams {
+		t.wake()
+	}
 }
 
 // SetWorker implements Planner.
@@ -76,6 +128,9 @@
 	if w.known && sameWorker(&w.Worker, &to) {
 		return
 	}
+	if w.known && w.Name != to.Name {
+		e.dropAllSlices(w)
+	}
 	runs := w.runsByStep()
 	for s, count := range runs {
 		s.count(w, -count)
@@ -85,6 +140,8 @@
 		s.count(w, count)
 		wakeStep(s)
 	}
+	e.dropSlicesOf(w)
+	e.settle(w)
 }
 
 func sameWorker(a, b *Worker) bool {
@@ -107,7 +164,9 @@
 	if !ok {
 		return
 	}
-	for r := range w.runs {
+	e.cancelOn(w)
+	e.dropAllSlices(w)
+	for _, r := range w.sortedRuns(func(*run) bool { return true }) {
 		e.end(r)
 	}
 	e.workers.remove(w)
@@ -123,7 +182,17 @@
 		e.Release(task.ID)
 	}
 	e.Remove(task.ID)
-	e.open(&task, e.workers.get(workerID))
+	to := seat{worker: e.workers.get(workerID)}
+	started := task.StartedAt
+	if started == 0 {
+		started = e.now
+	}
+	e.newRun(&task, to, started, false)
+	if e.queue(task.Queue).booked {
+		// It may fill a slice that is still looking for a worker.
+		e.workers.markChanged(to.worker)
+	}
+	e.settle(to.worker)
 }
 
 // Release implements Planner.
@@ -141,34 +210,28 @@
 // end closes a run and lets what may now have room be looked at again.
 func (e *Engine) end(r *run) {
 	e.close(r)
+	e.settle(r.worker)
 	e.workers.markChanged(r.worker)
 	r.queue.wake()
+	if r.queue.team != nil {
+		r.queue.team.wake()
+	}
 	wakeStep(r.step)
 }
 
-// open takes room for a run.
-func (e *Engine) open(task *Task, on *worker) *run {
-	r := &run{
-		task:   task.ID,
-		need:   task.Spec.Resources,
-		worker: on,
-		queue:  e.queue(task.Queue),
-		step:   e.step(stepKeyOf(task.ID)),
-	}
-	e.runs[r.task] = r
-	on.runs[r] = struct{}{}
-	e.workers.take(on, r.need)
-	r.queue.running++
-	r.step.count(on, 1)
-	return r
-}
+// open takes room for a run that starts now.
+func (e *Engine) open(task *Task, to seat) *run { return e.newRun(task, to, e.now, false) }
 
-// close gives back the room of a run; it is the exact reverse of open.
+// close gives back the room of a run; it is the exact reverse of newRun.
 func (e *Engine) close(r *run) {
-	delete(e.runs, r.task)
+	if !r.nominated {
+		delete(e.runs, r.task)
+	}
+	e.countVictim(r, -1)
+	e.workers.giveBack(r)
 	delete(r.worker.runs, r)
-	e.workers.take(r.worker, api.Resources{}.Sub(r.need))
-	r.queue.running--
+	r.leaveSlice()
+	r.queue.countRun(-1)
 	r.step.count(r.worker, -1)
 	e.forgetIfUnused(r.step)
 }
@@ -187,19 +250,29 @@
 	}
 	w := &waiting{Task: task, class: e.joinClass(&task)}
 	e.waiting[task.ID] = w
-	if task.Group != "" && task.GroupSize > 1 {
+	e.enlane(w)
+}
+
+// enlane puts a task where tasks of its shape wait.
+func (e *Engine) enlane(w *waiting) {
+	if w.Group != "" && w.GroupSize > 1 {
 		e.addToGroup(w)
 		return
 	}
-	l := e.line(&task).lane(w.class)
+	l := e.line(&w.Task).lane(w.class)
 	l.push(w)
-	if !w.class.blocked {
-		l.makeReady()
+	if w.class.blocked {
+		e.hope(l)
+		return
 	}
+	l.makeReady()
 }
 
 func (e *Engine) addToGroup(w *waiting) {
 	l := e.joinGroup(&w.Task)
+	if e.isGathering(l) {
+		e.stopGathering()
+	}
 	// Out of the heap first: a group without tasks has no place in it.
 	l.makeUnready()
 	l.push(w)
@@ -212,6 +285,7 @@
 	if !ok {
 		return
 	}
+	e.takeBackPromise(w)
 	e.forget(w)
 	if l := w.lane; l.class == nil && len(l.tasks) > 0 {
 		l.reconsider()
@@ -221,7 +295,9 @@
 // forget takes a task out of all that waits.
 func (e *Engine) forget(w *waiting) {
 	delete(e.waiting, w.ID)
-	e.takeFromLane(w)
+	if w.lane != nil {
+		e.takeFromLane(w)
+	}
 	e.leaveClass(w.class)
 }
 
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -16,10 +16,14 @@
 	members []memberCount
 	// parkedAt are the classes that must find room before another trial.
 	parkedAt []*class
+	// parkedAtTeam is the team whose limit holds the group back.
+	parkedAtTeam *team
 	// free is how many members had a place at the last trial; tried tells
 	// whether there was one.
 	free  int
 	tried bool
+	// waitsSince is the pass in which it first found no room.
+	waitsSince uint64
 }
 
 // memberCount is how many members of a group are of one class.
@@ -32,6 +36,11 @@
 type placesCount struct {
 	pass           uint64
 	enough, places int
+	// full are the domains that the spread rule closed, if it was counted to
+	// the end: room freed there makes no place. It holds for one version of
+	// workers.
+	full    map[string]bool
+	version uint64
 }
 
 // joinGroup returns the lane of the task's group and makes it if there is none.
@@ -72,54 +81,113 @@
 	l.makeReady()
 }
 
-// parkAt keeps a group out of passes until one of the classes may find room.
+// parkAt keeps a group out of passes until a place more came for one of the
+// classes.
 func (l *lane) parkAt(classes ...*class) {
 	l.makeUnready()
 	for _, c := range classes {
-		c.groups[l] = struct{}{}
-		c.pool.blocked[c] = struct{}{}
+		// Members of several classes compete for room, also where the spread
+		// rule alone leaves one of them nothing.
+		c.counted.full = nil
+		l.parkUntil(c, 1)
 	}
 	l.parkedAt = classes
 }
 
-// parkAtQueue keeps a group out of passes until the queue may run more.
-func (l *lane) parkAtQueue() {
+// parkAtShortage keeps a group out of passes until as many places came as the
+// class was short of.
+func (l *lane) parkAtShortage(c *class, missing int) {
 	l.makeUnready()
-	l.line.queue.groups[l] = struct{}{}
+	l.parkUntil(c, missing)
+	l.parkedAt = []*class{c}
+}
+
+func (l *lane) parkUntil(c *class, places int) {
+	c.groups[l] = c.freed + uint64(places)
+	c.wakeAt = min(c.wakeAt, c.groups[l])
+	c.pool.blocked[c] = struct{}{}
+}
+
+// wakeGroups makes the groups ready for which enough places may have come.
+func (c *class) wakeGroups() {
+	if c.freed < c.wakeAt {
+		return
+	}
+	c.wakeAt = math.MaxUint64
+	for l, at := range c.groups {
+		if at <= c.freed {
+			l.makeReady()
+			continue
+		}
+		c.wakeAt = min(c.wakeAt, at)
+	}
+}
+
+// placesFreed is the most places that a changed worker can add to the last
+// count.
+func (c *class) placesFreed(w *worker) uint64 {
+	if c.spread != nil && c.counted.full != nil && c.counted.version == c.pool.version {
+		if domain, ok := domainOf(&w.Worker, c.spread.by); !ok || c.counted.full[domain] {
+			return 0
+		}
+	}
+	return uint64(placesOn(c.key.need, c.roomOn(w), math.MaxInt32) + c.openSlots(w.slices))
+}
+
+// parkAtLimit keeps a group out of passes until the queue or its team may run
+// more.
+func (l *lane) parkAtLimit(size int) {
+	l.makeUnready()
+	q := l.line.queue
+	if !withinQueueLimit(q, size) {
+		q.groups[l] = struct{}{}
+		return
+	}
+	q.team.groups[l] = struct{}{}
+	l.parkedAtTeam = q.team
 }
 
 // unpark forgets what the group was parked at. Class lanes are never parked.
 func (l *lane) unpark() {
 	for _, c := range l.parkedAt {
 		delete(c.groups, l)
-		if !c.blocked && len(c.groups) == 0 {
-			delete(c.pool.blocked, c)
-		}
+		c.leaveBlocked()
 	}
 	l.parkedAt = nil
 	delete(l.line.queue.groups, l)
+	if l.parkedAtTeam != nil {
+		delete(l.parkedAtTeam.groups, l)
+		l.parkedAtTeam = nil
+	}
 }
 
 // placeGroup places all members of the group or none. It returns false if the
 // group fits but not in what is left of the pass's limit: the pass then ends,
 // and the next one starts with this group.
 func (p *pass) placeGroup(l *lane) bool {
-	if !withinQueueLimit(l.line.queue, len(l.tasks)) {
-		l.parkAtQueue()
+	if !l.line.queue.mayRun(len(l.tasks)) {
+		l.parkAtLimit(len(l.tasks))
 		return true
 	}
-	l.tried = true
-	if short := p.engine.findShortage(l); short != nil {
-		l.parkAt(short)
+	l.chance = false
+	if p.engine.isGathering(l) {
+		l.makeUnready()
 		return true
 	}
+	l.tried = true
+	if short, missing := p.engine.findShortage(l); short != nil {
+		l.parkAtShortage(short, missing)
+		l.waitFrom(p.engine.passes)
+		return p.preemptForGroup(l)
+	}
 	members := p.engine.trialOrder(l.tasks)
 	opened := p.tryAll(members)
 	if len(opened) < len(members) {
 		l.free = len(opened)
 		p.rollBack(opened)
 		l.parkAt(l.classes()...)
-		return true
+		l.waitFrom(p.engine.passes)
+		return p.preemptForGroup(l)
 	}
 	if len(p.decisions) > 0 && len(p.decisions)+len(members) > p.limit {
 		p.rollBack(opened)
@@ -127,11 +195,17 @@
 	}
 	l.makeUnready()
 	for i, member := range members {
-		p.decide(member, opened[i].worker)
+		p.decide(member, opened[i])
 	}
 	return true
 }
 
+func (l *lane) waitFrom(pass uint64) {
+	if l.waitsSince == 0 {
+		l.waitsSince = pass
+	}
+}
+
 // trialOrder puts members that need most room first: the small ones find room
 // in what these leave.
 func (e *Engine) trialOrder(tasks []*waiting) []*waiting {
@@ -149,11 +223,11 @@
 func (p *pass) tryAll(members []*waiting) []*run {
 	opened := make([]*run, 0, len(members))
 	for _, member := range members {
-		w := p.engine.fullest(member.class)
-		if w == nil {
+		to, found := p.engine.seatFor(member.class)
+		if !found {
 			break
 		}
-		opened = append(opened, p.engine.open(&member.Task, w))
+		opened = append(opened, p.engine.open(&member.Task, to))
 	}
 	return opened
 }
@@ -174,50 +248,67 @@
 }
 
 // findShortage returns a class that has fewer places than the group has
-// members of it, or nil. Classes are counted one by one, so nil does not
-// promise that all fit together.
-func (e *Engine) findShortage(l *lane) *class {
-	var short *class
+// members of it, and how many are missing, or nil. Classes are counted one by
+// one, so nil does not promise that all fit together.
+func (e *Engine) findShortage(l *lane) (short *class, missing int) {
 	l.free = 0
 	for _, m := range l.members {
 		places := e.places(m.class, m.count)
 		l.free += places
 		if places < m.count && short == nil {
-			short = m.class
+			short, missing = m.class, m.count-places
 		}
 	}
-	return short
+	return short, missing
 }
 
 // places is class.places, counted once a pass where it fell short: room only
 // shrinks during a pass, so that many groups of one class cost one count.
 func (e *Engine) places(c *class, enough int) int {
-	last := c.counted
+	last := &c.counted
 	if last.pass == e.passes && last.places < last.enough {
 		return min(last.places, enough)
 	}
-	places := c.places(enough)
-	c.counted = placesCount{pass: e.passes, enough: enough, places: places}
-	return places
+	c.counted = placesCount{pass: e.passes, enough: enough, version: c.pool.version}
+	c.counted.places = c.places(enough)
+	return c.counted.places
 }
 
-// places counts how many tasks of the class fit now, up to enough.
+// places counts how many tasks of the class fit now, up to enough. Slices
+// count whole: with a spread rule there may be fewer.
 func (c *class) places(enough int) int {
 	left := map[string]int{}
 	total := 0
+	for _, r := range c.bookings {
+		total += min(c.openSlots(r.sets), enough-total)
+	}
 	for _, w := range c.pool.workers {
-		here := placesOn(c.key.need, w.free, enough-total)
+		if total >= enough {
+			return enough
+		}
+		here := placesOn(c.key.need, c.roomOn(w), enough-total)
 		if c.spread != nil && here > 0 {
 			here = takeFromDomain(left, c.spread, &w.Worker, here)
 		}
 		total += here
-		if total >= enough {
-			return enough
-		}
+	}
+	if c.spread != nil {
+		c.counted.full = fullDomains(left)
 	}
 	return total
 }
 
+// fullDomains returns the domains of which nothing is left.
+func fullDomains(left map[string]int) map[string]bool {
+	full := map[string]bool{}
+	for domain, runs := range left {
+		if runs == 0 {
+			full[domain] = true
+		}
+	}
+	return full
+}
+
 // takeFromDomain returns how many of the wanted runs the worker's domain still
 // takes, and counts them in left.
 func takeFromDomain(left map[string]int, rule *spreadRule, worker *Worker, wanted int) int {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -7,14 +7,21 @@
 	engine    *Engine
 	limit     int
 	decisions []Decision
+	// allowance bounds what the pass spends on preemption.
+	allowance allowance
 }
 
-// Plan implements Planner.
+// Plan implements Planner. Pending slices come first, so that room goes to
+// them before other work takes it; then the tasks that were promised room.
 func (e *Engine) Plan(limit int) []Decision {
 	e.passes++
 	e.workers.refresh()
-	e.wakeClasses()
-	p := &pass{engine: e, limit: limit}
+	p := &pass{engine: e, limit: limit, allowance: newAllowance()}
+	e.assignSlices(e.workers.changed)
+	p.placeNominated()
+	e.wakeClasses(e.workers.takeChanged())
+	p.gather()
+	p.takeUpAgain()
 	// Levels that run empty are dropped on the way, hence the copy.
 	for _, lv := range slices.Clone(e.levels) {
 		if !p.planLevel(lv) {
@@ -46,24 +53,25 @@
 	if l.class == nil {
 		return p.placeGroup(l)
 	}
-	if l.class.blocked {
-		l.makeUnready()
-		return true
-	}
-	w := p.engine.fullest(l.class)
-	if w == nil {
-		l.class.block()
+	if l.class.blocked && !l.chance {
+		p.engine.hope(l)
 		l.makeUnready()
 		return true
 	}
 	first := l.tasks[0]
-	p.engine.open(&first.Task, w)
-	p.decide(first, w)
+	if !l.class.blocked {
+		if to, found := p.engine.seatFor(l.class); found {
+			p.decide(first, p.engine.open(&first.Task, to))
+			return true
+		}
+	}
+	p.preemptOrBlock(l)
 	return true
 }
 
 // decide notes the decision and takes the task out of what waits.
-func (p *pass) decide(placed *waiting, on *worker) {
+func (p *pass) decide(placed *waiting, opened *run) {
+	on := opened.worker
 	p.decisions = append(p.decisions, Decision{
 		Task:     placed.ID,
 		WorkerID: on.ID,
@@ -71,6 +79,10 @@
 		Group:    placed.Group,
 	})
 	p.engine.forget(placed)
+	if opened.slice != nil {
+		// The run may outlast its window and need what others have booked.
+		p.engine.settle(on)
+	}
 }
 
 func (lv *level) readyLines() []*line {
@@ -85,7 +97,7 @@
 
 // mayPlace reports whether the line has something to look at and its queue is
 // below its limit.
-func (l *line) mayPlace() bool { return len(l.ready) > 0 && withinQueueLimit(l.queue, 1) }
+func (l *line) mayPlace() bool { return len(l.ready) > 0 && l.queue.mayRun(1) }
 
 // nextLine returns the line whose queue has the lowest share, then the one
 // with the lowest Sequence; nil if none may place.
--- /dev/null
+++ b/internal/placement/preempt.go
@@ -0,0 +1,316 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// Bounds of what one pass spends on preemption; what does not fit in is tried
+// in later passes.
+const (
+	maxPreemptionsPerPass = 64
+	// Booked work has its own bound: a window's tasks come all at once.
+	maxBookedPerPass = 256
+	// A trial may look at all workers, that of a group many times; only trials
+	// of single tasks that find nothing count.
+	maxTrialsPerPass      = 16
+	maxGroupTrialsPerPass = 1
+)
+
+// anyPriority lets booked work preempt whatever is preemptible.
+const anyPriority = math.MaxInt
+
+// allowance is what a pass may still spend.
+type allowance struct{ preemptions, booked, trials, groupTrials int }
+
+func newAllowance() allowance {
+	return allowance{
+		preemptions: maxPreemptionsPerPass, booked: maxBookedPerPass,
+		trials: maxTrialsPerPass, groupTrials: maxGroupTrialsPerPass,
+	}
+}
+
+// SetMaxPreemptions implements Booker.
+func (e *Engine) SetMaxPreemptions(most int) {
+	if most == e.maxPreemptions {
+		return
+	}
+	e.maxPreemptions = most
+	for _, w := range slices.SortedFunc(maps.Values(e.workers.byID), compareName) {
+		for r := range w.runs {
+			e.countVictim(r, -1)
+			e.workers.reaccount(r, func() { r.preemptible = r.mayStop && r.preemptions < most })
+			e.countVictim(r, 1)
+		}
+		e.settle(w)
+		e.workers.markChanged(w)
+	}
+	e.reclassify(func(task *Task) bool { return task.Spec.Preemptible })
+}
+
+// isPreemptible reports whether the task may be preempted, and not yet too
+// often was.
+func (e *Engine) isPreemptible(task *Task) bool {
+	return task.Spec.Preemptible && task.Preemptions < e.maxPreemptions
+}
+
+// countVictim counts the runs by priority that may be preempted; those in
+// slices too.
+func (e *Engine) countVictim(r *run, change int) {
+	if !r.preemptible || r.nominated {
+		return
+	}
+	e.victims[r.priority] += change
+	if e.victims[r.priority] == 0 {
+		delete(e.victims, r.priority)
+	}
+}
+
+// hasVictims reports whether any run of a lower priority may be preempted.
+func (e *Engine) hasVictims(priority int) bool {
+	for lower := range e.victims {
+		if lower < priority {
+			return true
+		}
+	}
+	return false
+}
+
+// Preemptions implements Booker.
+func (e *Engine) Preemptions() []Preemption {
+	asked := slices.DeleteFunc(e.preemptions, func(p Preemption) bool {
+		r, open := e.runs[p.Task]
+		return !open || !r.stopping
+	})
+	e.preemptions = nil
+	return asked
+}
+
+// preemptOrBlock promises the lane's first task room that preemption makes, or
+// takes the lane out of this and later passes.
+func (p *pass) preemptOrBlock(l *lane) {
+	first := l.tasks[0]
+	found, later := p.findVictims(l.class, l.line.level.priority)
+	if later {
+		l.makeUnready()
+		p.engine.unfinished = append(p.engine.unfinished, l)
+		return
+	}
+	if !found.possible() {
+		l.chance = false
+		l.class.block()
+		l.makeUnready()
+		p.engine.hope(l)
+		return
+	}
+	p.allowance.spend(&found)
+	victims := p.engine.stop(found.victims, first.ID)
+	r := p.engine.newRun(&first.Task, found.to, p.engine.now, true)
+	p.engine.nominate([]*waiting{first}, []*run{r}, victims)
+}
+
+func (a *allowance) spend(c *choice) {
+	if c.to.slice != nil {
+		a.booked -= len(c.victims)
+		return
+	}
+	a.preemptions -= len(c.victims)
+}
+
+// stop marks runs as asked to stop for a task.
+func (e *Engine) stop(victims []*run, beneficiary record.TaskID) []Preemption {
+	asked := make([]Preemption, 0, len(victims))
+	for _, r := range victims {
+		e.setStopping(r, true)
+		asked = append(asked, Preemption{Task: r.task, WorkerID: r.worker.ID, Beneficiary: beneficiary})
+	}
+	return asked
+}
+
+func (e *Engine) setStopping(r *run, stopping bool) {
+	e.workers.reaccount(r, func() { r.stopping = stopping })
+}
+
+// choice is a seat and the runs that must stop for it.
+type choice struct {
+	to      seat
+	victims []*run
+}
+
+func (c *choice) possible() bool { return c.to.worker != nil }
+
+// highest is the highest priority of the victims.
+func (c *choice) highest() int {
+	highest := math.MinInt
+	for _, r := range c.victims {
+		highest = max(highest, r.priority)
+	}
+	return highest
+}
+
+// before orders choices: fewest victims, lowest priority, fullest worker.
+func (c *choice) before(other *choice) bool {
+	return cmp.Or(
+		cmp.Compare(len(c.victims), len(other.victims)),
+		cmp.Compare(c.highest(), other.highest()),
+		compareFullest(c.to.worker, other.to.worker),
+	) < 0
+}
+
+// findVictims finds the best seat that preemption makes for a task; later tells
+// that the pass has no allowance left for it.
+func (p *pass) findVictims(c *class, priority int) (best choice, later bool) {
+	best = p.engine.bookedChoice(c)
+	if best.possible() {
+		return best, len(best.victims) > p.allowance.booked
+	}
+	if !p.engine.hasVictims(priority) || p.allowance.trials == 0 {
+		return choice{}, false
+	}
+	best = p.engine.priorityChoice(c, priority)
+	if !best.possible() {
+		p.allowance.trials--
+	}
+	if len(best.victims) > p.allowance.preemptions {
+		return choice{}, true
+	}
+	return best, false
+}
+
+// bookedChoice finds an open slice whose room preemptible runs have.
+func (e *Engine) bookedChoice(c *class) choice {
+	var best choice
+	for _, r := range c.bookings {
+		for _, s := range r.sets {
+			if !c.mayEnter(s) {
+				continue
+			}
+			if victims, ok := s.worker.chooseVictims(c.key.need, anyPriority); ok {
+				best.improve(choice{to: seat{worker: s.worker, slice: s}, victims: victims})
+			}
+			if best.possible() && len(best.victims) <= 1 {
+				return best
+			}
+		}
+	}
+	return best
+}
+
+// priorityChoice finds a worker on which runs of lower priority can make room.
+func (e *Engine) priorityChoice(c *class, priority int) choice {
+	var best choice
+	for _, w := range c.pool.workers {
+		if !withinSpread(c.spread, &w.Worker) || !c.leavesSlices(w) {
+			continue
+		}
+		if victims, ok := w.chooseVictims(c.key.need, priority); ok {
+			best.improve(choice{to: seat{worker: w}, victims: victims})
+		}
+		if best.possible() && len(best.victims) <= 1 && !e.hasVictims(best.highest()) {
+			return best
+		}
+	}
+	return best
+}
+
+func (c *choice) improve(other choice) {
+	if !c.possible() || other.before(c) {
+		*c = other
+	}
+}
+
+// leavesSlices reports whether the class fits beside slices and the runs that
+// cannot be made to leave.
+func (c *class) leavesSlices(w *worker) bool {
+	if c.key.preemptible {
+		return true
+	}
+	end := forever
+	if c.key.duration > 0 {
+		end = *c.now + c.key.duration
+	}
+	slack, bound := w.slackUntil(end)
+	return !bound || fits(c.key.need, slack)
+}
+
+// chooseVictims returns the runs below a priority that must stop so that need
+// fits once they and those asked before are gone; none if those asked before
+// are enough. One or two victims are the cheapest of that number; of more, the
+// largest are taken first and those not needed left out, so that there may be a
+// smaller set.
+func (w *worker) chooseVictims(need api.Resources, below int) ([]*run, bool) {
+	room := w.coming()
+	if fits(need, room) {
+		return nil, true
+	}
+	if !fits(need, room.Add(w.preemptible)) {
+		return nil, false
+	}
+	var candidates []*run
+	for r := range w.runs {
+		if r.mayBeVictim() && r.priority < below {
+			candidates = append(candidates, r)
+		}
+	}
+	slices.SortFunc(candidates, compareCheapest)
+	enough := func(victims ...*run) bool {
+		sum := room
+		for _, r := range victims {
+			sum = sum.Add(r.need)
+		}
+		return fits(need, sum)
+	}
+	for _, r := range candidates {
+		if enough(r) {
+			return []*run{r}, true
+		}
+	}
+	// The dearer one decides, so its loop is the outer one.
+	for i, dearer := range candidates {
+		for _, cheaper := range candidates[:i] {
+			if enough(cheaper, dearer) {
+				return []*run{cheaper, dearer}, true
+			}
+		}
+	}
+	return largestFirst(candidates, lacking(need, room), enough)
+}
+
+// largestFirst takes the victims that give most of what is lacking, then
+// leaves out the dearest that are not needed.
+func largestFirst(candidates []*run, lacks api.Resources, enough func(...*run) bool) ([]*run, bool) {
+	if !enough(candidates...) {
+		return nil, false
+	}
+	bySize := slices.Clone(candidates)
+	slices.SortStableFunc(bySize, func(a, b *run) int {
+		return cmp.Compare(roomOf(smallestOf(b.need, lacks), lacks), roomOf(smallestOf(a.need, lacks), lacks))
+	})
+	count := 1
+	for !enough(bySize[:count]...) {
+		count++
+	}
+	chosen := bySize[:count]
+	slices.SortFunc(chosen, compareCheapest)
+	for at := len(chosen) - 1; at >= 0; at-- {
+		without := slices.Delete(slices.Clone(chosen), at, at+1)
+		if enough(without...) {
+			chosen = without
+		}
+	}
+	return chosen, true
+}
+
+// compareCheapest orders victims: lowest priority first, then the youngest.
+func compareCheapest(a, b *run) int {
+	return cmp.Or(
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(b.started, a.started),
+		compareTask(a.task, b.task),
+	)
+}
--- a/internal/placement/queues.go
+++ b/internal/placement/queues.go
@@ -4,12 +4,18 @@
 	"cmp"
 	"container/heap"
 	"slices"
+
+	"github.com/decklever/decklever/internal/record"
 )
 
 // queue is a queue's rule and its open runs.
 type queue struct {
 	rule    QueueRule
 	running int
+	// team is nil if the queue is of no team.
+	team *team
+	// booked is set while a window of the queue is kept.
+	booked bool
 	// groups are those parked until a run of the queue ends or its rule changes.
 	groups map[*lane]struct{}
 }
@@ -40,6 +46,9 @@
 	tasks taskHeap
 	// position is the index in line.ready; notReady when it is not there.
 	position int
+	// hoping is set while the lane is listed in Engine.hopeful; chance lets it
+	// try to preempt in this pass though its class is blocked.
+	hoping, chance bool
 	// groupState is used for groups only.
 	groupState
 }
@@ -48,7 +57,9 @@
 type waiting struct {
 	Task
 	class *class
-	lane  *lane
+	// lane is nil while the task is nominated, unit otherwise.
+	lane *lane
+	unit *unit
 	// position is the index in lane.tasks.
 	position int
 }
@@ -190,12 +201,14 @@
 
 // compareWaiting orders by Sequence; the name makes the order total.
 func compareWaiting(a, b *waiting) int {
-	return cmp.Or(
-		cmp.Compare(a.Sequence, b.Sequence),
-		cmp.Compare(a.ID.Job, b.ID.Job),
-		cmp.Compare(a.ID.Step, b.ID.Step),
-		cmp.Compare(a.ID.Index, b.ID.Index),
-	)
+	if bySequence := cmp.Compare(a.Sequence, b.Sequence); bySequence != 0 {
+		return bySequence
+	}
+	return compareTask(a.ID, b.ID)
+}
+
+func compareTask(a, b record.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
 
 // taskHeap implements heap.Interface, first task first.
--- a/internal/placement/reasons.go
+++ b/internal/placement/reasons.go
@@ -14,6 +14,7 @@
 const (
 	reasonNoUsableWorker = "no usable worker"
 	reasonTurn           = "waits for its turn"
+	reasonPreempting     = "waits for preempted runs to stop"
 )
 
 // Reason implements Planner. It is worked out from the state at the time of
@@ -23,17 +24,31 @@
 	if !ok {
 		return ""
 	}
+	if w.unit != nil {
+		return reasonPreempting
+	}
 	if w.lane.class == nil {
 		return e.groupReason(w)
 	}
-	if !withinQueueLimit(w.lane.line.queue, 1) {
-		return limitReason(w.lane.line.queue)
+	if q := w.lane.line.queue; !q.mayRun(1) {
+		return limitReason(q, 1)
 	}
 	return e.classReason(w)
 }
 
-func limitReason(q *queue) string {
-	return fmt.Sprintf("queue at its limit of %d running tasks", q.rule.MaxRunning)
+// limitReason names the limit that does not allow count more runs.
+func limitReason(q *queue, count int) string {
+	if !withinQueueLimit(q, count) {
+		return quotaText("queue", q.rule.Name, q.running, q.rule.MaxRunning)
+	}
+	return quotaText("team", q.team.rule.Name, q.team.running, q.team.rule.MaxRunning)
+}
+
+func quotaText(kind, name string, running, most int) string {
+	if running >= most {
+		return fmt.Sprintf("quota: %s %q has its %d running tasks", kind, name, most)
+	}
+	return fmt.Sprintf("quota: %s %q has %d of its %d running tasks", kind, name, running, most)
 }
 
 func (e *Engine) groupReason(w *waiting) string {
@@ -41,8 +56,8 @@
 	if !l.complete() {
 		return fmt.Sprintf("group has %d of %d members", len(l.tasks), l.size)
 	}
-	if !withinQueueLimit(l.line.queue, len(l.tasks)) {
-		return fmt.Sprintf("%s, group needs %d", limitReason(l.line.queue), len(l.tasks))
+	if q := l.line.queue; !q.mayRun(len(l.tasks)) {
+		return fmt.Sprintf("%s, group needs %d", limitReason(q, len(l.tasks)), len(l.tasks))
 	}
 	if reason := e.eligibilityReason(w); reason != "" {
 		return reason
@@ -59,7 +74,11 @@
 		return reason
 	}
 	c := w.class
+	if e.roomySlice(c) != nil {
+		return reasonTurn
+	}
 	var most api.Resources
+	var booked record.Millis
 	roomy, spreadable := false, false
 	for _, candidate := range c.pool.workers {
 		most = largestOf(most, candidate.free)
@@ -67,14 +86,33 @@
 		if c.fitsOn(candidate) {
 			return reasonTurn
 		}
+		if until := c.bookedUntil(candidate); until > 0 && (booked == 0 || until < booked) {
+			booked = until
+		}
 		spreadable = spreadable || withinSpread(c.spread, &candidate.Worker)
 	}
+	if booked > 0 {
+		return fmt.Sprintf("no room until %s (booked)", booked.Time().Format("15:04"))
+	}
 	if !spreadable || roomy {
 		return spreadReason(c.key.spreadBy, c.key.maxPerDomain, roomy && spreadable)
 	}
 	return "no room: " + shortage(c.key.need, most, "most free")
 }
 
+// bookedUntil is when the last window ends of the slices that alone keep the
+// class off a worker; 0 if something else does too.
+func (c *class) bookedUntil(w *worker) record.Millis {
+	if !fits(c.key.need, w.free) || !withinSpread(c.spread, &w.Worker) {
+		return 0
+	}
+	var until record.Millis
+	for _, s := range w.slices {
+		until = max(until, s.reservation.End)
+	}
+	return until
+}
+
 // eligibilityReason says why no worker could ever take the task as the
 // workers are now; empty if one could, room and spread counts aside.
 func (e *Engine) eligibilityReason(w *waiting) string {
--- /dev/null
+++ b/internal/placement/reservations.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// reservation is a window of a booking and the slices that were found for it.
+type reservation struct {
+	Reservation
+	pool *pool
+	// sets are the slices by worker, in the order of workers' names.
+	sets []*sliceSet
+	// placed counts slices that have a worker.
+	placed int
+	// searched is set once all workers were looked at: from then on only those
+	// that changed can have room for a pending slice.
+	searched bool
+}
+
+// openAt reports whether the window is open at that moment.
+func (r *reservation) openAt(moment record.Millis) bool { return r.Start <= moment && moment < r.End }
+
+// pending is the number of slices without a worker.
+func (r *reservation) pending() int { return r.Slots - r.placed }
+
+// sameSlices reports whether slices of one reservation serve the other.
+func (r *reservation) sameSlices(other *Reservation) bool {
+	return r.Queue == other.Queue && r.Start == other.Start && r.End == other.End && r.Slice == other.Slice &&
+		r.Service == other.Service && maps.Equal(r.Labels, other.Labels)
+}
+
+// compareReservation puts the window that starts first first.
+func compareReservation(a, b *reservation) int {
+	return cmp.Or(cmp.Compare(a.Start, b.Start), cmp.Compare(a.ID, b.ID))
+}
+
+// SetTime implements Booker. Time that goes back has no effect. A window is
+// dropped when it ends.
+func (e *Engine) SetTime(now record.Millis) {
+	if now <= e.now {
+		return
+	}
+	before := e.now
+	e.now = now
+	known := len(e.reservations)
+	for _, r := range slices.Clone(e.reservations) {
+		switch {
+		case r.End <= now:
+			e.dropReservation(r)
+		case before < r.Start && r.Start <= now:
+			r.searched = false
+			r.wakeWorkers(&e.workers)
+		}
+	}
+	if len(e.reservations) != known {
+		e.rebook()
+	}
+}
+
+// SetReservations implements Booker.
+func (e *Engine) SetReservations(reservations []Reservation) {
+	wanted := map[string]*Reservation{}
+	for i := range reservations {
+		if reservations[i].End > e.now {
+			wanted[reservations[i].ID] = &reservations[i]
+		}
+	}
+	changed := false
+	for _, r := range slices.Clone(e.reservations) {
+		to, stays := wanted[r.ID]
+		if !stays || !r.sameSlices(to) {
+			e.dropReservation(r)
+			changed = true
+			continue
+		}
+		delete(wanted, r.ID)
+		e.resize(r, to.Slots)
+	}
+	for _, added := range wanted {
+		e.addReservation(added)
+	}
+	if !changed && len(wanted) == 0 {
+		return
+	}
+	slices.SortFunc(e.reservations, compareReservation)
+	e.rebook()
+}
+
+func (e *Engine) addReservation(added *Reservation) {
+	r := &reservation{Reservation: *added}
+	r.Labels = maps.Clone(added.Labels)
+	r.pool = e.workers.acquire(selector{service: r.Service, labels: canonicalLabels(r.Labels), firm: true}, r.Labels)
+	e.reservations = append(e.reservations, r)
+}
+
+// dropReservation gives back the room of its slices. What runs in them goes on
+// as ordinary runs.
+func (e *Engine) dropReservation(r *reservation) {
+	e.reservations = slices.DeleteFunc(e.reservations, func(other *reservation) bool { return other == r })
+	for _, s := range slices.Clone(r.sets) {
+		e.dropSlices(s, s.slots)
+	}
+	e.workers.release(r.pool)
+}
+
+// resize changes the number of slots; slices in use go last.
+func (e *Engine) resize(r *reservation, slots int) {
+	r.Slots = slots
+	for _, inUse := range []bool{false, true} {
+		for _, s := range slices.Clone(r.sets) {
+			if r.pending() >= 0 {
+				return
+			}
+			dropped := min(s.slots, -r.pending())
+			if !inUse {
+				dropped = min(dropped, s.slots-s.used)
+			}
+			e.dropSlices(s, dropped)
+		}
+	}
+}
+
+// wakeWorkers lets what waits look again at the workers with slices.
+func (r *reservation) wakeWorkers(index *workerIndex) {
+	for _, s := range r.sets {
+		index.markChanged(s.worker)
+	}
+}
+
+// rebook sorts the waiting tasks of queues anew that got their first window or
+// lost their last, and tells classes the reservations that they may use.
+func (e *Engine) rebook() {
+	booked := map[string]bool{}
+	for _, r := range e.reservations {
+		booked[r.Queue] = true
+	}
+	moved := map[string]bool{}
+	for _, q := range e.queues {
+		if q.booked != booked[q.rule.Name] {
+			moved[q.rule.Name] = true
+		}
+	}
+	for name := range booked {
+		if !e.queue(name).booked {
+			moved[name] = true
+		}
+	}
+	for name := range moved {
+		e.queue(name).booked = booked[name]
+	}
+	if len(moved) > 0 {
+		e.reclassify(func(task *Task) bool { return moved[task.Queue] })
+	}
+	for _, c := range e.classes {
+		c.bookings = e.bookingsOf(c)
+	}
+}
+
+// reclassify adds waiting tasks anew whose class changed.
+func (e *Engine) reclassify(concerned func(*Task) bool) {
+	var tasks []*waiting
+	for _, w := range e.waiting {
+		if concerned(&w.Task) {
+			tasks = append(tasks, w)
+		}
+	}
+	slices.SortFunc(tasks, compareWaiting)
+	for _, w := range tasks {
+		e.Remove(w.ID)
+	}
+	for _, w := range tasks {
+		e.Add(w.Task)
+	}
+}
+
+// bookingsOf returns the reservations whose slices tasks of the class may use.
+func (e *Engine) bookingsOf(c *class) []*reservation {
+	if c.key.queue == "" {
+		return nil
+	}
+	var bookings []*reservation
+	for _, r := range e.reservations {
+		sameService := r.Service == "" || r.Service == c.key.selector.service
+		if r.Queue == c.key.queue && sameService && c.key.need.Fits(r.Slice) {
+			bookings = append(bookings, r)
+		}
+	}
+	return bookings
+}
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -31,6 +31,18 @@
 	if byRoom := cmp.Compare(a.room, b.room); byRoom != 0 {
 		return byRoom
 	}
+	return compareName(a, b)
+}
+
+// compareFirmest is compareFullest by the room outside of slices.
+func compareFirmest(a, b *worker) int {
+	if byRoom := cmp.Compare(a.firmRoom, b.firmRoom); byRoom != 0 {
+		return byRoom
+	}
+	return compareName(a, b)
+}
+
+func compareName(a, b *worker) int {
 	if byName := cmp.Compare(a.Name, b.Name); byName != 0 {
 		return byName
 	}
@@ -45,3 +57,22 @@
 		Accelerators: max(a.Accelerators, b.Accelerators),
 	}
 }
+
+// smallestOf returns the least amount of each dimension.
+func smallestOf(a, b api.Resources) api.Resources {
+	return api.Resources{
+		CPUMillis:    min(a.CPUMillis, b.CPUMillis),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// lacking is what need exceeds room by.
+func lacking(need, room api.Resources) api.Resources {
+	return largestOf(need.Sub(room), api.Resources{})
+}
+
+// isNegative reports whether any dimension is below zero.
+func isNegative(amount api.Resources) bool {
+	return !(api.Resources{}).Fits(amount)
+}
--- /dev/null
+++ b/internal/placement/seats.go
@@ -0,0 +1,100 @@
+package placement
+
+import "github.com/decklever/decklever/internal/record"
+
+// seat is where a task may run: a slice if one is named, else a worker's room
+// outside of slices of the task's own queue.
+type seat struct {
+	worker *worker
+	slice  *sliceSet
+}
+
+// seatFor finds a seat whose room is there now, slices first.
+func (e *Engine) seatFor(c *class) (seat, bool) {
+	if s := e.roomySlice(c); s != nil {
+		return seat{worker: s.worker, slice: s}, true
+	}
+	if w := e.fullest(c); w != nil {
+		return seat{worker: w}, true
+	}
+	return seat{}, false
+}
+
+// roomySlice returns the open slice on the fullest worker that has its room
+// now, or nil.
+func (e *Engine) roomySlice(c *class) *sliceSet {
+	var best *sliceSet
+	for _, r := range c.bookings {
+		for _, s := range r.sets {
+			if !c.mayEnter(s) || !fits(c.key.need, s.worker.free) {
+				continue
+			}
+			if best == nil || compareFullest(s.worker, best.worker) < 0 {
+				best = s
+			}
+		}
+	}
+	return best
+}
+
+// mayEnter reports whether a task of the class may run in a slice of the set,
+// room aside.
+func (c *class) mayEnter(s *sliceSet) bool {
+	return s.used < s.slots && c.mayBook(s) && withinSpread(c.spread, &s.worker.Worker)
+}
+
+// mayBook reports whether the set is of a reservation for the class, in its
+// window and on a worker that serves the class.
+func (c *class) mayBook(s *sliceSet) bool {
+	r := s.reservation
+	if c.key.queue == "" || r.Queue != c.key.queue || !r.openAt(*c.now) || !c.key.need.Fits(r.Slice) {
+		return false
+	}
+	served, wanted := r.pool.selector, c.pool.selector
+	if served.service == wanted.service && served.labels == wanted.labels {
+		return true
+	}
+	return (r.Service == "" || r.Service == wanted.service) && c.pool.matches(s.worker)
+}
+
+// openSlots counts the slots of the sets that the class may enter.
+func (c *class) openSlots(sets []*sliceSet) int {
+	open := 0
+	for _, s := range sets {
+		if c.mayEnter(s) {
+			open += s.slots - s.used
+		}
+	}
+	return open
+}
+
+// newRun opens a run on a seat: its room is taken, or promised if nominated.
+func (e *Engine) newRun(task *Task, to seat, started record.Millis, nominated bool) *run {
+	r := &run{
+		task:        task.ID,
+		service:     task.Spec.Service,
+		need:        task.Spec.Resources,
+		worker:      to.worker,
+		queue:       e.queue(task.Queue),
+		step:        e.step(stepKeyOf(task.ID)),
+		priority:    task.Priority,
+		preemptions: task.Preemptions,
+		mayStop:     task.Spec.Preemptible,
+		nominated:   nominated,
+		booked:      to.slice != nil,
+	}
+	r.preemptible = e.isPreemptible(task)
+	r.startAt(started, task.Spec)
+	if to.slice != nil {
+		r.enterSlice(to.slice)
+	}
+	if !nominated {
+		e.runs[r.task] = r
+	}
+	to.worker.runs[r] = struct{}{}
+	e.workers.take(r)
+	r.queue.countRun(1)
+	r.step.count(to.worker, 1)
+	e.countVictim(r, 1)
+	return r
+}
--- a/internal/placement/steps.go
+++ b/internal/placement/steps.go
@@ -36,6 +36,12 @@
 	return r.maxPerDomain - r.step.domains[r.by][domain]
 }
 
+// holds reports whether the worker's domain has no more runs than allowed.
+func (r *spreadRule) holds(worker *Worker) bool {
+	_, ok := domainOf(worker, r.by)
+	return ok && r.remaining(worker) >= 0
+}
+
 // step returns the state of a step and makes it if there is none.
 func (e *Engine) step(key stepKey) *step {
 	if found, ok := e.steps[key]; ok {
--- a/internal/placement/workers.go
+++ b/internal/placement/workers.go
@@ -18,29 +18,49 @@
 	Worker
 	// known is false while there are only runs held for it.
 	known bool
-	used  api.Resources
-	// free is Capacity less used; negative after the capacity shrank.
+	// used is what open runs take; stopping the part of it whose runs are asked
+	// to stop; nominated what the runs take that were promised this room;
+	// preemptible the part of used that preemption could free.
+	used, stopping, nominated, preemptible api.Resources
+	// free is what is left for a task that can be made to leave: now, and once
+	// the stopping runs have left and the nominated ones have come. It is
+	// negative after the capacity shrank.
 	free api.Resources
-	// room is roomOf(free) as of the last change or reorder.
-	room  float64
-	runs  map[*run]struct{}
-	pools []*pool
+	// firm is the part of free that no slice needs at any time.
+	firm api.Resources
+	// room and firmRoom are roomOf(free) and roomOf(firm) as of the last change
+	// or reorder.
+	room, firmRoom float64
+	// runs are the open runs and the nominated ones.
+	runs map[*run]struct{}
+	// slices lie here for reservations; points are the starts of their windows.
+	slices []*sliceSet
+	points []point
+	pools  []*pool
 	// changed marks that the worker is listed in workerIndex.changed.
 	changed bool
 }
 
-// selector names the workers that a class may use, room and spread aside.
-type selector struct{ service, labels string }
+// selector names the workers that a class may use, room and spread aside, and
+// by which room they are ordered.
+type selector struct {
+	service, labels string
+	// firm orders by worker.firmRoom, for tasks that cannot be made to leave.
+	firm bool
+}
 
 // pool holds the usable workers that match a selector, fullest first.
 type pool struct {
 	selector selector
 	labels   map[string]string
 	workers  []*worker
-	// classes counts the classes that use the pool.
+	compare  func(a, b *worker) int
+	// classes counts the classes and reservations that use the pool.
 	classes int
 	// blocked holds the classes to look at when a worker here gains room.
 	blocked map[*class]struct{}
+	// version grows when workers come, go or are described anew.
+	version uint64
 }
 
 // workerIndex finds the fullest worker that fits. Each pool is a sorted slice:
@@ -81,10 +101,12 @@
 	w.Worker, w.known = to, true
 	w.pools = nil
 	x.stale = true
+	w.rebuildPoints()
 	x.measure(w)
 	for _, p := range x.pools {
 		if p.matches(w) {
 			w.pools = append(w.pools, p)
+			p.version++
 		}
 	}
 	x.enterPools(w)
@@ -94,21 +116,60 @@
 func (x *workerIndex) remove(w *worker) {
 	x.leavePools(w)
 	w.pools = nil
+	// It may still be listed as changed; no slice may go there.
+	w.known = false
 	x.stale = true
 	delete(x.byID, w.ID)
 }
 
-// take changes the room used on the worker; a negative amount gives it back.
-func (x *workerIndex) take(w *worker, amount api.Resources) {
+// take accounts for a run on its worker.
+func (x *workerIndex) take(r *run) {
+	w := r.worker
+	x.leavePools(w)
+	w.account(r, taken)
+	x.measure(w)
+	x.enterPools(w)
+}
+
+// giveBack is the reverse of take.
+func (x *workerIndex) giveBack(r *run) {
+	w := r.worker
 	x.leavePools(w)
-	w.used = w.used.Add(amount)
+	w.account(r, givenBack)
+	x.measure(w)
+	x.enterPools(w)
+}
+
+// reaccount applies a change of a run's state to the room of its worker.
+func (x *workerIndex) reaccount(r *run, change func()) {
+	x.giveBack(r)
+	change()
+	x.take(r)
+}
+
+// reshape applies a change of the worker's slices to its room.
+func (x *workerIndex) reshape(w *worker, change func()) {
+	x.leavePools(w)
+	change()
+	w.rebuildPoints()
 	x.measure(w)
 	x.enterPools(w)
 }
 
 func (x *workerIndex) measure(w *worker) {
-	w.free = w.Capacity.Sub(w.used)
+	w.free = w.physical()
+	if w.stopping != (api.Resources{}) || w.nominated != (api.Resources{}) {
+		w.free = smallestOf(w.free, w.coming())
+	}
 	w.room = roomOf(w.free, x.largest)
+	w.firm, w.firmRoom = w.free, w.room
+	if len(w.points) == 0 {
+		return
+	}
+	for i := range w.points {
+		w.firm = smallestOf(w.firm, w.points[i].slack)
+	}
+	w.firmRoom = roomOf(w.firm, x.largest)
 }
 
 func (x *workerIndex) markChanged(w *worker) {
@@ -147,32 +208,31 @@
 		x.measure(w)
 	}
 	for _, p := range x.pools {
-		slices.SortFunc(p.workers, compareFullest)
+		slices.SortFunc(p.workers, p.compare)
 	}
 }
 
 func (x *workerIndex) enterPools(w *worker) {
 	for _, p := range w.pools {
-		at, _ := slices.BinarySearchFunc(p.workers, w, compareFullest)
+		at, _ := slices.BinarySearchFunc(p.workers, w, p.compare)
 		p.workers = slices.Insert(p.workers, at, w)
 	}
 }
 
 func (x *workerIndex) leavePools(w *worker) {
 	for _, p := range w.pools {
-		at, found := slices.BinarySearchFunc(p.workers, w, compareFullest)
+		at, found := slices.BinarySearchFunc(p.workers, w, p.compare)
 		if found {
 			p.workers = slices.Delete(p.workers, at, at+1)
 		}
 	}
 }
 
-// acquire returns the pool of a spec for one more class.
-func (x *workerIndex) acquire(spec *api.TaskSpec) *pool {
-	wanted := selector{service: spec.Service, labels: canonicalLabels(spec.Labels)}
+// acquire returns the pool of a selector for one more class or reservation.
+func (x *workerIndex) acquire(wanted selector, labels map[string]string) *pool {
 	p, ok := x.pools[wanted]
 	if !ok {
-		p = x.build(wanted, maps.Clone(spec.Labels))
+		p = x.build(wanted, maps.Clone(labels))
 	} else if p.classes == 0 {
 		x.idle--
 	}
@@ -193,7 +253,10 @@
 }
 
 func (x *workerIndex) build(wanted selector, labels map[string]string) *pool {
-	p := &pool{selector: wanted, labels: labels, blocked: map[*class]struct{}{}}
+	p := &pool{selector: wanted, labels: labels, compare: compareFullest, blocked: map[*class]struct{}{}}
+	if wanted.firm {
+		p.compare = compareFirmest
+	}
 	x.pools[wanted] = p
 	for _, w := range x.byID {
 		if p.matches(w) {
@@ -201,7 +264,7 @@
 			p.workers = append(p.workers, w)
 		}
 	}
-	slices.SortFunc(p.workers, compareFullest)
+	slices.SortFunc(p.workers, p.compare)
 	return p
 }
 
@@ -221,11 +284,21 @@
 	return isUsable(w) && offersService(&w.Worker, p.selector.service) && hasLabels(&w.Worker, p.labels)
 }
 
+// roomy returns the workers that have at least that room, fullest first.
+func (p *pool) roomy(least float64) []*worker {
+	start := sort.Search(len(p.workers), func(i int) bool {
+		if p.selector.firm {
+			return p.workers[i].firmRoom >= least
+		}
+		return p.workers[i].room >= least
+	})
+	return p.workers[start:]
+}
+
 // fullest returns the fullest worker that can take a task of the class, or
 // nil. least is the room of the class's need.
 func (p *pool) fullest(c *class, least float64) *worker {
-	start := sort.Search(len(p.workers), func(i int) bool { return p.workers[i].room >= least })
-	for _, w := range p.workers[start:] {
+	for _, w := range p.roomy(least) {
 		if c.fitsOn(w) {
 			return w
 		}
--- /dev/null
+++ b/internal/scheduler/bookings.go
@@ -0,0 +1,221 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/booking"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/placement"
+	"github.com/decklever/decklever/internal/record"
+)
+
+const (
+	// windowsAhead is how far ahead windows are worked out at a time; working
+	// them out anew costs a walk over every schedule.
+	windowsAhead = 10 * time.Minute
+	// defaultBookingHorizon is listed when a caller names no time.
+	defaultBookingHorizon = 24 * time.Hour
+	// maxBookingHorizon bounds what a caller may ask for.
+	maxBookingHorizon = 7 * 24 * time.Hour
+)
+
+// calendar holds the windows of the configuration's bookings that concern the
+// coming minutes.
+type calendar struct {
+	// knownUntil is how far windows are worked out; zero forces it anew.
+	knownUntil time.Time
+	windows    []booking.Window
+	// released has the ends of the windows that were given back.
+	released map[string]time.Time
+	// held are the ids of the windows that the planner keeps room for.
+	held []string
+}
+
+// refreshReservations tells the planner which windows to keep room for now. It
+// costs a look at the windows of the coming minutes, and more only when one
+// begins or ends.
+func (l *leader) refreshReservations(clusterNow record.Millis) {
+	now := clusterNow.Time()
+	if !now.Before(l.calendar.knownUntil) {
+		l.planAhead(now)
+	}
+	var held []string
+	var reservations []placement.Reservation
+	for _, window := range l.calendar.windows {
+		if now.Before(window.HeldFrom) || !now.Before(window.End) || l.isReleased(window) {
+			continue
+		}
+		held = append(held, window.ID())
+		reservations = append(reservations, reservation(window))
+	}
+	if slices.Equal(held, l.calendar.held) {
+		return
+	}
+	l.logger.Info("booked windows changed", slog.Any("held", held))
+	l.calendar.held = held
+	l.planner.SetReservations(reservations)
+	l.wake()
+}
+
+// planAhead works out the windows of the coming minutes.
+func (l *leader) planAhead(now time.Time) {
+	l.calendar.knownUntil = now.Add(windowsAhead)
+	l.calendar.windows = l.windows(now, l.calendar.knownUntil)
+	maps.DeleteFunc(l.calendar.released, func(_ string, end time.Time) bool { return end.Before(now) })
+}
+
+// windows returns all windows for which room is kept at some time between the
+// two, by queue and booking.
+func (l *leader) windows(from, to time.Time) []booking.Window {
+	var windows []booking.Window
+	for q := range l.config.Queues {
+		queue := &l.config.Queues[q]
+		for b := range queue.Bookings {
+			found, err := booking.Windows(queue.Name, &queue.Bookings[b], from, to)
+			if err != nil {
+				l.logger.Error("booking has no windows", slog.String("queue", queue.Name),
+					slog.String("booking", queue.Bookings[b].Name), slog.Any("error", err))
+				continue
+			}
+			windows = append(windows, found...)
+		}
+	}
+	return windows
+}
+
+func reservation(window booking.Window) placement.Reservation {
+	return placement.Reservation{
+		ID:      window.ID(),
+		Queue:   window.Queue,
+		Start:   record.Millis(window.Start.UnixMilli()),
+		End:     record.Millis(window.End.UnixMilli()),
+		Slots:   window.Booking.Slots,
+		Slice:   window.Booking.Slice,
+		Service: window.Booking.Service,
+		Labels:  window.Booking.Labels,
+	}
+}
+
+// resetCalendar works everything out anew at the next refresh.
+func (l *leader) resetCalendar() { l.calendar.knownUntil = time.Time{} }
+
+func (l *leader) windowReleased(window record.ReleaseWindow) {
+	l.calendar.released[releasedID(window)] = window.End.Time()
+}
+
+func (l *leader) isReleased(window booking.Window) bool {
+	_, released := l.calendar.released[window.ID()]
+	return released
+}
+
+func releasedID(window record.ReleaseWindow) string {
+	named := booking.Window{Queue: window.Queue, Booking: &api.BookingConfig{Name: window.Booking}, Start: window.Start.Time()}
+	return named.ID()
+}
+
+// listBookings describes the windows of the coming hours.
+func (l *leader) listBookings(_ context.Context, request fleet.BookingsRequest) (fleet.BookingsAnswer, error) {
+	horizon := time.Duration(request.HorizonMillis) * time.Millisecond
+	if horizon <= 0 {
+		horizon = defaultBookingHorizon
+	}
+	now := l.log.Now().Time()
+	l.mu.Lock()
+	list := l.bookingStatuses(now, now.Add(min(horizon, maxBookingHorizon)))
+	l.mu.Unlock()
+	if !l.log.HoldsLease(l.token) {
+		return fleet.BookingsAnswer{}, l.notLeader()
+	}
+	return fleet.BookingsAnswer{List: list}, nil
+}
+
+func (l *leader) bookingStatuses(from, to time.Time) api.BookingList {
+	list := api.BookingList{Bookings: []api.BookingStatus{}}
+	places := make(map[string][]placement.Slices)
+	for _, place := range l.planner.Slices() {
+		places[place.Reservation] = append(places[place.Reservation], place)
+	}
+	for _, window := range l.windows(from, to) {
+		status := l.bookingStatus(window, from)
+		for _, place := range places[window.ID()] {
+			status.Placed += place.Slots
+			status.Used += place.Used
+			status.Workers = append(status.Workers, api.BookingSlices{Worker: place.Worker, Slots: place.Slots, Used: place.Used})
+		}
+		list.Bookings = append(list.Bookings, status)
+	}
+	slices.SortStableFunc(list.Bookings, func(a, b api.BookingStatus) int {
+		return cmp.Or(a.Start.Compare(b.Start), cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Booking, b.Booking))
+	})
+	return list
+}
+
+func (l *leader) bookingStatus(window booking.Window, now time.Time) api.BookingStatus {
+	status := api.BookingStatus{
+		Queue: window.Queue, Booking: window.Booking.Name,
+		Start: window.Start, End: window.End, HeldFrom: window.HeldFrom,
+		State: api.BookingPlanned,
+		Slots: window.Booking.Slots, Slice: window.Booking.Slice, Service: window.Booking.Service,
+		BestEffort: window.Booking.BestEffort,
+	}
+	switch {
+	case l.isReleased(window):
+		status.State = api.BookingReleased
+	case !now.Before(window.Start):
+		status.State = api.BookingOpen
+	case !now.Before(window.HeldFrom):
+		status.State = api.BookingHeld
+	}
+	return status
+}
+
+// releaseBooking gives the room of a window back before its end.
+func (l *leader) releaseBooking(ctx context.Context, request fleet.ReleaseRequest) (fleet.Empty, error) {
+	window, known := l.findWindow(request.Release)
+	if !known {
+		return fleet.Empty{}, &api.Error{
+			Status: http.StatusNotFound, Code: api.CodeNotFound,
+			Message: "queue " + request.Release.Queue + " has no window of booking " + request.Release.Booking + " that starts then",
+		}
+	}
+	command := record.Command{Release: &record.ReleaseWindow{
+		Queue: window.Queue, Booking: window.Booking.Name,
+		Start: record.Millis(window.Start.UnixMilli()), End: record.Millis(window.End.UnixMilli()),
+	}}
+	if _, err := l.propose(ctx, command); err != nil {
+		return fleet.Empty{}, l.proposalError(err)
+	}
+	return fleet.Empty{}, nil
+}
+
+func (l *leader) findWindow(release api.ReleaseRequest) (booking.Window, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, window := range l.windows(release.Start, release.Start.Add(time.Millisecond)) {
+		if window.Queue == release.Queue && window.Booking.Name == release.Booking && window.Start.Equal(release.Start) {
+			return window, true
+		}
+	}
+	return booking.Window{}, false
+}
+
+// checkBookings tells which bookings the registered workers cannot hold.
+func (l *leader) checkBookings(config *api.Config) []api.FieldError {
+	var workers []booking.Worker
+	l.log.Record().Read(func(view record.View) {
+		for worker := range view.Workers() {
+			workers = append(workers, booking.Worker{
+				Name: worker.Name, Zone: worker.Zone, Capacity: worker.Capacity,
+				Services: worker.Services, Labels: worker.Labels,
+			})
+		}
+	})
+	return booking.Check(config, workers, l.log.Now().Time())
+}
--- /dev/null
+++ b/internal/scheduler/bookings_test.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+// The harness begins at 22:13:20 UTC; the window of bookedConfig begins 100 s
+// later and is held from 70 s on.
+const (
+	untilHeld   = 70 * time.Second
+	untilWindow = 100 * time.Second
+)
+
+func bookedConfig(slots int) api.Config {
+	return api.Config{Queues: []api.QueueConfig{
+		{Name: "q"},
+		{Name: "booked", Bookings: []api.BookingConfig{{
+			Name: "evening", DailyAt: "22:15", Duration: api.Duration(time.Minute), Lead: api.Duration(30 * time.Second),
+			Slots: slots, Slice: api.Resources{CPUMillis: 1000, MemoryMB: 1}, Service: "s",
+		}}},
+	}}
+}
+
+func (h *harness) submitTo(queue, id string, step api.StepSpec) {
+	h.t.Helper()
+	request := fleet.SubmitRequest{ID: id, Spec: api.JobSpec{Queue: queue, Steps: []api.StepSpec{step}}}
+	if _, err := h.leader.submit(h.t.Context(), request); err != nil {
+		h.t.Fatalf("submit %s: %v", id, err)
+	}
+	h.settle()
+}
+
+// pass lets time go by while the worker keeps its hold.
+func (h *harness) pass(worker *fakeWorker, by time.Duration) {
+	h.t.Helper()
+	const step = time.Second
+	for ; by >= step; by -= step {
+		h.advance(step)
+		worker.exchange()
+	}
+}
+
+func TestBookedRoomIsKeptAndUsed(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	h.putConfig(bookedConfig(3))
+	h.pass(worker, untilHeld)
+	h.submitTo("q", "endless", tasks(4)) // no declared duration: only outside of the slices
+	if answer := worker.exchange(); len(answer.Start) != 1 {
+		t.Fatalf("want one run beside the three slices, got %+v", answer.Start)
+	}
+	bookings := h.bookings()
+	if len(bookings) == 0 || bookings[0].State != api.BookingHeld || bookings[0].Placed != 3 || bookings[0].Used != 0 {
+		t.Fatalf("want three slices held and unused, got %+v", bookings)
+	}
+	h.pass(worker, untilWindow-untilHeld)
+	h.submitTo("booked", "burst", tasks(3))
+	if answer := worker.exchange(); len(answer.Start) != 3 {
+		t.Fatalf("want the burst at once, got %+v", answer.Start)
+	}
+	if booking := h.bookings()[0]; booking.State != api.BookingOpen || booking.Used != 3 {
+		t.Errorf("want three slices in use, got %+v", booking)
+	}
+}
+
+func TestBookedWorkPreemptsWhatMayBe(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	h.putConfig(bookedConfig(2))
+	filler := tasks(4)
+	for i := range filler.Tasks {
+		filler.Tasks[i].Preemptible = true
+	}
+	h.submitTo("q", "filler", filler)
+	if answer := worker.exchange(); len(answer.Start) != 4 {
+		t.Fatalf("want the worker full, got %+v", answer.Start)
+	}
+	h.pass(worker, untilWindow)
+	h.submitTo("booked", "burst", tasks(2))
+	answer := worker.exchange()
+	if len(answer.Stop) != 2 || len(answer.Start) != 0 {
+		t.Fatalf("want two runs stopped and none started yet, got %+v", answer)
+	}
+	worker.stopped(answer.Stop)
+	worker.exchange()
+	if answer := worker.exchange(); len(answer.Start) != 2 || answer.Start[0].Task[:5] != "burst" {
+		t.Fatalf("want the burst in the room that was freed, got %+v", answer.Start)
+	}
+	for i := range 4 {
+		if task := h.task("filler", i); task.Failures != 0 {
+			t.Errorf("a preemption counted as a failure: %+v", task)
+		}
+	}
+}
+
+func TestReleasedWindowGivesItsRoomBack(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	h.putConfig(bookedConfig(4))
+	h.pass(worker, untilWindow)
+	h.submitTo("q", "j", tasks(1))
+	if task := h.task("j", 0); task.Run != 0 {
+		t.Fatalf("placed in booked room: %+v", task)
+	}
+	window := h.bookings()[0]
+	release := fleet.ReleaseRequest{Release: api.ReleaseRequest{Queue: "booked", Booking: "evening", Start: window.Start}}
+	if _, err := h.leader.releaseBooking(t.Context(), release); err != nil {
+		t.Fatal(err)
+	}
+	h.settle()
+	if task := h.task("j", 0); task.Run != 1 {
+		t.Errorf("not placed after the release: %+v", task)
+	}
+	h.newTerm()
+	worker.exchange()
+	if state := h.bookings()[0].State; state != api.BookingReleased {
+		t.Errorf("a new term sees the window as %s", state)
+	}
+	release.Release.Start = window.Start.Add(time.Second)
+	if _, err := h.leader.releaseBooking(t.Context(), release); !errors.Is(err, &api.Error{Code: api.CodeNotFound}) {
+		t.Errorf("release of an unknown window: %v", err)
+	}
+}
+
+func TestBookingsBeyondTheRoomAreRefused(t *testing.T) {
+	h := newHarness(t)
+	h.worker("w", "w-1").exchange()
+	config := bookedConfig(5) // 4 fit
+	request := fleet.PutConfigRequest{OrderID: "too-much", Base: h.leader.configVersion, Config: config}
+	for range 2 { // and the same order again gets the same answer
+		if _, err := h.leader.putConfig(t.Context(), request); !errors.Is(err, &api.Error{Code: api.CodeInvalid}) {
+			t.Fatalf("want invalid, got %v", err)
+		}
+	}
+	config.Queues[1].Bookings[0].BestEffort = true
+	request.OrderID, request.Config = "best-effort", config
+	if _, err := h.leader.putConfig(t.Context(), request); err != nil {
+		t.Errorf("best effort: %v", err)
+	}
+}
+
+func TestCancelManyByQueueInBatches(t *testing.T) {
+	const jobs = 2*cancelBatch + 1
+	h := newHarness(t)
+	for i := range jobs {
+		h.submit(fmt.Sprintf("j%d", i), tasks(1))
+	}
+	before := h.log.index
+	for _, want := range []int{jobs, 0} {
+		answer, err := h.leader.cancelMany(t.Context(), fleet.CancelManyRequest{Cancel: api.CancelRequest{Queue: "q"}})
+		if err != nil || answer.Answer.Cancelled != want {
+			t.Fatalf("want %d cancelled, got %+v, %v", want, answer, err)
+		}
+	}
+	if entries := h.log.index - before; entries != 3 {
+		t.Errorf("want 3 log entries, got %d", entries)
+	}
+}
+
+func (h *harness) bookings() []api.BookingStatus {
+	h.t.Helper()
+	answer, err := h.leader.listBookings(h.t.Context(), fleet.BookingsRequest{})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return answer.List.Bookings
+}
+
+// stopped ends the runs named as stopped.
+func (w *fakeWorker) stopped(references []api.RunRef) {
+	for _, stopped := range references {
+		w.heartbeat.Ended = append(w.heartbeat.Ended, api.EndedRun{RunRef: stopped, Outcome: api.OutcomeStopped})
+		var running []api.RunRef
+		for _, reference := range w.heartbeat.Running {
+			if reference != stopped {
+				running = append(running, reference)
+			}
+		}
+		w.heartbeat.Running = running
+	}
+}
--- /dev/null
+++ b/internal/scheduler/cancel.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// cancelBatch bounds the jobs that one log entry cancels, so that a mass cancel
+// neither makes a huge entry nor holds the record's lock for long.
+const cancelBatch = 500
+
+// cancel cancels a job and returns its state.
+func (l *leader) cancel(ctx context.Context, request fleet.CancelRequest) (fleet.JobAnswer, error) {
+	status, err := l.status(request.ID)
+	if err != nil || status.State.Final() {
+		return l.jobAnswer(status, err)
+	}
+	if _, err := l.propose(ctx, record.Command{Cancel: &record.Cancel{Jobs: []string{request.ID}}}); err != nil {
+		return fleet.JobAnswer{}, l.proposalError(err)
+	}
+	return l.jobAnswer(l.status(request.ID))
+}
+
+// cancelMany cancels jobs in bounded batches. If a batch fails, those before it
+// are cancelled; the same call again goes on with the rest.
+func (l *leader) cancelMany(ctx context.Context, request fleet.CancelManyRequest) (fleet.CancelManyAnswer, error) {
+	jobs := l.cancellable(request.Cancel)
+	for batch := range slices.Chunk(jobs, cancelBatch) {
+		if _, err := l.propose(ctx, record.Command{Cancel: &record.Cancel{Jobs: batch}}); err != nil {
+			return fleet.CancelManyAnswer{}, l.proposalError(err)
+		}
+	}
+	if !l.log.HoldsLease(l.token) {
+		return fleet.CancelManyAnswer{}, l.notLeader()
+	}
+	return fleet.CancelManyAnswer{Answer: api.CancelAnswer{Cancelled: len(jobs)}}, nil
+}
+
+// cancellable returns the live jobs that the request names and that are not
+// cancelled yet.
+func (l *leader) cancellable(request api.CancelRequest) []string {
+	var jobs []string
+	l.log.Record().Read(func(view record.View) {
+		for _, id := range request.Jobs {
+			if job, live := view.Job(id); live && !job.Cancelled {
+				jobs = append(jobs, id)
+			}
+		}
+		if request.Queue == "" {
+			return
+		}
+		for job := range view.Jobs("") {
+			if job.Spec.Queue == request.Queue && !job.Cancelled {
+				jobs = append(jobs, job.ID)
+			}
+		}
+	})
+	return jobs
+}
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -15,7 +15,7 @@
 	command := &record.PutConfig{
 		OrderID: request.OrderID, Base: request.Base, Config: request.Config, Digest: request.Config.Digest(),
 	}
-	if fields := api.ValidateConfig(&request.Config); len(fields) > 0 {
+	if fields := l.wrongInConfig(&request.Config); len(fields) > 0 {
 		command.Refusal = invalid("configuration", fields)
 	}
 	result, err := l.propose(ctx, record.Command{PutConfig: command})
@@ -28,9 +28,19 @@
 	return fleet.PutConfigAnswer{Version: result.Config.Version}, nil
 }
 
+// wrongInConfig checks a configuration for itself, and if that is right against
+// the registered room.
+func (l *leader) wrongInConfig(config *api.Config) []api.FieldError {
+	if fields := api.ValidateConfig(config); len(fields) > 0 {
+		return fields
+	}
+	full := config.WithDefaults()
+	return l.checkBookings(&full)
+}
+
 // validateConfig checks a configuration without taking it.
-func (l *leader) validateConfig(request fleet.ValidateConfigRequest) (fleet.Empty, error) {
-	if fields := api.ValidateConfig(&request.Config); len(fields) > 0 {
+func (l *leader) validateConfig(_ context.Context, request fleet.ValidateConfigRequest) (fleet.Empty, error) {
+	if fields := l.wrongInConfig(&request.Config); len(fields) > 0 {
 		return fleet.Empty{}, invalid("configuration", fields)
 	}
 	return fleet.Empty{}, nil
@@ -38,7 +48,7 @@
 
 // getConfig answers with the configuration as it was given, so that reading it,
 // changing one thing and putting it back changes that one thing.
-func (l *leader) getConfig() (fleet.ConfigAnswer, error) {
+func (l *leader) getConfig(context.Context, fleet.Empty) (fleet.ConfigAnswer, error) {
 	var answer fleet.ConfigAnswer
 	l.log.Record().Read(func(view record.View) {
 		version, config := view.AcceptedConfig()
@@ -50,7 +60,7 @@
 	return answer, nil
 }
 
-func (l *leader) configVersions() (fleet.ConfigVersionsAnswer, error) {
+func (l *leader) configVersions(context.Context, fleet.Empty) (fleet.ConfigVersionsAnswer, error) {
 	var answer fleet.ConfigVersionsAnswer
 	l.log.Record().Read(func(view record.View) {
 		answer.Versions.Versions = view.ConfigVersions()
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -73,26 +73,44 @@
 	return known && err == nil
 }
 
-// overLimit checks the bounds on waiting tasks, of the queue and of all.
+// overLimit checks the bounds on waiting tasks, of the queue, its team and all.
 func overLimit(view record.View, config *api.Config, spec *api.JobSpec) error {
 	tasks := 0
 	for _, step := range spec.Steps {
 		tasks += len(step.Tasks)
 	}
 	total := 0
+	team := ""
 	for _, queue := range config.Queues {
 		pending := view.QueueCounts(queue.Name).PendingTasks
 		total += pending
-		if queue.Name == spec.Queue && queue.MaxPendingTasks > 0 && pending+tasks > queue.MaxPendingTasks {
+		if queue.Name != spec.Queue {
+			continue
+		}
+		team = queue.Team
+		if queue.MaxPendingTasks > 0 && pending+tasks > queue.MaxPendingTasks {
 			return overLimitError(fmt.Sprintf("queue %s has %d waiting tasks of at most %d", queue.Name, pending, queue.MaxPendingTasks))
 		}
 	}
+	if err := teamOverLimit(view, config, team, tasks); err != nil {
+		return err
+	}
 	if total+tasks > config.Limits.MaxPendingTasks {
 		return overLimitError(fmt.Sprintf("%d tasks wait of at most %d", total, config.Limits.MaxPendingTasks))
 	}
 	return nil
 }
 
+func teamOverLimit(view record.View, config *api.Config, name string, tasks int) error {
+	for _, team := range config.Teams {
+		pending := view.TeamCounts(team.Name).PendingTasks
+		if team.Name == name && team.MaxPendingTasks > 0 && pending+tasks > team.MaxPendingTasks {
+			return overLimitError(fmt.Sprintf("team %s has %d waiting tasks of at most %d", name, pending, team.MaxPendingTasks))
+		}
+	}
+	return nil
+}
+
 func overLimitError(message string) *api.Error {
 	return &api.Error{Status: http.StatusTooManyRequests, Code: api.CodeOverLimit, Message: message, RetryAfterMillis: overLimitRetryMillis}
 }
@@ -129,18 +147,6 @@
 	return &api.Error{Status: http.StatusUnprocessableEntity, Code: api.CodeImpossible, Message: "no known worker could ever run the job", Fields: fields}
 }
 
-// cancel cancels a job and returns its state.
-func (l *leader) cancel(ctx context.Context, request fleet.CancelRequest) (fleet.JobAnswer, error) {
-	status, err := l.status(request.ID)
-	if err != nil || status.State.Final() {
-		return l.jobAnswer(status, err)
-	}
-	if _, err := l.propose(ctx, record.Command{Cancel: &record.Cancel{Jobs: []string{request.ID}}}); err != nil {
-		return fleet.JobAnswer{}, l.proposalError(err)
-	}
-	return l.jobAnswer(l.status(request.ID))
-}
-
 // getJob reads a job, held until it is final or the wait is over.
 func (l *leader) getJob(ctx context.Context, request fleet.GetJobRequest) (fleet.JobAnswer, error) {
 	status, err := l.status(request.ID)
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -40,8 +40,9 @@
 	// wakeProposer has room for one signal: pending is not empty.
 	wakeProposer chan struct{}
 
-	mu      sync.Mutex
-	planner placement.Planner
+	mu       sync.Mutex
+	planner  Planner
+	calendar calendar
 	// config is in force here, with defaults filled in.
 	config        *api.Config
 	configVersion uint64
@@ -50,9 +51,11 @@
 	workers map[string]*workerEntry
 	byName  map[string]*workerEntry
 	runs    map[record.RunID]*runState
-	waiting map[record.TaskID]*waitingTask
-	timers  taskTimers
-	groups  map[stepKey]*groupState
+	// openByTask finds the open run of a task.
+	openByTask map[record.TaskID]*runState
+	waiting    map[record.TaskID]*waitingTask
+	timers     taskTimers
+	groups     map[stepKey]*groupState
 	// pendingCloses and pendingStops are the leader's own commands that wait
 	// to be proposed.
 	pendingCloses []record.RunEnd
@@ -63,11 +66,17 @@
 	startedAt  time.Duration
 }
 
+// Planner is what a leader needs of package placement.
+type Planner interface {
+	placement.Planner
+	placement.Booker
+}
+
 // leaderConfig makes a leader.
 type leaderConfig struct {
 	Log        replica.Log
 	Archive    record.Archive
-	Planner    placement.Planner
+	Planner    Planner
 	Logger     *slog.Logger
 	Metrics    *metrics
 	Now        func() time.Duration
@@ -90,6 +99,8 @@
 		workers:       make(map[string]*workerEntry),
 		byName:        make(map[string]*workerEntry),
 		runs:          make(map[record.RunID]*runState),
+		openByTask:    make(map[record.TaskID]*runState),
+		calendar:      calendar{released: make(map[string]time.Time)},
 		waiting:       make(map[record.TaskID]*waitingTask),
 		groups:        make(map[stepKey]*groupState),
 		jobWaiters:    make(map[string]chan struct{}),
@@ -120,6 +131,9 @@
 	defer l.mu.Unlock()
 	version, config := view.Config()
 	l.setConfig(version, config)
+	for _, window := range view.ReleasedWindows() {
+		l.windowReleased(window)
+	}
 	for worker := range view.Workers() {
 		l.setWorkerInfo(worker)
 	}
@@ -195,6 +209,8 @@
 	l.lapseHolds(now)
 	l.refreshUsable(now)
 	l.stopDrained(now)
+	l.planner.SetTime(clusterNow)
+	l.refreshReservations(clusterNow)
 	l.releaseTimers(clusterNow)
 }
 
--- a/internal/scheduler/list.go
+++ b/internal/scheduler/list.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 
 	"github.com/decklever/decklever/api"
@@ -17,7 +18,7 @@
 
 // listJobs returns a page of live and archived jobs in the order of their ids.
 // The page token is the last id of the page before.
-func (l *leader) listJobs(request fleet.ListJobsRequest) (fleet.ListJobsAnswer, error) {
+func (l *leader) listJobs(_ context.Context, request fleet.ListJobsRequest) (fleet.ListJobsAnswer, error) {
 	limit := request.Limit
 	if limit <= 0 {
 		limit = defaultListLimit
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -51,6 +51,8 @@
 		l.setWorkerInfo(change.Worker)
 	case record.WorkerForgotten:
 		l.forgetWorker(change.Worker)
+	case record.WindowReleased:
+		l.windowReleased(change.Window)
 	case record.StateReplaced:
 		// A leader never installs a snapshot; the term is about to end.
 	}
@@ -73,11 +75,12 @@
 	job := task.Step.Job
 	entry := &waitingTask{
 		task: placement.Task{
-			ID:       task.ID,
-			Queue:    job.Spec.Queue,
-			Priority: job.Spec.Priority + l.queuePriority(job.Spec.Queue),
-			Sequence: sequence(task),
-			Spec:     task.Spec,
+			ID:          task.ID,
+			Queue:       job.Spec.Queue,
+			Priority:    job.Spec.Priority + l.queuePriority(job.Spec.Queue),
+			Sequence:    sequence(task),
+			Spec:        task.Spec,
+			Preemptions: task.Preemptions,
 		},
 		step:        stepKey{job: task.ID.Job, step: task.ID.Step},
 		jobPriority: job.Spec.Priority,
@@ -163,8 +166,12 @@
 	delete(l.waiting, task.ID)
 	l.planner.Remove(task.ID)
 	job := task.Step.Job
-	l.planner.Hold(placement.Task{ID: task.ID, Queue: job.Spec.Queue, Spec: task.Spec}, open.WorkerID)
+	l.planner.Hold(placement.Task{
+		ID: task.ID, Queue: job.Spec.Queue, Priority: job.Spec.Priority + l.queuePriority(job.Spec.Queue),
+		Spec: task.Spec, StartedAt: open.PlacedAt, Preemptions: task.Preemptions,
+	}, open.WorkerID)
 	l.runs[run.id] = run
+	l.openByTask[task.ID] = run
 	worker := l.workers[open.WorkerID]
 	if worker == nil {
 		// The record accepts placements on registered incarnations only, so
@@ -209,6 +216,7 @@
 		return
 	}
 	delete(l.runs, run.id)
+	delete(l.openByTask, run.id.Task)
 	l.planner.Release(run.id.Task)
 	worker := l.workers[run.workerID]
 	delete(worker.runs, run.id)
@@ -289,9 +297,16 @@
 	l.configChanged = make(chan struct{})
 	rules := make([]placement.QueueRule, 0, len(config.Queues))
 	for _, queue := range config.Queues {
-		rules = append(rules, placement.QueueRule{Name: queue.Name, MaxRunning: queue.MaxRunningTasks, Weight: queue.Weight})
+		rules = append(rules, placement.QueueRule{Name: queue.Name, MaxRunning: queue.MaxRunningTasks, Weight: queue.Weight, Team: queue.Team})
 	}
+	teams := make([]placement.TeamRule, 0, len(config.Teams))
+	for _, team := range config.Teams {
+		teams = append(teams, placement.TeamRule{Name: team.Name, MaxRunning: team.MaxRunningTasks})
+	}
+	l.planner.SetTeams(teams)
 	l.planner.SetQueues(rules)
+	l.planner.SetMaxPreemptions(config.Timings.MaxPreemptions)
+	l.resetCalendar()
 	if prioritiesChanged {
 		l.reorderWaiting()
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 
+	"github.com/decklever/decklever/internal/placement"
 	"github.com/decklever/decklever/internal/record"
 )
 
@@ -44,6 +45,7 @@
 	defer l.mu.Unlock()
 	started := l.now()
 	decisions := l.planner.Plan(planLimit)
+	l.preempt(l.planner.Preemptions())
 	l.metrics.planSeconds.Observe((l.now() - started).Seconds())
 	placements := make([]record.Placement, 0, len(decisions))
 	for _, decision := range decisions {
@@ -62,6 +64,21 @@
 	return placements
 }
 
+// preempt stops the runs that the planner wants out of the way. One that was
+// never ordered is closed at once.
+func (l *leader) preempt(preemptions []placement.Preemption) {
+	for _, preemption := range preemptions {
+		run, open := l.openByTask[preemption.Task]
+		if !open {
+			continue
+		}
+		l.logger.Info("preempted", slog.String("task", run.id.Task.String()),
+			slog.Uint64("number", uint64(run.id.Number)), slog.String("for", preemption.Beneficiary.String()))
+		l.closeIfNeverOrdered(run)
+		l.stopLater(run, record.StopPreempted)
+	}
+}
+
 // takeBack offers tasks anew whose placement no longer held when it was
 // applied.
 func (l *leader) takeBack(rejected []record.RunID) {
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -9,7 +9,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/decklever/decklever/internal/fleet"
-	"github.com/decklever/decklever/internal/placement"
 	"github.com/decklever/decklever/internal/record"
 	"github.com/decklever/decklever/internal/replica"
 	"github.com/decklever/decklever/internal/rpc"
@@ -20,7 +19,7 @@
 	// Archive is the store of ended jobs that the record writes.
 	Archive record.Archive
 	// NewPlanner makes an empty planner for each term.
-	NewPlanner func() placement.Planner
+	NewPlanner func() Planner
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 	// Now reads the monotonic clock. Default: time since the start.
@@ -42,7 +41,9 @@
 		started := time.Now()
 		config.Now = func() time.Duration { return time.Since(started) }
 	}
-	return &Service{config: config, metrics: newMetrics(config.Registerer)}
+	service := &Service{config: config, metrics: newMetrics(config.Registerer)}
+	config.Registerer.MustRegister(newStateCollector(service))
+	return service
 }
 
 // SetLog gives the replica, which itself needs Lead to be made.
@@ -62,60 +63,27 @@
 
 // Register offers the calls that only the acting scheduler answers.
 func (s *Service) Register(server *rpc.Server) {
-	handle(s, server, fleet.MethodHeartbeat, func(l *leader, ctx context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
-		return l.heartbeat(ctx, request)
-	})
-	handle(s, server, fleet.MethodWatch, func(l *leader, ctx context.Context, request fleet.WatchRequest) (fleet.WatchAnswer, error) {
-		return l.watch(ctx, request)
-	})
-	s.registerJobs(server)
-	s.registerConfig(server)
-	s.registerStatus(server)
-}
+	handle(s, server, fleet.MethodHeartbeat, (*leader).heartbeat)
+	handle(s, server, fleet.MethodWatch, (*leader).watch)
 
-func (s *Service) registerJobs(server *rpc.Server) {
-	handle(s, server, fleet.MethodSubmit, func(l *leader, ctx context.Context, request fleet.SubmitRequest) (fleet.SubmitAnswer, error) {
-		return l.submit(ctx, request)
-	})
-	handle(s, server, fleet.MethodCancel, func(l *leader, ctx context.Context, request fleet.CancelRequest) (fleet.JobAnswer, error) {
-		return l.cancel(ctx, request)
-	})
-	handle(s, server, fleet.MethodGetJob, func(l *leader, ctx context.Context, request fleet.GetJobRequest) (fleet.JobAnswer, error) {
-		return l.getJob(ctx, request)
-	})
-	handle(s, server, fleet.MethodListJobs, func(l *leader, _ context.Context, request fleet.ListJobsRequest) (fleet.ListJobsAnswer, error) {
-		return l.listJobs(request)
-	})
-}
+	handle(s, server, fleet.MethodSubmit, (*leader).submit)
+	handle(s, server, fleet.MethodCancel, (*leader).cancel)
+	handle(s, server, fleet.MethodCancelMany, (*leader).cancelMany)
+	handle(s, server, fleet.MethodGetJob, (*leader).getJob)
+	handle(s, server, fleet.MethodListJobs, (*leader).listJobs)
 
-func (s *Service) registerConfig(server *rpc.Server) {
-	handle(s, server, fleet.MethodGetConfig, func(l *leader, _ context.Context, _ fleet.Empty) (fleet.ConfigAnswer, error) {
-		return l.getConfig()
-	})
-	handle(s, server, fleet.MethodPutConfig, func(l *leader, ctx context.Context, request fleet.PutConfigRequest) (fleet.PutConfigAnswer, error) {
-		return l.putConfig(ctx, request)
-	})
-	handle(s, server, fleet.MethodValidateConfig, func(l *leader, _ context.Context, request fleet.ValidateConfigRequest) (fleet.Empty, error) {
-		return l.validateConfig(request)
-	})
-	handle(s, server, fleet.MethodConfigVersions, func(l *leader, _ context.Context, _ fleet.Empty) (fleet.ConfigVersionsAnswer, error) {
-		return l.configVersions()
-	})
-	handle(s, server, fleet.MethodRollout, func(l *leader, _ context.Context, _ fleet.Empty) (fleet.RolloutAnswer, error) {
-		return l.rollout()
-	})
-}
+	handle(s, server, fleet.MethodGetConfig, (*leader).getConfig)
+	handle(s, server, fleet.MethodPutConfig, (*leader).putConfig)
+	handle(s, server, fleet.MethodValidateConfig, (*leader).validateConfig)
+	handle(s, server, fleet.MethodConfigVersions, (*leader).configVersions)
+	handle(s, server, fleet.MethodRollout, (*leader).rollout)
 
-func (s *Service) registerStatus(server *rpc.Server) {
-	handle(s, server, fleet.MethodWorkers, func(l *leader, _ context.Context, _ fleet.Empty) (fleet.WorkersAnswer, error) {
-		return l.listWorkers()
-	})
-	handle(s, server, fleet.MethodMembers, func(l *leader, _ context.Context, _ fleet.Empty) (fleet.MembersAnswer, error) {
-		return l.listMembers(s.config.Now())
-	})
-	handle(s, server, fleet.MethodQueues, func(l *leader, _ context.Context, _ fleet.Empty) (fleet.QueuesAnswer, error) {
-		return l.listQueues()
-	})
+	handle(s, server, fleet.MethodBookings, (*leader).listBookings)
+	handle(s, server, fleet.MethodRelease, (*leader).releaseBooking)
+
+	handle(s, server, fleet.MethodWorkers, (*leader).listWorkers)
+	handle(s, server, fleet.MethodMembers, (*leader).listMembers)
+	handle(s, server, fleet.MethodQueues, (*leader).listQueues)
 }
 
 // handle serves a call by the present leader, or names where to go.
--- /dev/null
+++ b/internal/scheduler/statemetrics.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// stateCollector counts, when it is asked, what this process holds: the record
+// on every scheduler, and on the acting one what it observed beside it.
+type stateCollector struct {
+	service *Service
+
+	jobs, pending, running    *prometheus.Desc
+	workers, mirror, watchers *prometheus.Desc
+}
+
+func newStateCollector(service *Service) *stateCollector {
+	describe := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc("decklever_state_"+name, help, nil, nil)
+	}
+	return &stateCollector{
+		service:  service,
+		jobs:     describe("jobs", "Jobs in the record's memory."),
+		pending:  describe("pending_tasks", "Tasks in the record that wait."),
+		running:  describe("open_runs", "Open runs in the record."),
+		workers:  describe("worker_incarnations", "Worker incarnations that the acting scheduler follows."),
+		mirror:   describe("mirrored_runs", "Open runs that the acting scheduler mirrors."),
+		watchers: describe("watching_processes", "Fronts and agents that the acting scheduler has heard."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *stateCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, one := range []*prometheus.Desc{c.jobs, c.pending, c.running, c.workers, c.mirror, c.watchers} {
+		descriptions <- one
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *stateCollector) Collect(metrics chan<- prometheus.Metric) {
+	gauge := func(description *prometheus.Desc, value int) {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, float64(value))
+	}
+	if c.service.log == nil {
+		return
+	}
+	var held record.QueueCounts
+	c.service.log.Record().Read(func(view record.View) { held = countQueues(view) })
+	gauge(c.jobs, held.Jobs)
+	gauge(c.pending, held.PendingTasks)
+	gauge(c.running, held.RunningTasks)
+	current := c.service.leader.Load()
+	if current == nil {
+		return
+	}
+	current.mu.Lock()
+	defer current.mu.Unlock()
+	gauge(c.workers, len(current.workers))
+	gauge(c.mirror, len(current.runs))
+	gauge(c.watchers, len(current.processes))
+}
+
+// countQueues sums the counts of all queues in force.
+func countQueues(view record.View) record.QueueCounts {
+	var sum record.QueueCounts
+	_, config := view.Config()
+	for _, queue := range config.Queues {
+		counts := view.QueueCounts(queue.Name)
+		sum.Jobs += counts.Jobs
+		sum.PendingTasks += counts.PendingTasks
+		sum.RunningTasks += counts.RunningTasks
+	}
+	return sum
+}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -12,7 +13,7 @@
 )
 
 // listWorkers describes every worker that the record or this term knows.
-func (l *leader) listWorkers() (fleet.WorkersAnswer, error) {
+func (l *leader) listWorkers(context.Context, fleet.Empty) (fleet.WorkersAnswer, error) {
 	if !l.log.HoldsLease(l.token) {
 		return fleet.WorkersAnswer{}, l.notLeader()
 	}
@@ -44,11 +45,12 @@
 }
 
 // listMembers describes the control plane.
-func (l *leader) listMembers(now time.Duration) (fleet.MembersAnswer, error) {
+func (l *leader) listMembers(context.Context, fleet.Empty) (fleet.MembersAnswer, error) {
 	if !l.log.HoldsLease(l.token) {
 		return fleet.MembersAnswer{}, l.notLeader()
 	}
 	status := l.log.Status()
+	now := l.now()
 	list := api.MemberList{Token: status.Term, CommitIndex: status.Commit, Members: []api.MemberStatus{}}
 	add := func(member raft.Member, voter bool) {
 		list.Members = append(list.Members, memberStatus(status, member, voter, now))
@@ -80,7 +82,7 @@
 }
 
 // listQueues counts what each queue holds.
-func (l *leader) listQueues() (fleet.QueuesAnswer, error) {
+func (l *leader) listQueues(context.Context, fleet.Empty) (fleet.QueuesAnswer, error) {
 	list := api.QueueList{Queues: []api.QueueStatus{}}
 	l.log.Record().Read(func(view record.View) {
 		_, config := view.Config()
--- a/internal/scheduler/watch.go
+++ b/internal/scheduler/watch.go
@@ -81,7 +81,7 @@
 
 // rollout says which process has which version. Complete counts only
 // processes that were heard within their hold: others have stopped serving.
-func (l *leader) rollout() (fleet.RolloutAnswer, error) {
+func (l *leader) rollout(context.Context, fleet.Empty) (fleet.RolloutAnswer, error) {
 	if !l.log.HoldsLease(l.token) {
 		return fleet.RolloutAnswer{}, l.notLeader()
 	}
