Mend what a first user met

An invalid configuration was refused by the front and so not kept under its order id; the leader refuses it now, as DESIGN.md says. A job of more tasks than may ever wait in its queue was told to come back in a second; it is invalid. A worker that the new leader had not heard was shown as lost. Final refusals were counted as retries.

--- a/internal/front/config_calls.go
+++ b/internal/front/config_calls.go
@@ -61,6 +61,9 @@
 	if refusal != nil {
 		return 0, nil, refusal
 	}
+	if fields := api.ValidateConfig(&config); len(fields) > 0 {
+		return 0, nil, invalid("configuration", fields)
+	}
 	_, refusal = relay[fleet.ValidateConfigRequest, fleet.Empty](request.Context(), f, relayCall[fleet.ValidateConfigRequest]{
 		method:  fleet.MethodValidateConfig,
 		request: fleet.ValidateConfigRequest{Config: config},
@@ -82,16 +85,12 @@
 	return http.StatusOK, answer.Rollout, refusal
 }
 
-// readConfig reads and checks a configuration.
+// readConfig reads a configuration. Whether it is valid is for the leader to
+// say: a refusal is kept under the order id, like every other outcome.
 func readConfig(writer http.ResponseWriter, request *http.Request) (api.Config, *api.Error) {
 	var config api.Config
-	if refusal := api.DecodeStrict(http.MaxBytesReader(writer, request.Body, maxConfigBytes), &config); refusal != nil {
-		return config, refusal
-	}
-	if fields := api.ValidateConfig(&config); len(fields) > 0 {
-		return config, invalid("configuration", fields)
-	}
-	return config, nil
+	refusal := api.DecodeStrict(http.MaxBytesReader(writer, request.Body, maxConfigBytes), &config)
+	return config, refusal
 }
 
 // orderOf reads the base version and the order id of a PUT.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -41,8 +41,8 @@
 		{"no base", "PUT", "/v1/config", goodConfig, nil, 428, api.CodeNoBase, []string{"If-Match", "Idempotency-Key"}},
 		{"no order id", "PUT", "/v1/config", goodConfig, []string{"If-Match", "1"}, 428, api.CodeNoBase, []string{"Idempotency-Key"}},
 		{"bad base", "PUT", "/v1/config", goodConfig, []string{"If-Match", "*", "Idempotency-Key", "o"}, 400, api.CodeMalformed, []string{"If-Match"}},
-		{"invalid config", "PUT", "/v1/config", `{"queues":[]}`, order, 422, api.CodeInvalid, []string{"queues"}},
 		{"validate invalid config", "POST", "/v1/config/validate", `{"queues":[]}`, nil, 422, api.CodeInvalid, []string{"queues"}},
+		{"unknown field of a config", "PUT", "/v1/config", `{"queuez":[]}`, order, 400, api.CodeMalformed, []string{"queuez"}},
 		{"panic", "GET", "/healthz", "", nil, 500, api.CodeInternal, nil},
 	}
 	for _, c := range cases {
@@ -105,6 +105,23 @@
 	}
 }
 
+func TestTheLeaderRefusesInvalidConfigurations(t *testing.T) {
+	leader := newLeader(t)
+	fields := []api.FieldError{{Field: "queues", Value: "[]", Expected: "at least one"}}
+	refusal := &api.Error{Status: 422, Code: api.CodeInvalid, Message: "invalid", Fields: fields}
+	on(leader, fleet.MethodPutConfig, func(_ context.Context, request fleet.PutConfigRequest, _ int) (fleet.PutConfigAnswer, error) {
+		if request.OrderID != "o" {
+			t.Errorf("relayed %+v", request)
+		}
+		return fleet.PutConfigAnswer{}, refusal
+	})
+	front := newFront(t, &fakeLink{leader: leader.address}, Settings{})
+	put := ask(t, front, "PUT", "/v1/config", `{"queues":[]}`, "If-Match", "0", "Idempotency-Key", "o")
+	if shape := wantError(t, put, 422, api.CodeInvalid); !slices.Equal(shape.Fields, fields) || leader.count() != 1 {
+		t.Errorf("fields %+v after %d calls", shape.Fields, leader.count())
+	}
+}
+
 func TestReadsAndConfiguration(t *testing.T) {
 	leader := newLeader(t)
 	on(leader, fleet.MethodGetConfig, func(context.Context, fleet.Empty, int) (fleet.ConfigAnswer, error) {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -111,10 +111,11 @@
 		return internal(err.Error())
 	}
 	t.last = failure.Error()
+	if failure.Code == rpc.CodeRefused {
+		return t.refused(failure)
+	}
 	t.front.metrics.retried(t.method, string(failure.Code))
 	switch failure.Code {
-	case rpc.CodeRefused:
-		return t.refused(failure)
 	case rpc.CodeNotLeader:
 		t.front.link.Hint(failure.LeaderAddress)
 	case rpc.CodeUnavailable:
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -88,6 +88,9 @@
 			continue
 		}
 		team = queue.Team
+		if queue.MaxPendingTasks > 0 && tasks > queue.MaxPendingTasks {
+			return tooManyTasks(tasks, queue.MaxPendingTasks, "queue "+queue.Name)
+		}
 		if queue.MaxPendingTasks > 0 && pending+tasks > queue.MaxPendingTasks {
 			return overLimitError(fmt.Sprintf("queue %s has %d waiting tasks of at most %d", queue.Name, pending, queue.MaxPendingTasks))
 		}
@@ -104,6 +107,9 @@
 func teamOverLimit(view record.View, config *api.Config, name string, tasks int) error {
 	for _, team := range config.Teams {
 		pending := view.TeamCounts(team.Name).PendingTasks
+		if team.Name == name && team.MaxPendingTasks > 0 && tasks > team.MaxPendingTasks {
+			return tooManyTasks(tasks, team.MaxPendingTasks, "team "+name)
+		}
 		if team.Name == name && team.MaxPendingTasks > 0 && pending+tasks > team.MaxPendingTasks {
 			return overLimitError(fmt.Sprintf("team %s has %d waiting tasks of at most %d", name, pending, team.MaxPendingTasks))
 		}
@@ -111,6 +117,12 @@
 	return nil
 }
 
+// tooManyTasks refuses a job that would not be taken even if nothing waited.
+func tooManyTasks(tasks, most int, of string) *api.Error {
+	field := api.FieldError{Field: "steps", Value: fmt.Sprintf("%d tasks", tasks), Expected: fmt.Sprintf("at most %d, the most that may wait in %s", most, of)}
+	return invalid("job", []api.FieldError{field})
+}
+
 func overLimitError(message string) *api.Error {
 	return &api.Error{Status: http.StatusTooManyRequests, Code: api.CodeOverLimit, Message: message, RetryAfterMillis: overLimitRetryMillis}
 }
--- a/internal/scheduler/leader_test.go
+++ b/internal/scheduler/leader_test.go
@@ -313,3 +313,28 @@
 		}
 	}
 }
+
+func TestLimitsOnWaitingTasks(t *testing.T) {
+	h := newHarness(t)
+	h.putConfig(api.Config{
+		Queues: []api.QueueConfig{{Name: "q", MaxPendingTasks: 6, Team: "t"}},
+		Teams:  []api.TeamConfig{{Name: "t", MaxPendingTasks: 5}},
+	})
+	submit := func(id string, count int) error {
+		spec := api.JobSpec{Queue: "q", Steps: []api.StepSpec{tasks(count)}}
+		_, err := h.leader.submit(t.Context(), fleet.SubmitRequest{ID: id, Spec: spec})
+		return err
+	}
+	if err := submit("never", 7); !errors.Is(err, &api.Error{Code: api.CodeInvalid}) {
+		t.Errorf("a job beyond the queue's bound: %v", err)
+	}
+	if err := submit("team", 6); !errors.Is(err, &api.Error{Code: api.CodeInvalid}) {
+		t.Errorf("a job beyond the team's bound: %v", err)
+	}
+	if err := submit("first", 3); err != nil {
+		t.Fatal(err)
+	}
+	if err := submit("later", 3); !errors.Is(err, &api.Error{Code: api.CodeOverLimit}) {
+		t.Errorf("a job that has to come back later: %v", err)
+	}
+}
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -148,9 +148,11 @@
 // work.
 func (w *workerEntry) state(now, hold time.Duration) (api.WorkerState, string) {
 	switch {
-	case w.lapsed || (!w.answered() && now > w.holdsUntil && w.seq == 0):
+	case w.lapsed:
 		return api.WorkerLost, "no heartbeat within its hold"
-	case w.seq == 0 || now-w.heardAt > hold/2:
+	case w.seq == 0:
+		return api.WorkerSilent, "not heard since this scheduler began to act"
+	case now-w.heardAt > hold/2:
 		return api.WorkerSilent, "no heartbeat lately"
 	case w.draining:
 		return api.WorkerDraining, "the worker is leaving"
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -30,7 +30,7 @@
 // writeSnapshotFile puts a snapshot in place of the old one, all or nothing.
 func writeSnapshotFile(directory string, meta raft.SnapshotMeta, write func(io.Writer) error) (err error) {
 	target := filepath.Join(directory, snapshotFile)
-	file, err := os.Create(target + temporarySuffix)
+	file, err := os.OpenFile(target+temporarySuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermission)
 	if err != nil {
 		return fmt.Errorf("create snapshot: %w", err)
 	}
