--- a/cmd/decklever-agent/process.go
+++ b/cmd/decklever-agent/process.go
@@ -43,8 +43,17 @@
 		Level: p.level, Format: initial.Log.Format, Program: program, Process: initial.Name, Zone: initial.Zone,
 	})
 	p.current.Store(&initial)
+	registry := telemetry.NewRegistry()
+	counted, err := rpc.NewMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
 	// Each call is bounded by its context; the client only backs it up.
-	p.client = rpc.NewClient(rpc.ClientConfig{Timeout: initial.RelayTimeout.Std() + time.Second})
+	p.client = rpc.NewClient(rpc.ClientConfig{
+		Timeout: initial.RelayTimeout.Std() + time.Second,
+		Dialer:  rpc.DialFrom(initial.Source),
+		Metrics: counted,
+	})
 	p.link = leaderlink.New(leaderlink.Config{
 		Process: initial.Name,
 		Role:    "agent",
@@ -55,7 +64,6 @@
 	})
 	p.apply(initial)
 	p.checkHealth()
-	registry := telemetry.NewRegistry()
 	served, err := agent.New(agent.Config{
 		Name:         initial.Name,
 		Zone:         func() string { return p.current.Load().Zone },
@@ -77,7 +85,6 @@
 func (p *process) run(ctx context.Context) error {
 	defer p.client.Close()
 	return daemon.Run(ctx, daemon.Config{
-		Program:    program,
 		Listen:     p.initial.Listen,
 		Handler:    p.agent,
 		Logger:     p.logger,
--- a/cmd/decklever-front/process.go
+++ b/cmd/decklever-front/process.go
@@ -43,8 +43,17 @@
 		Level: p.level, Format: initial.Log.Format, Program: program, Process: initial.Name, Zone: initial.Zone,
 	})
 	p.seeds.Store(&initial.Seeds)
+	registry := telemetry.NewRegistry()
+	counted, err := rpc.NewMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
 	// The front bounds each try by its context; the client only backs it up.
-	p.client = rpc.NewClient(rpc.ClientConfig{Timeout: front.MaxTry + time.Second})
+	p.client = rpc.NewClient(rpc.ClientConfig{
+		Timeout: front.MaxTry + time.Second,
+		Dialer:  rpc.DialFrom(initial.Source),
+		Metrics: counted,
+	})
 	p.link = leaderlink.New(leaderlink.Config{
 		Process: initial.Name,
 		Role:    "front",
@@ -54,7 +63,6 @@
 		Logger:  p.logger,
 	})
 	p.checkHealth()
-	registry := telemetry.NewRegistry()
 	served, err := front.New(front.Config{
 		Link:       p.link,
 		Client:     p.client,
@@ -74,7 +82,6 @@
 func (p *process) run(ctx context.Context) error {
 	defer p.client.Close()
 	return daemon.Run(ctx, daemon.Config{
-		Program:    program,
 		Listen:     p.initial.Listen,
 		Handler:    p.front,
 		Logger:     p.logger,
--- a/cmd/decklever-scheduler/process.go
+++ b/cmd/decklever-scheduler/process.go
@@ -124,7 +124,6 @@
 // is handed over first.
 func (p *process) run(ctx context.Context) error {
 	err := daemon.Run(ctx, daemon.Config{
-		Program:    program,
 		Listen:     p.initial.Listen,
 		Handler:    p.handler,
 		Logger:     p.logger,
--- /dev/null
+++ b/cmd/decklever-scheduler/process_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/settings"
+	"github.com/decklever/decklever/internal/storage"
+)
+
+// patience bounds waits for a condition; none takes nearly as long.
+const patience = 60 * time.Second
+
+// schedulerOn returns the settings of a cluster of one on a data folder.
+func schedulerOn(t *testing.T, directory string) settings.Scheduler {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	content := "name: control-1\nzone: z1\nlisten: " + address + "\nseeds: [" + address + "]\n" +
+		"data_dir: " + directory + "\nsnapshot_every: 5\nlog: {level: error}\n"
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	loaded, err := settings.Load[settings.Scheduler](settings.LoadOptions{Path: path})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return loaded
+}
+
+// execute runs the program's parts as main does, until ctx ends.
+func execute(ctx context.Context, t *testing.T, initial settings.Scheduler) (code int, stderr string, err error) {
+	t.Helper()
+	command := &cobra.Command{Use: program, RunE: func(command *cobra.Command, _ []string) error {
+		var p *process
+		if p, err = newProcess(initial, settings.LoadOptions{}); err == nil {
+			err = p.run(command.Context())
+		}
+		return err
+	}}
+	command.SetArgs([]string{})
+	var output bytes.Buffer
+	code = daemon.Execute(ctx, command, &output)
+	return code, output.String(), err
+}
+
+// makeFolder runs a scheduler until its folder holds a log and its first
+// snapshot.
+func makeFolder(t *testing.T, directory string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ready := make(chan error, 1)
+	go func() {
+		defer cancel()
+		ready <- waitForSnapshot(ctx, directory)
+	}()
+	if code, stderr, err := execute(ctx, t, schedulerOn(t, directory)); code != daemon.ExitOK {
+		t.Fatalf("exit code %d, %q, %v", code, stderr, err)
+	}
+	if err := <-ready; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func waitForSnapshot(ctx context.Context, directory string) error {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		if _, err := os.Stat(filepath.Join(directory, "snapshot")); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return errors.New("no snapshot was written")
+}
+
+// TestDamagedFilesAreRefused: whichever file is damaged, the program ends with
+// exit code 1 and one line that names the file, and leaves the file alone.
+func TestDamagedFilesAreRefused(t *testing.T) {
+	intact := t.TempDir()
+	makeFolder(t, intact)
+	flipAt := func(at func(size int) int) func([]byte) []byte {
+		return func(content []byte) []byte {
+			content[at(len(content))] ^= 0x10
+			return content
+		}
+	}
+	half := func(content []byte) []byte { return content[:len(content)/2] }
+	// Pages in the second half of log.db may be free; those behind the two of
+	// meta data are not all.
+	toMeta := func(content []byte) []byte { return content[:2*os.Getpagesize()+100] }
+	none := func([]byte) []byte { return []byte{} }
+	for name, test := range map[string]struct {
+		file   string
+		damage func([]byte) []byte
+	}{
+		"log cut":                   {"log.db", toMeta},
+		"log empty":                 {"log.db", none},
+		"log's header flipped":      {"log.db", flipAt(func(int) int { return 20 })},
+		"snapshot cut":              {"snapshot", half},
+		"snapshot empty":            {"snapshot", none},
+		"snapshot's header flipped": {"snapshot", flipAt(func(int) int { return 10 })},
+		"snapshot's data flipped":   {"snapshot", flipAt(func(size int) int { return size - 20 })},
+		"archive cut":               {"archive.db", half},
+		"archive empty":             {"archive.db", none},
+		"archive's header flipped":  {"archive.db", flipAt(func(int) int { return 20 })},
+	} {
+		t.Run(name, func(t *testing.T) {
+			directory := t.TempDir()
+			if err := os.CopyFS(directory, os.DirFS(intact)); err != nil {
+				t.Fatal(err)
+			}
+			path := filepath.Join(directory, test.file)
+			content, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			damaged := test.damage(content)
+			if err := os.WriteFile(path, damaged, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			wantRefused(t, directory, path)
+			if after, err := os.ReadFile(path); err != nil || !bytes.Equal(after, damaged) {
+				t.Errorf("the damaged file was changed, %v", err)
+			}
+		})
+	}
+}
+
+// TestMissingFilesAreRefused: a folder that lost a file is damaged, not new.
+func TestMissingFilesAreRefused(t *testing.T) {
+	intact := t.TempDir()
+	makeFolder(t, intact)
+	for _, file := range []string{"log.db", "snapshot", "archive.db"} {
+		t.Run(file, func(t *testing.T) {
+			directory := t.TempDir()
+			if err := os.CopyFS(directory, os.DirFS(intact)); err != nil {
+				t.Fatal(err)
+			}
+			path := filepath.Join(directory, file)
+			if err := os.Remove(path); err != nil {
+				t.Fatal(err)
+			}
+			wantRefused(t, directory, path)
+		})
+	}
+}
+
+func wantRefused(t *testing.T, directory, path string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	code, stderr, err := execute(ctx, t, schedulerOn(t, directory))
+	if !errors.Is(err, storage.ErrCorrupt) || code != daemon.ExitFailure {
+		t.Fatalf("exit code %d with %v, want %d with %v", code, err, daemon.ExitFailure, storage.ErrCorrupt)
+	}
+	if strings.Count(stderr, "\n") != 1 || !strings.Contains(stderr, path) {
+		t.Errorf("said %q, want one line that names %s", stderr, path)
+	}
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -39,13 +40,18 @@
 	if err == nil {
 		return ExitOK
 	}
-	_, _ = fmt.Fprintf(stderr, "%s: %v\n", command.Name(), err) // nowhere to report a failure of it
+	_, _ = fmt.Fprintf(stderr, "%s: %s\n", command.Name(), oneLine(err)) // nowhere to report a failure of it
 	if !started || errors.Is(err, ErrUsage) {
 		return ExitUsage
 	}
 	return ExitFailure
 }
 
+// oneLine is the text of an error, which has several lines if it joins others.
+func oneLine(err error) string {
+	return strings.ReplaceAll(err.Error(), "\n", "; ")
+}
+
 // markStart notes that a command began its work: cobra gives errors about
 // flags and arguments no type of their own, but they all come before.
 func markStart(command *cobra.Command, started *bool) {
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -19,6 +19,7 @@
 	}{
 		"ok":             {nil, nil, ExitOK, ""},
 		"failure":        {nil, errors.New("disk full"), ExitFailure, "program: disk full\n"},
+		"two failures":   {nil, errors.Join(errors.New("save"), errors.New("close")), ExitFailure, "program: save; close\n"},
 		"wrong settings": {nil, fmt.Errorf("name: %w", ErrUsage), ExitUsage, "program: name: wrong settings or usage\n"},
 		"unknown flag":   {[]string{"--colour"}, nil, ExitUsage, "program: unknown flag: --colour\n"},
 		"argument":       {[]string{"extra"}, nil, ExitUsage, "program: unknown command \"extra\" for \"program\"\n"},
--- /dev/null
+++ b/internal/integration/fulldisk_test.go
@@ -0,0 +1,269 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/storage"
+)
+
+// boundedStore is a store on a disk that can be full.
+type boundedStore struct {
+	*storage.Memory
+	// full refuses all writes, the others only those of one kind.
+	full        atomic.Bool
+	noSnapshots atomic.Bool
+	noArchive   atomic.Bool
+	refused     atomic.Int64
+}
+
+// write fails if the disk is full, or for this kind of write.
+func (s *boundedStore) write(kind *atomic.Bool) error {
+	if s.full.Load() || kind.Load() {
+		s.refused.Add(1)
+		return &os.PathError{Op: "write", Path: "data/log.db", Err: syscall.ENOSPC}
+	}
+	return nil
+}
+
+func (s *boundedStore) Save(hardState *raft.HardState, entries []raft.Entry, sync bool) error {
+	if err := s.write(&s.full); err != nil {
+		return err
+	}
+	return s.Memory.Save(hardState, entries, sync)
+}
+
+func (s *boundedStore) SaveSnapshot(meta raft.SnapshotMeta, keepEntries uint64, write func(io.Writer) error) error {
+	if err := s.write(&s.noSnapshots); err != nil {
+		return err
+	}
+	return s.Memory.SaveSnapshot(meta, keepEntries, write)
+}
+
+func (s *boundedStore) InstallSnapshot(meta raft.SnapshotMeta, data io.Reader) error {
+	if err := s.write(&s.noSnapshots); err != nil {
+		return err
+	}
+	return s.Memory.InstallSnapshot(meta, data)
+}
+
+func (s *boundedStore) Archive() record.Archive {
+	return boundedArchive{Archive: s.Memory.Archive(), store: s}
+}
+
+type boundedArchive struct {
+	record.Archive
+	store *boundedStore
+}
+
+func (a boundedArchive) Put(jobs []record.ArchivedJob) error {
+	if err := a.store.write(&a.store.noArchive); err != nil {
+		return err
+	}
+	return a.Archive.Put(jobs)
+}
+
+// boundedNodes starts three nodes on such stores.
+func boundedNodes(t *testing.T) ([]*node, map[*node]*boundedStore) {
+	nodes := newNodes(t, 3)
+	stores := map[*node]*boundedStore{}
+	for i, n := range nodes {
+		stores[n] = &boundedStore{Memory: storage.NewMemory(int64(i + 1))}
+		n.store, n.snapshotEvery = stores[n], 20
+	}
+	startAll(nodes)
+	request := fleet.PutConfigRequest{OrderID: "first", Config: taggedConfig("first")}
+	if _, err := ask[fleet.PutConfigRequest, fleet.PutConfigAnswer](t, newClient(t), nodes, fleet.MethodPutConfig, request); err != nil {
+		t.Fatal(err)
+	}
+	return nodes, stores
+}
+
+// submitJobs submits jobs until each is acknowledged by one of the nodes.
+func submitJobs(t *testing.T, nodes []*node, prefix string, count int) []string {
+	t.Helper()
+	client := newClient(t)
+	ids := make([]string, count)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%s-%d", prefix, i)
+		request := fleet.SubmitRequest{ID: ids[i], Spec: taggedJob("first")}
+		if _, err := ask[fleet.SubmitRequest, fleet.SubmitAnswer](t, client, nodes, fleet.MethodSubmit, request); err != nil {
+			t.Fatalf("%s: %v", ids[i], err)
+		}
+	}
+	return ids
+}
+
+// wantStoppedFull waits for a node that stops by itself, and checks what its
+// program would say.
+func wantStoppedFull(t *testing.T, n *node) {
+	t.Helper()
+	err := n.result()
+	if !errors.Is(err, syscall.ENOSPC) {
+		t.Fatalf("%s ended with %v, want %v", n.name, err, syscall.ENOSPC)
+	}
+	command := &cobra.Command{Use: "program", RunE: func(*cobra.Command, []string) error { return err }}
+	command.SetArgs([]string{})
+	var stderr bytes.Buffer
+	if code := daemon.Execute(t.Context(), command, &stderr); code != daemon.ExitFailure {
+		t.Errorf("exit code %d, want %d", code, daemon.ExitFailure)
+	}
+	if line := stderr.String(); strings.Count(line, "\n") != 1 || !strings.Contains(line, "no space left on device") {
+		t.Errorf("said %q, want one line that names the cause", line)
+	}
+}
+
+// wantJobs waits until the record of a node itself holds every job.
+func wantJobs(t *testing.T, n *node, ids []string) {
+	t.Helper()
+	eventually(t, n.name+" holds all jobs", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if n.replica.ReadBarrier(ctx) != nil {
+			return false
+		}
+		missing := 0
+		n.replica.Record().Read(func(view record.View) {
+			for _, id := range ids {
+				if _, known, err := view.Status(id, nil); err != nil || !known {
+					missing++
+				}
+			}
+		})
+		return missing == 0
+	})
+}
+
+func TestFullDiskOfAFollower(t *testing.T) {
+	nodes, stores := boundedNodes(t)
+	ids := submitJobs(t, nodes, "before", 10)
+	leader := leaderOf(t, nodes)
+	full := without(nodes, leader)[0]
+	stores[full].full.Store(true)
+	rest := without(nodes, full)
+	ids = append(ids, submitJobs(t, rest, "meanwhile", 50)...) // more than the log keeps
+	wantStoppedFull(t, full)
+
+	full.start() // with no room yet
+	wantStoppedFull(t, full)
+	stores[full].full.Store(false)
+	full.crash()
+	full.start()
+	wantJobs(t, full, ids)
+	// It counts again: without another node it makes the majority.
+	rest[1].crash()
+	ids = append(ids, submitJobs(t, without(nodes, rest[1]), "after", 10)...)
+	wantJobs(t, full, ids)
+}
+
+// TestFullDiskOfTheLeader fills the leader's disk while callers submit, and
+// holds that what was acknowledged stays, whoever acknowledged it.
+func TestFullDiskOfTheLeader(t *testing.T) {
+	nodes, stores := boundedNodes(t)
+	leader := leaderOf(t, nodes)
+	acknowledged := submitJobs(t, nodes, "before", 10)
+	var mutex sync.Mutex
+	var callers sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for number := range 8 {
+		client := newClient(t)
+		callers.Go(func() {
+			for serial := 0; ctx.Err() == nil; serial++ {
+				id := fmt.Sprintf("job-%d-%d", number, serial)
+				request := fleet.SubmitRequest{ID: id, Spec: taggedJob("first")}
+				_, err := rpc.Call[fleet.SubmitRequest, fleet.SubmitAnswer](ctx, client, leader.address, fleet.MethodSubmit, request)
+				if err == nil {
+					mutex.Lock()
+					acknowledged = append(acknowledged, id)
+					mutex.Unlock()
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	eventually(t, "some jobs acknowledged", func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return len(acknowledged) >= 100
+	})
+	stores[leader].full.Store(true)
+	wantStoppedFull(t, leader)
+	cancel()
+	callers.Wait()
+
+	rest := without(nodes, leader)
+	acknowledged = append(acknowledged, submitJobs(t, rest, "after", 10)...)
+	for _, n := range rest {
+		wantJobs(t, n, acknowledged)
+	}
+	stores[leader].full.Store(false)
+	leader.crash()
+	leader.start()
+	wantJobs(t, leader, acknowledged)
+}
+
+// TestNoRoomForSnapshots: a snapshot only saves room; without it a replica
+// goes on.
+func TestNoRoomForSnapshots(t *testing.T) {
+	nodes, stores := boundedNodes(t)
+	for _, store := range stores {
+		store.noSnapshots.Store(true)
+	}
+	ids := submitJobs(t, nodes, "job", 60)
+	for n, store := range stores {
+		eventually(t, n.name+" tried to write a snapshot", func() bool { return store.refused.Load() > 0 })
+	}
+	for _, store := range stores {
+		store.noSnapshots.Store(false)
+	}
+	ids = append(ids, submitJobs(t, nodes, "later", 30)...)
+	for n, store := range stores {
+		eventually(t, n.name+" wrote a snapshot", func() bool {
+			loaded, err := store.Load()
+			return err == nil && loaded.Snapshot.Index > uint64(20)
+		})
+		wantJobs(t, n, ids)
+	}
+}
+
+// TestFullDiskForTheArchive: an ended job that cannot be kept stops the
+// replica; the others answer for it.
+func TestFullDiskForTheArchive(t *testing.T) {
+	nodes, stores := boundedNodes(t)
+	ids := submitJobs(t, nodes, "job", 3)
+	leader := leaderOf(t, nodes)
+	full := without(nodes, leader)[0]
+	stores[full].noArchive.Store(true)
+	rest := without(nodes, full)
+	answer, err := ask[fleet.CancelRequest, fleet.JobAnswer](t, newClient(t), rest, fleet.MethodCancel, fleet.CancelRequest{ID: ids[0]})
+	if err != nil || answer.Status.State != api.StateCancelled {
+		t.Fatalf("cancelled: %+v, %v", answer.Status, err)
+	}
+	wantStoppedFull(t, full)
+	stores[full].noArchive.Store(false)
+	full.crash()
+	full.start()
+	wantJobs(t, full, ids)
+	if _, known, err := full.store.Archive().Get(ids[0]); err != nil || !known {
+		t.Fatalf("the ended job was archived: %v, %v", known, err)
+	}
+}
--- /dev/null
+++ b/internal/integration/linear_test.go
@@ -0,0 +1,229 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/storage"
+)
+
+const (
+	callers = 6
+	// faults is how many are made in one run, each for faultTime.
+	faults    = 14
+	faultTime = 400 * time.Millisecond
+	// hangTime leaves the others the time to elect a leader and to act under it.
+	hangTime = 1500 * time.Millisecond
+	// checkTimeout bounds the search for an order of one history.
+	checkTimeout = 20 * time.Second
+	// wrongTimeout bounds it in a history that has none; the calls left open
+	// make many orders to try.
+	wrongTimeout = 2 * time.Second
+)
+
+// TestAnswersAreLinearizable makes concurrent calls while links are cut,
+// answers lost and leaders stopped, and then looks for one order of all calls,
+// in keeping with their times, that explains every answer.
+func TestAnswersAreLinearizable(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			r := newRun(t, seed)
+			r.faultsDuringCalls()
+			r.wantProgress()
+			r.check()
+		})
+	}
+}
+
+// run is one seeded run.
+type run struct {
+	t       *testing.T
+	random  *rand.Rand
+	nodes   []*node
+	links   *links
+	stores  map[*node]*hangingStore
+	history *history
+	counts  counter
+	initial configState
+	callers []*caller
+}
+
+func newRun(t *testing.T, seed uint64) *run {
+	nodes := newNodes(t, 3)
+	r := &run{t: t, random: rand.New(rand.NewPCG(seed, 1)), nodes: nodes, links: newLinks(seed, nodes), stores: map[*node]*hangingStore{}}
+	for i, n := range nodes {
+		r.stores[n] = &hangingStore{Memory: storage.NewMemory(int64(i + 1))}
+		n.store = r.stores[n]
+	}
+	startAll(nodes)
+	const first = "first-order"
+	request := fleet.PutConfigRequest{OrderID: first, Config: taggedConfig(first)}
+	answer, err := ask[fleet.PutConfigRequest, fleet.PutConfigAnswer](t, newClient(t), nodes, fleet.MethodPutConfig, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.initial = configState{version: answer.Version, tag: first}
+	r.history = &history{started: time.Now()}
+	for number := range callers {
+		r.callers = append(r.callers, r.newCaller(seed, number))
+	}
+	return r
+}
+
+func (r *run) newCaller(seed uint64, number int) *caller {
+	client := rpc.NewClient(rpc.ClientConfig{Dialer: r.links.dialer(fmt.Sprintf("caller-%d", number), answerLoss)})
+	r.t.Cleanup(client.Close)
+	return &caller{
+		t:       r.t,
+		number:  number,
+		random:  rand.New(rand.NewPCG(seed, uint64(100+number))),
+		client:  client,
+		nodes:   r.nodes,
+		history: r.history,
+		counts:  &r.counts,
+	}
+}
+
+func (r *run) faultsDuringCalls() {
+	ctx, cancel := context.WithCancel(r.t.Context())
+	var working sync.WaitGroup
+	defer working.Wait()
+	defer cancel()
+	for _, c := range r.callers {
+		working.Go(func() { c.run(ctx) })
+	}
+	for number := range faults {
+		leader := leaderOf(r.t, r.nodes)
+		repair, lasts := r.fault(number, leader)
+		time.Sleep(lasts) // nothing is concluded from it
+		repair()
+	}
+	leaderOf(r.t, r.nodes)
+}
+
+// fault makes a fault, of each kind in turn, and returns what ends it and how
+// long it is to last.
+func (r *run) fault(number int, leader *node) (repair func(), lasts time.Duration) {
+	other := without(r.nodes, leader)[r.random.IntN(2)]
+	switch number % 7 {
+	case 0: // callers still reach the old leader
+		r.links.cutLinks(r.around(leader)...)
+	case 1:
+		leader.crash()
+		return leader.start, faultTime
+	case 2: // one direction alone, and callers too
+		cuts := []link{{from: leader.name, to: other.name}}
+		for number := range callers / 2 {
+			cuts = append(cuts, link{from: fmt.Sprintf("caller-%d", number), to: leader.name})
+		}
+		r.links.cutLinks(cuts...)
+	case 3: // the old leader answers, but does not learn that it leads no more
+		return r.stores[leader].hang(), hangTime
+	case 4:
+		other.crash()
+		return other.start, faultTime
+	case 5: // nobody has a majority
+		for _, n := range r.nodes {
+			r.links.cutLinks(r.around(n)...)
+		}
+	default: // the power fails
+		for _, n := range r.nodes {
+			n.crash()
+		}
+		return func() { startAll(r.nodes) }, faultTime
+	}
+	return r.links.heal, faultTime
+}
+
+// hangingStore is a store on a disk that at times does not answer.
+type hangingStore struct {
+	*storage.Memory
+	saving sync.Mutex
+}
+
+// hang makes writes wait until release is called.
+func (s *hangingStore) hang() (release func()) {
+	s.saving.Lock()
+	return s.saving.Unlock
+}
+
+func (s *hangingStore) Save(hardState *raft.HardState, entries []raft.Entry, sync bool) error {
+	s.saving.Lock()
+	defer s.saving.Unlock()
+	return s.Memory.Save(hardState, entries, sync)
+}
+
+// around are the links between a node and the other nodes.
+func (r *run) around(n *node) []link {
+	var cuts []link
+	for _, other := range without(r.nodes, n) {
+		cuts = append(cuts, link{from: n.name, to: other.name}, link{from: other.name, to: n.name})
+	}
+	return cuts
+}
+
+// wantProgress holds that the run was one of many answers and some losses.
+func (r *run) wantProgress() {
+	for what, least := range map[string]int{
+		"configuration read":     30,
+		"configuration accepted": 5,
+		"submitted":              20,
+		"job answered":           20,
+		"unknown tries":          3,
+	} {
+		if got := r.counts.of(what); got < least {
+			r.t.Errorf("%s: %d, want at least %d", what, got, least)
+		}
+	}
+	token := leaderOf(r.t, r.nodes).replica.Status().Term
+	if token < 4 {
+		r.t.Errorf("the last leader has token %d, want several leaders", token)
+	}
+	r.t.Logf("%d configuration calls, %d job calls; %d left open, %d answers lost, last token %d",
+		len(r.history.config), len(r.history.jobs), r.counts.of("left open"), r.links.lost, token)
+}
+
+func (r *run) check() {
+	config := configModel(r.initial)
+	for what, checked := range map[string]struct {
+		model   porcupine.Model
+		history []porcupine.Operation
+	}{
+		"configuration": {config, r.history.config},
+		"jobs":          {jobModel(), r.history.jobs},
+	} {
+		began := time.Now()
+		if got := porcupine.CheckOperationsTimeout(checked.model, checked.history, checkTimeout); got != porcupine.Ok {
+			r.t.Errorf("%s: %v, want %v", what, got, porcupine.Ok)
+		}
+		r.t.Logf("%s checked in %v", what, time.Since(began))
+	}
+	r.wantNotedIfWrong(config)
+}
+
+// wantNotedIfWrong checks the check: with the newest read of the configuration
+// answered by the first version, no order that explains the history is found.
+func (r *run) wantNotedIfWrong(model porcupine.Model) {
+	wrong := slices.Clone(r.history.config)
+	slices.SortFunc(wrong, func(a, b porcupine.Operation) int { return int(a.Call - b.Call) })
+	for i, operation := range slices.Backward(wrong) {
+		if operation.Output.(configOutput).result == configRead {
+			wrong[i].Output = configOutput{result: configRead, version: r.initial.version, tag: r.initial.tag}
+			break
+		}
+	}
+	if got := porcupine.CheckOperationsTimeout(model, wrong, wrongTimeout); got == porcupine.Ok {
+		r.t.Error("an old read at the end was not noted")
+	}
+}
--- /dev/null
+++ b/internal/integration/models_check_test.go
@@ -0,0 +1,104 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// TestModelsTellWrongHistories holds that the models take what a right system
+// may answer, and refuse what it may not.
+func TestModelsTellWrongHistories(t *testing.T) {
+	put := func(order string, base uint64, tag string) configInput {
+		return configInput{put: true, order: order, base: base, tag: tag, resent: true}
+	}
+	accepted := func(version uint64) configOutput {
+		return configOutput{result: configAccepted, version: version}
+	}
+	read := func(version uint64, tag string) configOutput {
+		return configOutput{result: configRead, version: version, tag: tag}
+	}
+	lost, unknown := configOutput{result: configLost}, configOutput{}
+	for name, test := range map[string]struct {
+		history []porcupine.Operation
+		right   bool
+	}{
+		"read after put":               {sequence(put("a", 1, "x"), accepted(2), configInput{}, read(2, "x")), true},
+		"old read after put":           {sequence(put("a", 1, "x"), accepted(2), configInput{}, read(1, "")), false},
+		"reads go back":                {concurrent(sequence(configInput{}, read(2, "x"), configInput{}, read(1, "")), put("a", 1, "x"), accepted(2)), false},
+		"reads around a put":           {concurrent(sequence(configInput{}, read(1, ""), configInput{}, read(2, "x")), put("a", 1, "x"), accepted(2)), true},
+		"two win on one base":          {concurrent(sequence(put("b", 1, "y"), accepted(2)), put("a", 1, "x"), accepted(2)), false},
+		"one of two wins":              {concurrent(sequence(put("b", 1, "y"), accepted(2)), put("a", 1, "x"), lost), true},
+		"nobody wins":                  {sequence(put("a", 1, "x"), lost), false},
+		"a resend is decided again":    {sequence(put("a", 1, "x"), accepted(2), put("a", 1, "x"), lost), false},
+		"a resend gets the same":       {sequence(put("a", 1, "x"), accepted(2), put("b", 2, "y"), accepted(3), put("a", 1, "x"), accepted(2)), true},
+		"an order with other content":  {sequence(put("a", 1, "x"), accepted(2), put("a", 1, "y"), configOutput{result: configConflict}), true},
+		"unknown had its effect":       {pending(put("a", 1, "x"), unknown, sequence(configInput{}, read(1, ""), configInput{}, read(2, "x"))), true},
+		"unknown had none":             {pending(put("a", 1, "x"), unknown, sequence(configInput{}, read(1, ""), put("b", 1, "y"), accepted(2))), true},
+		"unknown had and then had not": {pending(put("a", 1, "x"), unknown, sequence(configInput{}, read(2, "x"), configInput{}, read(1, ""))), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkVerdict(t, configModel(configState{version: 1}), test.history, test.right)
+		})
+	}
+}
+
+func TestJobModelTellsWrongHistories(t *testing.T) {
+	submit := jobInput{call: jobSubmit, job: "j", tag: "x"}
+	other := jobInput{call: jobSubmit, job: "j", tag: "y"}
+	cancel, read := jobInput{call: jobCancel, job: "j"}, jobInput{call: jobRead, job: "j"}
+	created, same := jobOutput{result: jobCreated}, jobOutput{result: jobSame}
+	live := jobOutput{result: jobStatus, tag: "x"}
+	ended := jobOutput{result: jobStatus, tag: "x", cancelled: true}
+	missing, unknown := jobOutput{result: jobMissing}, jobOutput{}
+	for name, test := range map[string]struct {
+		history []porcupine.Operation
+		right   bool
+	}{
+		"a whole life":             {sequence(read, missing, submit, created, submit, same, read, live, cancel, ended, read, ended, submit, same), true},
+		"forgotten":                {sequence(submit, created, read, missing), false},
+		"created twice":            {sequence(submit, created, submit, created), false},
+		"other content taken":      {sequence(submit, created, other, same), false},
+		"other content refused":    {sequence(submit, created, other, jobOutput{result: jobConflict}), true},
+		"cancelled and live again": {sequence(submit, created, cancel, ended, read, live), false},
+		"unknown cancel later":     {pending(cancel, unknown, sequence(submit, created, read, live, read, ended)), true},
+		"never cancelled":          {sequence(submit, created, read, ended), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkVerdict(t, jobModel(), test.history, test.right)
+		})
+	}
+}
+
+func checkVerdict(t *testing.T, model porcupine.Model, history []porcupine.Operation, right bool) {
+	t.Helper()
+	want := porcupine.Ok
+	if !right {
+		want = porcupine.Illegal
+	}
+	if got := porcupine.CheckOperationsTimeout(model, history, time.Minute); got != want {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
+// sequence makes a history of calls one after another, from inputs and outputs
+// by turns.
+func sequence(calls ...any) []porcupine.Operation {
+	var history []porcupine.Operation
+	for i := 0; i < len(calls); i += 2 {
+		at := int64(10 + 10*i)
+		history = append(history, porcupine.Operation{Input: calls[i], Output: calls[i+1], Call: at, Return: at + 1})
+	}
+	return history
+}
+
+// concurrent adds a call that lasts as long as the whole history.
+func concurrent(history []porcupine.Operation, input, output any) []porcupine.Operation {
+	return append(history, porcupine.Operation{ClientId: 1, Input: input, Output: output, Call: 0, Return: 1000})
+}
+
+// pending adds a call before all others that never returned.
+func pending(input, output any, history []porcupine.Operation) []porcupine.Operation {
+	return append(history, porcupine.Operation{ClientId: 1, Input: input, Output: output, Call: 0, Return: pendingForever})
+}
--- /dev/null
+++ b/internal/integration/programs_test.go
@@ -0,0 +1,170 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/agent"
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/front"
+	"github.com/decklever/decklever/internal/leaderlink"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const (
+	// connectionLimit is met by the test's flood.
+	connectionLimit = 64
+	// bodyLimit is what the front and the agent take, and the scheduler here.
+	bodyLimit = 1 << 20
+)
+
+// tightBounds make the tests quick. Held calls end within WriteTimeout.
+func tightBounds() daemon.Config {
+	return daemon.Config{
+		ReadHeaderTimeout: 200 * time.Millisecond,
+		ReadTimeout:       400 * time.Millisecond,
+		WriteTimeout:      5 * time.Second,
+		IdleTimeout:       2 * time.Second,
+		MaxConnections:    connectionLimit,
+	}
+}
+
+// target is a daemon that gets bad input.
+type target struct {
+	name    string
+	address string
+	// post is the method and path of a request with a body.
+	post string
+	// tooLarge is the status for a body of more than bodyLimit.
+	tooLarge int
+	// ordinary makes a request as its users do, and returns why it failed.
+	ordinary func() error
+}
+
+// newFleet runs a scheduler, a front and an agent, and waits until each serves.
+func newFleet(t *testing.T) []target {
+	t.Helper()
+	scheduler := newNodes(t, 1)[0]
+	scheduler.bounds, scheduler.maxRequest = tightBounds(), bodyLimit
+	scheduler.start()
+	request := fleet.PutConfigRequest{OrderID: "first", Config: taggedConfig("first")}
+	if _, err := ask[fleet.PutConfigRequest, fleet.PutConfigAnswer](t, newClient(t), []*node{scheduler}, fleet.MethodPutConfig, request); err != nil {
+		t.Fatal(err)
+	}
+	targets := []target{schedulerTarget(t, scheduler), frontTarget(t, scheduler), agentTarget(t, scheduler)}
+	for _, target := range targets {
+		eventually(t, target.name+" serves", func() bool { return target.ordinary() == nil })
+	}
+	return targets
+}
+
+func schedulerTarget(t *testing.T, n *node) target {
+	return target{
+		name:     "scheduler",
+		address:  n.address,
+		post:     "POST /rpc/submit",
+		tooLarge: http.StatusBadRequest,
+		ordinary: func() error {
+			client := rpc.NewClient(rpc.ClientConfig{})
+			defer client.Close()
+			_, err := rpc.Call[fleet.Empty, fleet.ConfigAnswer](t.Context(), client, n.address, fleet.MethodGetConfig, fleet.Empty{})
+			return err
+		},
+	}
+}
+
+// serve runs a daemon on an address of its own until the end of the test.
+func serve(t *testing.T, name, address string, handler http.Handler, link *leaderlink.Link, clean func()) {
+	t.Helper()
+	process := &node{t: t, name: name}
+	config := tightBounds()
+	config.Listen, config.Handler = address, handler
+	config.Background = []func(context.Context) error{link.Run}
+	process.run(config, clean)
+}
+
+func newLink(name, role string, n *node, client *rpc.Client) *leaderlink.Link {
+	return leaderlink.New(leaderlink.Config{
+		Process: name, Role: role, Zone: "zone", Client: client,
+		Seeds: func() []string { return n.seeds },
+	})
+}
+
+func frontTarget(t *testing.T, n *node) target {
+	t.Helper()
+	client := rpc.NewClient(rpc.ClientConfig{Timeout: front.MaxTry + time.Second})
+	link := newLink("front-1", "front", n, client)
+	served, err := front.New(front.Config{Link: link, Client: client})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := freeAddress(t)
+	serve(t, "front-1", address, served, link, client.Close)
+	jobs := 0
+	return target{
+		name:     "front",
+		address:  address,
+		post:     "PUT /v1/jobs/bad",
+		tooLarge: http.StatusRequestEntityTooLarge,
+		ordinary: func() error {
+			jobs++
+			return send(t, http.MethodPut, fmt.Sprintf("http://%s/v1/jobs/job-%d", address, jobs), taggedJob("first"), http.StatusCreated)
+		},
+	}
+}
+
+func agentTarget(t *testing.T, n *node) target {
+	t.Helper()
+	client := rpc.NewClient(rpc.ClientConfig{})
+	link := newLink("agent-1", "agent", n, client)
+	served, err := agent.New(agent.Config{
+		Name: "agent-1", Zone: func() string { return "zone" }, RelayTimeout: time.Second, Link: link, Client: client,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := freeAddress(t)
+	serve(t, "agent-1", address, served, link, client.Close)
+	heartbeat := api.Heartbeat{ // a worker that could hold the jobs, but takes none
+		WorkerID: "incarnation-1", Name: "worker-1", Services: []string{"s"}, Capacity: api.Resources{CPUMillis: 1000}, Draining: true,
+	}
+	return target{
+		name:     "agent",
+		address:  address,
+		post:     "POST " + agent.HeartbeatPath,
+		tooLarge: http.StatusRequestEntityTooLarge,
+		ordinary: func() error {
+			heartbeat.Seq++
+			return send(t, http.MethodPost, "http://"+address+agent.HeartbeatPath, heartbeat, http.StatusOK)
+		},
+	}
+}
+
+// send sends a body as JSON on a connection of its own.
+func send(t *testing.T, method, url string, body any, want int) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != want {
+		return fmt.Errorf("status %d, want %d", response.StatusCode, want)
+	}
+	return nil
+}
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -10,4 +10,21 @@
 // The rule of choice is "fill the fullest" (BigV, section 8): of the workers
 // where a task fits, the one with the least room left takes it, so that large
 // holes stay for large tasks.
+//
+// Room and time. Slices of a reservation take room on their workers from the
+// window's start to its end, whether a run uses them or not. A run outside of
+// slices is counted against them at each such start (a point) unless it is
+// preemptible or surely ended by then (StartedAt + MaxDuration). So work that
+// cannot be made to leave stays off the slices, and other work may use their
+// room until it is needed. Pending slices are assigned before anything else is
+// placed; they move when their worker cannot keep them.
+//
+// Preemption. A booked task takes its slice from preemptible runs of any
+// priority; other tasks and whole groups take room from preemptible runs of a
+// lower priority. The task is then nominated: its room is promised, it counts
+// as running for limits and fairness, and it is placed once the runs asked to
+// stop were released. Runs in slices are never victims.
+//
+// Groups. A group that found no room for gatherAfter passes gets its places one
+// by one as they come free; one group at a time.
 package placement
--- a/internal/placement/nominations.go
+++ b/internal/placement/nominations.go
@@ -81,7 +81,8 @@
 func (p *pass) placeNominated() {
 	e := p.engine
 	for _, u := range slices.Clone(e.units) {
-		if len(p.decisions) > 0 && len(p.decisions)+len(u.members) > p.limit {
+		placed := len(p.decisions)
+		if placed >= p.limit || placed > 0 && placed+len(u.members) > p.limit {
 			return
 		}
 		if e.isObsolete(u) {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -190,7 +190,7 @@
 			if !c.mayEnter(s) {
 				continue
 			}
-			if victims, ok := s.worker.chooseVictims(c.key.need, anyPriority); ok {
+			if victims, ok := s.worker.victimsFor(c.key.need, anyPriority); ok {
 				best.improve(choice{to: seat{worker: s.worker, slice: s}, victims: victims})
 			}
 			if best.possible() && len(best.victims) <= 1 {
@@ -208,7 +208,7 @@
 		if !withinSpread(c.spread, &w.Worker) || !c.leavesSlices(w) {
 			continue
 		}
-		if victims, ok := w.chooseVictims(c.key.need, priority); ok {
+		if victims, ok := w.victimsFor(c.key.need, priority); ok {
 			best.improve(choice{to: seat{worker: w}, victims: victims})
 		}
 		if best.possible() && len(best.victims) <= 1 && !e.hasVictims(best.highest()) {
@@ -238,6 +238,26 @@
 	return !bound || fits(c.key.need, slack)
 }
 
+// victimsAnswer is the answer to a call of victimsFor.
+type victimsAnswer struct {
+	version uint64
+	need    api.Resources
+	below   int
+	victims []*run
+	found   bool
+}
+
+// victimsFor is chooseVictims, worked out once until the worker's room changes:
+// many tasks of one shape ask all workers in turn.
+func (w *worker) victimsFor(need api.Resources, below int) ([]*run, bool) {
+	last := &w.lastVictims
+	if last.version != w.version || last.need != need || last.below != below {
+		victims, found := w.chooseVictims(need, below)
+		*last = victimsAnswer{version: w.version, need: need, below: below, victims: victims, found: found}
+	}
+	return last.victims, last.found
+}
+
 // chooseVictims returns the runs below a priority that must stop so that need
 // fits once they and those asked before are gone; none if those asked before
 // are enough. One or two victims are the cheapest of that number; of more, the
--- a/internal/placement/workers.go
+++ b/internal/placement/workers.go
@@ -14,6 +14,19 @@
 
 // worker is a worker incarnation and the open runs on it.
 type worker struct {
+	// What searches read comes first, so that it shares a cache line.
+
+	// room and firmRoom are roomOf(free) and roomOf(firm) as of the last change
+	// or reorder.
+	room, firmRoom float64
+	// free is what is left for a task that can be made to leave: now, and once
+	// the stopping runs have left and the nominated ones have come. It is
+	// negative after the capacity shrank.
+	free api.Resources
+	// points are the starts of the windows of slices.
+	points []point
+	// firm is the part of free that no slice needs at any time.
+	firm api.Resources
 	// Worker is as last set; only ID is set while known is false.
 	Worker
 	// known is false while there are only runs held for it.
@@ -22,21 +35,15 @@
 	// to stop; nominated what the runs take that were promised this room;
 	// preemptible the part of used that preemption could free.
 	used, stopping, nominated, preemptible api.Resources
-	// free is what is left for a task that can be made to leave: now, and once
-	// the stopping runs have left and the nominated ones have come. It is
-	// negative after the capacity shrank.
-	free api.Resources
-	// firm is the part of free that no slice needs at any time.
-	firm api.Resources
-	// room and firmRoom are roomOf(free) and roomOf(firm) as of the last change
-	// or reorder.
-	room, firmRoom float64
 	// runs are the open runs and the nominated ones.
 	runs map[*run]struct{}
-	// slices lie here for reservations; points are the starts of their windows.
+	// slices lie here for reservations.
 	slices []*sliceSet
-	points []point
 	pools  []*pool
+	// version grows with every change of room; lastVictims is the last answer
+	// of victimsFor.
+	version     uint64
+	lastVictims victimsAnswer
 	// changed marks that the worker is listed in workerIndex.changed.
 	changed bool
 }
@@ -157,6 +164,7 @@
 }
 
 func (x *workerIndex) measure(w *worker) {
+	w.version++
 	w.free = w.physical()
 	if w.stopping != (api.Resources{}) || w.nominated != (api.Resources{}) {
 		w.free = smallestOf(w.free, w.coming())
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -34,6 +34,8 @@
 	MaxAnswerBytes int64
 	// Dialer makes connections. Default: a net.Dialer.
 	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+	// Metrics counts calls and bytes. Optional.
+	Metrics *Metrics
 }
 
 // Client calls other processes over a pool of kept-alive connections. It is
@@ -57,7 +59,7 @@
 		config.Dialer = (&net.Dialer{}).DialContext
 	}
 	transport := &http.Transport{
-		DialContext:            config.Dialer,
+		DialContext:            config.Metrics.dialer(config.Dialer),
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
@@ -92,6 +94,7 @@
 		return answer, &Error{Code: CodeBadRequest, Message: fmt.Sprintf("encode %s: %v", method, err)}
 	}
 	reply, failure := c.send(ctx, address, method, body)
+	c.config.Metrics.count(sideClient, method, len(body), len(reply))
 	if failure != nil {
 		return answer, failure
 	}
--- /dev/null
+++ b/internal/rpc/metrics_test.go
@@ -0,0 +1,49 @@
+package rpc
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+func TestMetricsCountCallsAndBytesOnBothSides(t *testing.T) {
+	metrics, err := NewMetrics(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(ServerConfig{Metrics: metrics})
+	Handle(server, fleet.MethodCancel, func(_ context.Context, request fleet.CancelRequest) (fleet.CancelRequest, error) {
+		return request, nil
+	})
+	listener := httptest.NewServer(server)
+	defer listener.Close()
+	client := NewClient(ClientConfig{Metrics: metrics})
+	defer client.Close()
+	address := strings.TrimPrefix(listener.URL, "http://")
+	const calls = 3
+	for range calls {
+		if _, err := Call[fleet.CancelRequest, fleet.CancelRequest](t.Context(), client, address, fleet.MethodCancel, fleet.CancelRequest{ID: "job"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	body := testutil.ToFloat64(metrics.bodyBytes.WithLabelValues(sideClient, string(fleet.MethodCancel), directionSent))
+	for _, side := range []string{sideClient, sideServer} {
+		if got := testutil.ToFloat64(metrics.calls.WithLabelValues(side, string(fleet.MethodCancel))); got != calls {
+			t.Errorf("%v calls on the %s side, want %d", got, side, calls)
+		}
+		for _, direction := range []string{directionSent, directionReceived} {
+			if got := testutil.ToFloat64(metrics.bodyBytes.WithLabelValues(side, string(fleet.MethodCancel), direction)); got != body || got == 0 {
+				t.Errorf("%s %s %v body bytes, want %v, over 0", side, direction, got, body)
+			}
+		}
+	}
+	if got := testutil.ToFloat64(metrics.wireBytes.WithLabelValues(directionSent)); got <= body {
+		t.Errorf("%v wire bytes sent, want over the %v of the bodies", got, body)
+	}
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -24,6 +24,8 @@
 	MaxRequestBytes int64
 	// Logger takes panics and answers that could not be sent. Default: none.
 	Logger *slog.Logger
+	// Metrics counts calls and bytes. Optional.
+	Metrics *Metrics
 }
 
 // Server is the http.Handler of POST /rpc/METHOD. Methods may be added while
@@ -120,7 +122,9 @@
 		defer cancel()
 		ctx = limited
 	}
-	return s.run(ctx, method, handler, body)
+	answer, err := s.run(ctx, method, handler, body)
+	s.config.Metrics.count(sideServer, method, len(answer), len(body))
+	return answer, err
 }
 
 func (s *Server) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -46,6 +46,7 @@
 		"process_name": isName,
 		"ip_port":      isAddress,
 		"reachable":    isReachable,
+		"source_ip":    isSource,
 		"agent_url":    isAgentURL,
 	} {
 		rule := func(field validator.FieldLevel) bool { return holds(field.Field().String()) }
@@ -71,6 +72,12 @@
 	return err == nil && !address.Addr().IsUnspecified()
 }
 
+// isSource refuses what no connection can leave from.
+func isSource(text string) bool {
+	address, err := netip.ParseAddr(text)
+	return err == nil && !address.IsUnspecified() && !address.IsMulticast()
+}
+
 func isAgentURL(text string) bool {
 	parsed, err := url.Parse(text)
 	return err == nil && parsed.Scheme == "http" && parsed.Host != "" && (parsed.Path == "" || parsed.Path == "/")
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -128,6 +128,7 @@
 		"port 0":             {strings.Replace(goodScheduler, "listen: 127.0.0.1:7100", "listen: 127.0.0.1:0", 1), `listen "127.0.0.1:0": expected an IP address and port, such as 127.0.0.1:7100`},
 		"nothing to reach":   {strings.Replace(goodScheduler, "listen: 127.0.0.1:7100", "listen: 0.0.0.0:7100", 1), `advertise "": expected an IP address and port that others can reach, as listen is 0.0.0.0:7100`},
 		"unreachable":        {goodScheduler + "advertise: 0.0.0.0:7100\n", `advertise "0.0.0.0:7100": expected an IP address and port that others can reach, such as 127.0.0.1:7100`},
+		"no source":          {goodScheduler + "source: 0.0.0.0\n", `source "0.0.0.0": expected an IP address of this machine, such as 127.0.0.1`},
 		"number as duration": {goodScheduler + "timing: {tick: 50}\n", `timing.tick "50": expected a duration such as "200ms"`},
 		"no duration":        {goodScheduler + "timing: {tick: soon}\n", `timing.tick "soon": expected a duration such as "200ms"`},
 		"duration 0":         {goodScheduler + "timing: {tick: 0s}\n", `timing.tick "0s": expected a duration over 0, such as "50ms"`},
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -23,6 +23,9 @@
 	// Advertise is the IP:port that others reach this process at. Default:
 	// Listen.
 	Advertise string `koanf:"advertise" validate:"omitempty,ip_port,reachable" expected:"an IP address and port that others can reach, such as 127.0.0.1:7100" usage:"IP:port that others reach this process at (default: listen)"`
+	// Source is the IP address that connections to other processes leave from,
+	// for machines with several. Default: the system's choice.
+	Source string `koanf:"source" validate:"omitempty,source_ip" expected:"an IP address of this machine, such as 127.0.0.1" usage:"IP address that connections leave from (default: the system's choice)"`
 	// Seeds are the addresses of schedulers, one at least.
 	Seeds []string `koanf:"seeds" validate:"min=1,unique,dive,ip_port,reachable" expected:"one or more different IP:port of schedulers" usage:"IP:port of schedulers, separated by commas (required)" live:"true"`
 	Log   Log      `koanf:"log"`
