--- /dev/null
+++ b/docs/doc.go
@@ -0,0 +1,3 @@
+// Package docs holds the pages of the project and nothing else; its tests hold
+// the pages against the repository.
+package docs
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -53,9 +53,11 @@
 	runs    map[record.RunID]*runState
 	// openByTask finds the open run of a task.
 	openByTask map[record.TaskID]*runState
-	waiting    map[record.TaskID]*waitingTask
-	timers     taskTimers
-	groups     map[stepKey]*groupState
+	// preemptOnOpen are tasks to be stopped once their placement is applied.
+	preemptOnOpen map[record.TaskID]bool
+	waiting       map[record.TaskID]*waitingTask
+	timers        taskTimers
+	groups        map[stepKey]*groupState
 	// pendingCloses and pendingStops are the leader's own commands that wait
 	// to be proposed.
 	pendingCloses []record.RunEnd
@@ -100,6 +102,7 @@
 		byName:        make(map[string]*workerEntry),
 		runs:          make(map[record.RunID]*runState),
 		openByTask:    make(map[record.TaskID]*runState),
+		preemptOnOpen: make(map[record.TaskID]bool),
 		calendar:      calendar{released: make(map[string]time.Time)},
 		waiting:       make(map[record.TaskID]*waitingTask),
 		groups:        make(map[stepKey]*groupState),
@@ -212,6 +215,8 @@
 	l.planner.SetTime(clusterNow)
 	l.refreshReservations(clusterNow)
 	l.releaseTimers(clusterNow)
+	// The planner makes room step by step, and goes on although nothing came.
+	l.wake()
 }
 
 // closeLater queues the closing of a run that no report asks for.
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -143,6 +143,7 @@
 		return
 	}
 	delete(l.waiting, task.ID)
+	delete(l.preemptOnOpen, task.ID)
 	l.planner.Remove(task.ID)
 	l.planner.Release(task.ID)
 	if group, grouped := l.groups[entry.step]; grouped {
@@ -187,6 +188,10 @@
 	if worker.leaving() {
 		l.closeIfNeverOrdered(run)
 	}
+	if l.preemptOnOpen[task.ID] {
+		delete(l.preemptOnOpen, task.ID)
+		l.preemptRun(run)
+	}
 	return run
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -41,11 +41,13 @@
 
 // plan asks the planner for one batch of decisions.
 func (l *leader) plan() []record.Placement {
+	clusterNow := l.log.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.planner.SetTime(clusterNow)
 	started := l.now()
 	decisions := l.planner.Plan(planLimit)
-	l.preempt(l.planner.Preemptions())
+	preemptions := l.planner.Preemptions()
 	l.metrics.planSeconds.Observe((l.now() - started).Seconds())
 	placements := make([]record.Placement, 0, len(decisions))
 	for _, decision := range decisions {
@@ -61,24 +63,33 @@
 			Worker:   decision.Worker,
 		})
 	}
+	l.preempt(preemptions)
 	return placements
 }
 
-// preempt stops the runs that the planner wants out of the way. One that was
-// never ordered is closed at once.
+// preempt stops the runs that the planner wants out of the way. One whose
+// placement is still being committed is stopped as soon as it is open.
 func (l *leader) preempt(preemptions []placement.Preemption) {
 	for _, preemption := range preemptions {
 		run, open := l.openByTask[preemption.Task]
-		if !open {
-			continue
+		entry, waits := l.waiting[preemption.Task]
+		switch {
+		case open:
+			l.preemptRun(run)
+		case waits && entry.placing:
+			l.preemptOnOpen[preemption.Task] = true
 		}
-		l.logger.Info("preempted", slog.String("task", run.id.Task.String()),
-			slog.Uint64("number", uint64(run.id.Number)), slog.String("for", preemption.Beneficiary.String()))
-		l.closeIfNeverOrdered(run)
-		l.stopLater(run, record.StopPreempted)
 	}
 }
 
+// preemptRun stops a run to make room. One that was never ordered is closed at
+// once.
+func (l *leader) preemptRun(run *runState) {
+	l.logger.Info("preempted", slog.String("task", run.id.Task.String()), slog.Uint64("number", uint64(run.id.Number)))
+	l.closeIfNeverOrdered(run)
+	l.stopLater(run, record.StopPreempted)
+}
+
 // takeBack offers tasks anew whose placement no longer held when it was
 // applied.
 func (l *leader) takeBack(rejected []record.RunID) {
@@ -96,6 +107,7 @@
 			continue
 		}
 		entry.placing = false
+		delete(l.preemptOnOpen, run.Task)
 		l.planner.Release(run.Task)
 		l.offer(entry)
 	}
