Take a scheduler's new zone over while it runs

The settings said that zone is live, and the log that it had changed, but the membership kept the old one. The replica now asks the leader to change its member data, as it does for a new address.

--- a/cmd/decklever-scheduler/process.go
+++ b/cmd/decklever-scheduler/process.go
@@ -154,6 +154,7 @@
 	p.wallOffset.Store(int64(changed.Test.WallClockOffset.Std()))
 	if p.replica != nil {
 		p.replica.SetSeeds(changed.Seeds)
+		p.replica.SetZone(changed.Zone)
 	}
 }
 
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -151,7 +151,7 @@
 	r.formation.mutex.Lock()
 	defer r.formation.mutex.Unlock()
 	answer := fleet.IdentityAnswer{
-		Member:     r.self,
+		Member:     r.member(),
 		Empty:      r.config.Store.Empty(),
 		Founder:    r.formation.waiting,
 		Membership: r.formation.proposal,
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -58,7 +58,7 @@
 // settled: the newest membership known here lists this replica as a voter with
 // its present name, zone and address.
 func (r *Replica) settled() bool {
-	return slices.Contains(r.status.Load().Membership.Voters, r.self)
+	return slices.Contains(r.status.Load().Membership.Voters, r.member())
 }
 
 // tryJoin copies the archive and asks the leader once. The archive goes first:
@@ -76,7 +76,7 @@
 	}
 	// Whatever is applied here began with a snapshot, before which the archive
 	// was copied.
-	request := fleet.JoinRequest{Member: r.self, ArchiveCopied: r.applied.get() > 0}
+	request := fleet.JoinRequest{Member: r.member(), ArchiveCopied: r.applied.get() > 0}
 	if leader == r.config.Address {
 		_, _ = r.serveJoin(ctx, request)
 		return
--- a/internal/replica/peerlink.go
+++ b/internal/replica/peerlink.go
@@ -90,7 +90,7 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, messageTimeout)
 	defer cancel()
-	request := fleet.RaftRequest{Messages: messages, Sender: p.replica.self}
+	request := fleet.RaftRequest{Messages: messages, Sender: p.replica.member()}
 	_, err := rpc.Call[fleet.RaftRequest, fleet.Empty](ctx, p.replica.config.Client, p.address, fleet.MethodRaft, request)
 	p.noteReachable(err)
 	return err == nil
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,8 +28,10 @@
 // Replica drives one raft.Node. Run owns the node in one goroutine; all other
 // methods may be called from any goroutine.
 type Replica struct {
-	config  Config
+	config Config
+	// self is this replica as it started; member has the present zone.
 	self    raft.Member
+	zone    atomic.Pointer[string]
 	logger  *slog.Logger
 	metrics *metrics
 	// start is the origin of the monotonic times passed to the node.
@@ -86,6 +88,7 @@
 		calls:     make(chan loopCall, callQueue),
 		stopped:   make(chan struct{}),
 	}
+	r.SetZone(config.Zone)
 	r.status.Store(&raft.Status{ID: id})
 	r.lease.Store(&leaseView{})
 	r.SetSeeds(config.Seeds)
@@ -98,6 +101,17 @@
 	r.seeds.Store(&seeds)
 }
 
+// member is this replica with its present zone.
+func (r *Replica) member() raft.Member {
+	member := r.self
+	member.Zone = *r.zone.Load()
+	return member
+}
+
+// SetZone changes the zone that the membership names for this replica; the
+// leader is asked to take it over.
+func (r *Replica) SetZone(zone string) { r.zone.Store(&zone) }
+
 // now is the monotonic time since the replica was made. It goes on while the
 // process is frozen.
 func (r *Replica) now() time.Duration { return time.Since(r.start) }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -118,6 +118,25 @@
 	}
 }
 
+func TestZoneChangeReachesTheMembership(t *testing.T) {
+	machines := newMachines(t, 3)
+	startAll(machines)
+	leaderOf(t, machines...)
+	for _, m := range machines {
+		m.replica.SetZone("moved-" + m.name)
+	}
+	eventually(t, "every zone is known everywhere", func() bool {
+		for _, m := range machines {
+			for _, voter := range m.replica.Status().Membership.Voters {
+				if voter.Zone != "moved-"+voter.Name {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
 // replace gives a machine an empty disk and waits until its new replica votes.
 func replace(t *testing.T, m *machine, seed int64, rest []*machine) {
 	t.Helper()
