--- /dev/null
+++ b/cmd/decklever-lab/hollow.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/decklever/decklever/internal/telemetry"
+	"github.com/decklever/decklever/lab/hollow"
+)
+
+// newHollowCommand makes the command by which a scale run starts its hollow
+// processes. It ends when its standard input does.
+func newHollowCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:    "hollow",
+		Short:  "Run many side machines in one process (started by scale)",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			spec, err := hollow.ReadSpec(path)
+			if err != nil {
+				return err
+			}
+			logger := telemetry.NewLogger(telemetry.LoggerConfig{
+				Output: command.ErrOrStderr(), Format: "text", Program: "decklever-lab", Process: "hollow",
+			})
+			process, err := hollow.NewProcess(spec, logger)
+			if err != nil {
+				return err
+			}
+			return process.Run(command.Context(), command.InOrStdin(), command.OutOrStdout())
+		},
+	}
+	command.Flags().StringVar(&path, "spec", "", "JSON file that says which nodes to run")
+	return command
+}
--- a/cmd/decklever-lab/main.go
+++ b/cmd/decklever-lab/main.go
@@ -37,7 +37,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newFleetCommand(), newRunCommand(), newScenariosCommand())
+	command.AddCommand(newFleetCommand(), newScaleCommand(), newHollowCommand(), newRunCommand(), newMatrixCommand(), newScenariosCommand())
 	return command
 }
 
--- /dev/null
+++ b/lab/check/bookings.go
@@ -0,0 +1,169 @@
+package check
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/journal"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// P13 is the promise that booked work finds its room.
+const P13 Promise = "P13"
+
+const (
+	// bookedStartBound is the time after the booked moment in which booked
+	// tasks have started.
+	bookedStartBound = time.Second
+	// bookedShare is how many times faster booked work starts than equal work
+	// without a booking.
+	bookedShare = 10
+	// burstPercent is the percentile by which bursts are compared.
+	burstPercent = 99
+)
+
+// BurstDelays returns how long each task of a burst waited from the booked
+// moment, or from when its job left the caller if that was later. A task that
+// never started counts up to the end of observing.
+func BurstDelays(input Input, class ledger.Class) []time.Duration {
+	return newFacts(input).burstDelays(class)
+}
+
+func (f *facts) burstDelays(class ledger.Class) []time.Duration {
+	moment := f.mark(ledger.MarkBooked)
+	var delays []time.Duration
+	for _, job := range f.burst(class) {
+		due := max(moment, job.submits[0].Sent)
+		f.eachTask(job, func(name journal.TaskName) {
+			started := f.input.EndedAt
+			if runs := f.byTask[name.String()]; len(runs) > 0 {
+				started = runs[0].Mono
+			}
+			delays = append(delays, started.Sub(due))
+		})
+	}
+	return delays
+}
+
+// burst returns the accepted jobs of a class.
+func (f *facts) burst(class ledger.Class) []*jobFacts {
+	var jobs []*jobFacts
+	for _, id := range f.jobIDs {
+		if job := f.jobs[id]; job.accepted != 0 && job.class() == class {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
+// checkBookings (P13): a burst of booked work starts within a second of its
+// moment and in a tenth of the time of an equal burst without a booking, and
+// no firm work of others stands in its room.
+func (f *facts) checkBookings() []Violation {
+	moment := f.mark(ledger.MarkBooked)
+	if moment == 0 {
+		return nil
+	}
+	booked := f.burstDelays(ledger.ClassBooked)
+	if len(booked) == 0 {
+		return []Violation{{P13, "booked", "no booked task was accepted", []monoclock.Nanos{moment}}}
+	}
+	found := lateStarts(moment, booked)
+	found = append(found, compareBursts(moment, booked, f.burstDelays(ledger.ClassUnbooked))...)
+	return append(found, f.checkBookedRoom(moment)...)
+}
+
+func lateStarts(moment monoclock.Nanos, booked []time.Duration) []Violation {
+	late, worst := 0, time.Duration(0)
+	for _, delay := range booked {
+		if delay > bookedStartBound {
+			late++
+		}
+		worst = max(worst, delay)
+	}
+	if late == 0 {
+		return nil
+	}
+	text := fmt.Sprintf("%d of %d booked tasks started over %v after their moment, the last after %v", late, len(booked), bookedStartBound, worst)
+	return []Violation{{P13, "booked", text, []monoclock.Nanos{moment}}}
+}
+
+func compareBursts(moment monoclock.Nanos, booked, unbooked []time.Duration) []Violation {
+	if len(unbooked) == 0 {
+		return []Violation{{P13, "unbooked", "no task without a booking was accepted to compare with", []monoclock.Nanos{moment}}}
+	}
+	own, other := nearestRank(booked, burstPercent), nearestRank(unbooked, burstPercent)
+	if own*bookedShare <= other {
+		return nil
+	}
+	text := fmt.Sprintf("99 of 100 booked tasks started within %v, without a booking within %v: not a tenth", own, other)
+	return []Violation{{P13, "booked", text, []monoclock.Nanos{moment}}}
+}
+
+// checkBookedRoom (P13): when booked work must have started, the work of other
+// queues that may not be preempted leaves room for all slices.
+func (f *facts) checkBookedRoom(moment monoclock.Nanos) []Violation {
+	queue, booking := f.bookingAt(moment)
+	if booking == nil {
+		return []Violation{{P13, "booked", "no configuration with a booking was acknowledged before the moment", []monoclock.Nanos{moment}}}
+	}
+	at := moment.Add(bookedStartBound)
+	taken := f.firmRoom(queue, at)
+	slots := 0
+	for _, worker := range f.input.Workers {
+		slots += slicesIn(worker.Capacity.Sub(taken[worker.Name]), booking.Slice)
+	}
+	if slots >= booking.Slots {
+		return nil
+	}
+	text := fmt.Sprintf("firm work of other queues left room for %d of %d slices", slots, booking.Slots)
+	return []Violation{{P13, queue + "/" + booking.Name, text, []monoclock.Nanos{at}}}
+}
+
+// bookingAt returns the first booking, with its queue, of the configuration
+// acknowledged last before a time; nil if it has none.
+func (f *facts) bookingAt(at monoclock.Nanos) (string, *api.BookingConfig) {
+	var queue string
+	var booking *api.BookingConfig
+	for _, put := range f.acceptedPuts() {
+		if put.Answered > at || put.Config == nil {
+			continue
+		}
+		queue, booking = firstBooking(put.Config)
+	}
+	return queue, booking
+}
+
+func firstBooking(config *api.Config) (string, *api.BookingConfig) {
+	for _, queue := range config.Queues {
+		if len(queue.Bookings) > 0 {
+			return queue.Name, &queue.Bookings[0]
+		}
+	}
+	return "", nil
+}
+
+// firmRoom returns what the runs of other queues that may not be preempted
+// take of each worker at a time.
+func (f *facts) firmRoom(queue string, at monoclock.Nanos) map[string]api.Resources {
+	taken := map[string]api.Resources{}
+	for _, one := range f.runs {
+		spec := f.spec(one.name)
+		if one.Mono > at || one.over <= at || spec.Preemptible || f.jobs[one.name.Job].spec.Queue == queue {
+			continue
+		}
+		taken[one.Worker] = taken[one.Worker].Add(spec.Resources)
+	}
+	return taken
+}
+
+// slicesIn returns how many slices fit into a room.
+func slicesIn(room, slice api.Resources) int {
+	slots := 0
+	for used := slice; used.Fits(room); used = used.Add(slice) {
+		slots++
+	}
+	return slots
+}
--- a/lab/check/facts.go
+++ b/lab/check/facts.go
@@ -21,6 +21,9 @@
 	over monoclock.Nanos
 	// cut is true if the run has no end line and its worker exited.
 	cut bool
+	// frozen is true if the worker was frozen at the end and stopped the run
+	// when it woke; then over is when it was frozen.
+	frozen bool
 }
 
 // jobFacts is all that is known about one job.
@@ -72,12 +75,18 @@
 	workers map[string]Worker
 	// exits and faults are by process name, in the order of time.
 	exits, faults map[string][]monoclock.Nanos
+	faultEntries  []ledger.Entry
 	jobs          map[string]*jobFacts
 	jobIDs        []string
 	// runs are in the order of their starts; byTask is the same by task.
 	runs    []run
 	byTask  map[string][]run
 	unknown []journal.Line
+	// noMajority and silent are what withoutMajority and silences found.
+	noMajority []span
+	silent     map[string][]span
+	// unheard is what heardSince found, by process.
+	unheard map[string][]span
 }
 
 func newFacts(input Input) *facts {
@@ -88,6 +97,8 @@
 		faults:  map[string][]monoclock.Nanos{},
 		jobs:    map[string]*jobFacts{},
 		byTask:  map[string][]run{},
+		silent:  map[string][]span{},
+		unheard: map[string][]span{},
 	}
 	f.input.Entries = slices.Clone(input.Entries)
 	slices.SortStableFunc(f.input.Entries, func(a, b ledger.Entry) int { return cmp.Compare(a.Answered, b.Answered) })
@@ -107,6 +118,7 @@
 func (f *facts) addEntry(entry ledger.Entry) {
 	switch entry.Kind {
 	case ledger.KindFault:
+		f.faultEntries = append(f.faultEntries, entry)
 		if entry.Action == ledger.ActionExit {
 			f.exits[entry.Process] = append(f.exits[entry.Process], entry.Answered)
 		}
@@ -153,6 +165,9 @@
 		}
 		one := run{Run: journalled, name: name}
 		one.over, one.cut = f.overAt(journalled)
+		if since := f.endedFrozen(one.Worker, one.Mono, one.End, one.Outcome); since != 0 {
+			one.over, one.frozen = since, true
+		}
 		f.runs = append(f.runs, one)
 		f.byTask[one.Task] = append(f.byTask[one.Task], one)
 	}
@@ -195,6 +210,11 @@
 			}
 		}
 	}
+	for _, silence := range f.silences(one.Worker) {
+		if silence.overlaps(from, to) {
+			return true
+		}
+	}
 	return false
 }
 
--- /dev/null
+++ b/lab/check/rollout.go
@@ -0,0 +1,154 @@
+package check
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// rolloutBound is the time after its acknowledgement in which a configuration
+// is in force in every process that is counted on.
+const rolloutBound = 2 * time.Second
+
+// checkRollout (P8): the version that a process has in force never goes back,
+// and is no older than what was acknowledged 2 s before it said so. A process
+// that was started has nothing in force at first, and one that was frozen or
+// cut off has to hear of it: both have 2 s from the end of that.
+func (f *facts) checkRollout() []Violation {
+	type seen struct {
+		version  uint64
+		answered monoclock.Nanos
+	}
+	highest := map[string]seen{}
+	puts := f.acceptedPuts()
+	var found []Violation
+	for _, entry := range f.input.Entries {
+		if entry.Kind != ledger.KindRollout || !entry.Accepted() || entry.Rollout == nil {
+			continue
+		}
+		for _, row := range entry.Rollout.Processes {
+			before := highest[row.Process]
+			if f.startedIn(row.Process, before.answered, entry.Answered) {
+				before = seen{}
+				delete(highest, row.Process)
+			}
+			if row.Version < before.version && entry.Sent > before.answered {
+				text := fmt.Sprintf("has version %d in force after version %d", row.Version, before.version)
+				found = append(found, Violation{P8, row.Process, text, []monoclock.Nanos{entry.Answered, before.answered}})
+			}
+			if row.Version > before.version {
+				highest[row.Process] = seen{row.Version, entry.Answered}
+			}
+			found = append(found, f.checkInForce(entry, row, puts)...)
+		}
+	}
+	return found
+}
+
+// checkInForce compares one row with what had been acknowledged when the
+// process said what it has in force.
+func (f *facts) checkInForce(entry ledger.Entry, row api.ProcessRollout, puts []ledger.Entry) []Violation {
+	saidAt := entry.Sent.Add(-time.Duration(row.AgeMillis) * time.Millisecond)
+	for _, put := range puts {
+		if put.Version > row.Version && saidAt > max(put.Answered, f.heardSince(row.Process, saidAt)).Add(rolloutBound) {
+			text := fmt.Sprintf("has version %d in force although version %d was acknowledged", row.Version, put.Version)
+			return []Violation{{P8, row.Process, text, []monoclock.Nanos{saidAt, put.Answered}}}
+		}
+	}
+	return nil
+}
+
+// startedIn reports whether a process was started in a time.
+func (f *facts) startedIn(process string, from, to monoclock.Nanos) bool {
+	return slices.ContainsFunc(f.faultEntries, func(entry ledger.Entry) bool {
+		return entry.Process == process && entry.Action == ledger.ActionStart && entry.Answered >= from && entry.Answered <= to
+	})
+}
+
+// heardSince returns the end of the last time before a moment, or the
+// beginning of one around it, at which a process did not run or could not talk
+// with a majority of the schedulers, or there was none; 0 if there was no such
+// time.
+func (f *facts) heardSince(process string, at monoclock.Nanos) monoclock.Nanos {
+	spans, known := f.unheard[process]
+	if !known {
+		spans = f.spansWhere(func(n *network) bool {
+			return !n.works(process) || !n.reaches(process, f.input.Schedulers) || !n.majority(f.input.Schedulers)
+		})
+		f.unheard[process] = spans
+	}
+	var since monoclock.Nanos
+	for _, unheard := range spans {
+		if unheard.from <= at {
+			since = min(unheard.to, at)
+		}
+	}
+	return since
+}
+
+// plainRefusal reports whether an order was refused for good: asked again it is
+// refused again.
+func plainRefusal(entry ledger.Entry) bool {
+	return entry.Code == api.CodeLostRace || entry.Code == api.CodeInvalid || entry.Code == api.CodeConflict
+}
+
+// checkRaces (P8): of the orders on one base one wins, an order is answered the
+// same whenever it is sent again, and a losing content is never in force.
+func (f *facts) checkRaces() []Violation {
+	winners := map[uint64]string{}
+	refused := map[string]monoclock.Nanos{}
+	accepted := map[string]monoclock.Nanos{}
+	var found []Violation
+	for _, entry := range f.input.Entries {
+		if entry.Kind != ledger.KindConfigPut {
+			continue
+		}
+		at := []monoclock.Nanos{entry.Answered}
+		switch {
+		case entry.Accepted():
+			if other, taken := winners[entry.Base]; taken && other != entry.OrderID {
+				found = append(found, Violation{P8, entry.OrderID, fmt.Sprintf("won on base %d, as did order %s", entry.Base, other), at})
+			}
+			if before := refused[entry.OrderID]; before != 0 {
+				found = append(found, Violation{P8, entry.OrderID, "acknowledged after it was refused", append(at, before)})
+			}
+			winners[entry.Base], accepted[entry.OrderID] = entry.OrderID, entry.Answered
+		case plainRefusal(entry):
+			if before := accepted[entry.OrderID]; before != 0 {
+				found = append(found, Violation{P8, entry.OrderID, fmt.Sprintf("refused as %s after it was acknowledged", entry.Code), append(at, before)})
+			}
+			refused[entry.OrderID] = entry.Answered
+		}
+	}
+	return append(found, f.checkLosers(refused)...)
+}
+
+// checkLosers (P8): what was read is never the content of refused orders alone.
+func (f *facts) checkLosers(refused map[string]monoclock.Nanos) []Violation {
+	mayWin, lost := map[string]bool{}, map[string]string{}
+	for _, entry := range f.input.Entries {
+		if entry.Kind != ledger.KindConfigPut {
+			continue
+		}
+		if _, loser := refused[entry.OrderID]; loser && !entry.Accepted() {
+			lost[canonical(entry.Config)] = entry.OrderID
+		} else {
+			mayWin[canonical(entry.Config)] = true
+		}
+	}
+	var found []Violation
+	for _, entry := range f.input.Entries {
+		if entry.Kind != ledger.KindConfigRead || !entry.Accepted() {
+			continue
+		}
+		content := canonical(entry.Config)
+		if order, loser := lost[content]; loser && !mayWin[content] {
+			found = append(found, Violation{P8, order, fmt.Sprintf("was refused, but its content is in force as version %d", entry.Version), []monoclock.Nanos{entry.Answered}})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/lab/check/silence.go
@@ -0,0 +1,172 @@
+package check
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+const (
+	// lapseSlack is how far from the end of its hold, reckoned from the
+	// beginning of a silence, a worker may stop its runs: the last heartbeat
+	// that it had accepted by then was sent up to an interval and a call
+	// earlier, and stopping takes a moment.
+	lapseSlack = time.Second
+	// earlySlack is how much sooner than a hold after the beginning of a
+	// silence a run may start elsewhere: the last heartbeat that was answered
+	// by then may be two intervals old.
+	earlySlack = 500 * time.Millisecond
+	// wakeBound is how soon after its worker woke a run must have ended for
+	// its end to be taken as the end of what it did before it was frozen.
+	wakeBound = time.Second
+)
+
+// workerHold is how long a worker runs on without an answer.
+func (f *facts) workerHold() time.Duration {
+	return cmp.Or(f.input.Config.Timings.Hold.Std(), defaultHold)
+}
+
+// endedFrozen returns when a run's worker was frozen for good: a frozen process
+// does nothing, and if the run ended as stopped as soon as its worker woke, it
+// did nothing after that either. It is 0 for other runs.
+func (f *facts) endedFrozen(worker string, start, end monoclock.Nanos, outcome api.Outcome) monoclock.Nanos {
+	if outcome != api.OutcomeStopped {
+		return 0
+	}
+	for _, frozen := range f.spansWhere(func(n *network) bool { return n.frozen[worker] }) {
+		if frozen.from > start && end >= frozen.to && end <= frozen.to.Add(wakeBound) && frozen.to.Sub(frozen.from) >= f.workerHold() {
+			return frozen.from
+		}
+	}
+	return 0
+}
+
+// silentSince returns when the run's worker could no longer be heard, if that
+// is what cut the run off: its own exit, or a fault during the run after which
+// it was stopped. It is 0 for other runs.
+func (f *facts) silentSince(one run) monoclock.Nanos {
+	if one.cut {
+		return one.over
+	}
+	if one.Outcome != api.OutcomeStopped {
+		return 0
+	}
+	if exit := firstAfter(f.exits[f.workers[one.Worker].Agent], one.Mono); exit != 0 && exit < one.over {
+		return exit
+	}
+	return f.lapsedSince(one)
+}
+
+// lapsedSince returns the beginning of a silence at the end of whose hold the
+// run was stopped; 0 if there is none.
+func (f *facts) lapsedSince(one run) monoclock.Nanos {
+	if one.frozen {
+		return one.over
+	}
+	for _, silence := range f.silences(one.Worker) {
+		lapse := silence.from.Add(f.workerHold())
+		if silence.from > one.Mono && one.over >= lapse.Add(-lapseSlack) && one.over <= lapse.Add(lapseSlack) {
+			return silence.from
+		}
+	}
+	return 0
+}
+
+// replacement is a run that a silence cut off, and the start that followed.
+type replacement struct {
+	one    run
+	silent monoclock.Nanos
+	// next is the start elsewhere; 0 if there was none.
+	next monoclock.Nanos
+}
+
+func (f *facts) replacements() []replacement {
+	var all []replacement
+	for _, runs := range f.byTask {
+		for index, one := range runs {
+			silent := f.silentSince(one)
+			if silent == 0 || f.jobs[one.name.Job].cancelSent != 0 {
+				continue
+			}
+			found := replacement{one: one, silent: silent}
+			if index+1 < len(runs) {
+				found.next = runs[index+1].Mono
+			}
+			all = append(all, found)
+		}
+	}
+	return all
+}
+
+// longestReplacement returns the longest time from the beginning of a silence
+// to the start elsewhere of a task that it cut off. Those that met a time
+// without a majority are left out: nothing can start then.
+func (f *facts) longestReplacement() time.Duration {
+	var longest time.Duration
+	for _, one := range f.replacements() {
+		if one.next != 0 && !f.metNoMajority(one.silent, one.next) {
+			longest = max(longest, one.next.Sub(one.silent))
+		}
+	}
+	return longest
+}
+
+func (f *facts) metNoMajority(from, to monoclock.Nanos) bool {
+	return slices.ContainsFunc(f.withoutMajority(), func(none span) bool { return none.overlaps(from, to) })
+}
+
+// checkRestartDelay (P11): a run whose worker fell silent starts elsewhere
+// within 6 s, unless its job was cancelled.
+func (f *facts) checkRestartDelay() []Violation {
+	var found []Violation
+	for _, one := range f.replacements() {
+		deadline := f.restartDeadline(one.silent)
+		if f.input.EndedAt < deadline || (one.next != 0 && one.next <= deadline) {
+			continue
+		}
+		text := "was not started elsewhere in time after its worker " + one.one.Worker + " fell silent"
+		found = append(found, Violation{P11, one.one.Task, text, []monoclock.Nanos{one.silent, deadline, one.next}})
+	}
+	return found
+}
+
+// restartDeadline is 6 s after the silence began. Each fault of the schedulers
+// before that may bring a leader who waits for a whole hold anew; without a
+// majority nothing can start until service is back.
+func (f *facts) restartDeadline(silent monoclock.Nanos) monoclock.Nanos {
+	deadline := silent.Add(restartBound)
+	for _, fault := range f.controlFaults() {
+		if fault >= silent && fault < deadline {
+			deadline = max(deadline, fault.Add(restartBound))
+		}
+	}
+	for _, none := range f.withoutMajority() {
+		if none.overlaps(silent, deadline) {
+			deadline = max(deadline, none.to.Add(serviceGapBound))
+		}
+	}
+	return deadline
+}
+
+// checkEarlyRestart (P11): a run starts elsewhere only once the hold of the
+// worker that fell silent has lapsed.
+func (f *facts) checkEarlyRestart() []Violation {
+	var found []Violation
+	for _, one := range f.replacements() {
+		if !one.one.cut && f.lapsedSince(one.one) == 0 {
+			continue
+		}
+		if one.next < one.one.over {
+			continue // two runs at once, which checkOverlap reports
+		}
+		earliest := one.silent.Add(f.workerHold() - earlySlack)
+		if one.next != 0 && one.next < earliest {
+			text := "was started elsewhere before the hold of its silent worker " + one.one.Worker + " had lapsed"
+			found = append(found, Violation{P11, one.one.Task, text, []monoclock.Nanos{one.next, one.silent, earliest}})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/lab/check/spans.go
@@ -0,0 +1,151 @@
+package check
+
+import (
+	"slices"
+
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// span is a time from one reading to another.
+type span struct{ from, to monoclock.Nanos }
+
+// overlaps reports whether the span and the time from one reading to another
+// have a moment in common.
+func (s span) overlaps(from, to monoclock.Nanos) bool { return s.from <= to && s.to >= from }
+
+// link is one direction between two processes.
+type link struct{ from, to string }
+
+func linkOf(entry ledger.Entry) link { return link{entry.Process, entry.Peer} }
+
+// network is which processes run and which links are open at a moment, as the
+// lab itself caused it.
+type network struct {
+	down, frozen, wiped map[string]bool
+	cuts                map[link]int
+}
+
+func newNetwork() *network {
+	return &network{down: map[string]bool{}, frozen: map[string]bool{}, wiped: map[string]bool{}, cuts: map[link]int{}}
+}
+
+// apply takes one fault into account.
+func (n *network) apply(entry ledger.Entry) {
+	switch entry.Action {
+	case ledger.ActionStart:
+		n.down[entry.Process], n.frozen[entry.Process] = false, false
+	case ledger.ActionKill, ledger.ActionTerminate, ledger.ActionExit:
+		n.down[entry.Process] = true
+	case ledger.ActionFreeze:
+		n.frozen[entry.Process] = true
+	case ledger.ActionResume:
+		n.frozen[entry.Process] = false
+	case ledger.ActionWipe:
+		n.wiped[entry.Process] = true
+	case ledger.ActionJoined:
+		n.wiped[entry.Process] = false
+	case ledger.ActionCut, ledger.ActionHold:
+		n.cuts[linkOf(entry)]++
+	case ledger.ActionHeal, ledger.ActionRelease:
+		n.cuts[linkOf(entry)]--
+	}
+}
+
+// works reports whether a process runs.
+func (n *network) works(process string) bool { return !n.down[process] && !n.frozen[process] }
+
+// votes reports whether a scheduler runs and has what it once acknowledged.
+func (n *network) votes(scheduler string) bool { return n.works(scheduler) && !n.wiped[scheduler] }
+
+// talk reports whether data passes both ways between two processes.
+func (n *network) talk(a, b string) bool {
+	return a == b || (n.cuts[link{a, b}] == 0 && n.cuts[link{b, a}] == 0)
+}
+
+// majority reports whether some scheduler talks with enough others to lead.
+func (n *network) majority(schedulers []string) bool {
+	for _, one := range schedulers {
+		count := 0
+		for _, other := range schedulers {
+			if n.votes(one) && n.votes(other) && n.talk(one, other) {
+				count++
+			}
+		}
+		if 2*count > len(schedulers) {
+			return true
+		}
+	}
+	return len(schedulers) == 0
+}
+
+// reaches reports whether a process can talk with a majority of the
+// schedulers' places, whoever runs there.
+func (n *network) reaches(process string, schedulers []string) bool {
+	count := 0
+	for _, scheduler := range schedulers {
+		if n.talk(process, scheduler) {
+			count++
+		}
+	}
+	return 2*count > len(schedulers) || len(schedulers) == 0
+}
+
+// spansWhere returns the times at which something was true of the network.
+func (f *facts) spansWhere(holds func(*network) bool) []span {
+	state := newNetwork()
+	var spans []span
+	var since monoclock.Nanos
+	open := false
+	for _, entry := range f.faultEntries {
+		state.apply(entry)
+		now := holds(state)
+		switch {
+		case now && !open:
+			since = entry.Answered
+		case !now && open:
+			spans = append(spans, span{since, entry.Answered})
+		}
+		open = now
+	}
+	if open {
+		spans = append(spans, span{since, f.input.EndedAt})
+	}
+	return spans
+}
+
+// withoutMajority returns the times at which no majority of the schedulers
+// could talk.
+func (f *facts) withoutMajority() []span {
+	if f.noMajority == nil {
+		f.noMajority = append([]span{}, f.spansWhere(func(n *network) bool { return !n.majority(f.input.Schedulers) })...)
+	}
+	return f.noMajority
+}
+
+// silences returns the times at which a worker could not be heard, or could
+// not hear, because of a fault of its own, its agent, or a link of theirs.
+func (f *facts) silences(worker string) []span {
+	known, found := f.silent[worker]
+	if !found {
+		agent := f.workers[worker].Agent
+		known = f.spansWhere(func(n *network) bool {
+			return !n.works(worker) || !n.works(agent) || !n.talk(worker, agent) || !n.reaches(agent, f.input.Schedulers)
+		})
+		f.silent[worker] = known
+	}
+	return known
+}
+
+// controlFaults returns when schedulers or links between them failed or came
+// back, each of which may bring a new leader.
+func (f *facts) controlFaults() []monoclock.Nanos {
+	var times []monoclock.Nanos
+	for _, entry := range f.faultEntries {
+		isControl := slices.Contains(f.input.Schedulers, entry.Process)
+		if isControl && (entry.Peer == "" || slices.Contains(f.input.Schedulers, entry.Peer)) {
+			times = append(times, entry.Answered)
+		}
+	}
+	return times
+}
--- a/lab/deployment/profiles.go
+++ b/lab/deployment/profiles.go
@@ -30,6 +30,14 @@
 	// PerSecond is the rate of submissions; 0 for jobs that run until they
 	// are cancelled.
 	PerSecond float64
+	// FailShare is the share of runs that fail where a worker's handler is
+	// flaky, and AllowedFailures the failures allowed then; 0 means that the
+	// queue says.
+	FailShare       float64
+	AllowedFailures int
+	// SlowFactor is how much longer a task takes where the handler is slow; 0
+	// leaves it to the handler.
+	SlowFactor float64
 }
 
 // Shapes are the kinds of job that a deployment's callers hand in.
--- /dev/null
+++ b/lab/fleet/disk.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// Wipe deletes the data folder of a scheduler that does not run.
+func (f *Fleet) Wipe(scheduler *Process) error {
+	if scheduler.PID() != 0 || scheduler.Spec.Role != deployment.RoleScheduler {
+		return fmt.Errorf("wipe %s: it runs or is no scheduler", scheduler.Spec.Name)
+	}
+	if err := os.RemoveAll(f.layout.data(scheduler.Spec.Name)); err != nil {
+		return fmt.Errorf("wipe %s: %w", scheduler.Spec.Name, err)
+	}
+	scheduler.note(ledger.ActionWipe, true)
+	return nil
+}
+
+// ReplicaID returns the replica id of a scheduler that the fleet shows as a
+// voter; empty if it shows none.
+func (f *Fleet) ReplicaID(ctx context.Context, scheduler *Process) (string, error) {
+	members, err := f.client.Members(ctx)
+	if err != nil {
+		return "", fmt.Errorf("read the members: %w", err)
+	}
+	for _, member := range members.Members {
+		if member.Name == scheduler.Spec.Name && member.Voter {
+			return member.ReplicaID, nil
+		}
+	}
+	return "", nil
+}
+
+// WaitJoined waits until the fleet shows the scheduler as a voter with a
+// replica id other than the one given.
+func (f *Fleet) WaitJoined(ctx context.Context, scheduler *Process, old string) error {
+	shown := ""
+	err := until(ctx, func() bool {
+		id, err := f.ReplicaID(ctx, scheduler)
+		shown = id
+		return err == nil && id != "" && id != old
+	})
+	if err != nil {
+		return fmt.Errorf("%s is no voter again, replica %q is shown, %q was lost: %w", scheduler.Spec.Name, shown, old, err)
+	}
+	scheduler.note(ledger.ActionJoined, true)
+	return nil
+}
+
+// SetClock has a scheduler add an offset to the wall clock that it reads, while
+// it runs.
+func (f *Fleet) SetClock(scheduler *Process, offset time.Duration) error {
+	choices := f.choices(scheduler.Spec)
+	choices.clockOffset = offset
+	if err := f.layout.writeSettings(scheduler.Spec, choices); err != nil {
+		return err
+	}
+	now := monoclock.Now()
+	f.config.Ledger.Add(ledger.Entry{
+		Kind: ledger.KindFault, Sent: now, Answered: now, Process: scheduler.Spec.Name,
+		Action: ledger.ActionClock, Offset: offset, Expected: true,
+	})
+	return nil
+}
+
+// WaitMatched waits until a scheduler has all that was committed when the wait
+// began.
+func (f *Fleet) WaitMatched(ctx context.Context, scheduler *Process) error {
+	var committed, matched uint64
+	err := until(ctx, func() bool {
+		members, err := f.client.Members(ctx)
+		if err != nil {
+			return false
+		}
+		if committed == 0 {
+			committed = members.CommitIndex
+		}
+		for _, member := range members.Members {
+			if member.Name == scheduler.Spec.Name {
+				matched = member.Matched
+			}
+		}
+		return committed > 0 && matched >= committed
+	})
+	if err != nil {
+		return fmt.Errorf("%s has the log up to %d of %d: %w", scheduler.Spec.Name, matched, committed, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/fleet/links_test.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/relay"
+)
+
+// testFleet is a fleet of programs that are never started.
+func testFleet(t *testing.T, book *ledger.Ledger) *Fleet {
+	t.Helper()
+	d, err := deployment.New("cartago", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	binaries := t.TempDir()
+	for _, role := range []string{"scheduler", "front", "agent", "worker"} {
+		if err := os.WriteFile(filepath.Join(binaries, programPrefix+role), nil, 0o755); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f, err := New(Config{Deployment: d, Directory: t.TempDir(), Binaries: binaries, Ledger: book})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+func TestProcessesAreGivenRelaysOnly(t *testing.T) {
+	f := testFleet(t, &ledger.Ledger{})
+	for _, process := range f.processes {
+		data, err := os.ReadFile(process.settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, other := range f.processes {
+			own := process == other || other.Spec.Address == ""
+			if !own && strings.Contains(string(data), other.Spec.Address) {
+				t.Errorf("%s is given the address of %s itself", process.Spec.Name, other.Spec.Name)
+			}
+		}
+	}
+	if agent := f.AgentOf(f.Process("worker-04")); agent == nil || f.workerOf(agent.Spec) != "worker-04" {
+		t.Errorf("worker-04 has the agent %+v", agent)
+	}
+}
+
+func TestLinksOfAZoneAreThoseToSchedulersInOthers(t *testing.T) {
+	f := testFleet(t, &ledger.Ledger{})
+	inside, outside := len(f.InZone("zone-1", true)), len(f.InZone("zone-1", false))
+	// One scheduler inside and two outside; the link between two counts once.
+	want := 2 * (2*inside + outside - 2)
+	if links := f.LinksOfZone("zone-1"); len(links) != want || inside+outside != len(f.processes) {
+		t.Errorf("%d links between %d and %d processes, want %d", len(links), inside, outside, want)
+	}
+	schedulers := f.ByRole(deployment.RoleScheduler)
+	if got := len(LinksBetween(schedulers, schedulers)); got != 12 {
+		t.Errorf("%d links among three schedulers, want each direction of each pair twice", got)
+	}
+}
+
+func TestLinkFaultsAreNotedWithBothEnds(t *testing.T) {
+	book := &ledger.Ledger{}
+	f := testFleet(t, book)
+	if err := f.openLinks(); err != nil {
+		t.Fatal(err)
+	}
+	f.Cut(relay.Link{From: "scheduler-01", To: "agent-02"})()
+	var actions []ledger.Action
+	for _, entry := range book.Entries() {
+		if entry.Process != "scheduler-01" || entry.Peer != "agent-02" {
+			t.Errorf("noted %+v", entry)
+		}
+		actions = append(actions, entry.Action)
+	}
+	if !slices.Equal(actions, []ledger.Action{ledger.ActionCut, ledger.ActionHeal}) {
+		t.Errorf("noted %v", actions)
+	}
+}
--- /dev/null
+++ b/lab/hollow/node.go
@@ -0,0 +1,179 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/decklever/decklever/internal/agent"
+	"github.com/decklever/decklever/internal/builtin"
+	"github.com/decklever/decklever/internal/leaderlink"
+	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/worker"
+)
+
+const (
+	// agentURL is what a hollow worker calls its agent; it is never resolved.
+	agentURL = "http://agent.invalid"
+	// relayTimeout is the agent's default.
+	relayTimeout = time.Second
+)
+
+var (
+	errRunning    = errors.New("it runs already")
+	errNotRunning = errors.New("it is not running")
+)
+
+// shared is what all nodes of a process use.
+type shared struct {
+	spec     Spec
+	journal  *worker.Journal
+	metrics  *rpc.Metrics
+	requests atomic.Int64
+}
+
+// node is one side machine: an agent and a worker, each with lives that end
+// and begin anew.
+type node struct {
+	shared *shared
+	spec   NodeSpec
+	link   *loopback
+	agent  *agentLife
+	worker *workerLife
+}
+
+func newNode(shared *shared, spec NodeSpec) *node {
+	return &node{shared: shared, spec: spec, link: &loopback{requests: &shared.requests}}
+}
+
+// agentLife is one start of an agent.
+type agentLife struct {
+	client *rpc.Client
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func (n *node) startAgent(ctx context.Context) error {
+	if n.agent != nil {
+		return fmt.Errorf("start agent %s: %w", n.spec.Agent, errRunning)
+	}
+	client := rpc.NewClient(rpc.ClientConfig{Timeout: relayTimeout + time.Second, Metrics: n.shared.metrics})
+	link := leaderlink.New(leaderlink.Config{
+		Process: n.spec.Agent, Role: "agent", Zone: n.spec.Zone,
+		Seeds: func() []string { return n.shared.spec.Seeds }, Client: client,
+	})
+	served, err := agent.New(agent.Config{
+		Name: n.spec.Agent, Zone: func() string { return n.spec.Zone },
+		RelayTimeout: relayTimeout, Link: link, Client: client,
+	})
+	if err != nil {
+		return fmt.Errorf("start agent %s: %w", n.spec.Agent, err)
+	}
+	ctx, stop := context.WithCancel(ctx)
+	n.agent = &agentLife{client: client, stop: stop}
+	n.agent.done.Go(func() { _ = link.Run(ctx) }) // it returns nil
+	n.link.connect(served)
+	return nil
+}
+
+func (n *node) killAgent() error {
+	if n.agent == nil {
+		return fmt.Errorf("kill agent %s: %w", n.spec.Agent, errNotRunning)
+	}
+	n.link.connect(nil)
+	n.agent.stop()
+	n.agent.done.Wait()
+	n.agent.client.Close()
+	n.agent = nil
+	return nil
+}
+
+// workerLife is one start of a worker.
+type workerLife struct {
+	stop context.CancelFunc
+	done sync.WaitGroup
+
+	mutex sync.Mutex
+	dead  bool
+}
+
+// note writes to the journal unless the worker has been killed.
+func (l *workerLife) note(write func(worker.Event), event worker.Event) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.dead {
+		write(event)
+	}
+}
+
+func (l *workerLife) die() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.dead = true
+}
+
+// gate cuts a killed worker off from its agent, which may well run on.
+type gate struct {
+	life *workerLife
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (g gate) RoundTrip(request *http.Request) (*http.Response, error) {
+	g.life.mutex.Lock()
+	dead := g.life.dead
+	g.life.mutex.Unlock()
+	if dead {
+		return nil, errNotRunning
+	}
+	return g.next.RoundTrip(request)
+}
+
+func (n *node) startWorker(ctx context.Context) error {
+	if n.worker != nil {
+		return fmt.Errorf("start worker %s: %w", n.spec.Worker, errRunning)
+	}
+	life := &workerLife{}
+	made, err := worker.New(worker.Config{
+		Name: n.spec.Worker, AgentURL: agentURL, Capacity: n.spec.Capacity, Labels: n.spec.Labels,
+		HTTPClient: &http.Client{Transport: gate{life, n.link}},
+		OnStart:    func(event worker.Event) { life.note(n.shared.journal.Start, event) },
+		OnEnd:      func(event worker.Event) { life.note(n.shared.journal.End, event) },
+		// The lab ends a worker only by killing it.
+		DrainTimeout: -1, ReportTimeout: -1,
+	})
+	if err != nil {
+		return fmt.Errorf("start worker %s: %w", n.spec.Worker, err)
+	}
+	made.Handle(n.shared.spec.Service, builtin.Handlers()[builtin.Sleep])
+	ctx, life.stop = context.WithCancel(ctx)
+	// A killed worker leaves handlers and reports behind, which Run says.
+	life.done.Go(func() { _ = made.Run(ctx) })
+	n.worker = life
+	return nil
+}
+
+func (n *node) killWorker() error {
+	if n.worker == nil {
+		return fmt.Errorf("kill worker %s: %w", n.spec.Worker, errNotRunning)
+	}
+	n.worker.die()
+	n.worker.stop()
+	n.worker.done.Wait()
+	n.worker = nil
+	return nil
+}
+
+// kill ends whatever still runs.
+func (n *node) kill() {
+	if n.worker != nil {
+		_ = n.killWorker() // it runs
+	}
+	if n.agent != nil {
+		_ = n.killAgent() // it runs
+	}
+}
--- a/lab/ledger/entry.go
+++ b/lab/ledger/entry.go
@@ -17,7 +17,9 @@
 	KindCancel     Kind = "cancel"
 	KindConfigPut  Kind = "config_put"
 	KindConfigRead Kind = "config_read"
+	KindRollout    Kind = "rollout"
 	KindFault      Kind = "fault"
+	KindMark       Kind = "mark"
 )
 
 // Action is what was done to a process, or happened to it.
@@ -32,6 +34,23 @@
 	ActionResume    Action = "resume"
 	// ActionExit is the end of a process, whoever caused it.
 	ActionExit Action = "exit"
+	// ActionWipe is the loss of a scheduler's data folder; ActionJoined is when
+	// the fleet showed the scheduler as a voter again.
+	ActionWipe   Action = "wipe"
+	ActionJoined Action = "joined"
+	// ActionClock is a jump of the wall clock of one process, by Offset.
+	ActionClock Action = "clock"
+	// The following concern the link from Process to Peer. A cut lets nothing
+	// pass and no connection come about, until it is healed; what is held is
+	// released in order; what is crossed is passed on late, piece by piece;
+	// dropped connections are reset.
+	ActionCut     Action = "cut"
+	ActionHeal    Action = "heal"
+	ActionHold    Action = "hold"
+	ActionRelease Action = "release"
+	ActionCross   Action = "cross"
+	ActionUncross Action = "uncross"
+	ActionDrop    Action = "drop"
 )
 
 // Entry is one request with its answer, or one fault.
@@ -47,8 +66,13 @@
 	Error string        `json:"error,omitempty"`
 
 	JobID string `json:"job_id,omitempty"`
-	// Spec stands on submits.
-	Spec *api.JobSpec `json:"spec,omitempty"`
+	// Spec and Class stand on submits.
+	Spec  *api.JobSpec `json:"spec,omitempty"`
+	Class Class        `json:"class,omitempty"`
+	// Status and RetryAfter stand on submits of a flood: the HTTP status, 0
+	// without an answer, and whether it said when to ask again.
+	Status     int  `json:"status,omitempty"`
+	RetryAfter bool `json:"retry_after,omitempty"`
 	// Created is true when a submit was answered as the first of its id.
 	Created bool `json:"created,omitempty"`
 	// Resend is true for a submit that repeats an accepted one on purpose.
@@ -61,17 +85,25 @@
 	// before it did.
 	Succeeded []string `json:"succeeded,omitempty"`
 
+	// Mark stands on marks; Sent and Answered are the time marked.
+	Mark Mark `json:"mark,omitempty"`
+
 	OrderID string `json:"order_id,omitempty"`
 	Base    uint64 `json:"base,omitempty"`
 	Version uint64 `json:"version,omitempty"`
 	// Config stands on config puts and reads.
 	Config *api.Config `json:"config,omitempty"`
 
+	// Rollout is the answer to a read of the rollout.
+	Rollout *api.Rollout `json:"rollout,omitempty"`
+
 	// Process, Action and Expected stand on faults. Expected is true for an
-	// exit that the lab caused.
-	Process  string `json:"process,omitempty"`
-	Action   Action `json:"action,omitempty"`
-	Expected bool   `json:"expected,omitempty"`
+	// exit that the lab caused. Peer is the other end of a link.
+	Process  string        `json:"process,omitempty"`
+	Peer     string        `json:"peer,omitempty"`
+	Action   Action        `json:"action,omitempty"`
+	Expected bool          `json:"expected,omitempty"`
+	Offset   time.Duration `json:"offset_ns,omitempty"`
 }
 
 // Accepted reports whether the call was answered without a refusal.
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -59,7 +59,7 @@
 func (c *caller) submitOnce(ctx context.Context, one plan, resend bool) ledger.Entry {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	entry := ledger.Entry{Kind: ledger.KindSubmit, Sent: monoclock.Now(), JobID: one.id, Spec: &one.spec, Resend: resend}
+	entry := ledger.Entry{Kind: ledger.KindSubmit, Sent: monoclock.Now(), JobID: one.id, Spec: &one.spec, Class: one.class, Resend: resend}
 	created, err := c.client.SubmitJob(ctx, one.id, one.spec)
 	entry.Answered, entry.Created = monoclock.Now(), created
 	entry.Code, entry.Error = operator.Refusal(err)
--- /dev/null
+++ b/lab/load/extra.go
@@ -0,0 +1,119 @@
+package load
+
+import (
+	"context"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+	"github.com/decklever/decklever/lab/operator"
+)
+
+// Job is one that a scenario hands in beside the ordinary load.
+type Job struct {
+	ID    string
+	Spec  api.JobSpec
+	Class ledger.Class
+}
+
+func (j Job) plan() plan { return plan{id: j.ID, spec: j.Spec, class: j.Class} }
+
+// HandIn hands in a job and watches it until it is final, in its own
+// goroutine.
+func (g *Generator) HandIn(job Job) { g.follow(job.plan()) }
+
+// HandInAll hands in jobs from that many callers at once and returns the ids
+// of those accepted. It asks again while a limit is in the way, and it does
+// not watch the jobs.
+func (g *Generator) HandInAll(ctx context.Context, width int, jobs []Job) []string {
+	accepted := make([]bool, len(jobs))
+	g.each(width, len(jobs), func(index int) {
+		g.submitted.Add(1)
+		accepted[index] = g.caller(index).submitPatiently(ctx, jobs[index].plan())
+	})
+	var ids []string
+	for index, job := range jobs {
+		if accepted[index] {
+			ids = append(ids, job.ID)
+		}
+	}
+	g.accepted.Add(int64(len(ids)))
+	return ids
+}
+
+// submitPatiently hands in a job until it is accepted, refused for another
+// reason than a limit, or the context ends.
+func (c *caller) submitPatiently(ctx context.Context, one plan) bool {
+	for ctx.Err() == nil {
+		entry := c.submitOnce(ctx, one, false)
+		switch {
+		case entry.Accepted():
+			return true
+		case entry.Code == api.CodeOverLimit:
+			pause(ctx, limitPause)
+		case entry.Code != api.CodeUnavailable && entry.Code != api.CodeOutcomeUnknown:
+			return false
+		}
+	}
+	return false
+}
+
+// Watch reads each job, that many at once, until it is final. It returns how
+// many are; fewer than all if the context ended before.
+func (g *Generator) Watch(ctx context.Context, width int, ids []string) int {
+	var final atomic.Int64
+	g.each(width, len(ids), func(index int) {
+		if g.caller(index).watch(ctx, plan{id: ids[index]}) {
+			final.Add(1)
+		}
+	})
+	g.ended.Add(final.Load())
+	return int(final.Load())
+}
+
+// Cancel cancels jobs one by one, that many at once.
+func (g *Generator) Cancel(ctx context.Context, width int, ids []string) {
+	g.each(width, len(ids), func(index int) { g.caller(index).cancel(ctx, ids[index]) })
+}
+
+// CancelQueue cancels all jobs of a queue in one call, and asks again until
+// there is an answer. The ledger gets one entry for each of the ids, which are
+// the queue's accepted jobs. It returns how many jobs the call cancelled.
+func (g *Generator) CancelQueue(ctx context.Context, queue string, ids []string) (int, error) {
+	sent := monoclock.Now()
+	cancelled, err := g.clients[0].CancelJobs(ctx, api.CancelRequest{Queue: queue})
+	entry := ledger.Entry{Kind: ledger.KindCancel, Sent: sent, Answered: monoclock.Now()}
+	entry.Code, entry.Error = operator.Refusal(err)
+	for _, id := range ids {
+		entry.JobID = id
+		g.config.Ledger.Add(entry)
+	}
+	return cancelled, err
+}
+
+// Mark notes a time that the scenario set.
+func (g *Generator) Mark(mark ledger.Mark, at monoclock.Nanos) {
+	g.config.Ledger.Add(ledger.Entry{Kind: ledger.KindMark, Sent: at, Answered: at, Mark: mark})
+}
+
+// caller returns a caller for the job of that number.
+func (g *Generator) caller(number int) *caller {
+	return &caller{client: g.clients[number%callers], ledger: g.config.Ledger}
+}
+
+// each calls visit for every index below count, width at once.
+func (g *Generator) each(width, count int, visit func(index int)) {
+	var group errgroup.Group
+	group.SetLimit(width)
+	for index := range count {
+		group.Go(func() error {
+			visit(index)
+			return nil
+		})
+	}
+	// No visit returns an error.
+	_ = group.Wait()
+}
--- /dev/null
+++ b/lab/load/extra_test.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+)
+
+// generatorFor returns a generator of one front and its ledger.
+func generatorFor(t *testing.T, front http.HandlerFunc) (*Generator, *ledger.Ledger) {
+	t.Helper()
+	server := httptest.NewServer(front)
+	t.Cleanup(server.Close)
+	book, err := ledger.Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	generator, err := New(Config{Endpoints: []string{server.URL}, Ledger: book})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { generator.Finish(t.Context()) })
+	return generator, book
+}
+
+func answer(writer http.ResponseWriter, status int, body any) {
+	if status == http.StatusServiceUnavailable {
+		writer.Header().Set("Retry-After", "1")
+	}
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
+func TestFloodTriesEachJobOnceAndKeepsTheAnswer(t *testing.T) {
+	statuses := []int{422, 429, 503, 500, 201}
+	generator, book := generatorFor(t, func(writer http.ResponseWriter, request *http.Request) {
+		var number int
+		_, _ = fmt.Sscanf(request.URL.Path, "/v1/jobs/j%d", &number)
+		status := statuses[number%len(statuses)]
+		if status == http.StatusCreated {
+			answer(writer, status, api.SubmitAnswer{Created: true})
+			return
+		}
+		answer(writer, status, api.Error{Status: status, Code: "because", Message: "m"})
+	})
+	const jobs = 50
+	generator.Flood(t.Context(), 4, jobs, func(number int) Job {
+		return Job{ID: fmt.Sprintf("j%d", number), Class: ledger.ClassImpossible}
+	})
+	counts := map[int]int{}
+	ids := map[string]bool{}
+	for _, entry := range book.Entries() {
+		counts[entry.Status]++
+		ids[entry.JobID] = true
+		refused := entry.Status != http.StatusCreated
+		if entry.Class != ledger.ClassImpossible || entry.RetryAfter != (entry.Status == 503) ||
+			entry.Accepted() == refused || (entry.Code == "because") != refused {
+			t.Errorf("entry is %+v", entry)
+		}
+	}
+	want := map[int]int{422: 10, 429: 10, 503: 10, 500: 10, 201: 10}
+	if difference := cmp.Diff(want, counts); difference != "" || len(ids) != jobs {
+		t.Errorf("%d jobs; statuses: %s", len(ids), difference)
+	}
+}
+
+func TestHandInAllAsksAgainWhileALimitIsInTheWay(t *testing.T) {
+	var calls atomic.Int64
+	generator, book := generatorFor(t, func(writer http.ResponseWriter, request *http.Request) {
+		switch {
+		case strings.HasSuffix(request.URL.Path, "wrong"):
+			answer(writer, 422, api.Error{Status: 422, Code: api.CodeInvalid, Message: "m"})
+		case calls.Add(1) == 1:
+			answer(writer, 429, api.Error{Status: 429, Code: api.CodeOverLimit, Message: "m", RetryAfterMillis: 1})
+		default:
+			answer(writer, 201, api.SubmitAnswer{Created: true})
+		}
+	})
+	jobs := []Job{{ID: "a", Class: ledger.ClassBooked}, {ID: "wrong"}, {ID: "b", Class: ledger.ClassBooked}}
+	accepted := generator.HandInAll(t.Context(), 1, jobs)
+	if difference := cmp.Diff([]string{"a", "b"}, accepted); difference != "" {
+		t.Error(difference)
+	}
+	if entries := book.Entries(); len(entries) != 4 || entries[0].Code != api.CodeOverLimit || entries[1].Class != ledger.ClassBooked {
+		t.Errorf("entries are %+v", entries)
+	}
+}
+
+func TestCancelQueueNotesEachJob(t *testing.T) {
+	generator, book := generatorFor(t, func(writer http.ResponseWriter, request *http.Request) {
+		var asked api.CancelRequest
+		_ = json.NewDecoder(request.Body).Decode(&asked)
+		if request.URL.Path != "/v1/cancellations" || asked.Queue != "q" {
+			t.Errorf("%s asked for %+v", request.URL.Path, asked)
+		}
+		answer(writer, 200, api.CancelAnswer{Cancelled: 2})
+	})
+	cancelled, err := generator.CancelQueue(t.Context(), "q", []string{"a", "b"})
+	entries := book.Entries()
+	if err != nil || cancelled != 2 || len(entries) != 2 {
+		t.Fatalf("%d cancelled, %v, entries %+v", cancelled, err, entries)
+	}
+	if entries[0].JobID != "a" || entries[1].JobID != "b" || entries[1].Kind != ledger.KindCancel || !entries[1].Accepted() {
+		t.Errorf("entries are %+v", entries)
+	}
+}
--- /dev/null
+++ b/lab/load/flood.go
@@ -0,0 +1,87 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+const (
+	// tryTimeout bounds one try of a flood. A front answers within 3 s.
+	tryTimeout = 4 * time.Second
+	// limitPause is the pause of a caller that a limit turned away.
+	limitPause = 100 * time.Millisecond
+)
+
+// Flood hands in each job once, from that many callers, each as fast as it
+// gets answers. It goes round the api client, which would hide a 503 by asking
+// again.
+func (g *Generator) Flood(ctx context.Context, width, jobs int, job func(number int) Job) {
+	transport := newTransport()
+	defer transport.CloseIdleConnections()
+	g.each(width, jobs, func(number int) {
+		if ctx.Err() != nil {
+			return
+		}
+		g.submitted.Add(1)
+		endpoint := g.config.Endpoints[number%len(g.config.Endpoints)]
+		g.config.Ledger.Add(try(ctx, transport, endpoint, job(number)))
+	})
+}
+
+// try hands in a job at one front and returns what was answered.
+func try(ctx context.Context, transport *http.Client, endpoint string, job Job) ledger.Entry {
+	entry := ledger.Entry{Kind: ledger.KindSubmit, Sent: monoclock.Now(), JobID: job.ID, Spec: &job.Spec, Class: job.Class}
+	answer, err := put(ctx, transport, endpoint+"/v1/jobs/"+job.ID, job.Spec)
+	entry.Answered = monoclock.Now()
+	if err != nil {
+		entry.Error = err.Error()
+		return entry
+	}
+	entry.Status, entry.RetryAfter, entry.Created = answer.status, answer.retryAfter, answer.status == http.StatusCreated
+	if answer.status >= http.StatusBadRequest {
+		entry.Error = answer.refusal.Error()
+	}
+	if answer.refusal.Message != "" {
+		entry.Code = answer.refusal.Code
+	}
+	return entry
+}
+
+// rawAnswer is what stood in one HTTP answer.
+type rawAnswer struct {
+	status     int
+	retryAfter bool
+	refusal    api.Error
+}
+
+func put(ctx context.Context, transport *http.Client, url string, spec api.JobSpec) (rawAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return rawAnswer{}, fmt.Errorf("encode job: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return rawAnswer{}, fmt.Errorf("make request: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := transport.Do(request)
+	if err != nil {
+		return rawAnswer{}, fmt.Errorf("hand in: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer := rawAnswer{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After") != ""}
+	if err := json.NewDecoder(response.Body).Decode(&answer.refusal); err != nil {
+		return rawAnswer{}, fmt.Errorf("read answer of status %d: %w", response.StatusCode, err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/lab/matrix/matrix_test.go
@@ -0,0 +1,86 @@
+package matrix
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/lab/check"
+	"github.com/decklever/decklever/lab/report"
+	"github.com/decklever/decklever/lab/scenario"
+)
+
+func TestEveryCellIsRunOnceAndReported(t *testing.T) {
+	var mutex sync.Mutex
+	instances, folders := map[int]bool{}, map[string]bool{}
+	config := Config{
+		Deployments: []string{"here", "there"},
+		Scenarios:   []scenario.Scenario{{Name: "calm"}, {Name: "rough", MinDuration: time.Minute}},
+		Seeds:       []uint64{1, 2}, Duration: time.Second, Parallel: 2, FirstInstance: 5, Out: t.TempDir(),
+		Run: func(_ context.Context, cell Cell) (report.Summary, error) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			instances[cell.Instance], folders[cell.Out] = true, true
+			if (cell.Scenario.Name == "rough") != (cell.Duration == time.Minute) {
+				t.Errorf("%s runs for %v", cell.Scenario.Name, cell.Duration)
+			}
+			if cell.Deployment == "there" && cell.Scenario.Name == "rough" {
+				return outcomeOf(cell.Seed)
+			}
+			return report.Summary{Passed: true, TasksStarted: 10, LongestServiceGapMillis: float64(cell.Seed)}, nil
+		},
+	}
+	outcomes, err := Run(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(outcomes) != 8 || len(folders) != 8 || instances[4] || instances[7] {
+		t.Fatalf("%d outcomes in %d folders on the instances %v", len(outcomes), len(folders), instances)
+	}
+	data, err := os.ReadFile(filepath.Join(config.Out, TableFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"| calm | here | 1, 2 | 20 | 0 | none | 2 | – |\n",
+		"| rough | there | 1, 2 | 7 | 3 | P1 (2), P11 (1), no result (1) | 0 | 4000 |\n",
+	} {
+		if !strings.Contains(string(data), want) {
+			t.Errorf("the table has no line %q:\n%s", want, data)
+		}
+	}
+}
+
+// outcomeOf is a run without result for seed 1 and a broken one for others.
+func outcomeOf(seed uint64) (report.Summary, error) {
+	if seed == 1 {
+		return report.Summary{}, errors.New("the fleet did not start")
+	}
+	return report.Summary{
+		TasksStarted: 7, FaultsCaused: 3, LongestReplacementMillis: 4000,
+		Broken: []check.Violation{{Promise: check.P1}, {Promise: check.P11}, {Promise: check.P1}},
+	}, nil
+}
+
+func TestWhatWasDoneStandsWhenTheRestIsGivenUp(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	config := Config{
+		Deployments: []string{"here"}, Scenarios: []scenario.Scenario{{Name: "calm"}}, Seeds: []uint64{1, 2, 3}, Out: t.TempDir(),
+		Run: func(context.Context, Cell) (report.Summary, error) {
+			cancel()
+			return report.Summary{Passed: true}, nil
+		},
+	}
+	outcomes, err := Run(ctx, config)
+	if !errors.Is(err, context.Canceled) || len(outcomes) == 0 || len(outcomes) == 3 {
+		t.Fatalf("%d outcomes, error %v", len(outcomes), err)
+	}
+	if _, err := os.Stat(filepath.Join(config.Out, JSONFile)); err != nil {
+		t.Error(err)
+	}
+}
--- a/lab/operator/operator.go
+++ b/lab/operator/operator.go
@@ -42,6 +42,16 @@
 	return status, err
 }
 
+// Rollout reads which process has which configuration in force.
+func (o *Operator) Rollout(ctx context.Context) (api.Rollout, error) {
+	entry := ledger.Entry{Kind: ledger.KindRollout, Sent: monoclock.Now()}
+	rollout, err := o.client.Rollout(ctx)
+	entry.Answered, entry.Version, entry.Rollout = monoclock.Now(), rollout.Version, &rollout
+	entry.Code, entry.Error = Refusal(err)
+	o.ledger.Add(entry)
+	return rollout, err
+}
+
 // Refusal returns the code and text of an error as they stand in a ledger
 // entry; both are empty for nil.
 func Refusal(err error) (api.ErrorCode, string) {
--- /dev/null
+++ b/lab/report/phases.go
@@ -0,0 +1,145 @@
+package report
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/check"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// Flood is what was seen of a flood and of the time before it.
+type Flood struct {
+	// Answers counts the submits that had to be refused by HTTP status; 0 is
+	// no answer.
+	Answers          map[ledger.Class]map[int]int `json:"answers"`
+	AnswersPerSecond float64                      `json:"answers_per_second"`
+	// Unavailable counts those of Answers that are 503.
+	Unavailable int `json:"unavailable"`
+	// Discarded counts the jobs that were accepted in the flood to be cancelled
+	// in mass, Cancelled those of them that were last seen as cancelled.
+	Discarded int `json:"discarded"`
+	Cancelled int `json:"cancelled"`
+	// Quiet is the time before the flood, Flooded that of the flood.
+	Quiet   Phase `json:"quiet"`
+	Flooded Phase `json:"flooded"`
+}
+
+// Phase is what ordinary callers saw in a part of the run.
+type Phase struct {
+	Seconds float64 `json:"seconds"`
+	// JobsRefused counts refused submits.
+	JobsAccepted int         `json:"jobs_accepted"`
+	JobsRefused  int         `json:"jobs_refused"`
+	SubmitAnswer Percentiles `json:"submit_answer"`
+	ReadyToStart Percentiles `json:"ready_to_start"`
+}
+
+// span is a part of a run, without its end.
+type span struct{ from, until monoclock.Nanos }
+
+func (s span) holds(at monoclock.Nanos) bool { return at >= s.from && at < s.until }
+func (s span) seconds() float64              { return s.until.Sub(s.from).Seconds() }
+
+// newFlood returns nil if there was no flood.
+func newFlood(input check.Input, o *observations, delays []check.StartDelay) *Flood {
+	start, end, known := check.FloodPhases(input)
+	if !known {
+		return nil
+	}
+	flood := &Flood{Answers: map[ledger.Class]map[int]int{}}
+	flood.countAnswers(input.Entries)
+	flood.Quiet = newPhase(span{input.LoadFrom, start}, input.Entries, o, delays)
+	flood.Flooded = newPhase(span{start, end}, input.Entries, o, delays)
+	for id := range o.accepted {
+		if o.classes[id] != ledger.ClassDiscarded {
+			continue
+		}
+		flood.Discarded++
+		if o.states[id] == api.StateCancelled {
+			flood.Cancelled++
+		}
+	}
+	return flood
+}
+
+// countAnswers counts the answers to what had to be refused, and their rate
+// between the first and the last of them.
+func (f *Flood) countAnswers(entries []ledger.Entry) {
+	count := 0
+	var whole span
+	for _, entry := range entries {
+		if entry.Kind != ledger.KindSubmit || (entry.Class != ledger.ClassImpossible && entry.Class != ledger.ClassOverQuota) {
+			continue
+		}
+		if f.Answers[entry.Class] == nil {
+			f.Answers[entry.Class] = map[int]int{}
+		}
+		f.Answers[entry.Class][entry.Status]++
+		if entry.Status == http.StatusServiceUnavailable {
+			f.Unavailable++
+		}
+		if count == 0 || entry.Sent < whole.from {
+			whole.from = entry.Sent
+		}
+		whole.until = max(whole.until, entry.Answered)
+		count++
+	}
+	if seconds := whole.seconds(); seconds > 0 {
+		f.AnswersPerSecond = float64(count) / seconds
+	}
+}
+
+func newPhase(during span, entries []ledger.Entry, o *observations, delays []check.StartDelay) Phase {
+	phase := Phase{Seconds: during.seconds()}
+	var answers, starts []time.Duration
+	for _, answer := range o.submitAnswers {
+		if during.holds(answer.sent) {
+			phase.JobsAccepted++
+			answers = append(answers, answer.answered.Sub(answer.sent))
+		}
+	}
+	for _, entry := range entries {
+		if entry.Kind == ledger.KindSubmit && entry.Class == ledger.ClassOrdinary && !entry.Accepted() && during.holds(entry.Sent) {
+			phase.JobsRefused++
+		}
+	}
+	for _, delay := range delays {
+		if delay.Class == ledger.ClassOrdinary && during.holds(delay.Ready) {
+			starts = append(starts, delay.Length())
+		}
+	}
+	phase.SubmitAnswer, phase.ReadyToStart = percentilesOf(answers), percentilesOf(starts)
+	return phase
+}
+
+// burstPercentiles returns nil if the run had no such burst.
+func burstPercentiles(input check.Input, class ledger.Class) *Percentiles {
+	delays := check.BurstDelays(input, class)
+	if len(delays) == 0 {
+		return nil
+	}
+	found := percentilesOf(delays)
+	return &found
+}
+
+// ordinaryLengths returns the delays of ordinary tasks.
+func ordinaryLengths(delays []check.StartDelay) []time.Duration {
+	var lengths []time.Duration
+	for _, delay := range delays {
+		if delay.Class == ledger.ClassOrdinary {
+			lengths = append(lengths, delay.Length())
+		}
+	}
+	return lengths
+}
+
+func (o *observations) submitLengths() []time.Duration {
+	var lengths []time.Duration
+	for _, answer := range o.submitAnswers {
+		lengths = append(lengths, answer.answered.Sub(answer.sent))
+	}
+	return lengths
+}
--- a/lab/report/summary.go
+++ b/lab/report/summary.go
@@ -31,15 +31,31 @@
 	StartsPerSecond    float64 `json:"starts_per_second"`
 	DuplicateSuccesses int     `json:"duplicate_successes"`
 
-	// SubmitAnswer is from the sending of a first submit to its acceptance.
+	// SubmitAnswer is from the sending of a first submit to its acceptance, and
+	// ReadyToStart from a task being ready to its first start, both of ordinary
+	// work only.
 	SubmitAnswer Percentiles `json:"submit_answer"`
-	// ReadyToStart is from a task being ready to its first start.
 	ReadyToStart Percentiles `json:"ready_to_start"`
 	// EndToVisible is from a job's last end to a caller seeing it as final.
 	EndToVisible Percentiles `json:"end_to_visible"`
 
+	// BookedStartDelay and UnbookedStartDelay are from a booked moment to the
+	// starts of two equal bursts; absent without bursts.
+	BookedStartDelay   *Percentiles `json:"booked_start_delay,omitempty"`
+	UnbookedStartDelay *Percentiles `json:"unbooked_start_delay,omitempty"`
+	// Flood is absent without one.
+	Flood *Flood `json:"flood,omitempty"`
+
 	LongestSubmitGapMillis float64 `json:"longest_submit_gap_ms"`
 	LongestStartGapMillis  float64 `json:"longest_start_gap_ms"`
+	// LongestServiceGapMillis leaves out times without a majority of the
+	// schedulers.
+	LongestServiceGapMillis float64 `json:"longest_service_gap_ms"`
+	// LongestReplacementMillis is from the beginning of a worker's silence to
+	// the start elsewhere of a task that it cut off; 0 if there was none.
+	LongestReplacementMillis float64 `json:"longest_replacement_ms"`
+	// FaultsCaused counts what the lab did, a fault of many links as one.
+	FaultsCaused int `json:"faults_caused"`
 
 	Usage           []fleet.Usage     `json:"usage"`
 	Broken          []check.Violation `json:"broken"`
@@ -63,21 +79,30 @@
 // Build makes the summary.
 func Build(input Input) Summary {
 	o := newObservations(input.Observed)
+	delays := check.StartDelays(input.Observed)
 	summary := Summary{
 		Deployment: input.Deployment, Scenario: input.Scenario, Seed: input.Seed, Duration: api.Duration(input.Duration),
 		JobsSubmitted: len(o.specs), JobsAccepted: len(o.accepted),
 		JobsByState: o.jobsByState(), Refusals: o.refusals,
 		TasksStarted:           o.startsWithin(input.Observed.LoadFrom, input.Observed.EndedAt),
 		DuplicateSuccesses:     input.Result.DuplicateSuccesses,
-		SubmitAnswer:           percentilesOf(o.submitAnswers),
-		ReadyToStart:           percentilesOf(o.readyToStart()),
+		SubmitAnswer:           percentilesOf(o.submitLengths()),
+		ReadyToStart:           percentilesOf(ordinaryLengths(delays)),
 		EndToVisible:           percentilesOf(o.endToVisible()),
+		BookedStartDelay:       burstPercentiles(input.Observed, ledger.ClassBooked),
+		UnbookedStartDelay:     burstPercentiles(input.Observed, ledger.ClassUnbooked),
+		Flood:                  newFlood(input.Observed, o, delays),
 		LongestSubmitGapMillis: millis(input.Result.LongestSubmitGap),
 		LongestStartGapMillis:  millis(input.Result.LongestStartGap),
-		Usage:                  input.Usage,
-		Broken:                 append([]check.Violation{}, input.Result.Violations...),
-		UnexpectedExits:        append([]string{}, unexpectedExits(input.Observed.Entries)...),
-		Errors:                 []string{},
+
+		LongestServiceGapMillis:  millis(input.Result.LongestServiceGap),
+		LongestReplacementMillis: millis(input.Result.LongestReplacement),
+		FaultsCaused:             faultsCaused(input.Observed),
+
+		Usage:           input.Usage,
+		Broken:          append([]check.Violation{}, input.Result.Violations...),
+		UnexpectedExits: append([]string{}, unexpectedExits(input.Observed.Entries)...),
+		Errors:          []string{},
 	}
 	load := input.Observed.LoadTo.Sub(input.Observed.LoadFrom)
 	if load > 0 {
@@ -96,6 +121,32 @@
 	return summary
 }
 
+// faultsCaused counts kills, freezes, wipes, jumps and faults of links during
+// the load. Links struck at the same moment count as one.
+func faultsCaused(observed check.Input) int {
+	count := 0
+	var last monoclock.Nanos
+	for _, entry := range observed.Entries {
+		if entry.Kind != ledger.KindFault || entry.Sent < observed.LoadFrom || !isFault(entry.Action) {
+			continue
+		}
+		if entry.Peer == "" || entry.Sent != last {
+			count++
+		}
+		last = entry.Sent
+	}
+	return count
+}
+
+func isFault(action ledger.Action) bool {
+	switch action {
+	case ledger.ActionKill, ledger.ActionTerminate, ledger.ActionFreeze, ledger.ActionWipe, ledger.ActionClock,
+		ledger.ActionCut, ledger.ActionHold, ledger.ActionCross, ledger.ActionDrop:
+		return true
+	}
+	return false
+}
+
 // unexpectedExits names processes that ended without being told to.
 func unexpectedExits(entries []ledger.Entry) []string {
 	var names []string
--- /dev/null
+++ b/lab/scale/faults.go
@@ -0,0 +1,75 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/decklever/decklever/lab/hollow"
+	"github.com/decklever/decklever/lab/ledger"
+)
+
+const (
+	// faultAt is when faults come, as a part of the ramp: early enough that
+	// the jobs they hit end by themselves, so that the checker can tell whether
+	// their tasks started elsewhere in time.
+	faultAt = 0.3
+	// faultLength is how long a killed part stays down: beyond its hold.
+	faultLength = 7 * time.Second
+	// faultShare is the part of the hollow nodes that loses its worker, and
+	// again as many lose their agent.
+	faultShare = 100
+)
+
+// faults kills some hollow workers and the agents of others, and starts them
+// again.
+type faults struct {
+	hollows *hollows
+	book    *ledger.Ledger
+}
+
+// run causes all faults and undoes them; an error is one of the lab.
+func (f faults) run(ctx context.Context, ramp time.Duration) error {
+	if !sleep(ctx, time.Duration(float64(ramp)*faultAt)) {
+		return nil
+	}
+	err := f.each(hollow.OrderKillWorker, hollow.OrderKillAgent, ledger.ActionExit)
+	if !sleep(ctx, faultLength) {
+		return err
+	}
+	return errors.Join(err, f.each(hollow.OrderStartWorker, hollow.OrderStartAgent, ledger.ActionStart))
+}
+
+// each gives the first order to the nodes at even places and the second to
+// those at odd ones.
+func (f faults) each(forWorkers, forAgents hollow.Order, action ledger.Action) error {
+	nodes := f.hollows.nodes()
+	count := 2 * max(1, nodes/faultShare)
+	for number := range min(count, nodes) {
+		process, place := f.hollows.find(number * nodes / count)
+		order, name := forWorkers, process.spec.Nodes[place].Worker
+		if number%2 == 1 {
+			order, name = forAgents, process.spec.Nodes[place].Agent
+		}
+		reply, err := process.ask(hollow.Request{Order: order, Node: place})
+		if err != nil {
+			return err
+		}
+		f.book.Add(ledger.Entry{
+			Kind: ledger.KindFault, Sent: reply.At, Answered: reply.At, Process: name, Action: action, Expected: true,
+		})
+	}
+	return nil
+}
+
+// sleep waits and reports whether the context still goes on.
+func sleep(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/lab/scale/load.go
@@ -0,0 +1,198 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+	"github.com/decklever/decklever/lab/operator"
+)
+
+const (
+	// jobsPerSecond is the rate of plain jobs, as far as maxJobTasks allows.
+	jobsPerSecond = 4
+	maxJobTasks   = 50
+	// lengthSpread: a task runs up to this part longer or shorter.
+	lengthSpread   = 0.1
+	urgentInterval = 500 * time.Millisecond
+	urgentLength   = 200 * time.Millisecond
+	urgentPriority = 1000
+	pollWait       = 2 * time.Second
+	callTimeout    = 15 * time.Second
+	idlePerHost    = 256
+)
+
+// stream is one kind of job that is handed in at equal pauses.
+type stream struct {
+	name     string
+	queue    string
+	priority int
+	tasks    int
+	together bool
+	length   time.Duration
+	devices  int64
+	pause    time.Duration
+}
+
+// streams splits the load of a size into its kinds.
+func (s Size) streams() []stream {
+	length := s.taskLength()
+	gangTasks := float64(s.Gangs*s.GangSize) / float64(s.Tasks) * s.StartsPerSecond
+	plainTasks := s.StartsPerSecond - gangTasks
+	tasks := int(min(maxJobTasks, max(1, math.Round(plainTasks/jobsPerSecond))))
+	all := []stream{
+		{name: queueBulk, queue: queueBulk, tasks: tasks, length: length, pause: every(plainTasks / float64(tasks))},
+		{name: queueUrgent, queue: queueUrgent, priority: urgentPriority, tasks: 1, length: urgentLength, pause: urgentInterval},
+	}
+	if s.Gangs > 0 {
+		all = append(all, stream{
+			name: queueGangs, queue: queueGangs, tasks: s.GangSize, together: true, length: length, devices: 1,
+			pause: every(gangTasks / float64(s.GangSize)),
+		})
+	}
+	return all
+}
+
+// every returns the pause between events of that rate a second.
+func every(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
+
+// job draws one job of the stream.
+func (s stream) job(random *rand.Rand) api.JobSpec {
+	step := api.StepSpec{Name: "s", Together: s.together}
+	for range s.tasks {
+		factor := 1 + lengthSpread*(2*random.Float64()-1)
+		payload, err := json.Marshal(struct {
+			Millis int64 `json:"millis"`
+		}{int64(float64(s.length.Milliseconds()) * factor)})
+		if err != nil {
+			panic(fmt.Sprintf("scale: a payload has no JSON form: %v", err))
+		}
+		step.Tasks = append(step.Tasks, api.TaskSpec{
+			Service: service, Payload: payload,
+			Resources: api.Resources{CPUMillis: taskCPU, MemoryMB: taskMemory, Accelerators: s.devices},
+		})
+	}
+	return api.JobSpec{Queue: s.queue, Priority: s.priority, Steps: []api.StepSpec{step}}
+}
+
+// callers hand in jobs and see each to its end.
+type callers struct {
+	size   Size
+	seed   uint64
+	book   *ledger.Ledger
+	client *api.Client
+	// closing is closed when open jobs are to be cancelled.
+	closing chan struct{}
+	jobs    sync.WaitGroup
+}
+
+func newCallers(config Config, endpoints []string, book *ledger.Ledger) (*callers, error) {
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerHost}
+	client, err := api.NewClient(api.ClientConfig{Endpoints: endpoints, HTTPClient: &http.Client{Transport: transport}})
+	if err != nil {
+		return nil, fmt.Errorf("client of the callers: %w", err)
+	}
+	return &callers{size: config.Size, seed: config.Seed, book: book, client: client, closing: make(chan struct{})}, nil
+}
+
+// run hands in jobs until loading ends; following bounds their watching.
+func (c *callers) run(loading, following context.Context) {
+	var streams sync.WaitGroup
+	for number, one := range c.size.streams() {
+		streams.Go(func() { c.runStream(loading, following, one, uint64(number)) })
+	}
+	streams.Wait()
+}
+
+func (c *callers) runStream(loading, following context.Context, one stream, number uint64) {
+	random := rand.New(rand.NewPCG(c.seed, number))
+	ticker := time.NewTicker(one.pause)
+	defer ticker.Stop()
+	for count := 0; ; count++ {
+		select {
+		case <-loading.Done():
+			return
+		case <-ticker.C:
+			id := fmt.Sprintf("%s-%06d", one.name, count)
+			spec := one.job(random)
+			c.jobs.Go(func() { c.follow(following, id, spec, one.length) })
+		}
+	}
+}
+
+// finish cancels what is open and waits for the end of all jobs.
+func (c *callers) finish() {
+	close(c.closing)
+	c.jobs.Wait()
+}
+
+// follow hands in a job, leaves it alone for the time that it takes, and then
+// watches it until it is final. Polling it all the while would weigh on the
+// fleet more than its users do.
+func (c *callers) follow(ctx context.Context, id string, spec api.JobSpec, length time.Duration) {
+	if !c.submit(ctx, id, spec) {
+		return
+	}
+	expected := time.NewTimer(time.Duration(float64(length) * (1 + lengthSpread)))
+	defer expected.Stop()
+	closing := c.closing
+	select {
+	case <-expected.C:
+	case <-closing:
+	case <-ctx.Done():
+	}
+	for ctx.Err() == nil {
+		select {
+		case <-closing:
+			c.cancel(ctx, id)
+			closing = nil
+		default:
+		}
+		if c.poll(ctx, id).Final() {
+			return
+		}
+	}
+}
+
+func (c *callers) submit(ctx context.Context, id string, spec api.JobSpec) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry := ledger.Entry{Kind: ledger.KindSubmit, Sent: monoclock.Now(), JobID: id, Spec: &spec}
+	created, err := c.client.SubmitJob(ctx, id, spec)
+	entry.Created = created
+	c.note(entry, err)
+	return err == nil
+}
+
+func (c *callers) poll(ctx context.Context, id string) api.State {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry := ledger.Entry{Kind: ledger.KindPoll, Sent: monoclock.Now(), JobID: id, Wait: pollWait}
+	status, err := c.client.Job(ctx, id, pollWait)
+	entry.State = status.State
+	c.note(entry, err)
+	return status.State
+}
+
+func (c *callers) cancel(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry := ledger.Entry{Kind: ledger.KindCancel, Sent: monoclock.Now(), JobID: id}
+	status, err := c.client.CancelJob(ctx, id)
+	entry.State = status.State
+	c.note(entry, err)
+}
+
+func (c *callers) note(entry ledger.Entry, err error) {
+	entry.Answered = monoclock.Now()
+	entry.Code, entry.Error = operator.Refusal(err)
+	c.book.Add(entry)
+}
--- /dev/null
+++ b/lab/scale/observe.go
@@ -0,0 +1,101 @@
+package scale
+
+import (
+	"time"
+
+	"github.com/decklever/decklever/lab/check"
+	"github.com/decklever/decklever/lab/journal"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+const maxExamples = 10
+
+// addObserved adds what journals, ledger and checker say.
+func (r *run) addObserved(result *Result, observed check.Input) {
+	from, to := result.Window[0], result.Window[1]
+	first := firstStarts(observed.Lines)
+	started := 0
+	for _, line := range observed.Lines {
+		if line.Event == journal.EventStart && line.Mono >= from && line.Mono < to {
+			started++
+		}
+		if line.Event == journal.EventStart && line.Run > 1 {
+			result.Restarted++
+		}
+	}
+	result.StartsPerSecond = float64(started) / result.WindowSeconds
+	addDelays(result, observed.Entries, first)
+	checked := check.All(observed)
+	result.Violations = map[check.Promise]int{}
+	for _, violation := range checked.Violations {
+		result.Violations[violation.Promise]++
+	}
+	result.Examples = checked.Violations[:min(maxExamples, len(checked.Violations))]
+	for _, failure := range append(r.errors, r.journals.Errors()...) {
+		result.Errors = append(result.Errors, failure.Error())
+	}
+}
+
+// firstStarts returns the first start of each task.
+func firstStarts(lines []journal.Line) map[string]monoclock.Nanos {
+	first := map[string]monoclock.Nanos{}
+	for _, line := range lines {
+		if _, known := first[line.Task]; !known && line.Event == journal.EventStart {
+			first[line.Task] = line.Mono
+		}
+	}
+	return first
+}
+
+// addDelays measures the jobs handed in during the window, but for its last
+// seconds, whose tasks may be cancelled before they start.
+func addDelays(result *Result, entries []ledger.Entry, first map[string]monoclock.Nanos) {
+	const tail = 3 * time.Second
+	from, to := result.Window[0], result.Window[1].Add(-tail)
+	var plain, urgent, gangs, submits []time.Duration
+	for _, entry := range entries {
+		if entry.Kind != ledger.KindSubmit || !entry.Accepted() || entry.Sent < from || entry.Sent > to {
+			continue
+		}
+		submits = append(submits, entry.Answered.Sub(entry.Sent))
+		delays, unstarted := startDelays(entry, first)
+		result.Unstarted += unstarted
+		switch entry.Spec.Queue {
+		case queueUrgent:
+			urgent = append(urgent, delays...)
+		case queueGangs:
+			if unstarted == 0 {
+				gangs = append(gangs, longest(delays))
+			}
+		default:
+			plain = append(plain, delays...)
+		}
+	}
+	result.Plain, result.Urgent, result.Gangs = delaysOf(plain), delaysOf(urgent), delaysOf(gangs)
+	result.Submit = delaysOf(submits)
+}
+
+// startDelays returns the delay of each task of a job that started, and the
+// number of those that did not.
+func startDelays(entry ledger.Entry, first map[string]monoclock.Nanos) (delays []time.Duration, unstarted int) {
+	for _, step := range entry.Spec.Steps {
+		for index := range step.Tasks {
+			name := journal.TaskName{Job: entry.JobID, Step: step.Name, Index: index}
+			if at, known := first[name.String()]; known {
+				delays = append(delays, at.Sub(entry.Sent))
+			} else {
+				unstarted++
+			}
+		}
+	}
+	return delays, unstarted
+}
+
+func longest(delays []time.Duration) time.Duration {
+	var highest time.Duration
+	for _, delay := range delays {
+		highest = max(highest, delay)
+	}
+	return highest
+}
--- /dev/null
+++ b/lab/scale/scale_test.go
@@ -0,0 +1,109 @@
+package scale
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/lab/deployment"
+)
+
+func TestFitFindsTheSlopesThatMadeTheValues(t *testing.T) {
+	want := Fit{Base: 7, PerWorker: 0.05, PerTask: 0.002, PerStart: 0.3}
+	var values []float64
+	for _, size := range SweepSizes() {
+		values = append(values, want.At(size))
+	}
+	got, err := fit(SweepSizes(), values)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, pair := range [][2]float64{
+		{got.Base, want.Base}, {got.PerWorker, want.PerWorker}, {got.PerTask, want.PerTask}, {got.PerStart, want.PerStart}, {got.R2, 1},
+	} {
+		if math.Abs(pair[0]-pair[1]) > 1e-6 {
+			t.Errorf("fit is %+v, want %+v with R2 1", got, want)
+			break
+		}
+	}
+}
+
+func TestFitRefusesSizesThatDoNotTellTheFactorsApart(t *testing.T) {
+	same := []Size{TargetSize, TargetSize, TargetSize, TargetSize}
+	if _, err := fit(same, make([]float64, len(same))); !errors.Is(err, errSingular) {
+		t.Errorf("error is %v, want %v", err, errSingular)
+	}
+}
+
+func TestLayoutHasEachWorkerOnceAndRoomForAll(t *testing.T) {
+	for _, size := range SweepSizes() {
+		l := newLayout(Config{Size: size, Instance: 1}, "journals")
+		names, addresses, zonesSeen := map[string]bool{}, map[string]bool{}, map[string]bool{}
+		var cpu, devices int64
+		for _, worker := range l.workers {
+			names[worker.Name], zonesSeen[worker.Zone] = true, true
+			cpu += worker.Capacity.CPUMillis
+			devices += worker.Capacity.Accelerators
+		}
+		if len(names) != size.Workers || len(zonesSeen) != min(zones, size.Workers) {
+			t.Errorf("%+v: %d names in %d zones", size, len(names), len(zonesSeen))
+		}
+		if cpu < int64(size.Tasks)*taskCPU || devices != int64(size.accelerators()) || devices < int64(size.Gangs*size.GangSize) {
+			t.Errorf("%+v: room for %d tasks and %d devices", size, cpu/taskCPU, devices)
+		}
+		hollowNodes := 0
+		for _, spec := range l.hollow {
+			hollowNodes += len(spec.Nodes)
+		}
+		if hollowNodes != size.Workers-realNodes {
+			t.Errorf("%+v: %d hollow nodes", size, hollowNodes)
+		}
+		for _, process := range l.deployment.Processes {
+			if process.Role != deployment.RoleWorker && addresses[process.Address] {
+				t.Errorf("%+v: %s is used twice", size, process.Address)
+			}
+			addresses[process.Address] = true
+		}
+	}
+}
+
+func TestStreamsMakeTheRate(t *testing.T) {
+	for _, size := range SweepSizes() {
+		rate := 0.0
+		for _, one := range size.streams() {
+			if one.name != queueUrgent {
+				rate += float64(one.tasks) / one.pause.Seconds()
+			}
+		}
+		if math.Abs(rate-size.StartsPerSecond) > size.StartsPerSecond/1000 {
+			t.Errorf("%+v: %.2f starts a second", size, rate)
+		}
+	}
+}
+
+func TestReadingSumsTheSeriesWithTheLabels(t *testing.T) {
+	one := reading{metrics: map[string]float64{
+		"calls{method=watch,side=server}": 2, "calls{method=heartbeat,side=server}": 3, "calls{method=watch,side=client}": 5, "calls_other{side=server}": 7,
+	}}
+	if got := one.metric("calls", "side=server"); got != 5 {
+		t.Errorf("served calls are %v, want 5", got)
+	}
+	if got := one.metric("calls", "method=watch"); got != 7 {
+		t.Errorf("watch calls are %v, want 7", got)
+	}
+}
+
+func TestDelays(t *testing.T) {
+	var delays []time.Duration
+	for number := range 100 {
+		delays = append(delays, time.Duration(100-number)*time.Millisecond)
+	}
+	got := delaysOf(delays)
+	if want := (Delays{Count: 100, P50: 51, P95: 96, P99: 100, Max: 100}); got != want {
+		t.Errorf("delays are %+v, want %+v", got, want)
+	}
+	if none := delaysOf(nil); none != (Delays{}) {
+		t.Errorf("delays of nothing are %+v", none)
+	}
+}
--- /dev/null
+++ b/lab/scenario/booked.go
@@ -0,0 +1,206 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/load"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// Queues beside those of the deployment.
+const (
+	// queueOthers takes the ordinary load of the booked queue.
+	queueOthers      = "others"
+	queueFirm        = "firm-background"
+	queuePreemptible = "preemptible-background"
+	queueUnbooked    = "unbooked"
+)
+
+// The window and what is handed in at its start.
+const (
+	// windowAhead is how far ahead the booked minute lies at least.
+	windowAhead    = 30 * time.Second
+	windowDuration = 2 * time.Minute
+	bookingLead    = 25 * time.Second
+
+	// slicesPerWorker and slicesBooked: a slice is one of that many parts of a
+	// worker's room, and that many of the parts are booked on average.
+	slicesPerWorker = 64
+	slicesBooked    = 20
+	burstJobs       = deployment.Workers
+	// burstRun is so long that a burst cannot use its own room again.
+	burstRun     = 10 * time.Second
+	burstTimeout = 45 * time.Second
+)
+
+// The background: more than all the room, in tasks of twice a slice.
+const (
+	backgroundPerWorker = slicesPerWorker / 2
+	backgroundRoom      = backgroundPerWorker * deployment.Workers
+	backgroundTasks     = 16
+	// Firm tasks that were placed just before the lead end before the window.
+	firmMaxDuration = 20 * time.Second
+	firmShortest    = 12 * time.Second
+	firmLongest     = 18 * time.Second
+	preemptibleRun  = 60 * time.Second
+	// ordinaryPerSecond is the rate of each kind of ordinary job. The booked
+	// burst is to compete with the background, not with ordinary work.
+	ordinaryPerSecond = 0.25
+	// cancelWidth is how many jobs are cancelled at once.
+	cancelWidth = 16
+)
+
+// bookedRun is a full fleet at a booked moment.
+type bookedRun struct {
+	// queue has the booking, service is that of its tasks.
+	queue   string
+	service string
+}
+
+var (
+	swapsRun   = bookedRun{queue: "swaps", service: "swap"}
+	billingRun = bookedRun{queue: "billing", service: "bill"}
+)
+
+// prepare gives all queues the same priority, so that nothing but the booking
+// tells them apart, and keeps ordinary work out of the booked queue.
+func (b bookedRun) prepare(d *deployment.Deployment) {
+	for _, name := range []string{queueOthers, queueFirm, queuePreemptible, queueUnbooked} {
+		d.Config.Queues = append(d.Config.Queues, api.QueueConfig{Name: name})
+	}
+	for index := range d.Config.Queues {
+		d.Config.Queues[index].Priority = 0
+		d.Config.Queues[index].Weight = 0
+	}
+	for _, shape := range []*deployment.Shape{&d.Shapes.Short, &d.Shapes.Batch} {
+		shape.PerSecond = ordinaryPerSecond
+		if shape.Queue == b.queue {
+			shape.Queue = queueOthers
+		}
+	}
+}
+
+// run fills the fleet, books the next minute, and hands in two equal bursts
+// when it begins.
+func (b bookedRun) run(ctx context.Context, bench Bench) error {
+	moment := nextMinute(time.Now())
+	if err := b.book(ctx, bench, moment); err != nil {
+		return err
+	}
+	anchor := monoclock.NewAnchor()
+	background := b.background(bench.Fleet.Deployment(), bench.Seed, time.Until(moment))
+	for _, job := range background {
+		bench.Callers.HandIn(job)
+	}
+	if err := pause(ctx, time.Until(moment)); err != nil {
+		return err
+	}
+	bench.Callers.Mark(ledger.MarkBooked, anchor.At(moment))
+	err := b.burst(ctx, bench)
+	bench.Callers.Cancel(ctx, cancelWidth, idsOf(background))
+	return err
+}
+
+// nextMinute returns the first full minute that is far enough ahead.
+func nextMinute(now time.Time) time.Time {
+	earliest := now.Add(windowAhead)
+	return earliest.Add(time.Minute - time.Nanosecond).Truncate(time.Minute).UTC()
+}
+
+// book puts the configuration in force with the booking.
+func (b bookedRun) book(ctx context.Context, bench Bench, moment time.Time) error {
+	present, err := bench.Operator.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("read the configuration in force: %w", err)
+	}
+	index := slices.IndexFunc(present.Config.Queues, func(queue api.QueueConfig) bool { return queue.Name == b.queue })
+	if index < 0 {
+		return fmt.Errorf("the deployment %s has no queue %s", bench.Fleet.Deployment().Name, b.queue)
+	}
+	// The ledger keeps what was read.
+	present.Config.Queues = slices.Clone(present.Config.Queues)
+	present.Config.Queues[index].Bookings = []api.BookingConfig{b.booking(capacity(bench.Fleet.Deployment()), moment)}
+	if _, err := bench.Operator.Put(ctx, present.Version, "lab-booking", present.Config); err != nil {
+		return fmt.Errorf("put the booking: %w", err)
+	}
+	return nil
+}
+
+func (b bookedRun) booking(room api.Resources, moment time.Time) api.BookingConfig {
+	return api.BookingConfig{
+		Name: "lab", DailyAt: moment.Format("15:04"), TimeZone: "UTC",
+		Duration: api.Duration(windowDuration), Lead: api.Duration(bookingLead),
+		Slots: slicesBooked * deployment.Workers, Slice: part(room, slicesPerWorker), Service: b.service,
+	}
+}
+
+// capacity returns the room of one worker.
+func capacity(d deployment.Deployment) api.Resources {
+	return d.ByRole(deployment.RoleWorker)[0].Capacity
+}
+
+// background returns jobs that take all room until the bursts are over: half
+// of it firm, in turns, the other half preemptible, in one turn after the
+// other. Both queues wait for more than their half.
+func (b bookedRun) background(d deployment.Deployment, seed uint64, ahead time.Duration) []load.Job {
+	task := api.TaskSpec{Service: b.service, Resources: part(capacity(d), backgroundPerWorker)}
+	firm := kind{
+		name: "firm", class: ledger.ClassBackground, queue: queueFirm, tasks: backgroundTasks, task: task,
+		shortest: firmShortest, longest: firmLongest,
+	}
+	firm.task.MaxDuration = api.Duration(firmMaxDuration)
+	preemptible := kind{
+		name: "preemptible", class: ledger.ClassBackground, queue: queuePreemptible, tasks: backgroundTasks, task: task,
+		shortest: preemptibleRun, longest: preemptibleRun,
+	}
+	preemptible.task.Preemptible = true
+	needed := ahead + burstTimeout
+	return slices.Concat(
+		firm.jobs(seed, backgroundJobs(needed, firmShortest)),
+		preemptible.jobs(seed, backgroundJobs(needed, preemptibleRun)),
+	)
+}
+
+// backgroundJobs is the number of jobs with which tasks of that length take
+// all room for a time.
+func backgroundJobs(needed, length time.Duration) int {
+	turns := int(needed/length) + 1
+	return (turns*backgroundRoom + backgroundTasks - 1) / backgroundTasks
+}
+
+// bursts returns the jobs of both bursts, one of each in turn.
+func (b bookedRun) bursts(d deployment.Deployment, seed uint64) []load.Job {
+	booked := kind{
+		name: "booked", class: ledger.ClassBooked, queue: b.queue, tasks: slicesBooked,
+		task:     api.TaskSpec{Service: b.service, Resources: part(capacity(d), slicesPerWorker)},
+		shortest: burstRun, longest: burstRun,
+	}
+	unbooked := booked
+	unbooked.name, unbooked.class, unbooked.queue = "unbooked", ledger.ClassUnbooked, queueUnbooked
+	var jobs []load.Job
+	for number := range burstJobs {
+		jobs = append(jobs, booked.job(seed, number), unbooked.job(seed, number))
+	}
+	return jobs
+}
+
+// burst hands in both bursts at once and waits for their ends.
+func (b bookedRun) burst(ctx context.Context, bench Bench) error {
+	jobs := b.bursts(bench.Fleet.Deployment(), bench.Seed)
+	ctx, cancel := context.WithTimeout(ctx, burstTimeout)
+	defer cancel()
+	accepted := bench.Callers.HandInAll(ctx, len(jobs), jobs)
+	if len(accepted) < len(jobs) {
+		return fmt.Errorf("%d of %d jobs of the bursts were accepted", len(accepted), len(jobs))
+	}
+	if ended := bench.Callers.Watch(ctx, len(jobs), accepted); ended < len(jobs) {
+		return fmt.Errorf("%d of %d jobs of the bursts ended within %v", ended, len(jobs), burstTimeout)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/scenario/jobs.go
@@ -0,0 +1,68 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/load"
+)
+
+// kind is jobs that differ only in their ids and in how long their tasks run.
+type kind struct {
+	// name is a part of the ids.
+	name  string
+	class ledger.Class
+	queue string
+	// tasks is the number of tasks of a job.
+	tasks int
+	// task is each task, but for its payload.
+	task api.TaskSpec
+	// shortest and longest bound how long a task runs; the tasks of a job lie
+	// evenly between them.
+	shortest, longest time.Duration
+}
+
+// job returns the job of that number.
+func (k kind) job(seed uint64, number int) load.Job {
+	step := api.StepSpec{Name: "only"}
+	for index := range k.tasks {
+		task := k.task
+		task.Payload = sleepFor(k.shortest + (k.longest-k.shortest)*time.Duration(index)/time.Duration(k.tasks))
+		step.Tasks = append(step.Tasks, task)
+	}
+	return load.Job{
+		ID:    fmt.Sprintf("lab-%d-%s-%06d", seed, k.name, number+1),
+		Class: k.class,
+		Spec:  api.JobSpec{Queue: k.queue, Steps: []api.StepSpec{step}},
+	}
+}
+
+// jobs returns the first jobs of a kind.
+func (k kind) jobs(seed uint64, count int) []load.Job {
+	var all []load.Job
+	for number := range count {
+		all = append(all, k.job(seed, number))
+	}
+	return all
+}
+
+// sleepFor is the payload of the reference worker's sleep handler.
+func sleepFor(length time.Duration) json.RawMessage {
+	return fmt.Appendf(nil, `{"millis":%d}`, length.Milliseconds())
+}
+
+func idsOf(jobs []load.Job) []string {
+	var ids []string
+	for _, job := range jobs {
+		ids = append(ids, job.ID)
+	}
+	return ids
+}
+
+// part returns an equal part of a worker's room.
+func part(room api.Resources, parts int64) api.Resources {
+	return api.Resources{CPUMillis: room.CPUMillis / parts, MemoryMB: room.MemoryMB / parts}
+}
--- /dev/null
+++ b/lab/scenario/jobs_test.go
@@ -0,0 +1,116 @@
+package scenario
+
+import (
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/load"
+)
+
+// prepared returns a deployment as a scenario changes it.
+func prepared(t *testing.T, name string, prepare func(*deployment.Deployment)) deployment.Deployment {
+	t.Helper()
+	d, err := deployment.New(name, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	prepare(&d)
+	if wrong := api.ValidateConfig(&d.Config); len(wrong) != 0 {
+		t.Fatalf("the prepared configuration is wrong: %v", wrong)
+	}
+	return d
+}
+
+// valid asserts that all jobs are taken and that no id comes twice. It returns
+// the number of tasks and their room by class.
+func valid(t *testing.T, d deployment.Deployment, jobs []load.Job) (map[ledger.Class]int, map[ledger.Class]api.Resources) {
+	t.Helper()
+	ids := map[string]bool{}
+	tasks, room := map[ledger.Class]int{}, map[ledger.Class]api.Resources{}
+	for _, job := range jobs {
+		if wrong := api.ValidateJob(job.ID, &job.Spec, &d.Config); len(wrong) != 0 || ids[job.ID] {
+			t.Fatalf("%s is doubled or wrong: %v", job.ID, wrong)
+		}
+		ids[job.ID] = true
+		for _, task := range job.Spec.Steps[0].Tasks {
+			tasks[job.Class]++
+			room[job.Class] = room[job.Class].Add(task.Resources)
+		}
+	}
+	return tasks, room
+}
+
+func TestBurstsAreEqualAndAsLargeAsTheBooking(t *testing.T) {
+	for name, run := range map[string]bookedRun{"restrepo": swapsRun, "cartago": billingRun} {
+		d := prepared(t, name, run.prepare)
+		booking := run.booking(capacity(d), time.Unix(60, 0).UTC())
+		tasks, room := valid(t, d, run.bursts(d, 1))
+		if tasks[ledger.ClassBooked] != booking.Slots || tasks[ledger.ClassUnbooked] != booking.Slots {
+			t.Errorf("%s: bursts of %v tasks, want %d", name, tasks, booking.Slots)
+		}
+		if room[ledger.ClassBooked] != room[ledger.ClassUnbooked] || booking.DailyAt != "00:01" {
+			t.Errorf("%s: bursts take %v, the booking is at %s", name, room, booking.DailyAt)
+		}
+		for _, queue := range d.Config.Queues {
+			if queue.Priority != 0 {
+				t.Errorf("%s: the queue %s has the priority %d", name, queue.Name, queue.Priority)
+			}
+		}
+		if d.Shapes.Short.Queue == run.queue || d.Shapes.Batch.Queue == run.queue {
+			t.Errorf("%s: ordinary work is handed in for the booked queue", name)
+		}
+	}
+}
+
+func TestBackgroundTakesAllRoomUntilTheBurstsAreOver(t *testing.T) {
+	d := prepared(t, "cartago", billingRun.prepare)
+	jobs := billingRun.background(d, 1, 90*time.Second)
+	_, room := valid(t, d, jobs)
+	turns := room[ledger.ClassBackground].CPUMillis / (capacity(d).CPUMillis * deployment.Workers)
+	least := int64((90*time.Second+burstTimeout)/firmShortest) + int64((90*time.Second+burstTimeout)/preemptibleRun)
+	if turns < least {
+		t.Errorf("the background fills the fleet %d times, want %d", turns, least)
+	}
+	firm, preemptible := jobs[0].Spec.Steps[0].Tasks[0], jobs[len(jobs)-1].Spec.Steps[0].Tasks[0]
+	if firm.Preemptible || firm.MaxDuration.Std() >= bookingLead || !preemptible.Preemptible {
+		t.Errorf("tasks are %+v and %+v", firm, preemptible)
+	}
+}
+
+func TestBookedMinuteLiesFarEnoughAhead(t *testing.T) {
+	for ahead, want := range map[time.Duration]time.Duration{
+		0: time.Minute, 30 * time.Second: time.Minute, 30*time.Second + 1: 2 * time.Minute, 59 * time.Second: 2 * time.Minute,
+	} {
+		if got := nextMinute(time.Unix(0, 0).Add(ahead)); !got.Equal(time.Unix(0, 0).Add(want)) {
+			t.Errorf("%v after the minute: %v, want %v", ahead, got, want)
+		}
+	}
+}
+
+func TestFloodRefusesAllButWhatItCancels(t *testing.T) {
+	d := prepared(t, "restrepo", prepareFlood)
+	kinds := floodKinds(d)
+	next := kinds.nextRefused(1)
+	ids := map[string]bool{}
+	classes := map[ledger.Class]int{}
+	for number := range 300 {
+		job := next(number)
+		ids[job.ID] = true
+		classes[job.Class]++
+	}
+	if len(ids) != 300 || classes[ledger.ClassImpossible] != 200 || classes[ledger.ClassOverQuota] != 100 {
+		t.Errorf("%d ids, classes %v", len(ids), classes)
+	}
+	if tasks, _ := valid(t, d, kinds.discarded.jobs(1, 5)); tasks[ledger.ClassDiscarded] != 5 {
+		t.Errorf("tasks to be cancelled are %v", tasks)
+	}
+	if kinds.filler.tasks != quotaTasks || kinds.filler.tasks-1+overQuotaTasks <= quotaTasks {
+		t.Error("a job fits beside the one that fills the quota")
+	}
+	if large := kinds.refused[1].task.Resources; large.Fits(capacity(d)) {
+		t.Errorf("%+v fits on a worker", large)
+	}
+}
--- /dev/null
+++ b/lab/scenario/operators.go
@@ -0,0 +1,201 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/fleet"
+	"github.com/decklever/decklever/lab/operator"
+	"github.com/decklever/decklever/lab/relay"
+)
+
+const (
+	// orderTimeout bounds one try of an operator; afterwards the same order is
+	// sent again.
+	orderTimeout = 5 * time.Second
+	// racePause lies between two races.
+	racePause = 200 * time.Millisecond
+	// lostAnswersTime and lostAnswersPause are how long answers to the fronts
+	// are lost, and the time between.
+	lostAnswersTime  = 1500 * time.Millisecond
+	lostAnswersPause = 2500 * time.Millisecond
+	// manyConfigs is how many configurations a scheduler misses.
+	manyConfigs = 300
+	// tagBase is added to a number for a bound that no load reaches, by which
+	// configurations are told apart.
+	tagBase = 60_000
+	// catchUpTimeout bounds the wait for a scheduler to have all of the log.
+	catchUpTimeout = 20 * time.Second
+)
+
+// random returns a source that depends on the seed and a name.
+func random(bench Bench, name string) *rand.Rand {
+	var stream uint64
+	for _, letter := range name {
+		stream = stream*31 + uint64(letter)
+	}
+	return rand.New(rand.NewPCG(bench.Seed, stream))
+}
+
+// tagged returns the configuration with a content that no other has.
+func tagged(config api.Config, tag int) api.Config {
+	config.Queues = append([]api.QueueConfig(nil), config.Queues...)
+	config.Queues[0].MaxPendingTasks = tagBase + tag
+	return config
+}
+
+// putTagged puts the configuration in force with another tag.
+func putTagged(ctx context.Context, bench Bench, orderID string, tag int) error {
+	present, err := bench.Operator.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("read the configuration in force: %w", err)
+	}
+	if _, err := bench.Operator.Put(ctx, present.Version, orderID, tagged(present.Config, tag)); err != nil {
+		return fmt.Errorf("put order %s: %w", orderID, err)
+	}
+	return nil
+}
+
+// order is one operator's order, as it was first sent.
+type order struct {
+	id     string
+	base   uint64
+	config api.Config
+}
+
+// insist sends an order until there is a plain answer or the context ends.
+func insist(ctx context.Context, desk *operator.Operator, one order) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, orderTimeout)
+		_, err := desk.Put(limited, one.base, one.id, one.config)
+		cancel()
+		var refusal *api.Error
+		if err == nil || (errors.As(err, &refusal) && refusal.Code != api.CodeUnavailable && refusal.Code != api.CodeOutcomeUnknown) {
+			return
+		}
+	}
+}
+
+// raceOperators has two operators order on the same base again and again, and
+// send old orders once more, while answers to the fronts get lost.
+func raceOperators(ctx context.Context, bench Bench) error {
+	racing, cancel := context.WithTimeout(ctx, bench.Duration*3/4)
+	defer cancel()
+	var losing sync.WaitGroup
+	defer losing.Wait()
+	losing.Go(func() { loseAnswers(racing, bench) })
+	rivals{bench, random(bench, "race"), 0}.race(ctx, racing)
+	return ctx.Err()
+}
+
+// rivals are two operators who order on the same bases.
+type rivals struct {
+	bench Bench
+	draw  *rand.Rand
+	// firstTag is that of the first order; each order has one of its own.
+	firstTag int
+}
+
+// race runs until racing ends; orders sent by then are still insisted on.
+func (r rivals) race(ctx, racing context.Context) {
+	var sent []order
+	for round := 0; pause(racing, racePause) == nil; round++ {
+		present, err := r.bench.Operator.Read(racing)
+		if err != nil {
+			continue
+		}
+		var orders []order
+		for rival := range 2 {
+			tag := r.firstTag + 2*round + rival
+			orders = append(orders, order{fmt.Sprintf("lab-race-%d", tag), present.Version, tagged(present.Config, tag)})
+		}
+		if len(sent) > 0 {
+			orders = append(orders, sent[r.draw.IntN(len(sent))])
+		}
+		var sending sync.WaitGroup
+		for _, one := range orders {
+			sending.Go(func() { insist(ctx, r.bench.Operator, one) })
+		}
+		sending.Wait()
+		sent = append(sent, orders[:2]...)
+	}
+}
+
+// loseAnswers cuts the way of answers to the fronts now and then.
+func loseAnswers(ctx context.Context, bench Bench) {
+	var answers []relay.Link
+	for _, scheduler := range bench.Fleet.ByRole(deployment.RoleScheduler) {
+		for _, front := range bench.Fleet.ByRole(deployment.RoleFront) {
+			answers = append(answers, relay.Link{From: scheduler.Spec.Name, To: front.Spec.Name})
+		}
+	}
+	for pause(ctx, lostAnswersPause) == nil {
+		heal := bench.Fleet.Cut(answers...)
+		_ = pause(ctx, lostAnswersTime) // a cut that is over early is healed all the same
+		heal()
+	}
+}
+
+// manyConfigurations has a scheduler miss 300 configurations. Once it has
+// caught up the leading one is killed, so that the service hangs on it, and the
+// first of the orders is sent again.
+func manyConfigurations(ctx context.Context, bench Bench) error {
+	leading, err := leader(ctx, bench)
+	if err != nil {
+		return err
+	}
+	away := othersOf(bench, leading)[bench.Seed%2]
+	if err := away.Kill(); err != nil {
+		return err
+	}
+	first, err := putMany(ctx, bench)
+	if err != nil {
+		return err
+	}
+	if err := startAll(ctx, []*fleet.Process{away}); err != nil {
+		return err
+	}
+	if err := waitCaughtUp(ctx, bench, away); err != nil {
+		return err
+	}
+	if err := leading.Kill(); err != nil {
+		return err
+	}
+	insist(ctx, bench.Operator, first)
+	if _, err := bench.Operator.Read(ctx); err != nil {
+		return fmt.Errorf("read after the restart: %w", err)
+	}
+	return startAll(ctx, []*fleet.Process{leading})
+}
+
+// putMany puts configurations one after the other; it returns the first order.
+func putMany(ctx context.Context, bench Bench) (order, error) {
+	present, err := bench.Operator.Read(ctx)
+	if err != nil {
+		return order{}, fmt.Errorf("read the configuration in force: %w", err)
+	}
+	first := order{"lab-many-0", present.Version, tagged(present.Config, 0)}
+	base := present.Version
+	for number := range manyConfigs {
+		version, err := bench.Operator.Put(ctx, base, fmt.Sprintf("lab-many-%d", number), tagged(present.Config, number))
+		if err != nil {
+			return order{}, fmt.Errorf("put configuration %d of %d: %w", number+1, manyConfigs, err)
+		}
+		base = version
+	}
+	return first, nil
+}
+
+// waitCaughtUp waits until a scheduler has what was committed when the wait
+// began.
+func waitCaughtUp(ctx context.Context, bench Bench, scheduler *fleet.Process) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return bench.Fleet.WaitMatched(ctx, scheduler)
+}
--- /dev/null
+++ b/lab/trial/rollout.go
@@ -0,0 +1,29 @@
+package trial
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// rolloutInterval is the pause between two reads of the rollout.
+	rolloutInterval = 500 * time.Millisecond
+	rolloutTimeout  = 3 * time.Second
+)
+
+// watchRollout has the ledger note which process has which configuration in
+// force, until the context ends.
+func (t *trial) watchRollout(ctx context.Context) {
+	ticker := time.NewTicker(rolloutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			limited, cancel := context.WithTimeout(ctx, rolloutTimeout)
+			_, _ = t.desk.Rollout(limited) // the ledger has the failure
+			cancel()
+		}
+	}
+}
--- a/lab/trial/workers.go
+++ b/lab/trial/workers.go
@@ -7,6 +7,15 @@
 	"github.com/decklever/decklever/lab/deployment"
 )
 
+// schedulers names the schedulers of a deployment.
+func schedulers(d deployment.Deployment) []string {
+	var names []string
+	for _, scheduler := range d.ByRole(deployment.RoleScheduler) {
+		names = append(names, scheduler.Name)
+	}
+	return names
+}
+
 // workers is what the checker must know of a deployment's workers.
 func workers(d deployment.Deployment) []check.Worker {
 	agents := map[string]string{}
