Let a caller of a cut-off front reach another one in time

With a zone cut off, reads took up to 5.2 s beyond their wait: a held try went on for 3 s although the link was no longer fresh, the client then waited as long as the front had asked before it went to another front, and there it waited anew. A held try now ends when the link goes stale, the client tries each front once before it heeds a pause, and asks for what is left of its wait.

--- a/api/client.go
+++ b/api/client.go
@@ -106,6 +106,8 @@
 	body   []byte
 	// held is how long the front may hold its answer.
 	held time.Duration
+	// renew changes the call before each try, as time passes. Optional.
+	renew func(*clientCall)
 	// effect: the call changes something, so a lost answer leaves its outcome
 	// unknown.
 	effect bool
@@ -117,6 +119,9 @@
 	endpoint := c.current.Load()
 	maybeDone := false
 	for attempt := 0; ; attempt++ {
+		if call.renew != nil {
+			call.renew(&call)
+		}
 		failure := c.try(ctx, c.endpoints[endpoint], call, into)
 		if failure == nil || failure.Status != http.StatusServiceUnavailable {
 			c.current.Store(endpoint)
@@ -125,7 +130,7 @@
 			return nil
 		}
 		maybeDone = maybeDone || failure.Code == CodeOutcomeUnknown
-		if failure.Status == http.StatusServiceUnavailable && pause(ctx, retryPause(attempt, failure)) {
+		if failure.Status == http.StatusServiceUnavailable && pause(ctx, c.retryPause(attempt, failure)) {
 			endpoint = (endpoint + 1) % int64(len(c.endpoints))
 			continue
 		}
@@ -208,9 +213,14 @@
 
 // retryPause is the pause before the next try: what the front asked for, or
 // an exponential backoff; between a half and the whole of it, so that
-// clients spread.
-func retryPause(attempt int, failure *Error) time.Duration {
-	if failure.RetryAfterMillis > 0 {
+// clients spread. What a front asked for is for that front: until each one was
+// tried, the next is tried after the first backoff.
+func (c *Client) retryPause(attempt int, failure *Error) time.Duration {
+	triedAll := (attempt+1)%len(c.endpoints) == 0
+	if !triedAll {
+		attempt = 0
+	}
+	if failure.RetryAfterMillis > 0 && triedAll {
 		asked := min(time.Duration(failure.RetryAfterMillis)*time.Millisecond, maxRetryAfter)
 		return asked + rand.N(asked/4+1)
 	}
--- a/api/client_calls.go
+++ b/api/client_calls.go
@@ -47,10 +47,13 @@
 // Job reads a job. With a wait, at most MaxWait, the answer is held until the
 // job is final or the wait is over.
 func (c *Client) Job(ctx context.Context, id string, wait time.Duration) (JobStatus, error) {
+	end := time.Now().Add(min(wait, MaxWait))
 	call := clientCall{method: http.MethodGet, path: jobPath(id)}
 	if wait > 0 {
-		call.held = min(wait, MaxWait)
-		call.path += "?wait=" + call.held.String()
+		call.renew = func(call *clientCall) {
+			call.held = max(0, time.Until(end)).Round(time.Millisecond)
+			call.path = jobPath(id) + "?wait=" + call.held.String()
+		}
 	}
 	var answer JobStatus
 	err := c.do(ctx, call, &answer)
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -26,6 +27,8 @@
 	// front may be cut off, and another one may not be, so that the caller is
 	// better told at once to go there.
 	staleDeadline = time.Second
+	// staleCheck is how often a held try looks whether the link is still fresh.
+	staleCheck = 100 * time.Millisecond
 	// promptRedirects is how many hints of one call are followed without a
 	// pause; schedulers that name each other would otherwise be asked without
 	// end.
@@ -91,9 +94,32 @@
 func tryOnce[Request, Answer any](ctx context.Context, f *Front, address string, call relayCall[Request]) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout+call.held)
 	defer cancel()
+	if call.held > 0 {
+		defer cancelWhenStale(ctx, f.link, cancel)()
+	}
 	return rpc.Call[Request, Answer](ctx, f.client, address, call.method, call.request)
 }
 
+// cancelWhenStale ends a held try when the link stops being fresh: the answer is
+// then not just held, there is nobody to give it. It returns what ends the
+// watching.
+func cancelWhenStale(ctx context.Context, link Link, cancel context.CancelFunc) func() {
+	ctx, stop := context.WithCancel(ctx)
+	wasFresh := link.Fresh()
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		for wasFresh && link.Fresh() && sleep(ctx, staleCheck) {
+		}
+		if wasFresh && ctx.Err() == nil && !link.Fresh() {
+			cancel()
+		}
+	})
+	return func() {
+		stop()
+		watching.Wait()
+	}
+}
+
 // relayTries remembers what the tries of one call came to.
 type relayTries struct {
 	front   *Front
