--- a/lab/fleet/links_test.go
+++ b/lab/fleet/links_test.go
@@ -12,10 +12,14 @@
 	"github.com/decklever/decklever/lab/relay"
 )
 
+// listeningInstance has the addresses on which these tests listen: the last one,
+// which a fleet started beside them hardly uses.
+const listeningInstance = 24
+
 // testFleet is a fleet of programs that are never started.
 func testFleet(t *testing.T, book *ledger.Ledger) *Fleet {
 	t.Helper()
-	d, err := deployment.New("cartago", 3)
+	d, err := deployment.New("cartago", listeningInstance)
 	if err != nil {
 		t.Fatal(err)
 	}
