--- a/internal/cli/queue_show.go
+++ b/internal/cli/queue_show.go
@@ -102,13 +102,15 @@
 	}
 	details := queueDetails{Status: api.QueueStatus{Name: name}}
 	details.Bookings = windowsOf(bookings, func(window api.BookingStatus) bool { return window.Queue == name })
-	configAt := slices.IndexFunc(config.Config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
+	// What counts is what is in force, defaults included.
+	effective := config.Config.WithDefaults()
+	configAt := slices.IndexFunc(effective.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
 	statusAt := slices.IndexFunc(queues.Queues, func(queue api.QueueStatus) bool { return queue.Name == name })
 	if configAt < 0 && statusAt < 0 {
 		return details, notThere("queue", name)
 	}
 	if configAt >= 0 {
-		details.Config = &config.Config.Queues[configAt]
+		details.Config = &effective.Queues[configAt]
 	}
 	if statusAt >= 0 {
 		details.Status = queues.Queues[statusAt]
