Let the programs share how they start, log and report health

The four programs had the same command, health loop and change of log level word for word. They are one function each now; behaviour is as before: wrong settings exit 2 with one line, and the tests are unchanged.

--- a/cmd/decklever-front/main.go
+++ b/cmd/decklever-front/main.go
@@ -3,30 +3,20 @@
 package main
 
 import (
-	"github.com/spf13/cobra"
+	"context"
 
 	"github.com/decklever/decklever/internal/daemon"
 	"github.com/decklever/decklever/internal/settings"
 )
 
 func main() {
-	command := &cobra.Command{
-		Use:   program,
-		Short: "HTTP interface of decklever for callers and operators",
-		Args:  cobra.NoArgs,
-	}
-	settings.BindFlags[settings.Front](command.Flags())
-	command.RunE = func(command *cobra.Command, _ []string) error {
-		options := settings.LoadOptions{Flags: command.Flags()}
-		initial, err := settings.Load[settings.Front](options)
-		if err != nil {
-			return err
-		}
-		process, err := newProcess(initial, options)
-		if err != nil {
-			return err
-		}
-		return process.run(command.Context())
+	daemon.Main(daemon.Command(program, "HTTP interface of decklever for callers and operators", start))
+}
+
+func start(ctx context.Context, initial settings.Front, options settings.LoadOptions) error {
+	process, err := newProcess(initial, options)
+	if err != nil {
+		return err
 	}
-	daemon.Main(command)
+	return process.run(ctx)
 }
--- a/cmd/decklever-front/process.go
+++ b/cmd/decklever-front/process.go
@@ -17,8 +17,6 @@
 
 const (
 	program = "decklever-front"
-	// healthInterval is the pause between two looks at the link to the leader.
-	healthInterval = 100 * time.Millisecond
 	// leaderPart names the link to the leader in /readyz.
 	leaderPart = "leader"
 )
@@ -99,13 +97,9 @@
 	})
 }
 
-// apply puts in force what can change while the process runs. The log level
-// has been checked with the other settings.
+// apply puts in force what can change while the process runs.
 func (p *process) apply(changed settings.Front) {
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(changed.Log.Level)); err == nil {
-		p.level.Set(level)
-	}
+	telemetry.SetLevel(p.level, changed.Log.Level)
 	p.seeds.Store(&changed.Seeds)
 	p.link.SetZone(changed.Zone)
 	p.front.Apply(front.Settings{Deadline: changed.Deadline.Std(), MaxInflight: changed.MaxInflight})
@@ -113,16 +107,7 @@
 
 // watchHealth keeps /readyz in step with the link to the leader.
 func (p *process) watchHealth(ctx context.Context) error {
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			p.checkHealth()
-		}
-	}
+	return p.health.Watch(ctx, p.checkHealth)
 }
 
 func (p *process) checkHealth() {
--- a/cmd/decklever-scheduler/main.go
+++ b/cmd/decklever-scheduler/main.go
@@ -3,30 +3,20 @@
 package main
 
 import (
-	"github.com/spf13/cobra"
+	"context"
 
 	"github.com/decklever/decklever/internal/daemon"
 	"github.com/decklever/decklever/internal/settings"
 )
 
 func main() {
-	command := &cobra.Command{
-		Use:   program,
-		Short: "Scheduler of decklever: keeps the record, places work while it leads",
-		Args:  cobra.NoArgs,
-	}
-	settings.BindFlags[settings.Scheduler](command.Flags())
-	command.RunE = func(command *cobra.Command, _ []string) error {
-		options := settings.LoadOptions{Flags: command.Flags()}
-		initial, err := settings.Load[settings.Scheduler](options)
-		if err != nil {
-			return err
-		}
-		process, err := newProcess(initial, options)
-		if err != nil {
-			return err
-		}
-		return process.run(command.Context())
+	daemon.Main(daemon.Command(program, "Scheduler of decklever: keeps the record, places work while it leads", start))
+}
+
+func start(ctx context.Context, initial settings.Scheduler, options settings.LoadOptions) error {
+	process, err := newProcess(initial, options)
+	if err != nil {
+		return err
 	}
-	daemon.Main(command)
+	return process.run(ctx)
 }
--- a/cmd/decklever-scheduler/process.go
+++ b/cmd/decklever-scheduler/process.go
@@ -24,8 +24,6 @@
 
 const (
 	program = "decklever-scheduler"
-	// healthInterval is the pause between two looks at the log.
-	healthInterval = 100 * time.Millisecond
 	// logPart names the replicated log in /readyz.
 	logPart = "log"
 )
@@ -144,13 +142,9 @@
 	})
 }
 
-// apply puts in force what can change while the process runs. The log level
-// has been checked with the other settings.
+// apply puts in force what can change while the process runs.
 func (p *process) apply(changed settings.Scheduler) {
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(changed.Log.Level)); err == nil {
-		p.level.Set(level)
-	}
+	telemetry.SetLevel(p.level, changed.Log.Level)
 	p.wallOffset.Store(int64(changed.Test.WallClockOffset.Std()))
 	if p.replica != nil {
 		p.replica.SetSeeds(changed.Seeds)
@@ -160,16 +154,7 @@
 
 // watchHealth keeps /readyz in step with the log.
 func (p *process) watchHealth(ctx context.Context) error {
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			p.checkHealth()
-		}
-	}
+	return p.health.Watch(ctx, p.checkHealth)
 }
 
 // checkHealth: a scheduler is ready while it knows a leader.
--- a/cmd/decklever-worker/process.go
+++ b/cmd/decklever-worker/process.go
@@ -23,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	level := new(slog.LevelVar)
-	setLevel(level, initial)
+	telemetry.SetLevel(level, initial.Log.Level)
 	logger := telemetry.NewLogger(telemetry.LoggerConfig{
 		Level: level, Format: initial.Log.Format, Program: program, Process: initial.Name,
 	})
@@ -66,18 +66,10 @@
 	err := settings.Watch(ctx, settings.WatchConfig[settings.Worker]{
 		Options: options,
 		Initial: initial,
-		Apply:   func(changed settings.Worker) { setLevel(level, changed) },
+		Apply:   func(changed settings.Worker) { telemetry.SetLevel(level, changed.Log.Level) },
 		Logger:  logger,
 	})
 	if err != nil {
 		logger.Error("settings are not watched", slog.Any("error", err))
 	}
 }
-
-// setLevel puts the log level in force; it has been checked with the settings.
-func setLevel(level *slog.LevelVar, changed settings.Worker) {
-	var parsed slog.Level
-	if err := parsed.UnmarshalText([]byte(changed.Log.Level)); err == nil {
-		level.Set(parsed)
-	}
-}
--- a/internal/telemetry/health.go
+++ b/internal/telemetry/health.go
@@ -1,9 +1,11 @@
 package telemetry
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // PartStatus is one part of a process, as its last SetReady said.
@@ -52,3 +54,21 @@
 	slices.SortFunc(status.Parts, func(a, b PartStatus) int { return strings.Compare(a.Part, b.Part) })
 	return status
 }
+
+// checkInterval is the pause between two looks of Watch.
+const checkInterval = 100 * time.Millisecond
+
+// Watch calls check, which calls SetReady, again and again until the context
+// ends; it returns nil.
+func (h *Health) Watch(ctx context.Context, check func()) error {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			check()
+		}
+	}
+}
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -58,3 +58,12 @@
 	}
 	return origin
 }
+
+// SetLevel changes the level to one that the settings name and have checked;
+// anything else changes nothing.
+func SetLevel(level *slog.LevelVar, name string) {
+	var changed slog.Level
+	if err := changed.UnmarshalText([]byte(name)); err == nil {
+		level.Set(changed)
+	}
+}
