Wait in one place, and tick in one place

Eight packages had the same wait that ends early with a context, and the leader had the same ticker loop twice. internal/wait and leader.every serve them now; package api keeps its own, since it imports nothing internal. Behaviour is as before; no test assertion changed.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/wait"
 )
 
 // Config is what the command reads, writes and uses.
@@ -90,7 +91,7 @@
 		config.now = time.Now
 	}
 	if config.sleep == nil {
-		config.sleep = sleep
+		config.sleep = wait.For
 	}
 	if config.completionTimeout == 0 {
 		config.completionTimeout = defaultCompletionTimeout
--- a/internal/cli/config_rollout.go
+++ b/internal/cli/config_rollout.go
@@ -96,15 +96,3 @@
 	}
 	return &failure{code: ExitUnavailable, text: text}
 }
-
-// sleep waits, and reports whether the context still goes on afterwards.
-func sleep(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -12,6 +12,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/wait"
 )
 
 const (
@@ -233,12 +234,5 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= length {
 		return false
 	}
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, length)
 }
--- a/internal/leaderlink/link.go
+++ b/internal/leaderlink/link.go
@@ -12,6 +12,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/wait"
 )
 
 const (
@@ -82,7 +83,7 @@
 	pause.MaxInterval = longestRetryPause
 	for ctx.Err() == nil {
 		l.round(ctx, pause)
-		sleep(ctx, roundPause)
+		wait.For(ctx, roundPause)
 	}
 	return nil
 }
@@ -102,7 +103,7 @@
 		pause.Reset()
 		return
 	}
-	sleep(ctx, pause.NextBackOff())
+	wait.For(ctx, pause.NextBackOff())
 }
 
 func (l *Link) endRound() {
@@ -313,12 +314,3 @@
 }
 
 func (l *Link) now() time.Duration { return time.Since(l.started) }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/leaderlink/link_test.go
+++ b/internal/leaderlink/link_test.go
@@ -12,6 +12,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/wait"
 )
 
 const hold = 1500 * time.Millisecond
@@ -44,7 +45,7 @@
 	if address != leader {
 		return fleet.WatchAnswer{}, &rpc.Error{Code: rpc.CodeNotLeader, LeaderAddress: leader}
 	}
-	sleep(ctx, time.Duration(request.MaxWaitMillis)*time.Millisecond)
+	wait.For(ctx, time.Duration(request.MaxWaitMillis)*time.Millisecond)
 	if ctx.Err() != nil {
 		return fleet.WatchAnswer{}, &rpc.Error{Code: rpc.CodeTransport}
 	}
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -9,6 +9,7 @@
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/raft"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/wait"
 )
 
 const (
@@ -69,8 +70,8 @@
 				r.logger.Info("waits to form a cluster", "missing", decision.missing)
 			}
 		}
-		if err := sleep(ctx, formationInterval); err != nil {
-			return err
+		if !wait.For(ctx, formationInterval) {
+			return ctx.Err()
 		}
 	}
 }
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -10,6 +10,7 @@
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/raft"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/wait"
 )
 
 const (
@@ -49,7 +50,7 @@
 			lastLed = r.now()
 			r.warnIfReplaced(ctx)
 		}
-		if sleep(ctx, interval) != nil {
+		if !wait.For(ctx, interval) {
 			return
 		}
 	}
--- a/internal/replica/sendsnapshot.go
+++ b/internal/replica/sendsnapshot.go
@@ -10,6 +10,7 @@
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/raft"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/wait"
 )
 
 const (
@@ -93,8 +94,8 @@
 // awaitInstalled repeats the last chunk until the receiver is done with it.
 func (r *Replica) awaitInstalled(ctx context.Context, address string, last fleet.SnapshotChunkRequest) error {
 	for {
-		if err := sleep(ctx, installPoll); err != nil {
-			return err
+		if !wait.For(ctx, installPoll) {
+			return ctx.Err()
 		}
 		installed, err := r.sendChunk(ctx, address, last)
 		if err != nil || installed {
@@ -102,15 +103,3 @@
 		}
 	}
 }
-
-// sleep returns early with the context's error.
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/scheduler/expire.go
+++ b/internal/scheduler/expire.go
@@ -8,27 +8,15 @@
 )
 
 const (
+	// expireInterval is the pause between two looks at the archive.
 	expireInterval = 10 * time.Second
 	// expireBatch bounds what one log entry drops from the archive.
 	expireBatch = 1000
 )
 
-// expireLoop drops archived jobs beyond their retention in bounded batches.
-func (l *leader) expireLoop() {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-l.context.Done():
-			return
-		case <-ticker.C:
-			l.expireArchive()
-		}
-	}
-}
-
-// expireArchive proposes a drop only if the oldest job is beyond retention, so
-// that an idle archive adds nothing to the log.
+// expireArchive drops a bounded batch of archived jobs beyond their retention.
+// It proposes a drop only if the oldest job is beyond retention, so that an idle
+// archive adds nothing to the log.
 func (l *leader) expireArchive() {
 	l.mu.Lock()
 	retention := l.config.Timings.Retention.Std()
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -121,10 +121,10 @@
 	defer stopObserving()
 	ready()
 	var loops sync.WaitGroup
-	loops.Go(l.tickLoop)
+	loops.Go(func() { l.every(tickInterval, l.tick) })
 	loops.Go(l.planLoop)
 	loops.Go(l.proposeLoop)
-	loops.Go(l.expireLoop)
+	loops.Go(func() { l.every(expireInterval, l.expireArchive) })
 	<-l.context.Done()
 	loops.Wait()
 }
@@ -192,20 +192,21 @@
 	return record.Result{}, false
 }
 
-// tickLoop looks at holds, timed starts and drains.
-func (l *leader) tickLoop() {
-	ticker := time.NewTicker(tickInterval)
+// every does some work again and again until the term ends.
+func (l *leader) every(interval time.Duration, work func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-l.context.Done():
 			return
 		case <-ticker.C:
-			l.tick()
+			work()
 		}
 	}
 }
 
+// tick looks at holds, drains, bookings and timed starts.
 func (l *leader) tick() {
 	clusterNow := l.log.Now()
 	l.mu.Lock()
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,20 @@
+// Package wait has the one wait that ends early with a context.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits, and reports whether the whole length passed: false means that the
+// context ended before.
+func For(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/wait"
 	"github.com/decklever/decklever/lab/ledger"
 	"github.com/decklever/decklever/lab/monoclock"
 	"github.com/decklever/decklever/lab/operator"
@@ -76,7 +77,7 @@
 		if state.Final() {
 			return true
 		}
-		pause(ctx, pollPause)
+		wait.For(ctx, pollPause)
 	}
 	return false
 }
@@ -123,15 +124,6 @@
 		if err == nil || entry.Code == api.CodeNotFound {
 			return
 		}
-		pause(ctx, pollPause)
-	}
-}
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		wait.For(ctx, pollPause)
 	}
 }
--- a/lab/load/extra.go
+++ b/lab/load/extra.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/wait"
 	"github.com/decklever/decklever/lab/ledger"
 	"github.com/decklever/decklever/lab/monoclock"
 	"github.com/decklever/decklever/lab/operator"
@@ -53,7 +54,7 @@
 		case entry.Accepted():
 			return true
 		case entry.Code == api.CodeOverLimit:
-			pause(ctx, limitPause)
+			wait.For(ctx, limitPause)
 		case entry.Code != api.CodeUnavailable && entry.Code != api.CodeOutcomeUnknown:
 			return false
 		}
--- a/lab/relay/link.go
+++ b/lab/relay/link.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/decklever/decklever/internal/wait"
 )
 
 // Link is one direction between two processes, by their names.
@@ -64,7 +66,7 @@
 // pass waits until one piece of data may go on. It reports false if the
 // context ended before.
 func (d *direction) pass(ctx context.Context) bool {
-	if !wait(ctx, d.delay+d.drawHold()) {
+	if !waitFor(ctx, d.delay+d.drawHold()) {
 		return false
 	}
 	for {
@@ -93,16 +95,9 @@
 	return longest
 }
 
-func wait(ctx context.Context, length time.Duration) bool {
+func waitFor(ctx context.Context, length time.Duration) bool {
 	if length <= 0 {
 		return true
 	}
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, length)
 }
--- a/lab/scale/faults.go
+++ b/lab/scale/faults.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/decklever/decklever/internal/wait"
 	"github.com/decklever/decklever/lab/hollow"
 	"github.com/decklever/decklever/lab/ledger"
 )
@@ -30,11 +31,11 @@
 
 // run causes all faults and undoes them; an error is one of the lab.
 func (f faults) run(ctx context.Context, ramp time.Duration) error {
-	if !sleep(ctx, time.Duration(float64(ramp)*faultAt)) {
+	if !wait.For(ctx, time.Duration(float64(ramp)*faultAt)) {
 		return nil
 	}
 	err := f.each(hollow.OrderKillWorker, hollow.OrderKillAgent, ledger.ActionExit)
-	if !sleep(ctx, faultLength) {
+	if !wait.For(ctx, faultLength) {
 		return err
 	}
 	return errors.Join(err, f.each(hollow.OrderStartWorker, hollow.OrderStartAgent, ledger.ActionStart))
@@ -61,15 +62,3 @@
 	}
 	return nil
 }
-
-// sleep waits and reports whether the context still goes on.
-func sleep(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/lab/scale/measure.go
+++ b/lab/scale/measure.go
@@ -12,6 +12,7 @@
 
 	"github.com/prometheus/procfs"
 
+	"github.com/decklever/decklever/internal/wait"
 	"github.com/decklever/decklever/lab/deployment"
 	"github.com/decklever/decklever/lab/fleet"
 	"github.com/decklever/decklever/lab/hollow"
@@ -107,7 +108,7 @@
 		if m.sampleMemory() > memoryLimitMB {
 			return errMemory
 		}
-		if !sleep(ctx, memoryInterval) {
+		if !wait.For(ctx, memoryInterval) {
 			return nil
 		}
 	}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/decklever/decklever/internal/wait"
 	"github.com/decklever/decklever/lab/deployment"
 	"github.com/decklever/decklever/lab/fleet"
 	"github.com/decklever/decklever/lab/load"
@@ -67,14 +68,10 @@
 
 // pause waits; it reports an error if the context ends before.
 func pause(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !wait.For(ctx, length) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 func steady(context.Context, Bench) error { return nil }
