Set the borders of repeating jobs, groups in lockstep, checkpoints and zone drains

Cause: the product lacks what users of a mature scheduler expect and what a platform adapter has to translate to: equal tasks described once, a payload for a whole job, jobs that repeat, groups that live and die together, resumable work, soft preferences, objectives, annotations, zone drains that no configuration can undo, and a worker's notice that it leaves.

The OpenAPI test now tells numbers from integers. Nothing acts on the other fields yet.

--- a/api/config.go
+++ b/api/config.go
@@ -5,6 +5,10 @@
 // Config is the whole desired configuration, set by operators with
 // PUT /v1/config and never in parts.
 type Config struct {
+	// Annotations are the operator's own texts: kept and returned unchanged,
+	// and read by nothing here. At most MaxAnnotations entries, with values of
+	// MaxAnnotationBytes at most. Default none.
+	Annotations map[string]string `json:"annotations,omitempty"`
 	// Queues take jobs; at least one. Names are unique.
 	Queues []QueueConfig `json:"queues"`
 	// Teams bound what their queues take together. Default none.
@@ -21,6 +25,14 @@
 type QueueConfig struct {
 	// Name is 1 to 64 of a-z, 0-9, '-', '_' or '.'. Required.
 	Name string `json:"name"`
+	// Annotations are the operator's own texts, as in Config. Default none.
+	Annotations map[string]string `json:"annotations,omitempty"`
+	// Service is that of tasks that name none. Default none: each task must.
+	Service string `json:"service,omitempty"`
+	// Objective is the time within which a job should end. Among jobs of equal
+	// priority the one with the least time left to it goes first. Default none:
+	// jobs go in the order in which they came.
+	Objective *ObjectiveConfig `json:"objective,omitempty"`
 	// Priority is added to each job's own. Default 0, from -1000 to 1000.
 	Priority int `json:"priority,omitempty"`
 	// Weight is the queue's share among queues of equal priority when room is
@@ -40,6 +52,16 @@
 	Bookings []BookingConfig `json:"bookings,omitempty"`
 }
 
+// ObjectiveConfig is the time within which a job of a queue should end, counted
+// from when it was handed in or, for an occurrence, from when it fell due:
+// Target + Stretch x the Estimates along the job's longest chain of steps.
+type ObjectiveConfig struct {
+	// Target is the fixed part. Default 0.
+	Target Duration `json:"target,omitempty"`
+	// Stretch multiplies the estimates; 0 to MaxStretch. Default 0.
+	Stretch float64 `json:"stretch,omitempty"`
+}
+
 // TeamConfig bounds the queues that name the team, taken together.
 type TeamConfig struct {
 	// Name is 1 to 64 of a-z, 0-9, '-', '_' or '.'. Required.
--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -2,7 +2,7 @@
 
 // RunRef names one run of one task.
 type RunRef struct {
-	// Task is "JOB/STEP/INDEX".
+	// Task is "JOB/STEP/INDEX", followed by "/OCCURRENCE" where that is not 0.
 	Task string `json:"task"`
 	// Run counts the task's runs from 1.
 	Run uint32 `json:"run"`
@@ -26,6 +26,20 @@
 	Outcome Outcome `json:"outcome"`
 	// Message says more for people, at most 1 KiB. Optional.
 	Message string `json:"message,omitempty"`
+	// Checkpoint is the newest checkpoint of a resumable task's run, at most
+	// MaxCheckpointBytes. Default none.
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// RunProgress is how far a run is.
+type RunProgress struct {
+	RunRef
+	// Percent is the part of the work that is done, 0 to 100, by the worker's
+	// own measure.
+	Percent int `json:"percent,omitempty"`
+	// Checkpoint is the newest checkpoint of a resumable task's run, at most
+	// MaxCheckpointBytes. Default none.
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // Heartbeat is the body of POST /v1/heartbeat, worker to agent.
@@ -48,15 +62,25 @@
 	Running []RunRef `json:"running"`
 	// Ended lists every run that is over and not yet acknowledged.
 	Ended []EndedRun `json:"ended"`
+	// Progress says how far runs of Running are. A run that is not in it says
+	// nothing about itself. Optional.
+	Progress []RunProgress `json:"progress,omitempty"`
 	// Draining is true once the worker was told to leave: no new starts.
 	Draining bool `json:"draining"`
+	// RemainingMillis is the least time that a draining worker still has; what
+	// runs there after it is lost. Default 0: not known.
+	RemainingMillis int64 `json:"remaining_ms,omitempty"`
 }
 
 // StartOrder tells a worker to start a run. It stands in exactly one answer.
 type StartOrder struct {
 	RunRef
-	// Spec is the whole description of the task.
+	// Spec is the whole description of the task, with the job's Payload if it
+	// has none of its own.
 	Spec TaskSpec `json:"spec"`
+	// Checkpoint is the newest known of a resumable task, from which the run
+	// goes on; empty if there is none. All members of a group get the same.
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // HeartbeatAnswer answers a Heartbeat.
--- a/api/job.go
+++ b/api/job.go
@@ -12,11 +12,29 @@
 	// Priority orders work within the whole fleet; higher first. Default 0,
 	// from -1000 to 1000.
 	Priority int `json:"priority,omitempty"`
+	// Payload is handed to each task that has none of its own. Default null.
+	Payload json.RawMessage `json:"payload,omitempty"`
+	// Repeat makes the steps run again and again, each time for itself.
+	// Default: once, at once.
+	Repeat *RepeatSpec `json:"repeat,omitempty"`
 	// Steps are the parts of the job, at least one. A step starts once every
 	// step in its After list has succeeded.
 	Steps []StepSpec `json:"steps"`
 }
 
+// RepeatSpec says when the steps of a job run. Occurrence K, from 0, falls due
+// at First + K x Interval on the cluster clock. Occurrences do not wait for each
+// other and may overlap. The job has succeeded once each of them has.
+type RepeatSpec struct {
+	// Times is the number of occurrences; 1 to MaxOccurrences. Required.
+	Times int `json:"times"`
+	// First is when occurrence 0 falls due. Required.
+	First time.Time `json:"first"`
+	// Interval is the time from one due time to the next; over 0 if Times is
+	// more than 1.
+	Interval Duration `json:"interval,omitempty"`
+}
+
 // StepSpec is a set of tasks that become ready together.
 type StepSpec struct {
 	// Name is unique in the job. Required.
@@ -29,20 +47,48 @@
 	// Together makes the step's tasks a group: all are placed in one decision
 	// or none is. Default false.
 	Together bool `json:"together,omitempty"`
+	// Lockstep makes the step's tasks one group for their whole life: it implies
+	// Together; all members have the same run number; the success of one member
+	// is the success of all; and when a member fails or is lost before that, the
+	// others are stopped and the group runs again whole. AllowedFailures counts
+	// failed runs of the group. Default false.
+	Lockstep bool `json:"lockstep,omitempty"`
+	// Colocate names a domain, "zone" or "label:KEY", within which the tasks of
+	// the step are placed where there is room, and next to each other where
+	// there is none. It never makes a task wait. Default none.
+	Colocate string `json:"colocate,omitempty"`
+	// Replicas is the number of equal tasks: Tasks then has exactly one entry,
+	// which describes each of them. Default 0: the tasks are as listed. At most
+	// Limits.MaxTasksPerJob.
+	Replicas int `json:"replicas,omitempty"`
 	// Tasks are the units of work, at least one.
 	Tasks []TaskSpec `json:"tasks"`
 }
 
 // TaskSpec is one unit of work. An order carries it whole to the worker.
 type TaskSpec struct {
-	// Service is the handler that the worker must offer. Required.
-	Service string `json:"service"`
+	// Service is the handler that the worker must offer. Default: the Service of
+	// the queue when the job is handed in; one of both is required.
+	Service string `json:"service,omitempty"`
 	// Payload is handed to the handler unread. Default null.
 	Payload json.RawMessage `json:"payload,omitempty"`
 	// Resources is the room that the task takes while it runs.
 	Resources Resources `json:"resources"`
 	// Labels must all be present, with these values, on the worker.
 	Labels map[string]string `json:"labels,omitempty"`
+	// Prefer are labels of the workers on which the task runs best. A worker
+	// with all of them is taken if one has room, else any other. Default none.
+	Prefer map[string]string `json:"prefer,omitempty"`
+	// Estimate is the caller's guess of one run's time. It orders work and tells
+	// runs that stand still; nothing is stopped for exceeding it. Default 0: not
+	// known.
+	Estimate Duration `json:"estimate,omitempty"`
+	// Resumable says that a run reports checkpoints (Heartbeat.Progress), and
+	// that a new run given the newest of them goes on from there. Default false.
+	Resumable bool `json:"resumable,omitempty"`
+	// BackupRuns allows a second run of the task beside a slow one; the first to
+	// succeed counts and the other is stopped. Default false.
+	BackupRuns bool `json:"backup_runs,omitempty"`
 	// Spread limits how many open runs of the same step share a domain.
 	Spread *Spread `json:"spread,omitempty"`
 	// AllowedFailures is the number of failed runs at which the task is
@@ -55,7 +101,8 @@
 	// Preemptible lets the scheduler stop the run to make room; it is not
 	// counted as a failure.
 	Preemptible bool `json:"preemptible,omitempty"`
-	// UntilCancelled marks a task that is not expected to end by itself.
+	// UntilCancelled marks a task that runs until its job is cancelled: however
+	// a run ends, the task is started again, and failures have no limit.
 	UntilCancelled bool `json:"until_cancelled,omitempty"`
 }
 
--- a/api/validate_config.go
+++ b/api/validate_config.go
@@ -9,6 +9,12 @@
 const (
 	// MaxJobBytesBound is the most that Limits.MaxJobBytes may be, in bytes.
 	MaxJobBytesBound = int64(16 << 20)
+	// MaxAnnotations bounds the entries of one set of annotations, and
+	// MaxAnnotationBytes each value, in bytes.
+	MaxAnnotations     = 64
+	MaxAnnotationBytes = 1 << 20
+	// MaxStretch bounds the factor of an objective.
+	MaxStretch = 1000.0
 	// MaxQueueWeight bounds a queue's weight.
 	MaxQueueWeight = 1000
 	// MinHeartbeatInterval is the shortest pause between heartbeats.
--- a/api/validate_job.go
+++ b/api/validate_job.go
@@ -15,6 +15,10 @@
 	MaxAllowedFailures = 1000
 	// MaxGroupMembers bounds the tasks of a step that start together.
 	MaxGroupMembers = 128
+	// MaxOccurrences bounds the occurrences of a repeating job.
+	MaxOccurrences = 100_000
+	// MaxCheckpointBytes bounds a checkpoint, in bytes.
+	MaxCheckpointBytes = 4096
 	// MaxServiceLength bounds the name of a service, in bytes.
 	MaxServiceLength = 128
 	// MaxResource bounds each dimension of room, so that sums over every
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -44,6 +44,10 @@
 	MethodBookings       Method = "bookings"
 	MethodRelease        Method = "release"
 	MethodCancelMany     Method = "cancel-many"
+	MethodDrainZone      Method = "drain-zone"
+	MethodDrains         Method = "drains"
+	// MethodLeave says that a worker is about to leave; leader only.
+	MethodLeave Method = "leave"
 )
 
 // Empty is a request or answer without content.
@@ -188,6 +192,8 @@
 type GetJobRequest struct {
 	ID         string `cbor:"1,keyasint"`
 	WaitMillis int64  `cbor:"2,keyasint"`
+	// Brief asks for the job's own fields only, without its steps.
+	Brief bool `cbor:"3,keyasint,omitempty"`
 }
 
 // JobAnswer carries a job's state.
@@ -270,6 +276,25 @@
 	Release api.ReleaseRequest `cbor:"1,keyasint"`
 }
 
+// DrainZoneRequest drains a zone or takes that back. Doubled: no effect.
+type DrainZoneRequest struct {
+	Drain api.ZoneDrain `cbor:"1,keyasint"`
+}
+
+// DrainsAnswer lists the zones drained by an order.
+type DrainsAnswer struct {
+	List api.DrainList `cbor:"1,keyasint"`
+}
+
+// LeaveRequest says that a worker incarnation leaves: it gets no new work from
+// the answer on. Lost: the agent answers 503 and the worker asks again. Doubled,
+// or of an incarnation that is not known: no effect.
+type LeaveRequest struct {
+	WorkerID string `cbor:"1,keyasint"`
+	// RemainingMillis is the least time that it still has; 0 if not known.
+	RemainingMillis int64 `cbor:"2,keyasint"`
+}
+
 // CancelManyRequest cancels jobs by id or queue; idempotent.
 type CancelManyRequest struct {
 	Cancel api.CancelRequest `cbor:"1,keyasint"`
--- a/internal/front/openapi_test.go
+++ b/internal/front/openapi_test.go
@@ -197,6 +197,8 @@
 		return "boolean"
 	case reflect.String:
 		return "string"
+	case reflect.Float64:
+		return "number"
 	case reflect.Slice:
 		return "array"
 	case reflect.Map, reflect.Struct:
--- a/internal/record/command.go
+++ b/internal/record/command.go
@@ -92,7 +92,7 @@
 		c.Submit != nil, c.Cancel != nil, c.PutConfig != nil,
 		c.Place != nil, c.Close != nil, c.Stop != nil,
 		c.Register != nil, c.Forget != nil, c.Expire != nil,
-		c.Release != nil,
+		c.Release != nil, c.Expand != nil, c.DrainZone != nil,
 	}
 	count := 0
 	for _, present := range set {
--- /dev/null
+++ b/internal/record/drain.go
@@ -0,0 +1,22 @@
+package record
+
+import "slices"
+
+// applyDrainZone drains a zone by an order of its own, or takes that back. The
+// configuration's drains stand beside it.
+func (m *Machine) applyDrainZone(drain *DrainZone) {
+	place, drained := slices.BinarySearch(m.state.drainedZones, drain.Zone)
+	if drained == drain.Drained {
+		return
+	}
+	zones := slices.Clone(m.state.drainedZones)
+	if drain.Drained {
+		m.state.drainedZones = slices.Insert(zones, place, drain.Zone)
+	} else {
+		m.state.drainedZones = slices.Delete(zones, place, place+1)
+	}
+	m.emit(ZoneDrainChanged{Zone: drain.Zone, Drained: drain.Drained})
+}
+
+// DrainedZones implements View.
+func (v view) DrainedZones() []string { return v.machine.state.drainedZones }
--- a/internal/record/restore.go
+++ b/internal/record/restore.go
@@ -97,6 +97,7 @@
 	r.state.clock = header.Clock
 	r.state.expiredBefore = header.ExpiredBefore
 	r.state.settings.use(header.ConfigVersion, &header.Config)
+	r.state.drainedZones = header.DrainedZones
 	for _, window := range header.Released {
 		r.state.release(window)
 	}
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -32,6 +32,8 @@
 	// Released is absent from snapshots of earlier programs, as is
 	// snapshotTask.Preemptions.
 	Released []ReleaseWindow `cbor:"11,keyasint,omitempty"`
+	// DrainedZones is absent from snapshots of earlier programs.
+	DrainedZones []string `cbor:"12,keyasint,omitempty"`
 }
 
 // snapshotJob is a live job. Steps and Tasks are in the order of the spec.
@@ -148,6 +150,7 @@
 		Workers:       len(c.workers),
 		Jobs:          len(c.jobs),
 		Released:      s.released,
+		DrainedZones:  s.drainedZones,
 	}
 	return c
 }
--- a/internal/record/state.go
+++ b/internal/record/state.go
@@ -37,6 +37,9 @@
 	// released holds windows given back that have not ended, by end. What lies
 	// in the slice is never changed, so that a capture may share it.
 	released []ReleaseWindow
+	// drainedZones are those drained by an order, sorted. What lies in the
+	// slice is never changed, so that a capture may share it.
+	drainedZones []string
 }
 
 // load is what the open runs on one worker incarnation take.
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"iter"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -16,10 +18,36 @@
 	Job   string `cbor:"1,keyasint"`
 	Step  string `cbor:"2,keyasint"`
 	Index int    `cbor:"3,keyasint"`
+	// Occurrence is that of a repeating job, from 0.
+	Occurrence int `cbor:"4,keyasint,omitempty"`
 }
 
-// String returns "JOB/STEP/INDEX", the form that workers see.
-func (t TaskID) String() string { return fmt.Sprintf("%s/%s/%d", t.Job, t.Step, t.Index) }
+// String returns the form that workers see: "JOB/STEP/INDEX", followed by
+// "/OCCURRENCE" where that is not 0.
+func (t TaskID) String() string {
+	if t.Occurrence == 0 {
+		return fmt.Sprintf("%s/%s/%d", t.Job, t.Step, t.Index)
+	}
+	return fmt.Sprintf("%s/%s/%d/%d", t.Job, t.Step, t.Index, t.Occurrence)
+}
+
+// ParseTaskID reads what TaskID.String wrote.
+func ParseTaskID(text string) (TaskID, bool) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 && len(parts) != 4 {
+		return TaskID{}, false
+	}
+	index, err := strconv.Atoi(parts[2])
+	if err != nil || index < 0 {
+		return TaskID{}, false
+	}
+	id := TaskID{Job: parts[0], Step: parts[1], Index: index}
+	if len(parts) == 3 {
+		return id, true
+	}
+	id.Occurrence, err = strconv.Atoi(parts[3])
+	return id, err == nil && id.Occurrence > 0
+}
 
 // RunID names one run of a task.
 type RunID struct {
@@ -101,6 +129,8 @@
 	// Preemptions counts runs that were stopped to make room for others and
 	// did not succeed.
 	Preemptions int
+	// Checkpoint is the newest that an earlier run left, or empty.
+	Checkpoint string
 	// NotBefore is the earliest next start: the step's or the retry's.
 	NotBefore Millis
 	// Reason says how a final task ended or why the last run did.
@@ -168,6 +198,8 @@
 	Forget    *ForgetWorkers   `cbor:"10,keyasint,omitempty"`
 	Expire    *ExpireArchive   `cbor:"11,keyasint,omitempty"`
 	Release   *ReleaseWindow   `cbor:"12,keyasint,omitempty"`
+	Expand    *ExpandRepeats   `cbor:"13,keyasint,omitempty"`
+	DrainZone *DrainZone       `cbor:"14,keyasint,omitempty"`
 }
 
 // Submit adds a job.
@@ -220,6 +252,8 @@
 	Run     RunID       `cbor:"1,keyasint"`
 	Outcome api.Outcome `cbor:"2,keyasint"`
 	Message string      `cbor:"3,keyasint,omitempty"`
+	// Checkpoint is the newest known of the run; empty if there is none.
+	Checkpoint string `cbor:"4,keyasint,omitempty"`
 }
 
 // Stop marks open runs to be stopped; the first reason stands, except that
@@ -256,6 +290,25 @@
 	End Millis `cbor:"4,keyasint"`
 }
 
+// ExpandRepeats adds the tasks of occurrences of repeating jobs that fall due.
+// Unknown jobs and occurrences that were added before are passed over.
+type ExpandRepeats struct {
+	Jobs []Expansion `cbor:"1,keyasint"`
+}
+
+// Expansion adds a job's occurrences up to and with Through.
+type Expansion struct {
+	Job     string `cbor:"1,keyasint"`
+	Through int    `cbor:"2,keyasint"`
+}
+
+// DrainZone drains a zone, beside what the configuration says, or takes that
+// back. Doubled: no effect.
+type DrainZone struct {
+	Zone    string `cbor:"1,keyasint"`
+	Drained bool   `cbor:"2,keyasint"`
+}
+
 // Result is what Apply tells the proposer.
 type Result struct {
 	// Index is the entry's place in the log.
@@ -339,21 +392,28 @@
 // WindowReleased: a window's room was given back.
 type WindowReleased struct{ Window ReleaseWindow }
 
+// ZoneDrainChanged: a zone was drained by an order, or that was taken back.
+type ZoneDrainChanged struct {
+	Zone    string
+	Drained bool
+}
+
 // StateReplaced: a snapshot was restored; all must be read anew.
 type StateReplaced struct{}
 
-func (TaskBecameReady) event() {}
-func (TaskLeftReady) event()   {}
-func (RunOpened) event()       {}
-func (RunStopping) event()     {}
-func (RunClosed) event()       {}
-func (JobAdded) event()        {}
-func (JobEnded) event()        {}
-func (ConfigChanged) event()   {}
-func (WorkerChanged) event()   {}
-func (WorkerForgotten) event() {}
-func (WindowReleased) event()  {}
-func (StateReplaced) event()   {}
+func (TaskBecameReady) event()  {}
+func (TaskLeftReady) event()    {}
+func (RunOpened) event()        {}
+func (RunStopping) event()      {}
+func (RunClosed) event()        {}
+func (JobAdded) event()         {}
+func (JobEnded) event()         {}
+func (ConfigChanged) event()    {}
+func (WorkerChanged) event()    {}
+func (WorkerForgotten) event()  {}
+func (WindowReleased) event()   {}
+func (ZoneDrainChanged) event() {}
+func (StateReplaced) event()    {}
 
 // View reads the record. It is valid only inside the callback that it was
 // given to. What it returns must not be changed or kept.
@@ -384,6 +444,8 @@
 	// ReleasedWindows returns the windows given back whose end has not passed,
 	// by end, then by queue, booking and start.
 	ReleasedWindows() []ReleaseWindow
+	// DrainedZones returns the zones drained by an order, by name.
+	DrainedZones() []string
 	// QueueCounts returns what a queue holds.
 	QueueCounts(queue string) QueueCounts
 	// TeamCounts returns what the queues of a team hold together, by the
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -1,9 +1,6 @@
 package scheduler
 
 import (
-	"strconv"
-	"strings"
-
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/record"
 )
@@ -99,17 +96,12 @@
 	}
 }
 
-// parseRun reads "JOB/STEP/INDEX" and a run number.
+// parseRun reads a task's name and a run number.
 func parseRun(reference api.RunRef) (record.RunID, bool) {
-	parts := strings.Split(reference.Task, "/")
-	if len(parts) != 3 || reference.Run == 0 {
-		return record.RunID{}, false
-	}
-	index, err := strconv.Atoi(parts[2])
-	if err != nil || index < 0 {
+	task, ok := record.ParseTaskID(reference.Task)
+	if !ok || reference.Run == 0 {
 		return record.RunID{}, false
 	}
-	task := record.TaskID{Job: parts[0], Step: parts[1], Index: index}
 	return record.RunID{Task: task, Number: reference.Run}, true
 }
 
