Make the daemons packages that another program can embed

The programs' process.go could not be used by anything but the programs, and the set-up of link, client, settings watch and health stood twice, in front and agent. It moves into internal/process with one package for each daemon, and stands once. A process takes further listeners that start and stop with the daemon. The calls behind a front's HTTP handlers are methods now, which the handlers use, and a scheduler can hold a front that reaches the leader as its replica knows it.

shutdown_delay (default 0s) lets a process go on serving after a stop was asked for and readiness went off: until now callers met closed connections before their balancer had seen the change. Answers ask to close meanwhile; a scheduler hands over first.

--- a/cmd/decklever-agent/main.go
+++ b/cmd/decklever-agent/main.go
@@ -6,17 +6,18 @@
 	"context"
 
 	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/process/agentprocess"
 	"github.com/decklever/decklever/internal/settings"
 )
 
 func main() {
-	daemon.Main(daemon.Command(program, "Local proxy between the workers of a machine and decklever's schedulers", start))
+	daemon.Main(daemon.Command(agentprocess.Program, "Local proxy between the workers of a machine and decklever's schedulers", start))
 }
 
 func start(ctx context.Context, initial settings.Agent, options settings.LoadOptions) error {
-	process, err := newProcess(initial, options)
+	made, err := agentprocess.New(initial, options)
 	if err != nil {
 		return err
 	}
-	return process.run(ctx)
+	return made.Run(ctx)
 }
--- a/cmd/decklever-front/main.go
+++ b/cmd/decklever-front/main.go
@@ -6,17 +6,18 @@
 	"context"
 
 	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/process/frontprocess"
 	"github.com/decklever/decklever/internal/settings"
 )
 
 func main() {
-	daemon.Main(daemon.Command(program, "HTTP interface of decklever for callers and operators", start))
+	daemon.Main(daemon.Command(frontprocess.Program, "HTTP interface of decklever for callers and operators", start))
 }
 
 func start(ctx context.Context, initial settings.Front, options settings.LoadOptions) error {
-	process, err := newProcess(initial, options)
+	made, err := frontprocess.New(initial, options)
 	if err != nil {
 		return err
 	}
-	return process.run(ctx)
+	return made.Run(ctx)
 }
--- a/cmd/decklever-scheduler/main.go
+++ b/cmd/decklever-scheduler/main.go
@@ -6,17 +6,18 @@
 	"context"
 
 	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/process/schedulerprocess"
 	"github.com/decklever/decklever/internal/settings"
 )
 
 func main() {
-	daemon.Main(daemon.Command(program, "Scheduler of decklever: keeps the record, places work while it leads", start))
+	daemon.Main(daemon.Command(schedulerprocess.Program, "Scheduler of decklever: keeps the record, places work while it leads", start))
 }
 
 func start(ctx context.Context, initial settings.Scheduler, options settings.LoadOptions) error {
-	process, err := newProcess(initial, options)
+	made, err := schedulerprocess.New(initial, options)
 	if err != nil {
 		return err
 	}
-	return process.run(ctx)
+	return made.Run(ctx)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,8 +9,11 @@
 	"net/http"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Defaults of Config.
@@ -39,10 +42,19 @@
 	// Background functions run from the start until their context ends. An
 	// error that one returns before stops the daemon.
 	Background []func(ctx context.Context) error
-	// BeforeStop hands over; it is called first, on SIGTERM or SIGINT, and
-	// has half of StopTimeout. Optional.
+	// Extra listeners serve beside Listen, from the same start to the same stop.
+	Extra []Listener
+	// Stopping is called first when the daemon is told to stop, so that it no
+	// longer calls itself ready. Optional; it must not block.
+	Stopping func()
+	// BeforeStop hands over; it is called after Stopping and has half of
+	// StopTimeout. Optional.
 	BeforeStop func(ctx context.Context)
-	// StopTimeout bounds the whole stop. Default 2s.
+	// ShutdownDelay is how long the daemon goes on serving after it handed over,
+	// so that callers can leave it first. A failed part stops the daemon without
+	// it. Default 0.
+	ShutdownDelay time.Duration
+	// StopTimeout bounds the whole stop besides ShutdownDelay. Default 2s.
 	StopTimeout time.Duration
 	// Listening is told the address once it is listened on. Optional.
 	Listening func(address net.Addr)
@@ -94,8 +106,10 @@
 // daemon is one run.
 type daemon struct {
 	config      Config
-	server      *http.Server
+	servers     []*http.Server
 	connections *connections
+	// leaving: answers ask callers to close their connections.
+	leaving atomic.Bool
 
 	endRequests   context.CancelFunc
 	endBackground context.CancelFunc
@@ -105,25 +119,28 @@
 }
 
 // Run listens, serves, and stops in order on SIGTERM, SIGINT, the end of the
-// context, or a failure of a part: BeforeStop; then no more connections, the
-// contexts of all requests end and their answers are finished; then the
-// background. It returns nil after a clean stop, else the part's error or that
-// StopTimeout was not enough.
+// context, or a failure of a part: Stopping and BeforeStop; ShutdownDelay, with
+// all served as before; then no more connections, the contexts of all requests
+// end and their answers are finished; then the background. It returns nil after
+// a clean stop, else the part's error or that StopTimeout was not enough.
 func Run(ctx context.Context, config Config) error {
 	config = config.withDefaults()
 	ctx, stopSignals := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stopSignals()
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", config.Listen)
+	listening, err := listenOnAll(ctx, config)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", config.Listen, err)
+		return err
 	}
-	d := start(context.WithoutCancel(ctx), config, listener)
-	config.Logger.Info("listening", slog.String("address", listener.Addr().String()))
-	if config.Listening != nil {
-		config.Listening(listener.Addr())
+	d := start(context.WithoutCancel(ctx), config, listening)
+	for _, each := range listening {
+		config.Logger.Info("listening", slog.String("address", each.listener.Addr().String()))
+		if each.Listening != nil {
+			each.Listening(each.listener.Addr())
+		}
 	}
 	err = d.wait(ctx)
 	config.Logger.Info("stopping")
+	d.announceStop(err)
 	err = errors.Join(err, d.stop(ctx))
 	if err != nil {
 		return err
@@ -132,7 +149,7 @@
 	return nil
 }
 
-func start(ctx context.Context, config Config, listener net.Listener) *daemon {
+func start(ctx context.Context, config Config, listening []openListener) *daemon {
 	requests, endRequests := context.WithCancel(ctx)
 	background, endBackground := context.WithCancel(ctx)
 	d := &daemon{
@@ -142,26 +159,44 @@
 		endBackground: endBackground,
 		failures:      make(chan error, 1),
 	}
-	d.server = &http.Server{
-		Handler:           config.Handler,
-		ReadHeaderTimeout: config.ReadHeaderTimeout,
-		ReadTimeout:       config.ReadTimeout,
-		WriteTimeout:      config.WriteTimeout,
-		IdleTimeout:       config.IdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		BaseContext:       func(net.Listener) context.Context { return requests },
-		ConnState:         d.connections.note,
-		ErrorLog:          slog.NewLogLogger(config.Logger.Handler(), slog.LevelWarn),
+	for _, each := range listening {
+		server := d.newServer(requests, each.Handler)
+		d.servers = append(d.servers, server)
+		d.background.Go(func() { d.serve(server, each.listener) })
 	}
-	d.background.Go(func() { d.serve(listener) })
 	for _, part := range config.Background {
 		d.background.Go(func() { d.runPart(background, part) })
 	}
 	return d
 }
 
-func (d *daemon) serve(listener net.Listener) {
-	if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+func (d *daemon) newServer(requests context.Context, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           d.closeWhenLeaving(handler),
+		ReadHeaderTimeout: d.config.ReadHeaderTimeout,
+		ReadTimeout:       d.config.ReadTimeout,
+		WriteTimeout:      d.config.WriteTimeout,
+		IdleTimeout:       d.config.IdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return requests },
+		ConnState:         d.connections.note,
+		ErrorLog:          slog.NewLogLogger(d.config.Logger.Handler(), slog.LevelWarn),
+	}
+}
+
+// closeWhenLeaving asks callers of a daemon that is about to stop to close
+// their connections, so that they send nothing more on them.
+func (d *daemon) closeWhenLeaving(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if d.leaving.Load() {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+func (d *daemon) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		d.fail(fmt.Errorf("serve: %w", err))
 	}
 }
@@ -193,11 +228,45 @@
 	}
 }
 
+// announceStop tells that the daemon is about to stop.
+func (d *daemon) announceStop(failure error) {
+	if failure != nil {
+		d.config.ShutdownDelay = 0
+	}
+	if d.config.Stopping != nil {
+		d.config.Stopping()
+	}
+	d.leaving.Store(true)
+}
+
 // stop takes the daemon down in order.
 func (d *daemon) stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.config.StopTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.config.StopTimeout+d.config.ShutdownDelay)
 	defer cancel()
 	d.handOver(ctx)
+	if err := d.linger(); err != nil {
+		return errors.Join(err, d.stopParts(ctx))
+	}
+	return d.stopParts(ctx)
+}
+
+// linger goes on serving for ShutdownDelay, or until a part fails.
+func (d *daemon) linger() error {
+	if d.config.ShutdownDelay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d.config.ShutdownDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case err := <-d.failures:
+		return err
+	}
+}
+
+// stopParts finishes the requests and ends the background.
+func (d *daemon) stopParts(ctx context.Context) error {
 	d.endRequests()
 	err := d.stopServing(ctx)
 	d.endBackground()
@@ -231,8 +300,14 @@
 	limited, cancel := context.WithDeadline(ctx, deadline.Add(-d.config.StopTimeout/4))
 	defer cancel()
 	d.connections.closeFresh()
-	if err := d.server.Shutdown(limited); err != nil {
-		_ = d.server.Close() // the requests that are cut off are reported by err
+	var stopping errgroup.Group
+	for _, server := range d.servers {
+		stopping.Go(func() error { return server.Shutdown(limited) })
+	}
+	if err := stopping.Wait(); err != nil {
+		for _, server := range d.servers {
+			_ = server.Close() // the requests that are cut off are reported by err
+		}
 		return fmt.Errorf("requests: %w", errors.Join(errStopTimeout, err))
 	}
 	return nil
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -199,3 +199,102 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// TestExtraListenersServeFromStartToStop: each with its own handler.
+func TestExtraListenersServeFromStartToStop(t *testing.T) {
+	answering := func(status int) http.Handler {
+		return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(status) })
+	}
+	extra := make(chan net.Addr, 1)
+	d := run(t, Config{
+		Handler: answering(http.StatusOK),
+		Extra: []Listener{{
+			Address:   "127.0.0.1:0",
+			Handler:   answering(http.StatusTeapot),
+			Listening: func(address net.Addr) { extra <- address },
+		}},
+	})
+	address := (<-extra).String()
+	if own, other := <-get(d.address), <-get(address); own != http.StatusOK || other != http.StatusTeapot {
+		t.Errorf("answers %d and %d, want %d and %d", own, other, http.StatusOK, http.StatusTeapot)
+	}
+	d.stop()
+	if err := <-d.result; err != nil {
+		t.Fatal(err)
+	}
+	if status := <-get(address); status != 0 {
+		t.Errorf("the extra listener answers %d after the stop", status)
+	}
+}
+
+// TestTakenExtraAddressEndsTheStart: nothing is left listening.
+func TestTakenExtraAddressEndsTheStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	_ = free.Close()
+	err = Run(t.Context(), Config{
+		Listen: address, Handler: http.NotFoundHandler(),
+		Extra: []Listener{{Address: taken.Addr().String(), Handler: http.NotFoundHandler()}},
+	})
+	if err == nil {
+		t.Fatal("started on a taken address")
+	}
+	again, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatalf("the first address is still listened on: %v", err)
+	}
+	_ = again.Close()
+}
+
+// TestShutdownDelayServesOn: readiness goes first, then the hand-over, then
+// the daemon serves on and asks callers to leave, and only then stops.
+func TestShutdownDelayServesOn(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	var s steps
+	handedOver := make(chan struct{})
+	d := run(t, Config{
+		Handler:       http.HandlerFunc(func(http.ResponseWriter, *http.Request) { s.note("served") }),
+		Stopping:      func() { s.note("stopping") },
+		BeforeStop:    func(context.Context) { s.note("handed over"); close(handedOver) },
+		ShutdownDelay: delay,
+	})
+	d.stop()
+	<-handedOver
+	started := time.Now()
+	response, err := http.Get("http://" + d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if !response.Close {
+		t.Error("the answer does not ask for the connection to be closed")
+	}
+	if err := <-d.result; err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(started); took < delay/2 {
+		t.Errorf("stopped after %v, want about %v", took, delay)
+	}
+	s.want(t, "stopping", "handed over", "served")
+}
+
+// TestFailedPartStopsWithoutDelay: there is nothing to be gained by waiting.
+func TestFailedPartStopsWithoutDelay(t *testing.T) {
+	failure := errors.New("broken")
+	started := time.Now()
+	err := Run(t.Context(), Config{
+		Listen: "127.0.0.1:0", Handler: http.NotFoundHandler(), ShutdownDelay: time.Minute,
+		Background: []func(context.Context) error{func(context.Context) error { return failure }},
+	})
+	if !errors.Is(err, failure) || time.Since(started) > 10*time.Second {
+		t.Errorf("%v after %v, want %v at once", err, time.Since(started), failure)
+	}
+}
--- a/internal/front/booking_calls.go
+++ b/internal/front/booking_calls.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -24,12 +25,18 @@
 	if refusal != nil {
 		return 0, nil, refusal
 	}
-	answer, refusal := relay[fleet.BookingsRequest, fleet.BookingsAnswer](request.Context(), f, relayCall[fleet.BookingsRequest]{
+	list, refusal := f.Bookings(request.Context(), horizon)
+	return http.StatusOK, list, refusal
+}
+
+// Bookings lists the windows that overlap the time from now to the horizon.
+func (f *Front) Bookings(ctx context.Context, horizon time.Duration) (api.BookingList, *api.Error) {
+	answer, refusal := relay[fleet.BookingsRequest, fleet.BookingsAnswer](ctx, f, relayCall[fleet.BookingsRequest]{
 		method:  fleet.MethodBookings,
 		request: fleet.BookingsRequest{HorizonMillis: horizon.Milliseconds()},
 	})
 	answer.List.Bookings = listOf(answer.List.Bookings)
-	return http.StatusOK, answer.List, refusal
+	return answer.List, refusal
 }
 
 // releaseBooking serves POST /v1/bookings/release.
@@ -38,15 +45,21 @@
 	if refusal := api.DecodeStrict(http.MaxBytesReader(writer, request.Body, maxReleaseBytes), &release); refusal != nil {
 		return 0, nil, refusal
 	}
+	answer, refusal := f.ReleaseBooking(request.Context(), release)
+	return http.StatusOK, answer, refusal
+}
+
+// ReleaseBooking gives the room of a window back.
+func (f *Front) ReleaseBooking(ctx context.Context, release api.ReleaseRequest) (api.ReleaseAnswer, *api.Error) {
 	if fields := api.ValidateRelease(&release); len(fields) > 0 {
-		return 0, nil, invalid("release", fields)
+		return api.ReleaseAnswer{}, invalid("release", fields)
 	}
-	_, refusal := relay[fleet.ReleaseRequest, fleet.Empty](request.Context(), f, relayCall[fleet.ReleaseRequest]{
+	_, refusal := relay[fleet.ReleaseRequest, fleet.Empty](ctx, f, relayCall[fleet.ReleaseRequest]{
 		method:  fleet.MethodRelease,
 		request: fleet.ReleaseRequest{Release: release},
 		effect:  true,
 	})
-	return http.StatusOK, api.ReleaseAnswer{Released: true}, refusal
+	return api.ReleaseAnswer{Released: true}, refusal
 }
 
 // horizonOf reads ?hours=.
--- a/internal/front/cancel_calls.go
+++ b/internal/front/cancel_calls.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/decklever/decklever/api"
@@ -17,13 +18,19 @@
 	if refusal := api.DecodeStrict(http.MaxBytesReader(writer, request.Body, maxCancelBytes), &cancel); refusal != nil {
 		return 0, nil, refusal
 	}
+	answer, refusal := f.CancelMany(request.Context(), cancel)
+	return http.StatusOK, answer, refusal
+}
+
+// CancelMany cancels jobs by id or queue.
+func (f *Front) CancelMany(ctx context.Context, cancel api.CancelRequest) (api.CancelAnswer, *api.Error) {
 	if fields := api.ValidateCancel(&cancel); len(fields) > 0 {
-		return 0, nil, invalid("cancellation", fields)
+		return api.CancelAnswer{}, invalid("cancellation", fields)
 	}
-	answer, refusal := relay[fleet.CancelManyRequest, fleet.CancelManyAnswer](request.Context(), f, relayCall[fleet.CancelManyRequest]{
+	answer, refusal := relay[fleet.CancelManyRequest, fleet.CancelManyAnswer](ctx, f, relayCall[fleet.CancelManyRequest]{
 		method:  fleet.MethodCancelMany,
 		request: fleet.CancelManyRequest{Cancel: cancel},
 		effect:  true,
 	})
-	return http.StatusOK, answer.Answer, refusal
+	return answer.Answer, refusal
 }
--- a/internal/front/config_calls.go
+++ b/internal/front/config_calls.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -24,13 +25,19 @@
 
 // getConfig serves GET /v1/config.
 func (f *Front) getConfig(writer http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
-	answer, refusal := read[fleet.ConfigAnswer](request, f, fleet.MethodGetConfig)
+	status, refusal := f.Config(request.Context())
 	if refusal != nil {
 		return 0, nil, refusal
 	}
-	setVersion(writer, answer.Status.Version)
+	setVersion(writer, status.Version)
+	return http.StatusOK, status, nil
+}
+
+// Config reads the configuration in force, as it was given.
+func (f *Front) Config(ctx context.Context) (api.ConfigStatus, *api.Error) {
+	answer, refusal := read[fleet.ConfigAnswer](ctx, f, fleet.MethodGetConfig)
 	answer.Status.Config.Queues = listOf(answer.Status.Config.Queues)
-	return http.StatusOK, answer.Status, nil
+	return answer.Status, refusal
 }
 
 // putConfig serves PUT /v1/config.
@@ -43,16 +50,23 @@
 	if refusal != nil {
 		return 0, nil, refusal
 	}
-	answer, refusal := relay[fleet.PutConfigRequest, fleet.PutConfigAnswer](request.Context(), f, relayCall[fleet.PutConfigRequest]{
+	status, refusal := f.PutConfig(request.Context(), orderID, base, config)
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	setVersion(writer, status.Version)
+	return http.StatusOK, status, nil
+}
+
+// PutConfig proposes a configuration in the place of the version base. The same
+// order id again gets the same answer.
+func (f *Front) PutConfig(ctx context.Context, orderID string, base uint64, config api.Config) (api.ConfigStatus, *api.Error) {
+	answer, refusal := relay[fleet.PutConfigRequest, fleet.PutConfigAnswer](ctx, f, relayCall[fleet.PutConfigRequest]{
 		method:  fleet.MethodPutConfig,
 		request: fleet.PutConfigRequest{OrderID: orderID, Base: base, Config: config},
 		effect:  true,
 	})
-	if refusal != nil {
-		return 0, nil, refusal
-	}
-	setVersion(writer, answer.Version)
-	return http.StatusOK, api.ConfigStatus{Version: answer.Version, Config: config}, nil
+	return api.ConfigStatus{Version: answer.Version, Config: config}, refusal
 }
 
 // validateConfig serves POST /v1/config/validate.
@@ -61,28 +75,46 @@
 	if refusal != nil {
 		return 0, nil, refusal
 	}
+	answer, refusal := f.ValidateConfig(request.Context(), config)
+	return http.StatusOK, answer, refusal
+}
+
+// ValidateConfig checks a configuration without taking it.
+func (f *Front) ValidateConfig(ctx context.Context, config api.Config) (api.ValidateAnswer, *api.Error) {
 	if fields := api.ValidateConfig(&config); len(fields) > 0 {
-		return 0, nil, invalid("configuration", fields)
+		return api.ValidateAnswer{}, invalid("configuration", fields)
 	}
-	_, refusal = relay[fleet.ValidateConfigRequest, fleet.Empty](request.Context(), f, relayCall[fleet.ValidateConfigRequest]{
+	_, refusal := relay[fleet.ValidateConfigRequest, fleet.Empty](ctx, f, relayCall[fleet.ValidateConfigRequest]{
 		method:  fleet.MethodValidateConfig,
 		request: fleet.ValidateConfigRequest{Config: config},
 	})
-	return http.StatusOK, api.ValidateAnswer{Valid: true}, refusal
+	return api.ValidateAnswer{Valid: true}, refusal
 }
 
 // configVersions serves GET /v1/config/versions.
 func (f *Front) configVersions(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
-	answer, refusal := read[fleet.ConfigVersionsAnswer](request, f, fleet.MethodConfigVersions)
+	versions, refusal := f.ConfigVersions(request.Context())
+	return http.StatusOK, versions, refusal
+}
+
+// ConfigVersions lists the versions that were accepted.
+func (f *Front) ConfigVersions(ctx context.Context) (api.ConfigVersions, *api.Error) {
+	answer, refusal := read[fleet.ConfigVersionsAnswer](ctx, f, fleet.MethodConfigVersions)
 	answer.Versions.Versions = listOf(answer.Versions.Versions)
-	return http.StatusOK, answer.Versions, refusal
+	return answer.Versions, refusal
 }
 
 // rollout serves GET /v1/config/rollout.
 func (f *Front) rollout(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
-	answer, refusal := read[fleet.RolloutAnswer](request, f, fleet.MethodRollout)
+	rollout, refusal := f.Rollout(request.Context())
+	return http.StatusOK, rollout, refusal
+}
+
+// Rollout says which process has which version.
+func (f *Front) Rollout(ctx context.Context) (api.Rollout, *api.Error) {
+	answer, refusal := read[fleet.RolloutAnswer](ctx, f, fleet.MethodRollout)
 	answer.Rollout.Processes = listOf(answer.Rollout.Processes)
-	return http.StatusOK, answer.Rollout, refusal
+	return answer.Rollout, refusal
 }
 
 // readConfig reads a configuration. Whether it is valid is for the leader to
--- a/internal/front/job_calls.go
+++ b/internal/front/job_calls.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -28,14 +29,24 @@
 	if refusal := api.DecodeStrict(http.MaxBytesReader(writer, request.Body, limits.MaxJobBytes), &spec); refusal != nil {
 		return 0, nil, refusal
 	}
+	answer, refusal := f.Submit(request.Context(), id, spec)
+	status := http.StatusOK
+	if answer.Created {
+		status = http.StatusCreated
+	}
+	return status, answer, refusal
+}
+
+// Submit hands in a job and says whether it is new.
+func (f *Front) Submit(ctx context.Context, id string, spec api.JobSpec) (api.SubmitAnswer, *api.Error) {
 	if fields := f.wrongFields(id, &spec); len(fields) > 0 {
-		return 0, nil, invalid("job", fields)
+		return api.SubmitAnswer{}, invalid("job", fields)
 	}
-	if refusal := f.admission.submit(limits.SubmitsPerSecond); refusal != nil {
+	if refusal := f.admission.submit(f.limits().SubmitsPerSecond); refusal != nil {
 		f.metrics.refused(refusedRate)
-		return 0, nil, refusal
+		return api.SubmitAnswer{}, refusal
 	}
-	answer, refusal := relay[fleet.SubmitRequest, fleet.SubmitAnswer](request.Context(), f, relayCall[fleet.SubmitRequest]{
+	answer, refusal := relay[fleet.SubmitRequest, fleet.SubmitAnswer](ctx, f, relayCall[fleet.SubmitRequest]{
 		method:  fleet.MethodSubmit,
 		request: fleet.SubmitRequest{ID: id, Spec: spec},
 		effect:  true,
@@ -43,11 +54,7 @@
 	if refusal != nil && refusal.Status < http.StatusInternalServerError {
 		f.admission.giveBack()
 	}
-	status := http.StatusOK
-	if answer.Created {
-		status = http.StatusCreated
-	}
-	return status, api.SubmitAnswer{ID: id, Created: answer.Created}, refusal
+	return api.SubmitAnswer{ID: id, Created: answer.Created}, refusal
 }
 
 // wrongFields checks what is wrong under any configuration: a newer one than
@@ -69,25 +76,35 @@
 	if refusal != nil {
 		return 0, nil, refusal
 	}
+	status, refusal := f.Job(request.Context(), id, wait)
+	return http.StatusOK, status, refusal
+}
+
+// Job reads a job; the answer is held until the job is final or wait is over.
+func (f *Front) Job(ctx context.Context, id string, wait time.Duration) (api.JobStatus, *api.Error) {
 	if !api.ValidJobID(id) {
-		return 0, nil, noJob(id)
+		return api.JobStatus{}, noJob(id)
 	}
-	status, refusal := f.waitForJob(request.Context(), id, wait)
-	return http.StatusOK, status, refusal
+	return f.waitForJob(ctx, id, wait)
 }
 
 // cancelJob serves POST /v1/jobs/{id}/cancel.
 func (f *Front) cancelJob(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
-	id := jobID(request)
+	status, refusal := f.Cancel(request.Context(), jobID(request))
+	return http.StatusOK, status, refusal
+}
+
+// Cancel cancels a job and returns its state; doubled, it has no effect.
+func (f *Front) Cancel(ctx context.Context, id string) (api.JobStatus, *api.Error) {
 	if !api.ValidJobID(id) {
-		return 0, nil, noJob(id)
+		return api.JobStatus{}, noJob(id)
 	}
-	answer, refusal := relay[fleet.CancelRequest, fleet.JobAnswer](request.Context(), f, relayCall[fleet.CancelRequest]{
+	answer, refusal := relay[fleet.CancelRequest, fleet.JobAnswer](ctx, f, relayCall[fleet.CancelRequest]{
 		method:  fleet.MethodCancel,
 		request: fleet.CancelRequest{ID: id},
 		effect:  true,
 	})
-	return http.StatusOK, answer.Status, refusal
+	return answer.Status, refusal
 }
 
 // listJobs serves GET /v1/jobs.
@@ -96,12 +113,18 @@
 	if refusal != nil {
 		return 0, nil, refusal
 	}
-	answer, refusal := relay[fleet.ListJobsRequest, fleet.ListJobsAnswer](request.Context(), f, relayCall[fleet.ListJobsRequest]{
+	list, refusal := f.Jobs(request.Context(), query)
+	return http.StatusOK, list, refusal
+}
+
+// Jobs lists a page of jobs.
+func (f *Front) Jobs(ctx context.Context, query fleet.ListJobsRequest) (api.JobList, *api.Error) {
+	answer, refusal := relay[fleet.ListJobsRequest, fleet.ListJobsAnswer](ctx, f, relayCall[fleet.ListJobsRequest]{
 		method:  fleet.MethodListJobs,
 		request: query,
 	})
 	answer.List.Jobs = listOf(answer.List.Jobs)
-	return http.StatusOK, answer.List, refusal
+	return answer.List, refusal
 }
 
 // listQuery reads the parameters of a list.
--- a/internal/front/read_calls.go
+++ b/internal/front/read_calls.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/decklever/decklever/api"
@@ -8,27 +9,45 @@
 )
 
 // read relays a call that changes nothing and has no parameters.
-func read[Answer any](request *http.Request, f *Front, method fleet.Method) (Answer, *api.Error) {
-	return relay[fleet.Empty, Answer](request.Context(), f, relayCall[fleet.Empty]{method: method})
+func read[Answer any](ctx context.Context, f *Front, method fleet.Method) (Answer, *api.Error) {
+	return relay[fleet.Empty, Answer](ctx, f, relayCall[fleet.Empty]{method: method})
 }
 
 // workers serves GET /v1/workers.
 func (f *Front) workers(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
-	answer, refusal := read[fleet.WorkersAnswer](request, f, fleet.MethodWorkers)
+	list, refusal := f.Workers(request.Context())
+	return http.StatusOK, list, refusal
+}
+
+// Workers lists the registered workers.
+func (f *Front) Workers(ctx context.Context) (api.WorkerList, *api.Error) {
+	answer, refusal := read[fleet.WorkersAnswer](ctx, f, fleet.MethodWorkers)
 	answer.List.Workers = listOf(answer.List.Workers)
-	return http.StatusOK, answer.List, refusal
+	return answer.List, refusal
 }
 
 // members serves GET /v1/members.
 func (f *Front) members(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
-	answer, refusal := read[fleet.MembersAnswer](request, f, fleet.MethodMembers)
+	list, refusal := f.Members(request.Context())
+	return http.StatusOK, list, refusal
+}
+
+// Members lists the schedulers.
+func (f *Front) Members(ctx context.Context) (api.MemberList, *api.Error) {
+	answer, refusal := read[fleet.MembersAnswer](ctx, f, fleet.MethodMembers)
 	answer.List.Members = listOf(answer.List.Members)
-	return http.StatusOK, answer.List, refusal
+	return answer.List, refusal
 }
 
 // queues serves GET /v1/queues.
 func (f *Front) queues(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
-	answer, refusal := read[fleet.QueuesAnswer](request, f, fleet.MethodQueues)
+	list, refusal := f.Queues(request.Context())
+	return http.StatusOK, list, refusal
+}
+
+// Queues lists the queues.
+func (f *Front) Queues(ctx context.Context) (api.QueueList, *api.Error) {
+	answer, refusal := read[fleet.QueuesAnswer](ctx, f, fleet.MethodQueues)
 	answer.List.Queues = listOf(answer.List.Queues)
-	return http.StatusOK, answer.List, refusal
+	return answer.List, refusal
 }
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -49,7 +49,8 @@
 	effect bool
 	// held is how long the leader may hold the answer.
 	held time.Duration
-	// deadline bounds all tries. Zero: the settings' Deadline from now on.
+	// deadline bounds all tries, as the context's own does. Zero: the settings'
+	// Deadline from now on.
 	deadline time.Time
 	// renew changes the call before it is tried again, as time has passed.
 	// Optional.
@@ -62,6 +63,9 @@
 	if call.deadline.IsZero() {
 		call.deadline = time.Now().Add(f.settings.Load().Deadline)
 	}
+	if given, ok := ctx.Deadline(); ok && given.Before(call.deadline) {
+		call.deadline = given
+	}
 	if call.held == 0 {
 		lingering, release := linger(ctx, finishTime)
 		defer release()
--- /dev/null
+++ b/internal/process/agentprocess/process.go
@@ -0,0 +1,69 @@
+// Package agentprocess is an agent as a whole process.
+package agentprocess
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/decklever/decklever/internal/agent"
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/process"
+	"github.com/decklever/decklever/internal/settings"
+)
+
+// Program is the name of the product's program.
+const Program = "decklever-agent"
+
+// Process is one agent with all its parts.
+type Process struct {
+	*process.Linked[settings.Agent]
+	// Agent relays heartbeats.
+	Agent *agent.Agent
+
+	zone atomic.Pointer[string]
+}
+
+// New makes the parts; none is at work yet.
+func New(initial settings.Agent, options settings.LoadOptions) (*Process, error) {
+	p := &Process{}
+	p.zone.Store(&initial.Zone)
+	linked, err := process.NewLinked(process.LinkedConfig[settings.Agent]{
+		Program: Program,
+		Role:    "agent",
+		Initial: initial,
+		Options: options,
+		Common:  func(s *settings.Agent) *settings.Common { return &s.Common },
+		// Each call is bounded by its context.
+		CallTimeout: initial.RelayTimeout.Std() + time.Second,
+		Apply:       func(changed settings.Agent) { p.zone.Store(&changed.Zone) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.Linked = linked
+	p.Agent, err = agent.New(agent.Config{
+		Name:         initial.Name,
+		Zone:         p.Zone,
+		RelayTimeout: initial.RelayTimeout.Std(),
+		Link:         p.Link,
+		Client:       p.Client,
+		Status:       p.Status(),
+		Logger:       p.Logger,
+		Registerer:   p.Registry,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("make the agent: %w", err)
+	}
+	return p, nil
+}
+
+// Zone is the zone now in the settings.
+func (p *Process) Zone() string { return *p.zone.Load() }
+
+// Run serves, on extra listeners too, until the context ends or a signal stops
+// the process.
+func (p *Process) Run(ctx context.Context, extra ...daemon.Listener) error {
+	return p.Linked.Run(ctx, p.Agent, extra)
+}
--- /dev/null
+++ b/internal/process/frontprocess/process.go
@@ -0,0 +1,64 @@
+// Package frontprocess is a front as a whole process.
+package frontprocess
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/front"
+	"github.com/decklever/decklever/internal/process"
+	"github.com/decklever/decklever/internal/settings"
+)
+
+// Program is the name of the product's program.
+const Program = "decklever-front"
+
+// Process is one front with all its parts.
+type Process struct {
+	*process.Linked[settings.Front]
+	// Front makes the calls that the HTTP interface offers.
+	Front *front.Front
+}
+
+// New makes the parts; none is at work yet.
+func New(initial settings.Front, options settings.LoadOptions) (*Process, error) {
+	p := &Process{}
+	linked, err := process.NewLinked(process.LinkedConfig[settings.Front]{
+		Program: Program,
+		Role:    "front",
+		Initial: initial,
+		Options: options,
+		Common:  func(s *settings.Front) *settings.Common { return &s.Common },
+		// The front bounds each try by its context.
+		CallTimeout: front.MaxTry + time.Second,
+		Apply:       func(changed settings.Front) { p.Front.Apply(liveSettings(changed)) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.Linked = linked
+	p.Front, err = front.New(front.Config{
+		Link:       p.Link,
+		Client:     p.Client,
+		Settings:   liveSettings(initial),
+		Status:     p.Status(),
+		Logger:     p.Logger,
+		Registerer: p.Registry,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("make the front: %w", err)
+	}
+	return p, nil
+}
+
+func liveSettings(s settings.Front) front.Settings {
+	return front.Settings{Deadline: s.Deadline.Std(), MaxInflight: s.MaxInflight}
+}
+
+// Run serves, on extra listeners too, until the context ends or a signal stops
+// the process.
+func (p *Process) Run(ctx context.Context, extra ...daemon.Listener) error {
+	return p.Linked.Run(ctx, p.Front, extra)
+}
--- /dev/null
+++ b/internal/process/schedulerprocess/gateway.go
@@ -0,0 +1,47 @@
+package schedulerprocess
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/front"
+	"github.com/decklever/decklever/internal/replica"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// NewGateway makes a front inside this process that reaches the leader as the
+// replica knows it, so that calls which come to any scheduler are carried to
+// the one that acts. It uses the process's connections, which Run closes.
+func (p *Process) NewGateway() (*front.Front, error) {
+	client := rpc.NewClient(rpc.ClientConfig{Timeout: front.MaxTry + time.Second, Dialer: rpc.DialFrom(p.initial.Source)})
+	gateway, err := front.New(front.Config{Link: replicaLink{p.replica}, Client: client, Logger: p.logger})
+	if err != nil {
+		client.Close()
+		return nil, fmt.Errorf("make the gateway: %w", err)
+	}
+	p.gatewayClients = append(p.gatewayClients, client)
+	return gateway, nil
+}
+
+// replicaLink is a front's link to the leader that asks the replica beside it.
+type replicaLink struct{ replica *replica.Replica }
+
+// Leader implements front.Link.
+func (l replicaLink) Leader() (address string, ok bool) {
+	leader, known := l.replica.Leader()
+	return leader.Address, known
+}
+
+// Hint and Failed implement front.Link; the replica learns for itself.
+func (replicaLink) Hint(string)   {}
+func (replicaLink) Failed(string) {}
+
+// Config implements front.Link: none, as a gateway's limits are the defaults.
+func (replicaLink) Config() *api.Config { return nil }
+
+// Fresh implements front.Link.
+func (l replicaLink) Fresh() bool {
+	_, known := l.replica.Leader()
+	return known
+}
--- /dev/null
+++ b/internal/process/schedulerprocess/gateway_test.go
@@ -0,0 +1,62 @@
+package schedulerprocess
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/settings"
+)
+
+// TestGatewayCarriesCallsToTheLeader, and an extra listener serves beside it
+// until the process ends.
+func TestGatewayCarriesCallsToTheLeader(t *testing.T) {
+	p, err := New(schedulerOn(t, t.TempDir()), settings.LoadOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway, err := p.NewGateway()
+	if err != nil {
+		t.Fatal(err)
+	}
+	early, cancelEarly := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancelEarly()
+	if _, refusal := gateway.Config(early); refusal == nil || refusal.Status != http.StatusServiceUnavailable {
+		t.Errorf("before there is a leader: %v, want a 503", refusal)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	listening := make(chan net.Addr, 1)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- p.Run(ctx, daemon.Listener{
+			Address: "127.0.0.1:0", Handler: p.Handler(), Listening: func(address net.Addr) { listening <- address },
+		})
+	}()
+	put := api.Config{Queues: []api.QueueConfig{{Name: "default"}}}
+	for deadline := time.Now().Add(patience); ; {
+		status, refusal := gateway.PutConfig(t.Context(), "order-1", 0, put)
+		if refusal == nil && status.Version == 1 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("version %d, %v", status.Version, refusal)
+		}
+	}
+	if status, refusal := gateway.Config(t.Context()); refusal != nil || len(status.Config.Queues) != 1 {
+		t.Errorf("read back %+v, %v", status, refusal)
+	}
+	response, err := http.Get("http://" + (<-listening).String() + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	stop()
+	if err := <-ended; err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("status %d, then %v", response.StatusCode, err)
+	}
+}
--- a/cmd/decklever-scheduler/process.go
+++ b/internal/process/schedulerprocess/process.go
@@ -1,4 +1,5 @@
-package main
+// Package schedulerprocess is a scheduler as a whole process.
+package schedulerprocess
 
 import (
 	"context"
@@ -13,6 +14,7 @@
 
 	"github.com/decklever/decklever/internal/daemon"
 	"github.com/decklever/decklever/internal/placement"
+	"github.com/decklever/decklever/internal/process"
 	"github.com/decklever/decklever/internal/record"
 	"github.com/decklever/decklever/internal/replica"
 	"github.com/decklever/decklever/internal/rpc"
@@ -23,13 +25,14 @@
 )
 
 const (
-	program = "decklever-scheduler"
+	// Program is the name of the product's program.
+	Program = "decklever-scheduler"
 	// logPart names the replicated log in /readyz.
 	logPart = "log"
 )
 
-// process is one scheduler with all its parts.
-type process struct {
+// Process is one scheduler with all its parts.
+type Process struct {
 	initial settings.Scheduler
 	options settings.LoadOptions
 	level   *slog.LevelVar
@@ -41,14 +44,14 @@
 	client     *rpc.Client
 	replica    *replica.Replica
 	handler    http.Handler
+	// gatewayClients are closed at the end.
+	gatewayClients []*rpc.Client
 }
 
-// newProcess opens the data folder and makes the parts; none is at work yet.
-func newProcess(initial settings.Scheduler, options settings.LoadOptions) (*process, error) {
-	p := &process{initial: initial, options: options, level: new(slog.LevelVar), health: telemetry.NewHealth()}
-	p.logger = telemetry.NewLogger(telemetry.LoggerConfig{
-		Level: p.level, Format: initial.Log.Format, Program: program, Process: initial.Name, Zone: initial.Zone,
-	})
+// New opens the data folder and makes the parts; none is at work yet.
+func New(initial settings.Scheduler, options settings.LoadOptions) (*Process, error) {
+	p := &Process{initial: initial, options: options, level: new(slog.LevelVar), health: telemetry.NewHealth()}
+	p.logger = process.NewLogger(Program, &p.initial.Common, p.level)
 	p.apply(initial)
 	store, err := storage.OpenDisk(storage.DiskConfig{Directory: initial.DataDir, Logger: p.logger})
 	if err != nil {
@@ -62,7 +65,7 @@
 }
 
 // assemble connects the record, the replica and the acting scheduler.
-func (p *process) assemble() error {
+func (p *Process) assemble() error {
 	registry := telemetry.NewRegistry()
 	counted, err := rpc.NewMetrics(registry)
 	if err != nil {
@@ -92,7 +95,7 @@
 	return nil
 }
 
-func (p *process) replicaConfig(registerer prometheus.Registerer, lead func(replica.Leadership)) replica.Config {
+func (p *Process) replicaConfig(registerer prometheus.Registerer, lead func(replica.Leadership)) replica.Config {
 	timing := p.initial.Timing
 	return replica.Config{
 		Name:    p.initial.Name,
@@ -118,22 +121,30 @@
 	}
 }
 
-// run serves until the context ends or a signal stops the process. Leadership
-// is handed over first.
-func (p *process) run(ctx context.Context) error {
-	err := daemon.Run(ctx, daemon.Config{
-		Listen:     p.initial.Listen,
-		Handler:    p.handler,
-		Logger:     p.logger,
-		Background: []func(context.Context) error{p.replica.Run, p.watchSettings, p.watchHealth},
-		BeforeStop: p.replica.HandOver,
-	})
-	p.client.Close()
+// Handler serves the calls between processes, health and metrics; a program
+// that embeds the process may serve more beside it, on the same address.
+func (p *Process) Handler() http.Handler { return p.handler }
+
+// SetHandler replaces the handler. It must be called before Run.
+func (p *Process) SetHandler(handler http.Handler) { p.handler = handler }
+
+// Run serves, on extra listeners too, until the context ends or a signal stops
+// the process. Leadership is handed over first.
+func (p *Process) Run(ctx context.Context, extra ...daemon.Listener) error {
+	config := process.Daemon(&p.initial.Common, p.logger, p.health)
+	config.Handler = p.handler
+	config.Extra = extra
+	config.Background = []func(context.Context) error{p.replica.Run, p.watchSettings, p.watchHealth}
+	config.BeforeStop = p.replica.HandOver
+	err := daemon.Run(ctx, config)
+	for _, client := range append(p.gatewayClients, p.client) {
+		client.Close()
+	}
 	return errors.Join(err, p.store.Close())
 }
 
 // watchSettings puts changes of the settings file in force.
-func (p *process) watchSettings(ctx context.Context) error {
+func (p *Process) watchSettings(ctx context.Context) error {
 	return settings.Watch(ctx, settings.WatchConfig[settings.Scheduler]{
 		Options: p.options,
 		Initial: p.initial,
@@ -143,7 +154,7 @@
 }
 
 // apply puts in force what can change while the process runs.
-func (p *process) apply(changed settings.Scheduler) {
+func (p *Process) apply(changed settings.Scheduler) {
 	telemetry.SetLevel(p.level, changed.Log.Level)
 	p.wallOffset.Store(int64(changed.Test.WallClockOffset.Std()))
 	if p.replica != nil {
@@ -153,12 +164,12 @@
 }
 
 // watchHealth keeps /readyz in step with the log.
-func (p *process) watchHealth(ctx context.Context) error {
+func (p *Process) watchHealth(ctx context.Context) error {
 	return p.health.Watch(ctx, p.checkHealth)
 }
 
 // checkHealth: a scheduler is ready while it knows a leader.
-func (p *process) checkHealth() {
+func (p *Process) checkHealth() {
 	if _, known := p.replica.Leader(); known {
 		p.health.SetReady(logPart, true, "")
 		return
--- a/cmd/decklever-scheduler/process_test.go
+++ b/internal/process/schedulerprocess/process_test.go
@@ -1,4 +1,4 @@
-package main
+package schedulerprocess
 
 import (
 	"bytes"
@@ -46,10 +46,10 @@
 // execute runs the program's parts as main does, until ctx ends.
 func execute(ctx context.Context, t *testing.T, initial settings.Scheduler) (code int, stderr string, err error) {
 	t.Helper()
-	command := &cobra.Command{Use: program, RunE: func(command *cobra.Command, _ []string) error {
-		var p *process
-		if p, err = newProcess(initial, settings.LoadOptions{}); err == nil {
-			err = p.run(command.Context())
+	command := &cobra.Command{Use: Program, RunE: func(command *cobra.Command, _ []string) error {
+		var p *Process
+		if p, err = New(initial, settings.LoadOptions{}); err == nil {
+			err = p.Run(command.Context())
 		}
 		return err
 	}}
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -28,8 +28,12 @@
 	Source string `koanf:"source" validate:"omitempty,source_ip" expected:"an IP address of this machine, such as 127.0.0.1" usage:"IP address that connections leave from (default: the system's choice)"`
 	// Seeds are the addresses of schedulers, one at least.
 	Seeds []string `koanf:"seeds" validate:"min=1,unique,dive,ip_port,reachable" expected:"one or more different IP:port of schedulers" usage:"IP:port of schedulers, separated by commas (required)" live:"true"`
-	Log   Log      `koanf:"log"`
-	Test  Test     `koanf:"test"`
+	// ShutdownDelay is how long the process goes on serving after it was told to
+	// stop and no longer calls itself ready, so that callers can go elsewhere
+	// first. Default 0s.
+	ShutdownDelay api.Duration `koanf:"shutdown_delay" validate:"min=0" expected:"a duration, 0 or more, such as \"1s\"" usage:"how long to go on serving after a stop was asked for and readiness is off"`
+	Log           Log          `koanf:"log"`
+	Test          Test         `koanf:"test"`
 }
 
 // Reach returns the address that others reach the process at.
