Split the types of the record by subject

Change: ids, events and the archived form stand in files of their own. No line of code is changed.

Result: tests of internal/record pass.

--- a/internal/record/archive.go
+++ b/internal/record/archive.go
@@ -14,6 +14,53 @@
 // dropped only when no later restart can apply entries that would have seen
 // them.
 
+// ArchivedJob is what is kept of an ended job.
+type ArchivedJob struct {
+	ID          string         `cbor:"1,keyasint"`
+	Digest      string         `cbor:"2,keyasint"`
+	Queue       string         `cbor:"3,keyasint"`
+	Priority    int            `cbor:"4,keyasint"`
+	State       api.State      `cbor:"5,keyasint"`
+	SubmittedAt Millis         `cbor:"6,keyasint"`
+	EndedAt     Millis         `cbor:"7,keyasint"`
+	Steps       []ArchivedStep `cbor:"8,keyasint"`
+	Index       uint64         `cbor:"9,keyasint"` // log index of the entry that ended it
+}
+
+// ArchivedStep keeps the outcomes of one step.
+type ArchivedStep struct {
+	Name  string         `cbor:"1,keyasint"`
+	Tasks []ArchivedTask `cbor:"2,keyasint"`
+}
+
+// ArchivedTask keeps the outcome of one task.
+type ArchivedTask struct {
+	State    api.State `cbor:"1,keyasint"`
+	Run      uint32    `cbor:"2,keyasint,omitempty"`
+	Failures int       `cbor:"3,keyasint,omitempty"`
+	Worker   string    `cbor:"4,keyasint,omitempty"`
+	Reason   string    `cbor:"5,keyasint,omitempty"`
+}
+
+// Archive stores ended jobs outside of memory. Writes are idempotent: after a
+// restart the log is applied again from the snapshot.
+type Archive interface {
+	// Put keeps jobs; it need not be durable before Sync returns.
+	Put(jobs []ArchivedJob) error
+	Get(id string) (ArchivedJob, bool, error)
+	// Page returns at most limit jobs in the order of (Index, ID), from after
+	// that place on, for a newcomer's copy.
+	Page(afterIndex uint64, afterID string, limit int) ([]ArchivedJob, error)
+	// List returns at most limit jobs in the order of their ids.
+	List(afterID string, limit int) ([]ArchivedJob, error)
+	// Expire drops at most limit jobs that ended before the time, oldest
+	// first, and returns how many.
+	Expire(before Millis, limit int) (int, error)
+	// Sync makes all earlier calls durable; the record calls it before a
+	// snapshot that leaves those jobs out.
+	Sync() error
+}
+
 // archiveExpiry holds back the dropping of expired jobs.
 type archiveExpiry struct {
 	// safeBefore is the expiry of a snapshot that is surely durable.
--- /dev/null
+++ b/internal/record/events.go
@@ -0,0 +1,69 @@
+package record
+
+import "github.com/decklever/decklever/api"
+
+// Event tells an observer of one change, in the order of the log.
+type Event interface{ event() }
+
+// TaskBecameReady: the task can be placed from its NotBefore on.
+type TaskBecameReady struct{ Task *Task }
+
+// TaskLeftReady: a ready task became final without a run.
+type TaskLeftReady struct{ Task *Task }
+
+// RunOpened follows a Place.
+type RunOpened struct{ Run *Run }
+
+// RunStopping: the run was marked to stop.
+type RunStopping struct{ Run *Run }
+
+// RunClosed: the run's room is free again. If the task is to run again,
+// TaskBecameReady follows.
+type RunClosed struct {
+	Run     *Run
+	Outcome api.Outcome
+}
+
+// JobAdded begins a live job.
+type JobAdded struct{ Job *Job }
+
+// JobEnded ends a live job; it is archived.
+type JobEnded struct{ Job *Job }
+
+// ConfigChanged: a new version is in force.
+type ConfigChanged struct {
+	Version uint64
+	Config  *api.Config
+}
+
+// WorkerChanged: a worker was registered, or what is known of it changed.
+type WorkerChanged struct{ Worker *Worker }
+
+// WorkerForgotten: the name is no longer known.
+type WorkerForgotten struct{ Worker *Worker }
+
+// WindowReleased: a window's room was given back.
+type WindowReleased struct{ Window ReleaseWindow }
+
+// ZoneDrainChanged: a zone was drained by an order, or that was taken back.
+type ZoneDrainChanged struct {
+	Zone    string
+	Drained bool
+}
+
+// StateReplaced: a snapshot was restored; all must be read anew.
+type StateReplaced struct{}
+
+func (TaskBecameReady) event()  {}
+func (TaskLeftReady) event()    {}
+func (RunOpened) event()        {}
+func (RunStopping) event()      {}
+func (RunClosed) event()        {}
+func (JobAdded) event()         {}
+func (JobEnded) event()         {}
+func (ConfigChanged) event()    {}
+func (WorkerChanged) event()    {}
+func (WorkerForgotten) event()  {}
+func (WindowReleased) event()   {}
+func (ZoneDrainChanged) event() {}
+func (StateReplaced) event()    {}
--- /dev/null
+++ b/internal/record/ids.go
@@ -0,0 +1,49 @@
+package record
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// TaskID names a task.
+type TaskID struct {
+	Job   string `cbor:"1,keyasint"`
+	Step  string `cbor:"2,keyasint"`
+	Index int    `cbor:"3,keyasint"`
+	// Occurrence is that of a repeating job, from 0.
+	Occurrence int `cbor:"4,keyasint,omitempty"`
+}
+
+// String returns the form that workers see: "JOB/STEP/INDEX", followed by
+// "/OCCURRENCE" where that is not 0.
+func (t TaskID) String() string {
+	if t.Occurrence == 0 {
+		return fmt.Sprintf("%s/%s/%d", t.Job, t.Step, t.Index)
+	}
+	return fmt.Sprintf("%s/%s/%d/%d", t.Job, t.Step, t.Index, t.Occurrence)
+}
+
+// ParseTaskID reads what TaskID.String wrote.
+func ParseTaskID(text string) (TaskID, bool) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 && len(parts) != 4 {
+		return TaskID{}, false
+	}
+	index, err := strconv.Atoi(parts[2])
+	if err != nil || index < 0 {
+		return TaskID{}, false
+	}
+	id := TaskID{Job: parts[0], Step: parts[1], Index: index}
+	if len(parts) == 3 {
+		return id, true
+	}
+	id.Occurrence, err = strconv.Atoi(parts[3])
+	return id, err == nil && id.Occurrence > 0
+}
+
+// RunID names one run of a task.
+type RunID struct {
+	Task   TaskID `cbor:"1,keyasint"`
+	Number uint32 `cbor:"2,keyasint"`
+}
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -1,10 +1,7 @@
 package record
 
 import (
-	"fmt"
 	"iter"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -13,48 +10,6 @@
 // Millis is cluster time in Unix milliseconds.
 type Millis int64
 
-// TaskID names a task.
-type TaskID struct {
-	Job   string `cbor:"1,keyasint"`
-	Step  string `cbor:"2,keyasint"`
-	Index int    `cbor:"3,keyasint"`
-	// Occurrence is that of a repeating job, from 0.
-	Occurrence int `cbor:"4,keyasint,omitempty"`
-}
-
-// String returns the form that workers see: "JOB/STEP/INDEX", followed by
-// "/OCCURRENCE" where that is not 0.
-func (t TaskID) String() string {
-	if t.Occurrence == 0 {
-		return fmt.Sprintf("%s/%s/%d", t.Job, t.Step, t.Index)
-	}
-	return fmt.Sprintf("%s/%s/%d/%d", t.Job, t.Step, t.Index, t.Occurrence)
-}
-
-// ParseTaskID reads what TaskID.String wrote.
-func ParseTaskID(text string) (TaskID, bool) {
-	parts := strings.Split(text, "/")
-	if len(parts) != 3 && len(parts) != 4 {
-		return TaskID{}, false
-	}
-	index, err := strconv.Atoi(parts[2])
-	if err != nil || index < 0 {
-		return TaskID{}, false
-	}
-	id := TaskID{Job: parts[0], Step: parts[1], Index: index}
-	if len(parts) == 3 {
-		return id, true
-	}
-	id.Occurrence, err = strconv.Atoi(parts[3])
-	return id, err == nil && id.Occurrence > 0
-}
-
-// RunID names one run of a task.
-type RunID struct {
-	Task   TaskID `cbor:"1,keyasint"`
-	Number uint32 `cbor:"2,keyasint"`
-}
-
 // TaskState is finer than api.State: it tells whether a task can be placed.
 type TaskState uint8
 
@@ -349,72 +304,6 @@
 	Refusal *api.Error
 }
 
-// Event tells an observer of one change, in the order of the log.
-type Event interface{ event() }
-
-// TaskBecameReady: the task can be placed from its NotBefore on.
-type TaskBecameReady struct{ Task *Task }
-
-// TaskLeftReady: a ready task became final without a run.
-type TaskLeftReady struct{ Task *Task }
-
-// RunOpened follows a Place.
-type RunOpened struct{ Run *Run }
-
-// RunStopping: the run was marked to stop.
-type RunStopping struct{ Run *Run }
-
-// RunClosed: the run's room is free again. If the task is to run again,
-// TaskBecameReady follows.
-type RunClosed struct {
-	Run     *Run
-	Outcome api.Outcome
-}
-
-// JobAdded begins a live job.
-type JobAdded struct{ Job *Job }
-
-// JobEnded ends a live job; it is archived.
-type JobEnded struct{ Job *Job }
-
-// ConfigChanged: a new version is in force.
-type ConfigChanged struct {
-	Version uint64
-	Config  *api.Config
-}
-
-// WorkerChanged: a worker was registered, or what is known of it changed.
-type WorkerChanged struct{ Worker *Worker }
-
-// WorkerForgotten: the name is no longer known.
-type WorkerForgotten struct{ Worker *Worker }
-
-// WindowReleased: a window's room was given back.
-type WindowReleased struct{ Window ReleaseWindow }
-
-// ZoneDrainChanged: a zone was drained by an order, or that was taken back.
-type ZoneDrainChanged struct {
-	Zone    string
-	Drained bool
-}
-
-// StateReplaced: a snapshot was restored; all must be read anew.
-type StateReplaced struct{}
-
-func (TaskBecameReady) event()  {}
-func (TaskLeftReady) event()    {}
-func (RunOpened) event()        {}
-func (RunStopping) event()      {}
-func (RunClosed) event()        {}
-func (JobAdded) event()         {}
-func (JobEnded) event()         {}
-func (ConfigChanged) event()    {}
-func (WorkerChanged) event()    {}
-func (WorkerForgotten) event()  {}
-func (WindowReleased) event()   {}
-func (ZoneDrainChanged) event() {}
-func (StateReplaced) event()    {}
-
 // View reads the record. It is valid only inside the callback that it was
 // given to. What it returns must not be changed or kept.
 type View interface {
@@ -465,52 +354,5 @@
 	Jobs, PendingTasks, RunningTasks int
 }
 
-// ArchivedJob is what is kept of an ended job.
-type ArchivedJob struct {
-	ID          string         `cbor:"1,keyasint"`
-	Digest      string         `cbor:"2,keyasint"`
-	Queue       string         `cbor:"3,keyasint"`
-	Priority    int            `cbor:"4,keyasint"`
-	State       api.State      `cbor:"5,keyasint"`
-	SubmittedAt Millis         `cbor:"6,keyasint"`
-	EndedAt     Millis         `cbor:"7,keyasint"`
-	Steps       []ArchivedStep `cbor:"8,keyasint"`
-	Index       uint64         `cbor:"9,keyasint"` // log index of the entry that ended it
-}
-
-// ArchivedStep keeps the outcomes of one step.
-type ArchivedStep struct {
-	Name  string         `cbor:"1,keyasint"`
-	Tasks []ArchivedTask `cbor:"2,keyasint"`
-}
-
-// ArchivedTask keeps the outcome of one task.
-type ArchivedTask struct {
-	State    api.State `cbor:"1,keyasint"`
-	Run      uint32    `cbor:"2,keyasint,omitempty"`
-	Failures int       `cbor:"3,keyasint,omitempty"`
-	Worker   string    `cbor:"4,keyasint,omitempty"`
-	Reason   string    `cbor:"5,keyasint,omitempty"`
-}
-
-// Archive stores ended jobs outside of memory. Writes are idempotent: after a
-// restart the log is applied again from the snapshot.
-type Archive interface {
-	// Put keeps jobs; it need not be durable before Sync returns.
-	Put(jobs []ArchivedJob) error
-	Get(id string) (ArchivedJob, bool, error)
-	// Page returns at most limit jobs in the order of (Index, ID), from after
-	// that place on, for a newcomer's copy.
-	Page(afterIndex uint64, afterID string, limit int) ([]ArchivedJob, error)
-	// List returns at most limit jobs in the order of their ids.
-	List(afterID string, limit int) ([]ArchivedJob, error)
-	// Expire drops at most limit jobs that ended before the time, oldest
-	// first, and returns how many.
-	Expire(before Millis, limit int) (int, error)
-	// Sync makes all earlier calls durable; the record calls it before a
-	// snapshot that leaves those jobs out.
-	Sync() error
-}
-
 // Time returns the value as a time in UTC.
 func (m Millis) Time() time.Time { return time.UnixMilli(int64(m)).UTC() }
