Let a step describe equal tasks once, and a job and a queue fill in defaults

Cause: a step of many equal tasks was handed in, logged and kept task by task, each with its payload and its service.

JobSpec.Payload is put into the start orders of tasks without a payload and never copied. QueueConfig.Service is filled in when a job is accepted and stays; the digest is that of the spec as handed in, so a resend after a change of the configuration is the same job. A task with neither service is refused with its field. Digests take the job's payload and Repeat.First in a canonical form.

--- a/api/digest.go
+++ b/api/digest.go
@@ -10,9 +10,11 @@
 
 // Digest names the content of the job: the SHA-256, in hexadecimal, of its
 // canonical JSON. White space and key order of payloads, the time zone in
-// which NotBefore is written, and a payload of null instead of none make no
+// which NotBefore and Repeat.First are written, and a payload of null instead of none make no
 // difference.
 func (s JobSpec) Digest() string {
+	s.Payload = canonicalPayload(s.Payload)
+	s.Repeat = canonicalRepeat(s.Repeat)
 	s.Steps = slices.Clone(s.Steps)
 	for index := range s.Steps {
 		s.Steps[index] = canonicalStep(s.Steps[index])
@@ -24,6 +26,16 @@
 // defaults filled in: the SHA-256, in hexadecimal, of its canonical JSON.
 func (c Config) Digest() string { return digestOf(c) }
 
+// canonicalRepeat returns a copy whose time is in UTC.
+func canonicalRepeat(repeat *RepeatSpec) *RepeatSpec {
+	if repeat == nil {
+		return nil
+	}
+	canonical := *repeat
+	canonical.First = repeat.First.UTC()
+	return &canonical
+}
+
 // canonicalStep returns a copy of the step in its canonical form.
 func canonicalStep(step StepSpec) StepSpec {
 	if step.NotBefore != nil {
--- /dev/null
+++ b/api/job_tasks.go
@@ -0,0 +1,96 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// MaxReplicas bounds the equal tasks of one step, whatever the configuration
+// says, so that sums over steps stay within an int.
+const MaxReplicas = 1_000_000
+
+// TaskCount is the number of the step's tasks, each replica counted.
+func (s *StepSpec) TaskCount() int {
+	if s.replicated() {
+		return s.Replicas
+	}
+	return len(s.Tasks)
+}
+
+// TaskAt describes the task of an index from 0 to TaskCount less one. Replicas
+// share what is returned.
+func (s *StepSpec) TaskAt(index int) *TaskSpec {
+	if s.replicated() {
+		return &s.Tasks[0]
+	}
+	return &s.Tasks[index]
+}
+
+// replicated reports that the one entry of Tasks stands for all of them. Numbers
+// that validation refuses are passed over.
+func (s *StepSpec) replicated() bool {
+	return s.Replicas > 0 && s.Replicas <= MaxReplicas && len(s.Tasks) == 1
+}
+
+// TaskCount is the number of tasks over all steps; of a repeating job, that of
+// one occurrence.
+func (s *JobSpec) TaskCount() int {
+	count := 0
+	for index := range s.Steps {
+		count += s.Steps[index].TaskCount()
+	}
+	return count
+}
+
+// WithService returns the job with a service filled in for tasks that name
+// none. What it changes it copies.
+func (s JobSpec) WithService(service string) JobSpec {
+	if service == "" || len(s.MissingServices()) == 0 {
+		return s
+	}
+	s.Steps = slices.Clone(s.Steps)
+	for index := range s.Steps {
+		s.Steps[index].Tasks = slices.Clone(s.Steps[index].Tasks)
+		for number := range s.Steps[index].Tasks {
+			task := &s.Steps[index].Tasks[number]
+			if task.Service == "" {
+				task.Service = service
+			}
+		}
+	}
+	return s
+}
+
+// MissingServices names the service of each task that has none.
+func (s *JobSpec) MissingServices() []FieldError {
+	var errors fieldErrors
+	for index := range s.Steps {
+		for number := range s.Steps[index].Tasks {
+			if s.Steps[index].Tasks[number].Service == "" {
+				errors.add(fmt.Sprintf("steps[%d].tasks[%d].service", index, number), "", expectedService(s.Queue))
+			}
+		}
+	}
+	return errors.all()
+}
+
+// expectedService says what a task of a queue without a service must have.
+func expectedService(queue string) string {
+	return fmt.Sprintf("a service name of 1 to %d bytes, or a queue that has one; queue %q has none", MaxServiceLength, queue)
+}
+
+// PayloadOf is what is handed to a task: its own payload, else the job's. A
+// payload of null is none.
+func (s *JobSpec) PayloadOf(task *TaskSpec) json.RawMessage {
+	if noPayload(task.Payload) {
+		return s.Payload
+	}
+	return task.Payload
+}
+
+func noPayload(payload json.RawMessage) bool {
+	trimmed := bytes.TrimSpace(payload)
+	return len(trimmed) == 0 || string(trimmed) == "null"
+}
--- a/api/validate_booking.go
+++ b/api/validate_booking.go
@@ -104,9 +104,7 @@
 		}
 	}
 	checkRoom(errors, path+".slice", booking.Slice)
-	if len(booking.Service) > MaxServiceLength {
-		errors.add(path+".service", booking.Service, fmt.Sprintf("a service name of at most %d bytes", MaxServiceLength))
-	}
+	checkService(errors, path+".service", booking.Service)
 	checkLabels(errors, path+".labels", booking.Labels)
 }
 
--- a/api/validate_config.go
+++ b/api/validate_config.go
@@ -83,6 +83,7 @@
 // checkQueue checks one queue for itself. A zero weight means the default.
 func checkQueue(errors *fieldErrors, path string, queue QueueConfig) {
 	checkShortName(errors, path+".name", queue.Name)
+	checkService(errors, path+".service", queue.Service)
 	checkRange(errors, path+".priority", queue.Priority, MinPriority, MaxPriority)
 	checkRange(errors, path+".weight", queue.Weight, 0, MaxQueueWeight)
 	checkAtLeast(errors, path+".max_running_tasks", queue.MaxRunningTasks, 0)
@@ -90,6 +91,13 @@
 	checkRange(errors, path+".default_allowed_failures", queue.DefaultAllowedFailures, 0, MaxAllowedFailures)
 }
 
+// checkService checks the length of a service that may be left out.
+func checkService(errors *fieldErrors, field, service string) {
+	if len(service) > MaxServiceLength {
+		errors.add(field, service, fmt.Sprintf("a service name of at most %d bytes", MaxServiceLength))
+	}
+}
+
 // checkNames checks that names are not empty and that none stands twice.
 func checkNames(errors *fieldErrors, path string, names []string) {
 	first := make(map[string]int, len(names))
--- a/api/validate_job.go
+++ b/api/validate_job.go
@@ -28,8 +28,9 @@
 
 // ValidateJob checks all of a job that needs no state, and returns every
 // wrong field (see MaxFieldErrors). A nil config leaves out the checks that
-// depend on the configuration: that the queue exists, the number of tasks, and
-// that the queue and its team let each group run whole.
+// depend on the configuration: that the queue exists, that it has a service for
+// tasks without one, the number of tasks, and that the queue and its team let
+// each group run whole.
 func ValidateJob(id string, spec *JobSpec, config *Config) []FieldError {
 	check := jobCheck{spec: spec, config: config}
 	check.top(id)
@@ -61,6 +62,7 @@
 		c.errors.add("queue", c.spec.Queue, "a queue of the configuration in force")
 	}
 	checkRange(&c.errors, "priority", c.spec.Priority, MinPriority, MaxPriority)
+	c.payload("payload", c.spec.Payload)
 	if len(c.spec.Steps) == 0 {
 		c.errors.add("steps", "[]", "at least one step")
 	}
@@ -87,11 +89,7 @@
 		return
 	}
 	limit := c.config.Limits.WithDefaults().MaxTasksPerJob
-	count := 0
-	for _, step := range c.spec.Steps {
-		count += len(step.Tasks)
-	}
-	if count > limit {
+	if count := c.spec.TaskCount(); count > limit {
 		c.errors.add("steps", fmt.Sprintf("%d tasks", count), fmt.Sprintf("at most %d tasks in all", limit))
 	}
 }
@@ -123,14 +121,31 @@
 	if len(step.Tasks) == 0 {
 		c.errors.add(path+".tasks", "[]", "at least one task")
 	}
+	c.replicas(path, step)
 	if step.Together {
-		c.group(path+".tasks", len(step.Tasks))
+		c.group(step.countField(path), step.TaskCount())
 	}
 	for number := range step.Tasks {
 		c.task(fmt.Sprintf("%s.tasks[%d]", path, number), &step.Tasks[number])
 	}
 }
 
+// replicas checks the number of equal tasks and that one entry describes them.
+func (c *jobCheck) replicas(path string, step *StepSpec) {
+	checkRange(&c.errors, path+".replicas", step.Replicas, 0, MaxReplicas)
+	if step.Replicas > 0 && len(step.Tasks) > 1 {
+		c.errors.add(path+".tasks", fmt.Sprintf("%d tasks", len(step.Tasks)), "exactly one task beside replicas, which describes each of them")
+	}
+}
+
+// countField names the field that says how many tasks the step has.
+func (s *StepSpec) countField(path string) string {
+	if s.replicated() {
+		return path + ".replicas"
+	}
+	return path + ".tasks"
+}
+
 // group checks that a step that starts together can ever do so.
 func (c *jobCheck) group(path string, members int) {
 	if members > MaxGroupMembers {
@@ -169,12 +184,8 @@
 
 // task checks one task.
 func (c *jobCheck) task(path string, task *TaskSpec) {
-	if task.Service == "" || len(task.Service) > MaxServiceLength {
-		c.errors.add(path+".service", task.Service, fmt.Sprintf("a service name of 1 to %d bytes", MaxServiceLength))
-	}
-	if len(task.Payload) > 0 && !json.Valid(task.Payload) {
-		c.errors.add(path+".payload", string(task.Payload), "JSON")
-	}
+	c.service(path+".service", task)
+	c.payload(path+".payload", task.Payload)
 	checkRoom(&c.errors, path+".resources", task.Resources)
 	checkLabels(&c.errors, path+".labels", task.Labels)
 	if task.Spread != nil {
@@ -186,6 +197,27 @@
 	checkAtLeast(&c.errors, path+".max_duration", task.MaxDuration, 0)
 }
 
+// service checks a task's service; one that is missing can be told only by who
+// knows the configuration.
+func (c *jobCheck) service(field string, task *TaskSpec) {
+	if len(task.Service) > MaxServiceLength {
+		c.errors.add(field, task.Service, fmt.Sprintf("a service name of 1 to %d bytes", MaxServiceLength))
+	}
+	if task.Service != "" || c.config == nil {
+		return
+	}
+	if queue := c.queue(); queue == nil || queue.Service == "" {
+		c.errors.add(field, "", expectedService(c.spec.Queue))
+	}
+}
+
+// payload checks that a payload, if there is one, is JSON.
+func (c *jobCheck) payload(field string, payload json.RawMessage) {
+	if len(payload) > 0 && !json.Valid(payload) {
+		c.errors.add(field, string(payload), "JSON")
+	}
+}
+
 // spread checks a spread rule.
 func (c *jobCheck) spread(path string, spread *Spread) {
 	key, byLabel := strings.CutPrefix(spread.By, SpreadByLabelPrefix)
--- a/api/validate_test.go
+++ b/api/validate_test.go
@@ -67,6 +67,15 @@
 		},
 		{"allowed failures", func(s *JobSpec) { task(s).AllowedFailures = &minus }, []string{"steps[1].tasks[1].allowed_failures"}},
 		{"max duration", func(s *JobSpec) { task(s).MaxDuration = -1 }, []string{"steps[1].tasks[1].max_duration"}},
+		{"job payload", func(s *JobSpec) { s.Payload = []byte("{") }, []string{"payload"}},
+		{"replicas", func(s *JobSpec) { s.Steps[0].Replicas = 997 }, nil},
+		{"too many replicas", func(s *JobSpec) { s.Steps[0].Replicas = 997; s.Steps[2].Replicas = 2 }, []string{"steps"}},
+		{"huge replicas", func(s *JobSpec) { s.Steps[0].Replicas = 1 << 62; s.Steps[2].Replicas = 1 << 62 }, []string{"steps[0].replicas", "steps[2].replicas"}},
+		{"negative replicas", func(s *JobSpec) { s.Steps[0].Replicas = -1 }, []string{"steps[0].replicas"}},
+		{"replicas of two tasks", func(s *JobSpec) { s.Steps[1].Replicas = 2 }, []string{"steps[1].tasks"}},
+		{"replicas of no task", func(s *JobSpec) { s.Steps[1].Replicas = 2; s.Steps[1].Tasks = nil }, []string{"steps[1].tasks"}},
+		{"group of 129 replicas", func(s *JobSpec) { s.Steps[2].Replicas = 129 }, []string{"steps[2].replicas"}},
+		{"long service", func(s *JobSpec) { task(s).Service = strings.Repeat("s", 129) }, []string{"steps[1].tasks[1].service"}},
 		{"payload", func(s *JobSpec) { task(s).Payload = []byte("{") }, []string{"steps[1].tasks[1].payload"}},
 		{
 			"several", func(s *JobSpec) {
@@ -89,6 +98,40 @@
 	}
 }
 
+func TestServiceOfTheQueue(t *testing.T) {
+	spec := validJob()
+	spec.Steps[1].Tasks[1].Service = ""
+	config := validConfig()
+	missing := ValidateJob("job-1", spec, config)
+	if len(missing) != 1 || missing[0].Field != "steps[1].tasks[1].service" || !strings.Contains(missing[0].Expected, `queue "default" has none`) {
+		t.Fatalf("without a service of the queue: %+v", missing)
+	}
+	config.Queues[0].Service = "given"
+	if fields := ValidateJob("job-1", spec, config); len(fields) > 0 {
+		t.Fatalf("with a service of the queue: %+v", fields)
+	}
+	if fields := ValidateJob("job-1", spec, nil); len(fields) > 0 {
+		t.Fatalf("without a known configuration: %+v", fields)
+	}
+	filled := spec.WithService("given")
+	if filled.Steps[1].Tasks[1].Service != "given" || filled.Steps[1].Tasks[0].Service != "sleep" || len(filled.MissingServices()) > 0 {
+		t.Fatalf("filled in: %+v", filled.Steps)
+	}
+	if spec.Steps[1].Tasks[1].Service != "" {
+		t.Fatal("the original was changed")
+	}
+}
+
+func TestPayloadOfTheJob(t *testing.T) {
+	spec := validJob()
+	spec.Payload = []byte(`{"a":1}`)
+	for own, want := range map[string]string{"": `{"a":1}`, "null": `{"a":1}`, " null\n": `{"a":1}`, `""`: `""`, "0": "0"} {
+		if got := spec.PayloadOf(&TaskSpec{Payload: []byte(own)}); string(got) != want {
+			t.Errorf("payload %q gives %q, want %q", own, got, want)
+		}
+	}
+}
+
 func TestValidateJobID(t *testing.T) {
 	for id, valid := range map[string]bool{
 		"a": true, "A:b.c_d-9": true, strings.Repeat("x", 128): true,
@@ -136,6 +179,7 @@
 		{"queue figures", func(c *Config) {
 			c.Queues[0] = QueueConfig{Name: "q", Priority: 1001, Weight: 1001, MaxRunningTasks: -1, MaxPendingTasks: -1, DefaultAllowedFailures: 1001}
 		}, []string{"queues[0].default_allowed_failures", "queues[0].max_pending_tasks", "queues[0].max_running_tasks", "queues[0].priority", "queues[0].weight"}},
+		{"long service", func(c *Config) { c.Queues[0].Service = strings.Repeat("s", 129) }, []string{"queues[0].service"}},
 		{
 			"drains", func(c *Config) { c.Drains = DrainConfig{Workers: []string{"w", "w"}, Zones: []string{""}} },
 			[]string{"drains.workers[1]", "drains.zones[0]"},
@@ -196,6 +240,22 @@
 	if same := digest(" { \"b\" : [1.50, {\"y\":2,\n\"x\":1}], \"a\":1 }", "2026-01-31T15:00:00+01:00"); same != base {
 		t.Error("white space, key order or time zone changed the digest")
 	}
+	withJobPayload := func(payload string) string {
+		return JobSpec{Queue: "q", Payload: []byte(payload)}.Digest()
+	}
+	if withJobPayload(`{"a":1,"b":2}`) != withJobPayload(` {"b":2, "a":1}`) || withJobPayload("null") != withJobPayload("") {
+		t.Error("the form of the job's payload changed the digest")
+	}
+	if withJobPayload(`{"a":1}`) == withJobPayload(`{"a":2}`) {
+		t.Error("another payload of the job has the same digest")
+	}
+	firstAt := func(first time.Time) string {
+		return JobSpec{Queue: "q", Repeat: &RepeatSpec{Times: 2, First: first, Interval: Duration(time.Second)}}.Digest()
+	}
+	first := time.Date(2026, 1, 31, 14, 0, 0, 0, time.UTC)
+	if firstAt(first) != firstAt(first.In(time.FixedZone("", 3600))) || firstAt(first) == firstAt(first.Add(1)) {
+		t.Error("the zone of the first time changed the digest, or its instant did not")
+	}
 	if digest(`{"a":2,"b":[1.50,{"x":1,"y":2}]}`, "2026-01-31T14:00:00Z") == base {
 		t.Error("other content has the same digest")
 	}
--- a/internal/record/property_test.go
+++ b/internal/record/property_test.go
@@ -158,6 +158,9 @@
 	if rapid.Bool().Draw(t, "spread") {
 		first.Tasks[0].Spread = &api.Spread{By: api.SpreadByWorker}
 	}
+	if rapid.Bool().Draw(t, "replicas") {
+		first.Replicas, first.Tasks = len(first.Tasks), first.Tasks[:1]
+	}
 	second := step("two", 1, "one")
 	third := step("three", 1, "two")
 	spec := api.JobSpec{Queue: rapid.SampledFrom([]string{testQueue, "narrow"}).Draw(t, "queue")}
--- a/internal/record/submit.go
+++ b/internal/record/submit.go
@@ -24,11 +24,22 @@
 	case !queueKnown:
 		result.Submit.Outcome = SubmitUnknownQueue
 	default:
-		m.addJob(submit, queue)
+		result.Submit.Outcome = m.acceptJob(submit, queue)
 	}
 	return nil
 }
 
+// acceptJob adds a job with the queue's service filled in, which stays whatever
+// the configuration becomes. The digest is that of the spec as handed in.
+func (m *Machine) acceptJob(submit *Submit, queue api.QueueConfig) SubmitOutcome {
+	spec := submit.Spec.WithService(queue.Service)
+	if len(spec.MissingServices()) > 0 {
+		return SubmitNoService
+	}
+	m.addJob(submit.ID, submit.Digest, spec, queue)
+	return SubmitAccepted
+}
+
 // knownDigest returns the digest under which an id was accepted.
 func (m *Machine) knownDigest(id string) (digest string, known bool, err error) {
 	if job := m.state.jobs[id]; job != nil {
@@ -38,8 +49,8 @@
 	return archived.Digest, known, err
 }
 
-func (m *Machine) addJob(submit *Submit, queue api.QueueConfig) {
-	job := newJob(submit.ID, submit.Digest, submit.Spec, m.state.clock)
+func (m *Machine) addJob(id, digest string, spec api.JobSpec, queue api.QueueConfig) {
+	job := newJob(id, digest, spec, m.state.clock)
 	for _, step := range job.Steps {
 		for _, task := range step.Tasks {
 			task.AllowedFailures = allowedFailures(task.Spec, queue)
@@ -75,14 +86,15 @@
 
 func newStep(job *Job, index int) *Step {
 	spec := &job.Spec.Steps[index]
-	step := &Step{Job: job, Index: index, Spec: spec, OpenTasks: len(spec.Tasks)}
-	step.Tasks = make([]*Task, len(spec.Tasks))
-	tasks := make([]Task, len(spec.Tasks))
+	count := spec.TaskCount()
+	step := &Step{Job: job, Index: index, Spec: spec, OpenTasks: count}
+	step.Tasks = make([]*Task, count)
+	tasks := make([]Task, count)
 	for i := range tasks {
 		tasks[i] = Task{
 			ID:   TaskID{Job: job.ID, Step: spec.Name, Index: i},
 			Step: step,
-			Spec: &spec.Tasks[i],
+			Spec: spec.TaskAt(i),
 		}
 		step.Tasks[i] = &tasks[i]
 	}
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -289,6 +289,9 @@
 	SubmitConflict
 	// SubmitUnknownQueue: the queue left the configuration meanwhile.
 	SubmitUnknownQueue
+	// SubmitNoService: a task names no service, and meanwhile its queue has
+	// none either.
+	SubmitNoService
 )
 
 // SubmitResult answers a Submit.
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -192,11 +192,19 @@
 			continue
 		}
 		run.orderedAt = worker.seq
-		orders = append(orders, api.StartOrder{RunRef: runRef(run.id), Spec: *run.spec})
+		orders = append(orders, run.order())
 	}
 	return orders
 }
 
+// order is the run's start order, with the job's payload filled in for a task
+// that has none.
+func (r *runState) order() api.StartOrder {
+	order := api.StartOrder{RunRef: runRef(r.id), Spec: *r.spec}
+	order.Spec.Payload = r.payload
+	return order
+}
+
 // stopOrders names what the worker must stop. It is repeated in each answer
 // until the worker lists the run no more.
 func (l *leader) stopOrders(worker *workerEntry, differences reconciliation) []api.RunRef {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -32,6 +32,8 @@
 		return fleet.SubmitAnswer{}, nil
 	case record.SubmitConflict:
 		return fleet.SubmitAnswer{}, jobConflict(request.ID)
+	case record.SubmitNoService:
+		return fleet.SubmitAnswer{}, invalid("job", request.Spec.MissingServices())
 	default:
 		unknown := api.FieldError{Field: "queue", Value: request.Spec.Queue, Expected: "a queue of the configuration in force"}
 		return fleet.SubmitAnswer{}, invalid("job", []api.FieldError{unknown})
@@ -46,6 +48,7 @@
 func (l *leader) admit(request fleet.SubmitRequest) error {
 	var known bool
 	var refusal error
+	spec := request.Spec
 	l.log.Record().Read(func(view record.View) {
 		known = isKnown(view, request.ID)
 		if known {
@@ -56,12 +59,23 @@
 			refusal = invalid("job", fields)
 			return
 		}
-		refusal = overLimit(view, config, &request.Spec)
+		spec = spec.WithService(queueService(config, spec.Queue))
+		refusal = overLimit(view, config, &spec)
 	})
 	if known || refusal != nil {
 		return refusal
 	}
-	return l.impossible(&request.Spec)
+	return l.impossible(&spec)
+}
+
+// queueService is the service of a queue's tasks that name none.
+func queueService(config *api.Config, name string) string {
+	for index := range config.Queues {
+		if config.Queues[index].Name == name {
+			return config.Queues[index].Service
+		}
+	}
+	return ""
 }
 
 func isKnown(view record.View, id string) bool {
@@ -74,10 +88,7 @@
 
 // overLimit checks the bounds on waiting tasks, of the queue, its team and all.
 func overLimit(view record.View, config *api.Config, spec *api.JobSpec) error {
-	tasks := 0
-	for _, step := range spec.Steps {
-		tasks += len(step.Tasks)
-	}
+	tasks := spec.TaskCount()
 	total := 0
 	team := ""
 	for _, queue := range config.Queues {
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -158,6 +158,7 @@
 	run := &runState{
 		id:        open.ID(),
 		spec:      task.Spec,
+		payload:   task.Step.Job.Spec.PayloadOf(task.Spec),
 		step:      stepKey{job: task.ID.Job, step: task.ID.Step},
 		together:  task.Step.Spec.Together,
 		workerID:  open.WorkerID,
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -46,8 +47,10 @@
 
 // runState mirrors one open run of the record and adds what was observed.
 type runState struct {
-	id       record.RunID
-	spec     *api.TaskSpec
+	id   record.RunID
+	spec *api.TaskSpec
+	// payload is the task's own or the job's; it is shared with the record.
+	payload  json.RawMessage
 	step     stepKey
 	together bool
 	workerID string
