--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/leaderlink"
 	"github.com/decklever/decklever/internal/rpc"
 )
@@ -84,13 +85,31 @@
 		writeError(writer, refusal)
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), a.config.RelayTimeout)
+	answer, refusal := a.relayTurn(request.Context(), heartbeat)
+	if refusal != nil {
+		writeError(writer, refusal)
+		return
+	}
+	writeJSON(writer, http.StatusOK, answer)
+}
+
+// Heartbeat relays one heartbeat of one worker, as HeartbeatPath does.
+func (a *Agent) Heartbeat(ctx context.Context, heartbeat api.Heartbeat) (api.HeartbeatAnswer, *api.Error) {
+	if fields := validateHeartbeat(heartbeat); len(fields) > 0 {
+		a.metrics.count(resultInvalid)
+		return api.HeartbeatAnswer{}, invalid(fields)
+	}
+	return a.relayTurn(ctx, heartbeat)
+}
+
+// relayTurn relays a heartbeat unless a newer one has come or comes meanwhile.
+func (a *Agent) relayTurn(ctx context.Context, heartbeat api.Heartbeat) (api.HeartbeatAnswer, *api.Error) {
+	ctx, cancel := context.WithTimeout(ctx, a.config.RelayTimeout)
 	defer cancel()
 	turn, ok := a.workers.begin(heartbeat.WorkerID, heartbeat.Seq, cancel, time.Now())
 	if !ok {
 		a.metrics.count(resultOldSeq)
-		writeError(writer, oldSeq(heartbeat))
-		return
+		return api.HeartbeatAnswer{}, oldSeq(heartbeat)
 	}
 	answer, refusal := a.relay(ctx, heartbeat)
 	newest := a.workers.end(turn)
@@ -98,10 +117,8 @@
 		a.metrics.count(resultSuperseded)
 		refusal = unavailable("a newer heartbeat of this worker came in")
 	}
-	if refusal != nil {
-		writeError(writer, refusal)
-		return
+	if refusal == nil {
+		a.metrics.count(resultRelayed)
 	}
-	a.metrics.count(resultRelayed)
-	writeJSON(writer, http.StatusOK, answer)
+	return answer, refusal
 }
--- a/internal/agent/validate.go
+++ b/internal/agent/validate.go
@@ -24,16 +24,20 @@
 		return api.Heartbeat{}, refusal
 	}
 	if fields := validateHeartbeat(heartbeat); len(fields) > 0 {
-		return api.Heartbeat{}, &api.Error{
-			Status:  http.StatusUnprocessableEntity,
-			Code:    api.CodeInvalid,
-			Message: fmt.Sprintf("the heartbeat has %d wrong fields", len(fields)),
-			Fields:  fields,
-		}
+		return api.Heartbeat{}, invalid(fields)
 	}
 	return heartbeat, nil
 }
 
+func invalid(fields []api.FieldError) *api.Error {
+	return &api.Error{
+		Status:  http.StatusUnprocessableEntity,
+		Code:    api.CodeInvalid,
+		Message: fmt.Sprintf("the heartbeat has %d wrong fields", len(fields)),
+		Fields:  fields,
+	}
+}
+
 // checker collects wrong fields.
 type checker struct{ fields []api.FieldError }
 
--- a/internal/front/job_calls.go
+++ b/internal/front/job_calls.go
@@ -88,6 +88,18 @@
 	return f.waitForJob(ctx, id, wait)
 }
 
+// JobState reads the state of a job, without its steps.
+func (f *Front) JobState(ctx context.Context, id string) (api.State, *api.Error) {
+	if !api.ValidJobID(id) {
+		return "", noJob(id)
+	}
+	answer, refusal := relay[fleet.GetJobRequest, fleet.JobAnswer](ctx, f, relayCall[fleet.GetJobRequest]{
+		method:  fleet.MethodGetJob,
+		request: fleet.GetJobRequest{ID: id, Brief: true},
+	})
+	return answer.Status.State, refusal
+}
+
 // cancelJob serves POST /v1/jobs/{id}/cancel.
 func (f *Front) cancelJob(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
 	status, refusal := f.Cancel(request.Context(), jobID(request))
