Let tasks say where they run best, and keep retries off what failed them

Cause: TaskSpec.Prefer and StepSpec.Colocate were read by nothing. A retry went to the fullest worker, which was mostly the one that had just failed it, and the fullest-first rule put whole steps on one worker, so that one failing worker of a small fleet cost all allowed failures of whole jobs.

Change: among the workers that can take a task, the one that costs least by its wishes is taken, the fullest of equals: not where it failed, not on slow workers, preferred labels, the step's home domain, at most half of a step on one worker. Wishes never make a task wait and are no part of a task's class, so blocked classes and pools work as before. Spreading a step evenly was weighed and refused: it breaks the large holes up. The leader remembers in memory where tasks failed.

Result: TestPreferredWorkerIsTakenIfItHasRoom, TestColocate, TestHalfOfAStepAtMostOnOneWorker, TestRetryAvoidsWorkersThatFailedIt, TestWishesAreWeighedInOrder, TestRetryRunsElsewhere pass, and TestEngineAgainstModel with wishes drawn (planAll: nothing that fits waits).

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -19,6 +19,8 @@
 	engine  *Engine
 	running []Task
 	next    int
+	// change alters each task that comes; it may be nil.
+	change func(*Task)
 }
 
 func newLoad(workers, running int) *load {
@@ -69,6 +71,9 @@
 		coming := make([]Task, tasksPerPass)
 		for i := range coming {
 			coming[i] = l.task()
+			if l.change != nil {
+				l.change(&coming[i])
+			}
 			tasks[coming[i].ID] = coming[i]
 		}
 		b.StartTimer()
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -11,6 +11,10 @@
 // where a task fits, the one with the least room left takes it, so that large
 // holes stay for large tasks.
 //
+// Wishes. What a task would rather have of its worker (wishes.go) is weighed
+// before fullness among the workers that can take it, and never makes it wait.
+// So it is no part of a task's shape.
+//
 // Room and time. Slices of a reservation take room on their workers from the
 // window's start to its end, whether a run uses them or not. A run outside of
 // slices is counted against them at each such start (a point) unless it is
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -146,10 +146,17 @@
 
 func sameWorker(a, b *Worker) bool {
 	return a.ID == b.ID && a.Name == b.Name && a.Zone == b.Zone &&
-		a.Capacity == b.Capacity && a.Usable == b.Usable &&
+		a.Capacity == b.Capacity && a.Usable == b.Usable && a.Slow == b.Slow &&
 		slices.Equal(a.Services, b.Services) && maps.Equal(a.Labels, b.Labels)
 }
 
+func sameTask(a, b *Task) bool {
+	return a.ID == b.ID && a.Queue == b.Queue && a.Priority == b.Priority && a.Sequence == b.Sequence &&
+		a.Spec == b.Spec && a.Group == b.Group && a.GroupSize == b.GroupSize &&
+		a.StartedAt == b.StartedAt && a.Preemptions == b.Preemptions &&
+		a.StepSize == b.StepSize && a.Colocate == b.Colocate && slices.Equal(a.Avoid, b.Avoid)
+}
+
 func (w *worker) runsByStep() map[*step]int {
 	counts := map[*step]int{}
 	for r := range w.runs {
@@ -243,7 +250,7 @@
 		return
 	}
 	if present, ok := e.waiting[task.ID]; ok {
-		if present.Task == task {
+		if sameTask(&present.Task, &task) {
 			return
 		}
 		e.Remove(task.ID)
--- a/internal/placement/gather.go
+++ b/internal/placement/gather.go
@@ -40,7 +40,7 @@
 		if g.runs[member] != nil {
 			continue
 		}
-		if to, found := e.seatFor(member.class); found {
+		if to, found := e.seatFor(member); found {
 			g.runs[member] = e.newRun(&member.Task, to, e.now, true)
 		}
 	}
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -223,7 +223,7 @@
 func (p *pass) tryAll(members []*waiting) []*run {
 	opened := make([]*run, 0, len(members))
 	for _, member := range members {
-		to, found := p.engine.seatFor(member.class)
+		to, found := p.engine.seatFor(member)
 		if !found {
 			break
 		}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -60,7 +60,7 @@
 	}
 	first := l.tasks[0]
 	if !l.class.blocked {
-		if to, found := p.engine.seatFor(l.class); found {
+		if to, found := p.engine.seatFor(first); found {
 			p.decide(first, p.engine.open(&first.Task, to))
 			return true
 		}
@@ -118,8 +118,5 @@
 	return compareWaiting(l.ready[0].tasks[0], other.ready[0].tasks[0]) < 0
 }
 
-// fullest returns the fullest worker that can take a task of the class, or nil.
-func (e *Engine) fullest(c *class) *worker { return c.pool.fullest(c, e.roomOf(c)) }
-
 // roomOf is the room that a task of the class takes.
 func (e *Engine) roomOf(c *class) float64 { return roomOf(c.key.need, e.workers.largest) }
--- a/internal/placement/preempt_group.go
+++ b/internal/placement/preempt_group.go
@@ -86,7 +86,7 @@
 func (t *groupTrial) seat(member *waiting, priority int) bool {
 	e, c := t.engine, member.class
 	var chosen choice
-	if to, found := e.seatFor(c); found {
+	if to, found := e.seatFor(member); found {
 		chosen.to = to
 	} else {
 		chosen = e.bookedChoice(c)
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -104,6 +104,7 @@
 		Services: rapid.SampledFrom([][]string{{"s"}, {"s", "x"}, {"x"}}).Draw(t, "services"),
 		Labels:   rapid.SampledFrom([]map[string]string{nil, {"k": "1"}, {"k": "2"}}).Draw(t, "labels"),
 		Usable:   rapid.IntRange(0, 3).Draw(t, "usable") > 0,
+		Slow:     rapid.IntRange(0, 3).Draw(t, "slow") == 0,
 	}
 }
 
@@ -116,6 +117,7 @@
 			nil, nil, {By: "worker"}, {By: "zone", MaxPerDomain: 2}, {By: "label:k"},
 		}).Draw(t, "spread"),
 		Preemptible: rapid.IntRange(0, 2).Draw(t, "preemptible") == 0,
+		Prefer:      rapid.SampledFrom([]map[string]string{nil, nil, {"k": "2"}}).Draw(t, "prefer"),
 		MaxDuration: api.Duration(rapid.SampledFrom([]time.Duration{0, 0, 5 * time.Second, 30 * time.Second}).Draw(t, "duration")),
 	}
 }
@@ -129,13 +131,15 @@
 	count := rapid.IntRange(1, 5).Draw(t, "count")
 	together := rapid.IntRange(0, 2).Draw(t, "together") == 0
 	spec := drawSpec(t)
+	colocate := rapid.SampledFrom([]string{"", "", "zone", "label:k"}).Draw(t, "colocate")
 	for i := range count {
 		if rapid.IntRange(0, 3).Draw(t, "mixed") == 0 {
 			spec = drawSpec(t)
 		}
 		task := Task{
 			ID: record.TaskID{Job: name, Step: "a", Index: i}, Queue: queue, Priority: priority,
-			Sequence: uint64(m.next), Spec: spec,
+			Sequence: uint64(m.next), Spec: spec, Colocate: colocate, StepSize: rapid.SampledFrom([]int{0, count}).Draw(t, "size"),
+			Avoid: rapid.SampledFrom([][]string{nil, nil, {"w1"}, {"w1", "w2"}}).Draw(t, "avoid"),
 		}
 		if together {
 			task.Group, task.GroupSize = name+"/a", count
--- a/internal/placement/seats.go
+++ b/internal/placement/seats.go
@@ -10,12 +10,12 @@
 }
 
 // seatFor finds a seat whose room is there now, slices first.
-func (e *Engine) seatFor(c *class) (seat, bool) {
-	if s := e.roomySlice(c); s != nil {
+func (e *Engine) seatFor(w *waiting) (seat, bool) {
+	if s := e.roomySlice(w.class); s != nil {
 		return seat{worker: s.worker, slice: s}, true
 	}
-	if w := e.fullest(c); w != nil {
-		return seat{worker: w}, true
+	if on := e.fullest(w); on != nil {
+		return seat{worker: on}, true
 	}
 	return seat{}, false
 }
--- a/internal/placement/steps.go
+++ b/internal/placement/steps.go
@@ -16,6 +16,8 @@
 	workers map[*worker]int
 	// domains counts open runs by Spread.By, then by domain.
 	domains map[string]map[string]int
+	// home is the domain in which tasks are placed that want one in common.
+	home string
 	// classes are those with a spread rule on this step.
 	classes map[*class]struct{}
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -16,6 +16,8 @@
 	// Usable is false while the ready gate is closed, on draining workers and
 	// in evacuated zones: open runs keep their room, nothing new is placed.
 	Usable bool
+	// Slow workers are taken by tasks that find no room elsewhere.
+	Slow bool
 }
 
 // Task is a task that waits for a place.
@@ -35,6 +37,12 @@
 	// Preemptions is how often the task was preempted; from the bound on it
 	// counts as not preemptible.
 	Preemptions int
+	// StepSize is the number of tasks of the step; 0 if it is not known.
+	StepSize int
+	// Colocate is the step's soft domain, as in api.StepSpec.
+	Colocate string
+	// Avoid names workers on which runs of the task failed: others come first.
+	Avoid []string
 }
 
 // TeamRule is what the engine must know of a team.
--- /dev/null
+++ b/internal/placement/wishes_test.go
@@ -0,0 +1,189 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// rackWorker is a testWorker in a zone, with labels "KEY=VALUE".
+func rackWorker(name, zone string, capacity int64, labels ...string) Worker {
+	w := testWorker(name, cpu(capacity))
+	w.Zone = zone
+	w.Labels = map[string]string{}
+	for _, label := range labels {
+		key, value, _ := strings.Cut(label, "=")
+		w.Labels[key] = value
+	}
+	return w
+}
+
+// stepOf returns the tasks of one step, each changed by the given function.
+func stepOf(job string, count int, need int64, change func(*Task)) []Task {
+	var tasks []Task
+	for i := range count {
+		task := testTask(job, i, need)
+		task.StepSize = count
+		if change != nil {
+			change(&task)
+		}
+		tasks = append(tasks, task)
+	}
+	return tasks
+}
+
+// countBy plans all and counts decisions by what the function makes of a
+// worker's name.
+func countBy(e *Engine, key func(worker string) string) map[string]int {
+	counts := map[string]int{}
+	for _, d := range e.Plan(1000) {
+		counts[key(d.Worker)]++
+	}
+	return counts
+}
+
+func name(worker string) string { return worker }
+
+func TestPreferredWorkerIsTakenIfItHasRoom(t *testing.T) {
+	cases := []struct {
+		name    string
+		workers []Worker
+		want    string
+	}{
+		{"before a fuller one", []Worker{rackWorker("a", "z1", 10), rackWorker("b", "z1", 90, "disk=ssd")}, "j/a/0@b"},
+		{"any other without room", []Worker{rackWorker("a", "z1", 50), rackWorker("b", "z1", 9, "disk=ssd")}, "j/a/0@a"},
+		{"any other with another value", []Worker{rackWorker("a", "z1", 50), rackWorker("b", "z1", 60, "disk=hdd")}, "j/a/0@a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEngine(c.workers...)
+			task := testTask("j", 0, 10)
+			task.Spec.Prefer = map[string]string{"disk": "ssd"}
+			e.Add(task)
+			expect(t, "decisions", placed(e, 10), c.want)
+		})
+	}
+}
+
+func TestRetryAvoidsWorkersThatFailedIt(t *testing.T) {
+	e := newEngine(testWorker("a", cpu(10)), testWorker("b", cpu(20)), testWorker("c", cpu(30)))
+	task := testTask("j", 0, 10)
+	task.Avoid = []string{"a", "b"}
+	e.Add(task)
+	expect(t, "elsewhere", placed(e, 10), "j/a/0@c")
+	e.Release(task.ID)
+	e.RemoveWorker("c-1")
+	e.Add(task)
+	expect(t, "there if no other has room", placed(e, 10), "j/a/0@a")
+}
+
+func TestSlowWorkerComesLast(t *testing.T) {
+	slow := testWorker("a", cpu(10))
+	slow.Slow = true
+	e := newEngine(slow, testWorker("b", cpu(20)))
+	addAll(e, testTask("j", 0, 10), testTask("j", 1, 10), testTask("j", 2, 10))
+	expect(t, "decisions", placed(e, 10), "j/a/0@b j/a/1@b j/a/2@a")
+	slow.Slow = false
+	e.SetWorker(slow)
+	expect(t, "slow workers", e.workers.slow, 0)
+}
+
+func TestHalfOfAStepAtMostOnOneWorker(t *testing.T) {
+	cases := []struct {
+		name       string
+		tasks      int
+		capacities []int64
+		want       map[string]int
+	}{
+		{"two halves", 6, []int64{100, 100, 100}, map[string]int{"w0": 3, "w1": 3}},
+		{"odd", 5, []int64{100, 100}, map[string]int{"w0": 3, "w1": 2}},
+		{"a pair", 2, []int64{100, 100}, map[string]int{"w0": 1, "w1": 1}},
+		{"no room elsewhere", 6, []int64{100, 10}, map[string]int{"w0": 5, "w1": 1}},
+		{"a single task", 1, []int64{100, 100}, map[string]int{"w0": 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEngine()
+			for i, capacity := range c.capacities {
+				e.SetWorker(testWorker(fmt.Sprint("w", i), cpu(capacity)))
+			}
+			addAll(e, stepOf("j", c.tasks, 10, nil)...)
+			expect(t, "runs by worker", countBy(e, name), c.want)
+		})
+	}
+}
+
+func TestColocate(t *testing.T) {
+	// Two racks of three workers; rack y is the tighter one.
+	racks := func(x, y int64) []Worker {
+		var workers []Worker
+		for i := range 3 {
+			workers = append(workers,
+				rackWorker(fmt.Sprint("x", i), "z1", x, "rack=x"), rackWorker(fmt.Sprint("y", i), "z2", y, "rack=y"))
+		}
+		return workers
+	}
+	rack := func(worker string) string { return worker[:1] }
+	cases := []struct {
+		name    string
+		workers []Worker
+		tasks   int
+		group   bool
+		want    map[string]int
+	}{
+		{"the tightest that takes all", racks(100, 40), 6, false, map[string]int{"y": 6}},
+		{"the one that takes all", racks(100, 10), 6, false, map[string]int{"x": 6}},
+		{"most in the roomiest", racks(20, 10), 8, false, map[string]int{"x": 6, "y": 2}},
+		{"as a group", racks(20, 10), 8, true, map[string]int{"x": 6, "y": 2}},
+		{"no domain at all", []Worker{testWorker("z", cpu(100))}, 2, false, map[string]int{"z": 2}},
+	}
+	for _, by := range []string{"zone", "label:rack"} {
+		for _, c := range cases {
+			t.Run(by+" "+c.name, func(t *testing.T) {
+				e := newEngine(c.workers...)
+				addAll(e, stepOf("j", c.tasks, 10, func(task *Task) {
+					task.Colocate = by
+					if c.group {
+						task.Group, task.GroupSize = "j/a", c.tasks
+					}
+				})...)
+				expect(t, "runs by rack", countBy(e, rack), c.want)
+			})
+		}
+	}
+}
+
+func TestWishesAreWeighedInOrder(t *testing.T) {
+	// Each worker fails one wish more than the next; the fullest fails most.
+	failed := rackWorker("a", "z1", 10, "disk=ssd")
+	slow := rackWorker("b", "z1", 20, "disk=ssd")
+	slow.Slow = true
+	unwanted := rackWorker("c", "z1", 30)
+	wanted := rackWorker("d", "z1", 40, "disk=ssd")
+	e := newEngine(failed, slow, unwanted, wanted)
+	for i := range 10 {
+		task := testTask("j", i, 10)
+		task.Avoid = []string{"a"}
+		task.Spec = &api.TaskSpec{Service: "s", Resources: cpu(10), Prefer: map[string]string{"disk": "ssd"}}
+		e.Add(task)
+	}
+	var order []string
+	for _, d := range e.Plan(100) {
+		order = append(order, d.Worker)
+	}
+	expect(t, "order", strings.Join(order, ""), "ddddcccbba")
+}
+
+func TestHomeIsForgottenWithTheStep(t *testing.T) {
+	e := newEngine(rackWorker("a", "z1", 10))
+	task := testTask("j", 0, 10)
+	task.Colocate = "zone"
+	e.Add(task)
+	e.Plan(1)
+	e.Release(task.ID)
+	expect(t, "steps", len(e.steps), 0)
+	expect(t, "no run", e.runs[record.TaskID{}] == nil, true)
+}
--- a/internal/placement/workers.go
+++ b/internal/placement/workers.go
@@ -82,6 +82,8 @@
 	largest api.Resources
 	// stale is set when largest must be worked out again.
 	stale bool
+	// slow counts the workers that are slow.
+	slow int
 	// changed lists the workers that may have gained room since the last pass.
 	changed []*worker
 }
@@ -103,9 +105,11 @@
 // set takes over what is known of the worker.
 func (x *workerIndex) set(w *worker, to Worker) {
 	x.leavePools(w)
+	x.countSlow(w, -1)
 	to.Services = slices.Clone(to.Services)
 	to.Labels = maps.Clone(to.Labels)
 	w.Worker, w.known = to, true
+	x.countSlow(w, 1)
 	w.pools = nil
 	x.stale = true
 	w.rebuildPoints()
@@ -122,6 +126,7 @@
 
 func (x *workerIndex) remove(w *worker) {
 	x.leavePools(w)
+	x.countSlow(w, -1)
 	w.pools = nil
 	// It may still be listed as changed; no slice may go there.
 	w.known = false
@@ -129,6 +134,12 @@
 	delete(x.byID, w.ID)
 }
 
+func (x *workerIndex) countSlow(w *worker, change int) {
+	if w.known && w.Slow {
+		x.slow += change
+	}
+}
+
 // take accounts for a run on its worker.
 func (x *workerIndex) take(r *run) {
 	w := r.worker
--- /dev/null
+++ b/internal/scheduler/failed_on.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// avoidedKept is how many workers are kept for one task, the newest ones.
+const avoidedKept = 4
+
+// failedOn remembers the names of the workers on which runs of a task failed,
+// for as long as the task is not final. It lives in the leader's memory: a new
+// leader knows of the newest run only.
+type failedOn map[record.TaskID][]string
+
+// note adds a worker on which a run of the task failed.
+func (f failedOn) note(task record.TaskID, worker string) {
+	if slices.Contains(f[task], worker) {
+		return
+	}
+	names := append(slices.Clone(f[task]), worker)
+	f[task] = names[max(len(names)-avoidedKept, 0):]
+}
+
+// of returns the workers that a retry of the task should avoid. What it returns
+// is never changed.
+func (f failedOn) of(task *record.Task) []string {
+	if task.Failures > 0 && len(f[task.ID]) == 0 && task.LastWorker != "" {
+		f.note(task.ID, task.LastWorker)
+	}
+	return f[task.ID]
+}
+
+// forgetJob drops what is known of an ended job's tasks.
+func (f failedOn) forgetJob(job *record.Job) {
+	for _, step := range job.Steps {
+		for _, task := range step.Tasks {
+			delete(f, task.ID)
+		}
+	}
+}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -59,7 +59,9 @@
 	preemptOnOpen map[record.TaskID]bool
 	waiting       map[record.TaskID]*waitingTask
 	timers        taskTimers
-	groups        map[stepKey]*groupState
+	// failedOn are the workers on which runs of tasks failed.
+	failedOn failedOn
+	groups   map[stepKey]*groupState
 	// pendingCloses and pendingStops are the leader's own commands that wait
 	// to be proposed.
 	pendingCloses []record.RunEnd
@@ -107,6 +109,7 @@
 		preemptOnOpen: make(map[record.TaskID]bool),
 		calendar:      calendar{released: make(map[string]time.Time)},
 		waiting:       make(map[record.TaskID]*waitingTask),
+		failedOn:      make(failedOn),
 		groups:        make(map[stepKey]*groupState),
 		jobWaiters:    make(map[string]chan struct{}),
 		processes:     make(map[string]*processEntry),
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -81,6 +81,9 @@
 			Sequence:    sequence(task),
 			Spec:        task.Spec,
 			Preemptions: task.Preemptions,
+			StepSize:    len(task.Step.Tasks),
+			Colocate:    task.Step.Spec.Colocate,
+			Avoid:       l.failedOn.of(task),
 		},
 		step:        stepKey{job: task.ID.Job, step: task.ID.Step},
 		jobPriority: job.Spec.Priority,
@@ -229,6 +232,9 @@
 	if len(worker.runs) == 0 && (worker.lapsed || !worker.registered) {
 		l.dropFromPlanner(worker)
 	}
+	if outcome == api.OutcomeFailed && open.Stop == record.StopNone {
+		l.failedOn.note(run.id.Task, open.Worker)
+	}
 	if run.together {
 		l.groupRunClosed(run, outcome, open.Task.Step)
 	}
@@ -240,6 +246,7 @@
 		close(waiter)
 		delete(l.jobWaiters, job.ID)
 	}
+	l.failedOn.forgetJob(job)
 	for _, step := range job.Steps {
 		delete(l.groups, stepKey{job: job.ID, step: step.Spec.Name})
 	}
