Start tasks that run until cancelled again, however a run ends

Cause: a task that runs until cancelled became final with its first success, or once its failures reached the queue's limit, although its job was not cancelled.

Change: after any outcome such a task is ready again: after the retry delay if it failed, else at once. No late or doubled report makes it final; a cancel does, whatever the run's outcome. The checker of the lab holds such tasks to this instead of to P1's success and P3's limit: they are never shown as succeeded, nor as failed.

--- a/internal/record/close.go
+++ b/internal/record/close.go
@@ -50,13 +50,15 @@
 // stateAfterRun decides what becomes of the task and notes failures and
 // preemptions; one that came too late for a success is none. A run
 // that was to be stopped has not failed, whatever its worker made of the stop.
+// A task that runs until cancelled waits again however its run ended.
 func (m *Machine) stateAfterRun(run *Run, end *RunEnd) TaskState {
 	task := run.Task
-	if end.Outcome == api.OutcomeSucceeded {
+	succeeded := end.Outcome == api.OutcomeSucceeded
+	if succeeded && !task.Spec.UntilCancelled {
 		task.Reason = ""
 		return TaskSucceeded
 	}
-	if run.Stop == StopPreempted {
+	if run.Stop == StopPreempted && !succeeded {
 		task.Preemptions++
 	}
 	if run.Stop == StopCancelled || task.Step.Job.Cancelled {
@@ -73,7 +75,7 @@
 func (m *Machine) stateAfterFailure(task *Task, end *RunEnd) TaskState {
 	task.Failures++
 	task.Reason = failureReason(end.Message)
-	if task.Failures >= task.AllowedFailures {
+	if task.Failures >= task.AllowedFailures && !task.Spec.UntilCancelled {
 		return TaskFailed
 	}
 	task.NotBefore = m.state.clock + m.retryDelay(task.Failures)
@@ -88,9 +90,10 @@
 }
 
 // closeLate takes the success of a closed run if no newer run was placed and
-// the task still waits. Any other late report changes nothing.
+// the task still waits; one that runs until cancelled has no success. Any other
+// late report changes nothing.
 func (m *Machine) closeLate(task *Task, end *RunEnd) {
-	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady {
+	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady || task.Spec.UntilCancelled {
 		return
 	}
 	if end.Run.Number == 0 || end.Run.Number != task.LastRun {
@@ -99,8 +102,11 @@
 	m.endWaiting(task, TaskSucceeded, "")
 }
 
-// interruption says why a run ended that neither succeeded nor failed.
+// interruption says why a run ended that neither failed nor ended its task.
 func interruption(run *Run, outcome api.Outcome) string {
+	if outcome == api.OutcomeSucceeded {
+		return fmt.Sprintf("run %d succeeded; the task runs until cancelled", run.Number)
+	}
 	if run.Stop != StopNone {
 		return fmt.Sprintf("run %d stopped: %s", run.Number, run.Stop)
 	}
--- a/internal/record/property_test.go
+++ b/internal/record/property_test.go
@@ -161,6 +161,7 @@
 	if rapid.Bool().Draw(t, "replicas") {
 		first.Replicas, first.Tasks = len(first.Tasks), first.Tasks[:1]
 	}
+	first.Tasks[0].UntilCancelled = rapid.IntRange(0, 3).Draw(t, "until cancelled") == 0
 	second := step("two", 1, "one")
 	third := step("three", 1, "two")
 	spec := api.JobSpec{Queue: rapid.SampledFrom([]string{testQueue, "narrow"}).Draw(t, "queue")}
@@ -380,6 +381,12 @@
 	if task.Preemptions != c.preempted[task] {
 		c.t.Fatalf("%s: %d preemptions, expected %d", task.ID, task.Preemptions, c.preempted[task])
 	}
+	if task.Spec.UntilCancelled {
+		if task.State == TaskSucceeded || task.State == TaskFailed {
+			c.t.Fatalf("%s runs until cancelled and is in state %d", task.ID, task.State)
+		}
+		return
+	}
 	if task.Failures > task.AllowedFailures || (task.Failures == task.AllowedFailures) != (task.State == TaskFailed) {
 		c.t.Fatalf("%s: %d failures of %d allowed in state %d", task.ID, task.Failures, task.AllowedFailures, task.State)
 	}
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -72,7 +72,7 @@
 	Spec  *api.TaskSpec
 	State TaskState
 	// Failures counts failed runs. AllowedFailures is at least 1: the task is
-	// failed for good once Failures reaches it.
+	// failed for good once Failures reaches it, unless it runs until cancelled.
 	Failures        int
 	AllowedFailures int
 	// LastRun is the number of the newest run, 0 if none was placed.
@@ -196,8 +196,8 @@
 }
 
 // Close ends runs. A success of a closed run counts if no newer run was
-// placed and the task is not final; any other report on a closed run changes
-// nothing.
+// placed and the task is not final and does not run until cancelled; any other
+// report on a closed run changes nothing.
 type Close struct {
 	Runs []RunEnd `cbor:"1,keyasint"`
 }
--- a/lab/check/check_test.go
+++ b/lab/check/check_test.go
@@ -39,6 +39,12 @@
 	return api.TaskSpec{Service: "swap", Resources: api.Resources{CPUMillis: 1000, MemoryMB: 100}}
 }
 
+func endless() api.TaskSpec {
+	spec := task()
+	spec.UntilCancelled = true
+	return spec
+}
+
 func (f *fixture) entry(kind ledger.Kind, millis int64, entry ledger.Entry) {
 	entry.Kind, entry.Sent, entry.Answered = kind, at(millis-10), at(millis)
 	f.Entries = append(f.Entries, entry)
@@ -151,6 +157,25 @@
 			f.poll("j", 500, api.StateSucceeded)
 		},
 	},
+	{
+		"a task until cancelled that is shown as succeeded", P2,
+		func(f *fixture) {
+			f.submit("j", 10, endless())
+			f.succeed("j/s/0", "one", 1, 100, 200)
+			f.poll("j", 300, api.StateSucceeded)
+		},
+		func(f *fixture) {
+			f.submit("j", 10, endless())
+			f.succeed("j/s/0", "one", 1, 100, 200)
+			for run := range uint32(5) {
+				from := int64(300 + 100*run)
+				f.run("j/s/0", "one", 2+run, from, from+50, api.OutcomeFailed)
+			}
+			f.succeed("j/s/0", "one", 7, 900, 950)
+			f.entry(ledger.KindCancel, 1000, ledger.Entry{JobID: "j"})
+			f.poll("j", 1100, api.StateCancelled)
+		},
+	},
 	{
 		"an accepted job that never ends", P2,
 		func(f *fixture) {
--- a/lab/check/runs.go
+++ b/lab/check/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -45,6 +46,9 @@
 	shown := f.shownSuccesses()
 	var found []Violation
 	for task, runs := range f.byTask {
+		if f.untilCancelled(runs[0].name) {
+			continue // has no success; checkEndless holds it to that
+		}
 		success := f.surelyRecordedSuccess(runs)
 		seen := shown[task]
 		for _, one := range runs {
@@ -58,6 +62,26 @@
 	return found
 }
 
+// checkEndless (P2): no task that runs until cancelled is shown as succeeded,
+// nor is its job.
+func (f *facts) checkEndless() []Violation {
+	var found []Violation
+	shown := f.shownSuccesses()
+	for _, id := range f.jobIDs {
+		f.eachTask(f.jobs[id], func(name journal.TaskName) {
+			if seen := shown[name.String()]; seen != 0 && f.untilCancelled(name) {
+				found = append(found, Violation{P2, name.String(), "runs until cancelled, but was shown as succeeded", []monoclock.Nanos{seen}})
+			}
+		})
+	}
+	return found
+}
+
+func (f *facts) untilCancelled(name journal.TaskName) bool {
+	spec := f.spec(name)
+	return spec != nil && spec.UntilCancelled
+}
+
 // surelyRecordedSuccess returns the end of the first success whose report was
 // not disturbed; 0 if there is none.
 func (f *facts) surelyRecordedSuccess(runs []run) monoclock.Nanos {
@@ -106,6 +130,9 @@
 func (f *facts) duplicateSuccesses() int {
 	count := 0
 	for _, runs := range f.byTask {
+		if f.untilCancelled(runs[0].name) {
+			continue
+		}
 		successes := 0
 		for _, one := range runs {
 			if one.Outcome == api.OutcomeSucceeded {
@@ -140,6 +167,9 @@
 }
 
 func (f *facts) allowedFailures(name journal.TaskName) int {
+	if f.untilCancelled(name) {
+		return math.MaxInt
+	}
 	if own := f.spec(name).AllowedFailures; own != nil {
 		return max(1, *own)
 	}
