Let replicas stand by, take a lost voter's seat, and come back after they were replaced

Cause: a newcomer under a new name always became one more voter, so that two replaced machines left five voters of which two are gone for good, and the third loss ends the cluster. One that was replaced while it was away only logged that a person should empty its folder. An empty replica at a later start could take part in forming a second cluster.

Change: a setting says how many losses are to be borne; twice as many and one vote, and further replicas stand by as learners. One that stands by takes the seat of the voter that is silent for longest, or of one that retires on a planned stop. An empty replica at the address of its predecessor replaces it without waiting for its silence, since one address has one process. A replaced replica finds that out after 1.5 s without a leader and joins again. With may_form false an empty folder never forms a cluster.

Result: TestPromotion, TestNextRetireStep, TestDecideJoinNeverForms and, with running replicas, TestStandbyTakesTheSeatOfALostVoter (a second loss right after the first), TestRetiringVoterHandsItsSeatOver, TestJoinOnlyNeverForms. The first form of the retiring test failed: the next leader takes no change before its term's first commit, so the offer is repeated until it is taken.

--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -21,6 +21,8 @@
 	MethodIdentity Method = "identity"
 	// MethodJoin asks the leader to add a replica as a learner.
 	MethodJoin Method = "join"
+	// MethodRetire offers the seat of a voter that is about to stop; leader only.
+	MethodRetire Method = "retire"
 	// MethodReadIndex asks the leader for a linearizable read point.
 	MethodReadIndex Method = "read-index"
 	// MethodHeartbeat relays a worker's heartbeat; leader only.
@@ -131,6 +133,20 @@
 type JoinAnswer struct {
 	// Voter is true once the replacement is complete.
 	Voter bool `cbor:"1,keyasint"`
+	// Standby is true while the newcomer has caught up and there are voters
+	// enough: it asks again from time to time.
+	Standby bool `cbor:"2,keyasint,omitempty"`
+}
+
+// RetireRequest offers a voter's seat to a learner that stands by. Lost: the
+// seat stays with the voter. Doubled: no effect.
+type RetireRequest struct {
+	ID raft.ReplicaID `cbor:"1,keyasint"`
+}
+
+// RetireAnswer says whether the seat is given away, or that nobody stands by.
+type RetireAnswer struct {
+	Done bool `cbor:"1,keyasint"`
 }
 
 // HeartbeatRequest relays one heartbeat. It is never sent twice: the agent
--- a/internal/process/schedulerprocess/process.go
+++ b/internal/process/schedulerprocess/process.go
@@ -115,6 +115,8 @@
 			Lease:              timing.Lease.Std(),
 		},
 		SnapshotEvery: p.initial.SnapshotEvery,
+		JoinOnly:      !p.initial.MayForm,
+		MaxVoters:     2*p.initial.Tolerate + 1,
 		Logger:        p.logger,
 		Registerer:    registerer,
 		Lead:          lead,
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -17,6 +17,8 @@
 const (
 	defaultSnapshotEvery = 10_000 // entries
 	defaultKeepEntries   = 2_000  // entries
+	// defaultMaxVoters bears the loss of two replicas.
+	defaultMaxVoters = 5
 )
 
 // Timing of the replicated log; zero values mean the defaults of raft.Config.
@@ -45,6 +47,12 @@
 	// Seeds are the addresses to ask when the store is empty or no leader is
 	// known. A replica whose own address is among them can found a cluster.
 	Seeds []string
+	// JoinOnly keeps an empty replica from forming a new cluster: it waits for
+	// one to join.
+	JoinOnly bool
+	// MaxVoters is the number of voters up to which a newcomer becomes one
+	// beside the others; beyond it newcomers stand by as learners. Default 5.
+	MaxVoters int
 	// Store stays open when Run returns; its owner closes it.
 	Store  storage.Store
 	Record *record.Machine
@@ -68,6 +76,7 @@
 	c.Timing = c.Timing.withDefaults()
 	defaultTo(&c.SnapshotEvery, defaultSnapshotEvery)
 	defaultTo(&c.KeepEntries, defaultKeepEntries)
+	defaultTo(&c.MaxVoters, defaultMaxVoters)
 	if c.WallClock == nil {
 		c.WallClock = time.Now
 	}
--- a/internal/replica/decisions_test.go
+++ b/internal/replica/decisions_test.go
@@ -105,8 +105,9 @@
 					ID: "a", LastIndex: 500, Membership: c.current,
 					Progress: []raft.Progress{{ID: "n", Match: c.match, Learner: true}, {ID: "c", LastSeen: c.heard}},
 				},
-				now:     10 * time.Second,
-				silence: 2 * time.Second,
+				now:       10 * time.Second,
+				silence:   2 * time.Second,
+				maxVoters: 3,
 			})
 			if step.change != c.change || (step.refusal != "") != c.refused || step.voter != c.voter {
 				t.Fatalf("got %+v", step)
@@ -121,6 +122,97 @@
 	}
 }
 
+func TestDecideJoinNeverForms(t *testing.T) {
+	empty := []seedAnswer{founder("a", members("a", "b")), founder("b", members("a", "b"))}
+	if got := decideJoin(empty); got.action != formationWait || got.missing == "" {
+		t.Fatalf("empty seeds: %+v", got)
+	}
+	full := append(empty, seedAnswer{address: "c", answer: fleet.IdentityAnswer{Member: member("c")}})
+	if got := decideJoin(full); got.action != formationJoin {
+		t.Fatalf("a seed has a cluster: %+v", got)
+	}
+	silent := []seedAnswer{{address: "c", err: errors.New("refused")}}
+	if got := decideJoin(silent); got.action != formationWait {
+		t.Fatalf("silent seed: %+v", got)
+	}
+}
+
+// TestPromotion: where a newcomer that has caught up goes.
+func TestPromotion(t *testing.T) {
+	sameAddress := raft.Member{ID: "n", Name: "name-c", Address: "address-c"}
+	stranger := raft.Member{ID: "n", Name: "name-n", Address: "address-n"}
+	const now, silence = 10 * time.Second, 2 * time.Second
+	cases := map[string]struct {
+		newcomer  raft.Member
+		maxVoters int
+		heardB    time.Duration
+		heardC    time.Duration
+		change    string
+		replaces  raft.ReplicaID
+		standby   bool
+	}{
+		"same address, heard a moment ago":  {sameAddress, 3, now, now, changeVoter, "c", false},
+		"stranger, all are heard":           {stranger, 3, now, now, "", "", true},
+		"stranger, few voters":              {stranger, 5, now, now, changeVoter, "", false},
+		"stranger, one is silent":           {stranger, 3, 7 * time.Second, now, changeVoter, "b", false},
+		"stranger, few voters, one silent":  {stranger, 5, now, 7 * time.Second, changeVoter, "c", false},
+		"stranger, takes the longest gone":  {stranger, 3, 6 * time.Second, 5 * time.Second, changeVoter, "c", false},
+		"stranger, silent but not for long": {stranger, 3, 9 * time.Second, now, "", "", true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			current := members("a", "b", "c")
+			current.Learners = []raft.Member{c.newcomer}
+			step := nextJoinStep(joinQuestion{
+				request: fleet.JoinRequest{Member: c.newcomer, ArchiveCopied: true},
+				status: raft.Status{
+					ID: "a", LastIndex: 500, Membership: current,
+					Progress: []raft.Progress{{ID: "n", Match: 500, Learner: true}, {ID: "b", LastSeen: c.heardB}, {ID: "c", LastSeen: c.heardC}},
+				},
+				now: now, silence: silence, maxVoters: c.maxVoters,
+			})
+			if step.change != c.change || step.replaces != c.replaces || step.standby != c.standby {
+				t.Fatalf("got %+v", step)
+			}
+			if c.change == "" {
+				return
+			}
+			wantVoters := 3
+			if c.replaces == "" {
+				wantVoters = 4
+			}
+			if len(step.target.Voters) != wantVoters || len(step.target.Learners) != 0 || indexOf(step.target.Voters, "n") < 0 {
+				t.Fatalf("target %+v", step.target)
+			}
+		})
+	}
+}
+
+func TestNextRetireStep(t *testing.T) {
+	const now, silence = 10 * time.Second, time.Second
+	standby := func(id, zone string) raft.Member { return raft.Member{ID: raft.ReplicaID(id), Name: id, Zone: zone} }
+	progress := func(id string, match uint64, seen time.Duration) raft.Progress {
+		return raft.Progress{ID: raft.ReplicaID(id), Match: match, LastSeen: seen, Learner: true}
+	}
+	current := members("a", "b", "c")
+	current.Voters[1].Zone = "z2"
+	current.Learners = []raft.Member{standby("l1", "z1"), standby("l2", "z2"), standby("behind", "z2"), standby("silent", "z2")}
+	status := raft.Status{ID: "a", LastIndex: 500, Membership: current, Progress: []raft.Progress{
+		progress("l1", 500, now), progress("l2", 500, now), progress("behind", 10, now), progress("silent", 500, 8*time.Second),
+	}}
+	step := nextRetireStep("b", status, now, silence)
+	if step.replaces != "b" || indexOf(step.target.Voters, "l2") < 0 || len(step.target.Voters) != 3 || len(step.target.Learners) != 3 {
+		t.Fatalf("got %+v, want the learner of the same zone in the place of b", step)
+	}
+	if step := nextRetireStep("x", status, now, silence); step.change != "" {
+		t.Fatalf("no voter: %+v", step)
+	}
+	status.Membership.Learners = current.Learners[2:]
+	if step := nextRetireStep("b", status, now, silence); step.change != "" {
+		t.Fatalf("nobody stands by: %+v", step)
+	}
+}
+
 func TestLeaseEndsWhileFrozen(t *testing.T) {
 	client := rpc.NewClient(rpc.ClientConfig{})
 	defer client.Close()
--- a/internal/replica/doc.go
+++ b/internal/replica/doc.go
@@ -16,6 +16,7 @@
 //	lease.go, leadership.go lease, cluster clock, the Lead callback
 //	transport.go, peerlink.go, handlers.go  messages out and in
 //	snapshot.go, sendsnapshot.go, receivesnapshot.go, archive.go
-//	formation.go, join.go   first formation, joining, replacing; the decisions
+//	formation.go, join.go   first formation, joining, standing by, replacing,
+//	                        retiring; the decisions
 //	                        are pure, in formationdecision.go and joinstep.go
 package replica
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -50,8 +50,13 @@
 // new id: if any other has founded, it finds that one not empty and joins; if
 // none has, all propose anew. A seed that does not answer may have founded, so
 // everyone waits for it.
+//
+// A replica that may only join takes part in none of this: it waits until a
+// seed belongs to a cluster.
 func (r *Replica) form(ctx context.Context) error {
-	r.formation.begin()
+	if !r.config.JoinOnly {
+		r.formation.begin()
+	}
 	lastLog := r.start.Add(-waitLogInterval)
 	for {
 		decision := r.decideFormation(r.askSeeds(ctx))
@@ -141,6 +146,9 @@
 	r.formation.mutex.Lock()
 	proposal := r.formation.proposal
 	r.formation.mutex.Unlock()
+	if r.config.JoinOnly {
+		return decideJoin(answers)
+	}
 	return decideFormation(r.self.ID, proposal, answers)
 }
 
--- a/internal/replica/formationdecision.go
+++ b/internal/replica/formationdecision.go
@@ -54,6 +54,16 @@
 	return formationDecision{action: formationFound, membership: membership}
 }
 
+// decideJoin waits for a seed that belongs to a cluster.
+func decideJoin(answers []seedAnswer) formationDecision {
+	for _, seed := range answers {
+		if seed.err == nil && !seed.answer.Empty {
+			return formationDecision{action: formationJoin}
+		}
+	}
+	return waitFor("no seed belongs to a cluster yet, and this replica may not form one")
+}
+
 // decideExisting looks for a seed that belongs to a cluster already.
 func decideExisting(self raft.ReplicaID, answers []seedAnswer) (decision formationDecision, exists bool) {
 	for _, seed := range answers {
--- a/internal/replica/handlers.go
+++ b/internal/replica/handlers.go
@@ -20,6 +20,7 @@
 	rpc.Handle(server, fleet.MethodArchivePage, r.serveArchivePage)
 	rpc.Handle(server, fleet.MethodIdentity, r.serveIdentity)
 	rpc.Handle(server, fleet.MethodJoin, r.serveJoin)
+	rpc.Handle(server, fleet.MethodRetire, r.serveRetire)
 	rpc.Handle(server, fleet.MethodReadIndex, r.serveReadIndex)
 }
 
--- a/internal/replica/helper_test.go
+++ b/internal/replica/helper_test.go
@@ -30,6 +30,9 @@
 	seeds   []string
 	store   storage.Store
 	every   uint64
+	// maxVoters and joinOnly go into the replica's Config.
+	maxVoters int
+	joinOnly  bool
 	// hangs makes every call to the replica wait until its caller gives up.
 	hangs atomic.Bool
 
@@ -79,6 +82,8 @@
 		Record:        record.NewMachine(record.Config{Archive: m.store.Archive()}),
 		Client:        client,
 		SnapshotEvery: m.every,
+		MaxVoters:     m.maxVoters,
+		JoinOnly:      m.joinOnly,
 		KeepEntries:   2,
 		Logger:        slog.New(slog.NewTextHandler(m.t.Output(), nil)).With("machine", m.name),
 		Lead:          m.lead,
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -20,7 +20,9 @@
 	settledInterval = time.Second
 	// replacedAfter is how long a voter hears no leader before it asks the
 	// seeds whether it was replaced.
-	replacedAfter = 5 * time.Second
+	replacedAfter = 1500 * time.Millisecond
+	// retireInterval is how often a replica that stops offers its seat.
+	retireInterval = 50 * time.Millisecond
 	// maxJoinLag is how many entries a learner may lack when it is made a voter.
 	maxJoinLag = 100
 	// refusalLogInterval is how often the leader logs why it keeps a newcomer
@@ -29,26 +31,28 @@
 )
 
 // keepMembership runs as long as the replica does: it asks the leader to take
-// this replica in until it is a voter under its present name and address.
+// this replica in until it is a voter under its present name and address. One
+// that stands by goes on asking, more slowly, since a voter may fall silent.
 func (r *Replica) keepMembership(ctx context.Context) {
 	lastLed := r.now()
-	joining := false
+	joining, replaced := false, false
 	for {
 		interval := settledInterval
 		switch {
-		case !r.settled():
-			interval = joinInterval
+		case !r.settled() || replaced:
 			joining = true
-			r.tryJoin(ctx)
+			if !r.tryJoin(ctx) {
+				interval = joinInterval
+			}
 		case joining:
 			joining = false
 			r.logger.Info("joined", "index", r.applied.get())
 		}
 		if _, known := r.Leader(); known || !r.settled() {
-			lastLed = r.now()
+			lastLed, replaced = r.now(), false
 		} else if r.now()-lastLed > replacedAfter {
 			lastLed = r.now()
-			r.warnIfReplaced(ctx)
+			replaced = r.wasReplaced(ctx)
 		}
 		if !wait.For(ctx, interval) {
 			return
@@ -62,30 +66,32 @@
 	return slices.Contains(r.status.Load().Membership.Voters, r.member())
 }
 
-// tryJoin copies the archive and asks the leader once. The archive goes first:
-// it may take long, and a snapshot waits for the rest of it.
-func (r *Replica) tryJoin(ctx context.Context) {
+// tryJoin copies the archive and asks the leader once; it reports whether the
+// replica stands by. The archive goes first: it may take long, and a snapshot
+// waits for the rest of it.
+func (r *Replica) tryJoin(ctx context.Context) (standby bool) {
 	leader, known := r.findLeader(ctx)
 	if !known {
-		return
+		return false
 	}
 	if leader != r.config.Address {
 		if err := r.copyArchive(ctx, leader); err != nil {
 			r.logger.Warn("archive not copied", "error", err)
-			return
+			return false
 		}
 	}
 	// Whatever is applied here began with a snapshot, before which the archive
 	// was copied.
 	request := fleet.JoinRequest{Member: r.member(), ArchiveCopied: r.applied.get() > 0}
 	if leader == r.config.Address {
-		_, _ = r.serveJoin(ctx, request)
-		return
+		answer, _ := r.serveJoin(ctx, request)
+		return answer.Standby
 	}
-	_, err := rpc.Call[fleet.JoinRequest, fleet.JoinAnswer](ctx, r.config.Client, leader, fleet.MethodJoin, request)
+	answer, err := rpc.Call[fleet.JoinRequest, fleet.JoinAnswer](ctx, r.config.Client, leader, fleet.MethodJoin, request)
 	if err != nil {
 		r.logger.Debug("join refused", "leader", leader, "error", err)
 	}
+	return answer.Standby
 }
 
 // findLeader returns the leader's address, as known here or by a seed.
@@ -101,17 +107,42 @@
 	return "", false
 }
 
-// warnIfReplaced logs that the cluster goes on without this replica.
-func (r *Replica) warnIfReplaced(ctx context.Context) {
+// retire offers this replica's seat to one that stands by, until one has taken
+// it, nobody stands by, or ctx ends. The process stops in any case.
+func (r *Replica) retire(ctx context.Context) {
+	if len(r.status.Load().Membership.Learners) == 0 {
+		return
+	}
+	request := fleet.RetireRequest{ID: r.self.ID}
+	for {
+		leader, known := r.Leader()
+		if known && leader.ID != r.self.ID {
+			answer, err := rpc.Call[fleet.RetireRequest, fleet.RetireAnswer](ctx, r.config.Client, leader.Address, fleet.MethodRetire, request)
+			if err == nil && answer.Done {
+				return
+			}
+			r.logger.Debug("seat not handed over yet", "error", err)
+		}
+		if !wait.For(ctx, retireInterval) {
+			return
+		}
+	}
+}
+
+// wasReplaced reports that the cluster goes on without this replica, which then
+// joins again. Its log is still its own: as a learner it is brought up to date,
+// and what it once voted for it still remembers.
+func (r *Replica) wasReplaced(ctx context.Context) bool {
 	for _, seed := range r.askSeeds(ctx) {
 		if seed.err != nil || seed.answer.LeaderAddress == "" {
 			continue
 		}
 		if _, listed := findMember(seed.answer.Membership, r.self.ID); !listed {
-			r.logger.Error("this replica was replaced; empty its data folder to join again", "leader", seed.answer.LeaderAddress)
-			return
+			r.logger.Warn("this replica was replaced and joins again", "leader", seed.answer.LeaderAddress)
+			return true
 		}
 	}
+	return false
 }
 
 // serveJoin takes a newcomer in, step by step; leader only.
@@ -130,7 +161,26 @@
 	if err != nil {
 		return fleet.JoinAnswer{}, fmt.Errorf("join: %w", err)
 	}
-	return fleet.JoinAnswer{Voter: step.voter}, nil
+	return fleet.JoinAnswer{Voter: step.voter, Standby: step.standby}, nil
+}
+
+// serveRetire gives the seat of a voter that is about to stop to a learner that
+// stands by; leader only.
+func (r *Replica) serveRetire(ctx context.Context, request fleet.RetireRequest) (fleet.RetireAnswer, error) {
+	if view := r.lease.Load(); !view.leader || !r.HoldsLease(view.term) {
+		return fleet.RetireAnswer{}, r.notLeader()
+	}
+	var done bool
+	err := r.call(ctx, func(l *loop) error {
+		status := l.node.Status()
+		done = retired(request.ID, status.Membership)
+		step := nextRetireStep(request.ID, status, l.now(), l.config.Timing.ElectionTimeoutMax)
+		return l.takeJoinStep(step.newcomer, step)
+	})
+	if err != nil {
+		return fleet.RetireAnswer{}, fmt.Errorf("retire: %w", err)
+	}
+	return fleet.RetireAnswer{Done: done}, nil
 }
 
 // takeJoinStep proposes the change of a step; a change that cannot be made now
--- a/internal/replica/joinstep.go
+++ b/internal/replica/joinstep.go
@@ -14,39 +14,48 @@
 	changeData    = "member data"
 	changeLearner = "add learner"
 	changeVoter   = "make voter"
+	changeRetire  = "retire voter"
 )
 
 // joinStep is the next thing to do for a newcomer. All fields empty: wait.
 type joinStep struct {
-	voter    bool
+	voter bool
+	// standby: the newcomer has all that it needs and stays a learner until a
+	// voter is silent or retires.
+	standby  bool
 	change   string
 	target   raft.Membership
 	replaces raft.ReplicaID
+	// newcomer is the learner that takes the place, if one does.
+	newcomer raft.Member
 	// refusal is why the newcomer has to wait for a person or a silence.
 	refusal string
 }
 
 func (l *loop) joinStep(request fleet.JoinRequest) joinStep {
 	return nextJoinStep(joinQuestion{
-		request: request,
-		status:  l.node.Status(),
-		now:     l.now(),
-		silence: 2 * l.config.Timing.ElectionTimeoutMax,
+		request:   request,
+		status:    l.node.Status(),
+		now:       l.now(),
+		silence:   2 * l.config.Timing.ElectionTimeoutMax,
+		maxVoters: l.config.MaxVoters,
 	})
 }
 
 // joinQuestion is all that decides a joinStep. silence is how long a replica
-// must not have been heard to be replaced.
+// must not have been heard to be replaced; maxVoters is the number of voters up
+// to which a newcomer becomes one beside the others.
 type joinQuestion struct {
-	request fleet.JoinRequest
-	status  raft.Status
-	now     time.Duration
-	silence time.Duration
+	request   fleet.JoinRequest
+	status    raft.Status
+	now       time.Duration
+	silence   time.Duration
+	maxVoters int
 }
 
-// nextJoinStep: a newcomer becomes a learner; once it has caught up, holds the
-// archive, and the replica of the same name is silent, one joint change puts
-// it in that one's place.
+// nextJoinStep: a newcomer becomes a learner. Once it has caught up and holds
+// the archive, one joint change puts it in the place of a voter that is gone,
+// or beside the others if there are few. Else it stands by.
 func nextJoinStep(q joinQuestion) joinStep {
 	member, current := q.request.Member, q.status.Membership
 	if len(current.Outgoing) > 0 {
@@ -98,21 +107,58 @@
 	return raft.Progress{}, false
 }
 
+// promotionStep finds the newcomer's place among the voters: that of the
+// earlier replica of its own machine, else that of a voter that is silent, else
+// one more if there are few.
 func promotionStep(q joinQuestion) joinStep {
+	member, voters := q.request.Member, q.status.Membership.Voters
+	if same := slices.IndexFunc(voters, func(voter raft.Member) bool { return voter.Name == member.Name }); same >= 0 {
+		return ownPlaceStep(q, voters[same])
+	}
+	if gone, found := longestSilent(q); found {
+		return replaceStep(q.status.Membership, member, gone)
+	}
+	if len(voters) >= q.maxVoters {
+		return joinStep{standby: true}
+	}
+	target := withoutLearner(q.status.Membership, member.ID)
+	target.Voters = append(target.Voters, member)
+	return joinStep{change: changeVoter, target: target}
+}
+
+// ownPlaceStep replaces the earlier replica of the same machine. At the same
+// address there can be one process only, so that the earlier one is gone;
+// elsewhere it must be silent first.
+func ownPlaceStep(q joinQuestion, earlier raft.Member) joinStep {
 	member := q.request.Member
-	target := copyMembership(q.status.Membership)
-	target.Learners = slices.DeleteFunc(target.Learners, func(learner raft.Member) bool { return learner.ID == member.ID })
-	old := slices.IndexFunc(target.Voters, func(voter raft.Member) bool { return voter.Name == member.Name })
-	if old < 0 {
-		target.Voters = append(target.Voters, member)
-		return joinStep{change: changeVoter, target: target}
+	if earlier.Address != member.Address && !silent(q, earlier.ID) {
+		return joinStep{refusal: fmt.Sprintf("replica %s of the same name at %s was heard less than %v ago", earlier.ID, earlier.Address, q.silence)}
 	}
-	replaced := target.Voters[old]
-	if !silent(q, replaced.ID) {
-		return joinStep{refusal: fmt.Sprintf("replica %s of the same name at %s was heard less than %v ago", replaced.ID, replaced.Address, q.silence)}
+	return replaceStep(q.status.Membership, member, earlier.ID)
+}
+
+// replaceStep puts a learner in the place of a voter.
+func replaceStep(current raft.Membership, learner raft.Member, gone raft.ReplicaID) joinStep {
+	target := withoutLearner(current, learner.ID)
+	target.Voters[indexOf(target.Voters, gone)] = learner
+	return joinStep{change: changeVoter, target: target, replaces: gone, newcomer: learner}
+}
+
+// longestSilent is the voter that was not heard for longest, if that is longer
+// than the silence.
+func longestSilent(q joinQuestion) (raft.ReplicaID, bool) {
+	var found raft.ReplicaID
+	var since time.Duration
+	for _, voter := range q.status.Membership.Voters {
+		if !silent(q, voter.ID) {
+			continue
+		}
+		progress, _ := progressOf(q.status, voter.ID)
+		if found == "" || progress.LastSeen < since {
+			found, since = voter.ID, progress.LastSeen
+		}
 	}
-	target.Voters[old] = member
-	return joinStep{change: changeVoter, target: target, replaces: replaced.ID}
+	return found, found != ""
 }
 
 // silent: not heard for the whole silence. A leader notes each voter as heard
@@ -122,6 +168,45 @@
 	return known && id != q.status.ID && q.now-progress.LastSeen > q.silence
 }
 
+// retired: the replica votes no more, or nobody could take its seat.
+func retired(id raft.ReplicaID, membership raft.Membership) bool {
+	votes := indexOf(membership.Voters, id) >= 0 || indexOf(membership.Outgoing, id) >= 0
+	return !votes || len(membership.Learners) == 0
+}
+
+// nextRetireStep gives the seat of a voter that is about to stop to a learner
+// that stands by, one of the same zone if there is one. Without such a learner
+// the seat stays with the voter, which may well come back.
+func nextRetireStep(leaving raft.ReplicaID, status raft.Status, now, silence time.Duration) joinStep {
+	current := status.Membership
+	place := indexOf(current.Voters, leaving)
+	if place < 0 || len(current.Outgoing) > 0 {
+		return joinStep{}
+	}
+	successor, found := raft.Member{}, false
+	for _, learner := range current.Learners {
+		progress, known := progressOf(status, learner.ID)
+		if !known || now-progress.LastSeen > silence || !caughtUp(status, learner.ID) {
+			continue
+		}
+		if !found || learner.Zone == current.Voters[place].Zone {
+			successor, found = learner, true
+		}
+	}
+	if !found {
+		return joinStep{}
+	}
+	step := replaceStep(current, successor, leaving)
+	step.change = changeRetire
+	return step
+}
+
+func withoutLearner(membership raft.Membership, id raft.ReplicaID) raft.Membership {
+	target := copyMembership(membership)
+	target.Learners = slices.DeleteFunc(target.Learners, func(learner raft.Member) bool { return learner.ID == id })
+	return target
+}
+
 func copyMembership(membership raft.Membership) raft.Membership {
 	return raft.Membership{
 		Voters:   slices.Clone(membership.Voters),
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -225,12 +225,18 @@
 	return loaded.Snapshot.Membership, nil
 }
 
-// HandOver passes leadership on, if held, and returns once another replica
-// leads or ctx ends.
+// HandOver passes leadership on, if held, and then the seat of a voter, if a
+// learner stands by. It returns once that is done or ctx ends.
 func (r *Replica) HandOver(ctx context.Context) {
 	if !r.running.Load() {
 		return
 	}
+	r.passLeadership(ctx)
+	r.retire(ctx)
+}
+
+// passLeadership returns once another replica leads, or none of that can be.
+func (r *Replica) passLeadership(ctx context.Context) {
 	err := r.call(ctx, func(l *loop) error { return l.node.TransferLeadership(r.now(), "") })
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/replica/standby_test.go
@@ -0,0 +1,92 @@
+package replica
+
+import (
+	"context"
+	"testing"
+)
+
+// newFour makes three seeds and one machine more, of a cluster with three
+// voters.
+func newFour(t *testing.T) (seeds []*machine, fourth *machine) {
+	t.Helper()
+	machines := newMachines(t, 4)
+	for _, m := range machines {
+		m.seeds = machines[0].seeds[:3]
+		m.maxVoters = 3
+	}
+	machines[3].joinOnly = true
+	return machines[:3], machines[3]
+}
+
+func isVoter(on, whose *machine) bool { return voterIDs(on)[whose.replica.self.ID] }
+
+func standsBy(on, whose *machine) bool {
+	return indexOf(on.replica.Status().Membership.Learners, whose.replica.self.ID) >= 0
+}
+
+// TestStandbyTakesTheSeatOfALostVoter also covers the lost one's return: it was
+// replaced while it was away and joins again with the data that it has.
+func TestStandbyTakesTheSeatOfALostVoter(t *testing.T) {
+	seeds, fourth := newFour(t)
+	startAll(seeds)
+	leader := leaderOf(t, seeds...)
+	fourth.start()
+	eventually(t, "the fourth stands by", func() bool { return standsBy(leader, fourth) })
+	register(t, "before", leader)
+
+	lost := others(seeds, leader)[0]
+	lost.crash()
+	eventually(t, "the fourth votes", func() bool {
+		return isVoter(leader, fourth) && !isVoter(leader, lost) && len(voterIDs(leader)) == 3
+	})
+	// A second loss right after: the two that are left are a majority.
+	second := others(seeds, leader, lost)[0]
+	second.crash()
+	register(t, "after", leader, fourth)
+
+	lost.start()
+	eventually(t, "the lost one is back", func() bool {
+		now := leaderOf(t, leader, fourth, lost)
+		return isVoter(now, lost) && len(voterIDs(now)) == 3
+	})
+	eventually(t, "it holds all", func() bool { return len(workers(t, lost)) == 2 })
+}
+
+// TestRetiringVoterHandsItsSeatOver: with one that stands by, a planned stop
+// leaves as many voters as before, at once.
+func TestRetiringVoterHandsItsSeatOver(t *testing.T) {
+	seeds, fourth := newFour(t)
+	startAll(seeds)
+	leader := leaderOf(t, seeds...)
+	fourth.start()
+	eventually(t, "the fourth stands by", func() bool { return standsBy(leader, fourth) })
+	register(t, "before", leader)
+
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	leader.replica.HandOver(ctx)
+	left := append(others(seeds, leader), fourth)
+	eventually(t, "the fourth has the seat", func() bool {
+		now := leaderOf(t, left...)
+		return isVoter(now, fourth) && !isVoter(now, leader) && len(voterIDs(now)) == 3
+	})
+	leader.crash()
+	register(t, "after", left...)
+}
+
+// TestJoinOnlyNeverForms: an empty replica that may only join waits, though all
+// seeds are empty as well.
+func TestJoinOnlyNeverForms(t *testing.T) {
+	seeds, fourth := newFour(t)
+	seeds[0].joinOnly = true
+	startAll(seeds)
+	fourth.start()
+	eventually(t, "the others wait for it", func() bool {
+		return seeds[1].replica.identity().Founder && !seeds[0].replica.identity().Founder
+	})
+	for _, m := range append(seeds, fourth) {
+		if m.replica.running.Load() {
+			t.Fatalf("%s has formed a cluster", m.name)
+		}
+	}
+}
--- a/internal/settings/convert.go
+++ b/internal/settings/convert.go
@@ -23,6 +23,8 @@
 		return assignDuration(into, raw)
 	case into.Kind() == reflect.String:
 		return assignString(into, raw)
+	case into.Kind() == reflect.Bool:
+		return assignBool(into, raw)
 	case into.Kind() == reflect.Slice:
 		return assignList(into, raw)
 	case into.Kind() == reflect.Map:
@@ -49,11 +51,26 @@
 			return assignDuration(into, text)
 		}
 		return assignDigits(into, text)
+	case reflect.Bool:
+		return assignBool(into, text)
 	default:
 		return assignString(into, text)
 	}
 }
 
+// assignBool takes true and false, as words in flags.
+func assignBool(into reflect.Value, raw any) string {
+	switch fmt.Sprint(raw) {
+	case "true":
+		into.SetBool(true)
+	case "false":
+		into.SetBool(false)
+	default:
+		return "true or false"
+	}
+	return ""
+}
+
 func assignDuration(into reflect.Value, raw any) string {
 	const expected = `a duration such as "200ms"`
 	text, ok := raw.(string)
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -22,6 +22,8 @@
 		Lease:              api.Duration(400 * time.Millisecond),
 	}
 	s.SnapshotEvery = 10000
+	s.MayForm = true
+	s.Tolerate = 2
 }
 
 func (f *Front) setDefaults() {
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -56,6 +56,8 @@
 		return "pairs"
 	case value.Kind() == reflect.String:
 		return "text"
+	case value.Kind() == reflect.Bool:
+		return "true or false"
 	default:
 		return "number"
 	}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -49,7 +49,7 @@
 
 func TestDefaultsFileAndFlagsInThatOrder(t *testing.T) {
 	path := settingsFile(t, goodScheduler+"timing: {tick: 40ms, lease: 300ms}\nlog:\n")
-	flags := parsedFlags[Scheduler](t, "--settings", path, "--timing.tick=30ms", "--seeds=127.0.0.1:1,127.0.0.2:2", "--snapshot_every=7")
+	flags := parsedFlags[Scheduler](t, "--settings", path, "--timing.tick=30ms", "--seeds=127.0.0.1:1,127.0.0.2:2", "--snapshot_every=7", "--may_form=false")
 	got, err := Load[Scheduler](LoadOptions{Flags: flags})
 	if err != nil {
 		t.Fatal(err)
@@ -68,6 +68,8 @@
 			ElectionTimeoutMax: api.Duration(time.Second),
 		},
 		SnapshotEvery: 7,
+		MayForm:       false,
+		Tolerate:      2,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Fatalf("settings differ (-want +got):\n%s", diff)
@@ -132,6 +134,7 @@
 		"number as duration": {goodScheduler + "timing: {tick: 50}\n", `timing.tick "50": expected a duration such as "200ms"`},
 		"no duration":        {goodScheduler + "timing: {tick: soon}\n", `timing.tick "soon": expected a duration such as "200ms"`},
 		"duration 0":         {goodScheduler + "timing: {tick: 0s}\n", `timing.tick "0s": expected a duration over 0, such as "50ms"`},
+		"not a truth value":  {goodScheduler + "may_form: perhaps\n", `may_form "perhaps": expected true or false`},
 		"negative number":    {goodScheduler + "snapshot_every: -1\n", `snapshot_every "-1": expected a whole number, 0 or more`},
 		"tick":               {goodScheduler + "timing: {tick: 400ms}\n", `timing.tick "400ms": expected less than timing.lease, which is 400ms`},
 		"lease":              {goodScheduler + "timing: {lease: 500ms}\n", `timing.lease "500ms": expected less than timing.election_timeout_min, which is 500ms`},
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 )
 
@@ -67,6 +68,8 @@
 		return "`0s`"
 	case known.value.CanInt():
 		return "`0`"
+	case known.value.Kind() == reflect.Bool:
+		return "`false`"
 	default:
 		return "none"
 	}
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -64,6 +64,12 @@
 	Common `koanf:",squash"`
 	// DataDir is the folder of the replica's log and snapshots. Required.
 	DataDir string `koanf:"data_dir" validate:"required" expected:"a folder" usage:"folder of the log, snapshots and archive (required)"`
+	// MayForm lets this process take part in forming a new cluster with an empty
+	// data folder; without it, it waits for one to join. Default true.
+	MayForm bool `koanf:"may_form" expected:"true or false" usage:"whether an empty data folder may take part in forming a new cluster"`
+	// Tolerate is the number of schedulers whose loss at once is to be borne:
+	// twice as many and one vote, and further ones stand by. Default 2.
+	Tolerate int `koanf:"tolerate" validate:"min=0,max=4" expected:"a whole number, 0 to 4" usage:"schedulers whose loss at once is borne; twice as many and one vote"`
 	// Timing is the timing of the replicated log.
 	Timing SchedulerTiming `koanf:"timing"`
 	// SnapshotEvery is the number of log entries between two snapshots.
