Drain zones by orders that no configuration undoes

Cause: a zone could be drained only by editing the configuration. A configuration that was read before the drain and accepted after it took the drain back, and a race with it lost the drain.

Change: PUT and DELETE /v1/drains/zones/{zone} and GET /v1/drains, the client's DrainZone, RestoreZone and Drains, and the commands decklever drains list, add and remove give orders on zones. The leader proposes each, answers once it is committed, and acts on ZoneDrainChanged at once. A worker is drained if the configuration or an order says so; the grace counts from the first of them; a new leader takes the orders from the record. The worker list says which of the two drains. PUT and DELETE without a body were taken in place of a body that repeats the path.

Tests of api, record, scheduler, front, cli and docs pass.

--- a/api/fields.go
+++ b/api/fields.go
@@ -18,11 +18,15 @@
 var (
 	namePattern  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
 	queuePattern = regexp.MustCompile(`^[a-z0-9._-]{1,64}$`)
+	zonePattern  = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
 )
 
 // ValidJobID reports whether the id has the form that a job id must have.
 func ValidJobID(id string) bool { return namePattern.MatchString(id) }
 
+// ValidZone reports whether the name has the form that a zone's must have.
+func ValidZone(name string) bool { return zonePattern.MatchString(name) }
+
 // fieldErrors collects wrong fields.
 type fieldErrors struct {
 	list    []FieldError
--- a/api/status.go
+++ b/api/status.go
@@ -64,8 +64,8 @@
 	Members     []MemberStatus `json:"members"`
 }
 
-// ZoneDrain is the body of PUT /v1/drains/zones/{zone} and a row of GET
-// /v1/drains. It is an order of its own, beside the drains of the
+// ZoneDrain is the answer of PUT and DELETE /v1/drains/zones/{zone} and a row
+// of GET /v1/drains. It is an order of its own, beside the drains of the
 // configuration: a worker is drained if either says so, and neither a new
 // configuration nor a restart undoes it.
 type ZoneDrain struct {
--- a/api/validate_calls.go
+++ b/api/validate_calls.go
@@ -35,6 +35,15 @@
 	return errors.all()
 }
 
+// ValidateZoneDrain checks an order on a zone and returns every wrong field.
+func ValidateZoneDrain(drain *ZoneDrain) []FieldError {
+	var errors fieldErrors
+	if !ValidZone(drain.Zone) {
+		errors.add("zone", drain.Zone, "1 to 64 of a-z, A-Z, 0-9, '-', '_' or '.'")
+	}
+	return errors.all()
+}
+
 // ValidateRelease checks a release and returns every wrong field.
 func ValidateRelease(request *ReleaseRequest) []FieldError {
 	var errors fieldErrors
--- a/internal/cli/commands_test.go
+++ b/internal/cli/commands_test.go
@@ -30,6 +30,7 @@
 		"GET /v1/workers":         {ok(api.WorkerList{Workers: []api.WorkerStatus{{Name: "w1", Zone: "z1", State: api.WorkerReady, Capacity: room, Services: []string{"s", "t"}, Runs: 1}, {Name: "w2", Zone: "z2", State: api.WorkerLost, SilentMillis: 9000, Reason: "r"}}})},
 		"GET /v1/members":         {ok(api.MemberList{Token: 3, CommitIndex: 9, Members: []api.MemberStatus{{ReplicaID: "ff", Name: "s1", Zone: "z1", Address: "127.1.0.1:1", Leader: true, Voter: true, Matched: 9}}})},
 		"GET /v1/bookings":        {ok(sampleBookings())},
+		"GET /v1/drains":          {ok(api.DrainList{Zones: []api.ZoneDrain{{Zone: "z3", Drained: true}}})},
 		"GET /v1/queues":          {ok(api.QueueList{Queues: []api.QueueStatus{{Name: "q", Jobs: 1, Pending: 2, Running: 3}}})},
 	}
 }
@@ -77,6 +78,7 @@
 		"worker list":    replies["GET /v1/workers"][0].body,
 		"member list":    replies["GET /v1/members"][0].body,
 		"queue list":     replies["GET /v1/queues"][0].body,
+		"drains list":    replies["GET /v1/drains"][0].body,
 		"booking list":   replies["GET /v1/bookings"][0].body,
 		"job list":       replies["GET /v1/jobs"][0].body,
 	}
--- a/internal/cli/complete_names.go
+++ b/internal/cli/complete_names.go
@@ -57,6 +57,14 @@
 	})
 }
 
+// completeDrains offers the zones that are drained by orders.
+func (a *app) completeDrains(command *cobra.Command, arguments []string, _ string) ([]string, cobra.ShellCompDirective) {
+	return a.offer(command, arguments, func(ctx context.Context, client *api.Client) ([]string, error) {
+		list, err := client.Drains(ctx)
+		return namesIn(list.Zones, func(drain api.ZoneDrain) string { return drain.Zone }), err
+	})
+}
+
 // completeQueues offers names of queues.
 func (a *app) completeQueues(command *cobra.Command, _ []string, _ string) ([]string, cobra.ShellCompDirective) {
 	return a.offer(command, nil, func(ctx context.Context, client *api.Client) ([]string, error) {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -44,7 +44,7 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 	a.bindGlobal(root)
 	root.AddCommand(
-		a.jobCommand(), a.configCommand(), a.workerCommand(), a.zoneCommand(),
+		a.jobCommand(), a.configCommand(), a.workerCommand(), a.zoneCommand(), a.drainsCommand(),
 		a.queueCommand(), a.bookingCommand(), a.memberCommand(), a.statusCommand(), a.timelineCommand(),
 		a.completionCommand(), a.versionCommand(),
 	)
--- /dev/null
+++ b/internal/front/drain_calls.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+// SetZoneDrain drains a zone by an order of its own, or takes that back. It
+// returns nil once the order is committed; again, it changes nothing.
+func (f *Front) SetZoneDrain(ctx context.Context, zone string, drained bool) *api.Error {
+	drain := api.ZoneDrain{Zone: zone, Drained: drained}
+	if fields := api.ValidateZoneDrain(&drain); len(fields) > 0 {
+		return invalid("drain", fields)
+	}
+	_, refusal := relay[fleet.DrainZoneRequest, fleet.Empty](ctx, f, relayCall[fleet.DrainZoneRequest]{
+		method:  fleet.MethodDrainZone,
+		request: fleet.DrainZoneRequest{Drain: drain},
+		effect:  true,
+	})
+	return refusal
+}
+
+// Drains lists the zones that are drained by orders.
+func (f *Front) Drains(ctx context.Context) (api.DrainList, *api.Error) {
+	answer, refusal := relay[fleet.Empty, fleet.DrainsAnswer](ctx, f, relayCall[fleet.Empty]{method: fleet.MethodDrains})
+	answer.List.Zones = listOf(answer.List.Zones)
+	return answer.List, refusal
+}
+
+// drains serves GET /v1/drains.
+func (f *Front) drains(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	list, refusal := f.Drains(request.Context())
+	return http.StatusOK, list, refusal
+}
+
+// drainZone serves PUT /v1/drains/zones/{zone}.
+func (f *Front) drainZone(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	return f.orderZoneDrain(request, true)
+}
+
+// restoreZone serves DELETE /v1/drains/zones/{zone}.
+func (f *Front) restoreZone(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	return f.orderZoneDrain(request, false)
+}
+
+func (f *Front) orderZoneDrain(request *http.Request, drained bool) (int, any, *api.Error) {
+	zone := pathValue(request, "zone")
+	refusal := f.SetZoneDrain(request.Context(), zone, drained)
+	return http.StatusOK, api.ZoneDrain{Zone: zone, Drained: drained}, refusal
+}
--- a/internal/front/job_calls.go
+++ b/internal/front/job_calls.go
@@ -175,13 +175,16 @@
 	return min(wait, api.MaxWait), nil
 }
 
-// jobID reads the id from the path, where it may be escaped.
-func jobID(request *http.Request) string {
-	id := chi.URLParam(request, "id")
-	if plain, err := url.PathUnescape(id); err == nil && request.URL.RawPath != "" {
+// jobID reads the id of a job from the path.
+func jobID(request *http.Request) string { return pathValue(request, "id") }
+
+// pathValue reads a parameter from the path, where it may be escaped.
+func pathValue(request *http.Request, name string) string {
+	value := chi.URLParam(request, name)
+	if plain, err := url.PathUnescape(value); err == nil && request.URL.RawPath != "" {
 		return plain
 	}
-	return id
+	return value
 }
 
 // noJob is the refusal for an id that no job has.
--- a/internal/front/openapi_test.go
+++ b/internal/front/openapi_test.go
@@ -97,6 +97,7 @@
 		api.MemberList{},
 		api.QueueList{},
 		api.BookingList{},
+		api.DrainList{},
 		api.ReleaseRequest{},
 		api.ReleaseAnswer{},
 		api.CancelRequest{},
@@ -275,6 +276,12 @@
 		{front, "POST", "/v1/bookings/release", `{"queue":"q","booking":"b","start":"soon"}`, nil, 400, true},
 		{front, "POST", "/v1/bookings/release", `{"queue":"q"}`, nil, 422, true},
 		{front, "POST", "/v1/bookings/release", strings.Repeat(" ", maxReleaseBytes+1), nil, 413, true},
+		{front, "GET", "/v1/drains", "", nil, 200, false},
+		{front, "PUT", "/v1/drains/zones/z1", "", nil, 200, false},
+		{front, "PUT", "/v1/drains/zones/z%201", "", nil, 422, true},
+		{front, "PUT", "/v1/drains/zones/full", "", nil, 429, false},
+		{front, "DELETE", "/v1/drains/zones/z1", "", nil, 200, false},
+		{front, "DELETE", "/v1/drains/zones/z%201", "", nil, 422, true},
 		{front, "POST", "/v1/cancellations", `{"jobs":["a","b"]}`, nil, 200, false},
 		{front, "POST", "/v1/cancellations", `{"queue":"q"}`, nil, 200, false},
 		{front, "POST", "/v1/cancellations", `{"jobz":["a"]}`, nil, 400, true},
@@ -379,6 +386,13 @@
 		}
 		return fleet.Empty{}, nil
 	})
+	give[fleet.Empty](leader, fleet.MethodDrains, fleet.DrainsAnswer{List: api.DrainList{Zones: []api.ZoneDrain{{Zone: "z1", Drained: true}}}})
+	on(leader, fleet.MethodDrainZone, func(_ context.Context, request fleet.DrainZoneRequest, _ int) (fleet.Empty, error) {
+		if request.Drain.Zone == "full" {
+			return fleet.Empty{}, apiError(429, api.CodeOverLimit, 1000)
+		}
+		return fleet.Empty{}, nil
+	})
 	give[fleet.CancelManyRequest](leader, fleet.MethodCancelMany, fleet.CancelManyAnswer{Answer: api.CancelAnswer{Cancelled: 2}})
 	give[fleet.Empty](leader, fleet.MethodQueues, fleet.QueuesAnswer{List: api.QueueList{Queues: []api.QueueStatus{{Name: "q", Jobs: 1}}}})
 }
--- a/internal/front/routes.go
+++ b/internal/front/routes.go
@@ -38,6 +38,9 @@
 		v1.Get("/queues", serve(f.queues))
 		v1.Get("/bookings", serve(f.bookings))
 		v1.Post("/bookings/release", serve(f.releaseBooking))
+		v1.Get("/drains", serve(f.drains))
+		v1.Put("/drains/zones/{zone}", serve(f.drainZone))
+		v1.Delete("/drains/zones/{zone}", serve(f.restoreZone))
 	})
 	return router
 }
@@ -74,7 +77,7 @@
 // Allow which it has.
 func refuseMethod(writer http.ResponseWriter, request *http.Request, router chi.Router) {
 	var allowed []string
-	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost} {
+	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost, http.MethodDelete} {
 		if router.Match(chi.NewRouteContext(), method, request.URL.Path) {
 			allowed = append(allowed, method)
 		}
--- a/internal/record/drain_test.go
+++ b/internal/record/drain_test.go
@@ -1,6 +1,8 @@
 package record
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -35,3 +37,28 @@
 	r.drainZone("z1", false)
 	expectDrained(t, r.machine, "z2")
 }
+
+// drains holds the zones drained by orders against the orders alone, and those
+// of the configuration against accepted configurations alone.
+func (c *checker) drains(command Command, result Result) {
+	if order := command.DrainZone; order != nil {
+		c.drained[order.Zone] = order.Drained
+	}
+	if put := command.PutConfig; put != nil && result.Config.Refusal == nil && result.Config.Version > c.configVersion {
+		c.drainedInConfig, c.configVersion = put.Config.Drains.Zones, result.Config.Version
+	}
+	var expected []string
+	for _, zone := range slices.Sorted(maps.Keys(c.drained)) {
+		if c.drained[zone] {
+			expected = append(expected, zone)
+		}
+	}
+	c.machine.Read(func(v View) {
+		if !slices.Equal(v.DrainedZones(), expected) {
+			c.t.Fatalf("zones drained by orders are %v, expected %v", v.DrainedZones(), expected)
+		}
+		if _, config := v.Config(); !slices.Equal(config.Drains.Zones, c.drainedInConfig) {
+			c.t.Fatalf("zones drained by the configuration are %v, expected %v", config.Drains.Zones, c.drainedInConfig)
+		}
+	})
+}
--- a/internal/record/property_test.go
+++ b/internal/record/property_test.go
@@ -103,6 +103,7 @@
 		{"loads", a.loads, b.loads},
 		{"queues", a.queues, b.queues},
 		{"teams", a.teams, b.teams},
+		{"drained zones", slices.Concat(a.drainedZones), slices.Concat(b.drainedZones)},
 		{"released", slices.Concat(a.released), slices.Concat(b.released)},
 		{"versions", slices.Concat(a.settings.versions), slices.Concat(b.settings.versions)},
 		{"orders", a.settings.orders.oldestFirst(), b.settings.orders.oldestFirst()},
@@ -116,7 +117,7 @@
 
 func drawCommand(t *rapid.T, machine *Machine, expiry bool) Command {
 	command := Command{Time: machine.state.clock + Millis(rapid.IntRange(-50, 300).Draw(t, "time")), Token: 1}
-	most := 15
+	most := 16
 	if expiry {
 		most++
 	}
@@ -141,6 +142,8 @@
 		}
 	case 15:
 		command.Release = drawRelease(t, machine)
+	case 16:
+		command.DrainZone = &DrainZone{Zone: drawZone.Draw(t, "zone"), Drained: rapid.Bool().Draw(t, "drained")}
 	default:
 		command.Expire = &ExpireArchive{Before: machine.state.clock - 100, Limit: 2}
 	}
@@ -150,6 +153,7 @@
 var (
 	drawJobID  = rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f", "g", "h"})
 	drawWorker = rapid.SampledFrom([]string{"w1", "w2"})
+	drawZone   = rapid.SampledFrom([]string{"z1", "z2", "z3"})
 )
 
 func drawSubmit(t *rapid.T) *Submit {
@@ -173,6 +177,9 @@
 	config := testConfig()
 	config.Queues[1].MaxRunningTasks = rapid.IntRange(0, 2).Draw(t, "max")
 	config.Teams = []api.TeamConfig{{Name: "t", MaxRunningTasks: rapid.IntRange(0, 3).Draw(t, "team max")}}
+	if rapid.Bool().Draw(t, "drain") {
+		config.Drains.Zones = []string{drawZone.Draw(t, "zone")}
+	}
 	for i := range config.Queues {
 		config.Queues[i].Team = rapid.SampledFrom([]string{"", "t"}).Draw(t, "team")
 	}
@@ -256,13 +263,18 @@
 	released  []ReleaseWindow
 	// releasedBefore is the length of released before the newest command.
 	releasedBefore int
+	// drained are the zones that orders drained.
+	drained map[string]bool
+	// drainedInConfig are the zones that configuration configVersion drains.
+	drainedInConfig []string
+	configVersion   uint64
 }
 
 func newChecker(t *rapid.T, machine *Machine) *checker {
 	c := &checker{
 		t: t, machine: machine, open: make(map[RunID]bool), lastRun: make(map[*Task]uint32),
 		final: make(map[*Task]TaskState), accepted: make(map[string]bool),
-		preempted: make(map[*Task]int),
+		preempted: make(map[*Task]int), drained: make(map[string]bool),
 	}
 	machine.Observe(nil, c.event)
 	return c
@@ -336,6 +348,7 @@
 		c.accepted[command.Submit.ID] = true
 	}
 	s := c.machine.state
+	c.drains(command, result)
 	c.windows(command, c.releasedBefore)
 	c.releasedBefore = len(c.released)
 	runs, used, queues := 0, make(map[string]api.Resources), make(map[string]QueueCounts)
--- /dev/null
+++ b/internal/scheduler/drains_test.go
@@ -0,0 +1,213 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+func (h *harness) drainZone(zone string, drained bool) {
+	h.t.Helper()
+	request := fleet.DrainZoneRequest{Drain: api.ZoneDrain{Zone: zone, Drained: drained}}
+	if _, err := h.leader.drainZone(h.t.Context(), request); err != nil {
+		h.t.Fatalf("drain zone %s: %v", zone, err)
+	}
+	h.settle()
+}
+
+func (h *harness) drains() []api.ZoneDrain {
+	h.t.Helper()
+	answer, err := h.leader.listDrains(h.t.Context(), fleet.Empty{})
+	if err != nil {
+		h.t.Fatalf("list drains: %v", err)
+	}
+	return answer.List.Zones
+}
+
+func (h *harness) workerStatus(name string) api.WorkerStatus {
+	h.t.Helper()
+	h.leader.mu.Lock()
+	defer h.leader.mu.Unlock()
+	return h.leader.workerStatus(h.leader.byName[name])
+}
+
+// beat lets time pass while the workers send a heartbeat each second.
+func (h *harness) beat(length time.Duration, workers ...*fakeWorker) {
+	h.t.Helper()
+	for range int(length / time.Second) {
+		h.advance(time.Second)
+		for _, worker := range workers {
+			worker.exchange()
+		}
+	}
+}
+
+// workerIn is a worker of another zone than the harness's own.
+func (h *harness) workerIn(zone, name, incarnation string) *fakeWorker {
+	worker := h.worker(name, incarnation)
+	worker.zone = zone
+	return worker
+}
+
+func TestZoneDrainByOrderWithdrawsAndStops(t *testing.T) {
+	h := newHarness(t)
+	worker, other := h.workerIn("z1", "a", "a-1"), h.workerIn("z2", "b", "b-1")
+	worker.exchange()
+	endless := tasks(1)
+	endless.Tasks[0].UntilCancelled = true
+	h.submit("endless", endless)
+	h.submit("finite", tasks(1))
+	worker.exchange()
+	h.submit("unordered", tasks(1))
+	h.drainZone("z1", true)
+	answer := worker.exchange()
+	if len(answer.Start) != 0 || len(answer.Stop) != 1 || answer.Stop[0].Task != "endless/s/0" {
+		t.Fatalf("want the endless run stopped and nothing started, got %+v", answer)
+	}
+	if status := h.workerStatus("a"); status.State != api.WorkerDraining || status.Reason != string(drainedByOrder) {
+		t.Errorf("worker is %s: %s", status.State, status.Reason)
+	}
+	other.exchange()
+	if answer := other.exchange(); len(answer.Start) != 1 || answer.Start[0].Task != "unordered/s/0" {
+		t.Errorf("want the withdrawn task elsewhere, got %+v", answer.Start)
+	}
+	grace := h.leader.config.Timings.DrainGrace.Std()
+	h.beat(grace-time.Second, worker, other)
+	if answer := worker.exchange(); len(answer.Stop) != 1 {
+		t.Errorf("stopped within the grace: %+v", answer.Stop)
+	}
+	h.beat(time.Second, worker, other)
+	if answer := worker.exchange(); len(answer.Stop) != 2 {
+		t.Errorf("want both stopped after the grace, got %+v", answer.Stop)
+	}
+	worker.end(api.OutcomeStopped)
+	worker.exchange()
+	for _, job := range []string{"endless", "finite", "unordered"} {
+		if failures := h.task(job, 0).Failures; failures != 0 {
+			t.Errorf("%s: a drain counted as %d failures", job, failures)
+		}
+	}
+}
+
+func TestZoneDrainIsAnsweredAgainAndTakenBack(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("a", "a-1")
+	worker.exchange()
+	h.drainZone("z1", true)
+	h.drainZone("z1", true)
+	h.submit("j", tasks(1))
+	if answer := worker.exchange(); len(answer.Start) != 0 {
+		t.Fatalf("started in a drained zone: %+v", answer.Start)
+	}
+	h.drainZone("z1", false)
+	h.drainZone("z1", false)
+	h.advance(tickInterval)
+	if answer := worker.exchange(); len(answer.Start) != 1 {
+		t.Errorf("want the task started, got %+v", answer.Start)
+	}
+}
+
+func TestZoneDrainOutlivesTheLeader(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("a", "a-1")
+	worker.exchange()
+	h.drainZone("z1", true)
+	h.newTerm()
+	h.submit("j", tasks(1))
+	worker.exchange()
+	if answer := worker.exchange(); len(answer.Start) != 0 {
+		t.Errorf("a new leader started in a drained zone: %+v", answer.Start)
+	}
+	if drains := h.drains(); len(drains) != 1 || drains[0] != (api.ZoneDrain{Zone: "z1", Drained: true}) {
+		t.Errorf("drains %+v", drains)
+	}
+}
+
+func TestZoneDrainIsRefused(t *testing.T) {
+	h := newHarness(t)
+	for _, zone := range []string{"", "z 1", "z/1"} {
+		request := fleet.DrainZoneRequest{Drain: api.ZoneDrain{Zone: zone, Drained: true}}
+		if _, err := h.leader.drainZone(t.Context(), request); err == nil {
+			t.Errorf("zone %q was taken", zone)
+		}
+	}
+	for i := range maxDrainedZones {
+		h.drainZone(fmt.Sprint("z", i), true)
+	}
+	h.drainZone("z0", true) // is drained already
+	request := fleet.DrainZoneRequest{Drain: api.ZoneDrain{Zone: "more", Drained: true}}
+	if _, err := h.leader.drainZone(t.Context(), request); err == nil {
+		t.Error("a zone beyond the bound was taken")
+	}
+	h.log.lease = false
+	if _, err := h.leader.drainZone(t.Context(), fleet.DrainZoneRequest{Drain: api.ZoneDrain{Zone: "z0"}}); err == nil {
+		t.Error("an order was acknowledged without a commit")
+	}
+}
+
+// TestDrainsOfBothKindsStandBesideEachOther holds every worker, after any
+// sequence of configurations, orders and new leaders, against what both say.
+func TestDrainsOfBothKindsStandBesideEachOther(t *testing.T) {
+	zones := []string{"z1", "z2", "z3"}
+	rapid.Check(t, func(r *rapid.T) {
+		h := newHarness(t)
+		for _, zone := range zones {
+			worker := h.workerIn(zone, "w-"+zone, "i-"+zone)
+			worker.exchange()
+		}
+		byConfig, byOrder := map[string]bool{}, map[string]bool{}
+		for range rapid.IntRange(1, 12).Draw(r, "steps") {
+			zone := rapid.SampledFrom(zones).Draw(r, "zone")
+			drained := rapid.Bool().Draw(r, "drained")
+			switch rapid.IntRange(0, 2).Draw(r, "kind") {
+			case 0:
+				h.drainZone(zone, drained)
+				byOrder[zone] = drained
+			case 1:
+				byConfig[zone] = drained
+				h.putConfig(configDraining(zones, byConfig))
+			default:
+				h.newTerm()
+			}
+			for _, zone := range zones {
+				worker := h.leader.byName["w-"+zone]
+				if want := byConfig[zone] || byOrder[zone]; worker.drained() != want || worker.leaving() != want {
+					r.Fatalf("worker in %s: drained %v, want %v", zone, worker.drained(), want)
+				}
+			}
+		}
+		h.stop()
+	})
+}
+
+func configDraining(zones []string, drained map[string]bool) api.Config {
+	config := api.Config{Queues: []api.QueueConfig{{Name: "q"}}}
+	for _, zone := range zones {
+		if drained[zone] {
+			config.Drains.Zones = append(config.Drains.Zones, zone)
+		}
+	}
+	return config
+}
+
+func TestDrainGraceCountsFromTheFirstDrain(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("a", "a-1")
+	worker.exchange()
+	h.submit("j", tasks(1))
+	worker.exchange()
+	grace := h.leader.config.Timings.DrainGrace.Std()
+	h.drainZone("z1", true)
+	for range int(grace / time.Second) {
+		h.beat(time.Second, worker)
+		h.putConfig(configDraining([]string{"z1"}, map[string]bool{"z1": true}))
+	}
+	if answer := worker.exchange(); len(answer.Stop) != 1 {
+		t.Errorf("want the run stopped after the grace of the first drain, got %+v", answer.Stop)
+	}
+}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 	config        *api.Config
 	configVersion uint64
 	configChanged chan struct{}
+	// drainedZones are those drained by orders, beside the configuration.
+	drainedZones []string
 	// workers are incarnations by worker id; byName the registered ones.
 	workers map[string]*workerEntry
 	byName  map[string]*workerEntry
@@ -142,6 +145,7 @@
 	for _, window := range view.ReleasedWindows() {
 		l.windowReleased(window)
 	}
+	l.drainedZones = slices.Clone(view.DrainedZones())
 	for worker := range view.Workers() {
 		l.setWorkerInfo(worker)
 	}
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -46,7 +46,9 @@
 		l.endJob(change.Job)
 	case record.ConfigChanged:
 		l.setConfig(change.Version, change.Config)
-		l.drainByConfig()
+		l.applyDrains()
+	case record.ZoneDrainChanged:
+		l.zoneDrainChanged(change)
 	case record.WorkerChanged:
 		l.setWorkerInfo(change.Worker)
 	case record.WorkerForgotten:
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -81,6 +81,9 @@
 	handle(s, server, fleet.MethodBookings, (*leader).listBookings)
 	handle(s, server, fleet.MethodRelease, (*leader).releaseBooking)
 
+	handle(s, server, fleet.MethodDrainZone, (*leader).drainZone)
+	handle(s, server, fleet.MethodDrains, (*leader).listDrains)
+
 	handle(s, server, fleet.MethodWorkers, (*leader).listWorkers)
 	handle(s, server, fleet.MethodMembers, (*leader).listMembers)
 	handle(s, server, fleet.MethodQueues, (*leader).listQueues)
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -34,9 +34,9 @@
 	lapses uint64
 	// lapsed is true from the lapse to the next heartbeat.
 	lapsed bool
-	// draining is the worker's own flag, drained the configuration's.
+	// draining is the worker's own flag; drainCause is what else drains it.
 	draining     bool
-	drained      bool
+	drainCause   drainCause
 	drainedSince time.Duration
 	// usable is what the planner was last told.
 	usable bool
@@ -85,7 +85,10 @@
 func (w *workerEntry) answered() bool { return w.answeredSeq > 0 }
 
 // leaving reports whether the worker gets no new work.
-func (w *workerEntry) leaving() bool { return w.draining || w.drained }
+func (w *workerEntry) leaving() bool { return w.draining || w.drained() }
+
+// drained reports whether the configuration or an order drains the worker.
+func (w *workerEntry) drained() bool { return w.drainCause != drainedByNothing }
 
 // canTakeWork tells whether new runs may be placed on the worker: it is the
 // registered incarnation, the ready gate is open, it is not leaving, and the
@@ -159,8 +162,8 @@
 		return api.WorkerSilent, "no heartbeat lately"
 	case w.draining:
 		return api.WorkerDraining, "the worker is leaving"
-	case w.drained:
-		return api.WorkerDraining, "drained by the configuration"
+	case w.drained():
+		return api.WorkerDraining, string(w.drainCause)
 	case !w.registered:
 		return api.WorkerWaiting, "another process under this name may still run tasks"
 	case !w.canTakeWork(now, hold):
