Take the end of a run from whatever heartbeat brings it

The agent gives a call up after 1 s and cancels it for a newer heartbeat; a heartbeat that came just after that was heard, and its proposal withdrawn, so the end was lost and no answer renewed the hold.

A heartbeat that a newer one had overtaken was thrown away with its ends.

Now the leader proposes registrations and ends under its own context, and takes ends, and nothing else, from a heartbeat that is not the newest.

Tests first: with the log of the tests withdrawing proposals of callers that went away, as a replica does, an end, a registration and an end in a late heartbeat were lost.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -26,10 +26,16 @@
 	index   uint64
 	clock   record.Millis
 	lease   bool
+	// overloaded refuses all proposals.
+	overloaded bool
 }
 
-func (f *fakeLog) Propose(_ context.Context, token uint64, command record.Command) (record.Result, error) {
+// Propose gives up, as a replica does, for a caller that has gone away.
+func (f *fakeLog) Propose(ctx context.Context, token uint64, command record.Command) (record.Result, error) {
 	f.t.Helper()
+	if ctx.Err() != nil || f.overloaded {
+		return record.Result{}, replica.ErrOverloaded
+	}
 	if !f.lease {
 		return record.Result{}, replica.ErrNotLeader
 	}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -25,14 +25,16 @@
 
 // heartbeat answers one heartbeat of one worker. It looks at the lease before
 // it draws conclusions and right before it answers.
-func (l *leader) heartbeat(ctx context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
+//
+// What a heartbeat tells is true whether or not its caller still waits, so the
+// caller's context bounds nothing here.
+func (l *leader) heartbeat(_ context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
 	if !l.log.HoldsLease(l.token) {
 		return fleet.HeartbeatAnswer{}, l.notLeader()
 	}
-	observed, err := l.observe(request)
-	if err != nil {
-		return fleet.HeartbeatAnswer{}, err
-	}
+	ctx, cancel := context.WithTimeout(l.context, proposalTimeout)
+	defer cancel()
+	observed := l.observe(request)
 	if err := l.register(ctx, observed); err != nil {
 		return fleet.HeartbeatAnswer{}, err
 	}
@@ -40,6 +42,9 @@
 	if err != nil {
 		return fleet.HeartbeatAnswer{}, err
 	}
+	if observed.late {
+		return fleet.HeartbeatAnswer{}, &rpc.Error{Code: rpc.CodeUnavailable, Message: "heartbeat is not newer than one already heard"}
+	}
 	return l.answerHeartbeat(observed, acknowledged)
 }
 
@@ -47,6 +52,9 @@
 type observation struct {
 	request fleet.HeartbeatRequest
 	worker  *workerEntry
+	// late is true if a newer heartbeat was heard before: then it tells of
+	// ended runs and of nothing else.
+	late bool
 	// lapses is the worker's count when the heartbeat was heard.
 	lapses uint64
 	// mustRegister is true if the record has to learn of the worker first.
@@ -55,7 +63,7 @@
 }
 
 // observe notes the heartbeat and compares it with the record.
-func (l *leader) observe(request fleet.HeartbeatRequest) (*observation, error) {
+func (l *leader) observe(request fleet.HeartbeatRequest) *observation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	heartbeat := request.Heartbeat
@@ -65,15 +73,17 @@
 		worker = newWorkerEntry(workerInfo(request, l.log.Now()))
 		l.workers[heartbeat.WorkerID] = worker
 	}
-	if !worker.hear(heartbeat, now) {
+	observed := &observation{request: request, worker: worker, lapses: worker.lapses}
+	if worker.hear(heartbeat, now) {
+		observed.mustRegister = l.mustRegister(worker, workerInfo(request, 0), now)
+		observed.differences = reconcile(worker.runs, heartbeat)
+	} else {
 		l.metrics.heartbeats.WithLabelValues("not_newer").Inc()
-		return nil, &rpc.Error{Code: rpc.CodeUnavailable, Message: "heartbeat is not newer than one already heard"}
+		observed.late = true
+		observed.differences = reconcileLate(worker.runs, heartbeat)
 	}
-	observed := &observation{request: request, worker: worker, lapses: worker.lapses}
-	observed.mustRegister = l.mustRegister(worker, workerInfo(request, 0), now)
-	observed.differences = reconcile(worker.runs, heartbeat)
 	l.noteDifferences(worker, &observed.differences)
-	return observed, nil
+	return observed
 }
 
 func workerInfo(request fleet.HeartbeatRequest, now record.Millis) record.Worker {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -44,6 +44,17 @@
 	return result
 }
 
+// reconcileLate takes from a heartbeat that is not the newest of its worker
+// what stays true: the ends of runs.
+func reconcileLate(runs map[record.RunID]*runState, heartbeat api.Heartbeat) reconciliation {
+	var result reconciliation
+	listed := make(map[record.RunID]bool, len(heartbeat.Ended))
+	for _, report := range heartbeat.Ended {
+		result.addEnded(runs, listed, report)
+	}
+	return result
+}
+
 func (r *reconciliation) addRunning(runs map[record.RunID]*runState, listed map[record.RunID]bool, reference api.RunRef) {
 	id, ok := parseRun(reference)
 	if !ok {
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -101,7 +101,7 @@
 }
 
 // hear notes a heartbeat. It returns false if the heartbeat is no newer than
-// one heard before, which then allows no conclusion.
+// one heard before, which then allows no conclusion but that runs have ended.
 func (w *workerEntry) hear(heartbeat api.Heartbeat, now time.Duration) bool {
 	if heartbeat.Seq <= w.seq {
 		return false
