Go on relaying heartbeats to a leader whose answer was lost

The agent now relays to the leader that it last knew while none is known, with a bound of 300 ms a call, so that a dead one does not keep a worker from the next for long. It stops once that scheduler, or a hint, says that it does not lead. Each heartbeat still gets one call.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -15,17 +15,44 @@
 // zoneLabel is the worker label that the agent sets.
 const zoneLabel = "zone"
 
+// silentTimeout bounds a call to a leader whose last answer did not come, so
+// that the next one is known soon enough for the worker's hold.
+const silentTimeout = 300 * time.Millisecond
+
+// target is the scheduler that a heartbeat goes to.
+type target struct {
+	address string
+	// silent: its last answer did not come, and no other leader is known.
+	silent bool
+}
+
+// target picks the scheduler for a heartbeat. The worker's reports must not
+// wait until the leader's answers arrive again.
+func (a *Agent) target() (target, bool) {
+	if address, known := a.config.Link.Leader(); known {
+		return target{address: address}, true
+	}
+	address, known := a.config.Link.SilentLeader()
+	return target{address: address, silent: true}, known
+}
+
 // relay makes the one call that a heartbeat ever gets.
 func (a *Agent) relay(ctx context.Context, heartbeat api.Heartbeat) (api.HeartbeatAnswer, *api.Error) {
 	var none api.HeartbeatAnswer
-	leader, known := a.config.Link.Leader()
+	leader, known := a.target()
 	if !known {
 		a.metrics.count(resultNoLeader)
 		return none, unavailable("the leading scheduler is not known")
 	}
+	timeout := a.config.RelayTimeout
+	if leader.silent {
+		timeout = min(timeout, silentTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	sentAt := time.Now()
 	reply, err := rpc.Call[fleet.HeartbeatRequest, fleet.HeartbeatAnswer](
-		ctx, a.config.Client, leader, fleet.MethodHeartbeat, a.request(heartbeat))
+		ctx, a.config.Client, leader.address, fleet.MethodHeartbeat, a.request(heartbeat))
 	took := time.Since(sentAt)
 	a.metrics.relaySeconds.Observe(took.Seconds())
 	if err != nil {
@@ -66,13 +93,13 @@
 }
 
 // relayFailed says what a failed call means for the worker and for the link.
-func (a *Agent) relayFailed(ctx context.Context, leader string, heartbeat api.Heartbeat, err error) *api.Error {
+func (a *Agent) relayFailed(ctx context.Context, leader target, heartbeat api.Heartbeat, err error) *api.Error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		a.metrics.count(resultSuperseded)
 		return unavailable("a newer heartbeat of this worker came in, or it went away")
 	}
 	a.config.Logger.Debug("relay failed", slog.String("worker_id", heartbeat.WorkerID), slog.Uint64("seq", heartbeat.Seq),
-		slog.String("address", leader), slog.Any("error", err))
+		slog.String("address", leader.address), slog.Any("error", err))
 	var failure *rpc.Error
 	if !errors.As(err, &failure) {
 		failure = &rpc.Error{Code: rpc.CodeTransport}
@@ -80,7 +107,7 @@
 	switch failure.Code {
 	case rpc.CodeNotLeader:
 		a.metrics.count(resultNotLeader)
-		a.redirect(leader, failure.LeaderAddress)
+		a.redirect(leader.address, failure.LeaderAddress)
 		return unavailable("the scheduler asked does not lead")
 	case rpc.CodeRefused:
 		if failure.API != nil {
@@ -88,7 +115,9 @@
 			return failure.API
 		}
 	case rpc.CodeTransport:
-		a.config.Link.Failed(leader)
+		if !leader.silent {
+			a.config.Link.Failed(leader.address)
+		}
 	}
 	a.metrics.count(resultFailed)
 	return unavailable("the leading scheduler did not answer")
--- a/internal/leaderlink/link.go
+++ b/internal/leaderlink/link.go
@@ -176,9 +176,7 @@
 func (l *Link) redirected(address, hint string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.state.leader == address {
-		l.state.forget()
-	}
+	l.state.deposed(address)
 	if hint == "" || hint == address {
 		return false
 	}
@@ -229,6 +227,14 @@
 	return l.state.leader, l.state.leader != ""
 }
 
+// SilentLeader returns the leader that was forgotten because it gave no
+// answer, while no other is known: it may be alive and its answers lost.
+func (l *Link) SilentLeader() (address string, ok bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.silent, l.state.leader == "" && l.state.silent != ""
+}
+
 // Hint takes the leader's address from a refusal with rpc.CodeNotLeader. An
 // empty address means that the leader is unknown.
 func (l *Link) Hint(address string) {
--- a/internal/leaderlink/link_test.go
+++ b/internal/leaderlink/link_test.go
@@ -186,3 +186,34 @@
 		t.Fatal("an old failure still bars the address")
 	}
 }
+
+func TestSilentLeaderIsKnownUntilAnotherIs(t *testing.T) {
+	const grace = time.Second
+	cases := []struct {
+		name string
+		then func(*state)
+		want string
+	}{
+		{"nothing", func(*state) {}, "a"},
+		{"another address fails", func(s *state) { s.failed(2*grace, "b") }, "a"},
+		{"a hint fails", func(s *state) { s.hint(2*grace, "b"); s.failed(3*grace, "b") }, "b"},
+		{"it says that it does not lead", func(s *state) { s.deposed("a") }, ""},
+		{"another says that it does not lead", func(s *state) { s.deposed("b") }, "a"},
+		{"the leader is said to be unknown", func(s *state) { s.hint(2*grace, "") }, ""},
+		{"a leader answers", func(s *state) {
+			_, _ = s.accept(2*grace, grace, "b", fleet.WatchAnswer{Token: 1, HoldMillis: 5000})
+		}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := state{leader: "a", confirmed: true, failedAt: map[string]time.Duration{}}
+			if !s.failed(grace, "a") || s.leader != "" {
+				t.Fatalf("still names %q", s.leader)
+			}
+			c.then(&s)
+			if s.silent != c.want {
+				t.Errorf("silent is %q, want %q", s.silent, c.want)
+			}
+		})
+	}
+}
--- a/internal/leaderlink/state.go
+++ b/internal/leaderlink/state.go
@@ -29,7 +29,10 @@
 // state is what the link knows; it is pure: time is an argument, in
 // nanoseconds since the link was made.
 type state struct {
-	leader        string
+	leader string
+	// silent is the leader that was last forgotten because it gave no answer,
+	// until one answers or it is said to lead no more.
+	silent        string
 	confirmedAt   time.Duration
 	confirmed     bool
 	failedAt      map[string]time.Duration
@@ -61,7 +64,21 @@
 	if s.confirmed && address == s.leader && now-s.confirmedAt < confirmedGrace {
 		return false
 	}
-	return s.reject(now, address)
+	forgotten := s.reject(now, address)
+	if forgotten {
+		s.silent = address
+	}
+	return forgotten
+}
+
+// deposed notes that the address says of itself that it does not lead.
+func (s *state) deposed(address string) {
+	if s.leader == address {
+		s.forget()
+	}
+	if s.silent == address {
+		s.silent = ""
+	}
 }
 
 // reject bars the address for a while and reports whether the leader was
@@ -78,6 +95,9 @@
 // hint takes another process's word for who leads and reports whether that
 // is news.
 func (s *state) hint(now time.Duration, address string) bool {
+	if address == "" {
+		s.silent = ""
+	}
 	if address == s.leader {
 		return false
 	}
@@ -136,6 +156,7 @@
 	if answer.LeaderAddress != "" {
 		s.leader = answer.LeaderAddress
 	}
+	s.silent = ""
 	s.confirmed = true
 	s.confirmedAt = now
 	s.answeredAt = now
