Acknowledge a success only once its task is final

Cause: a worker was silent beyond its hold, its run was closed as lost and the task placed anew; when the success of the first run came, it was acknowledged without having been taken, and the newer run was ordered after that: note was taken of a success, and still a start followed.

Now such a success is neither proposed nor acknowledged while a newer run may have been ordered; the worker repeats it. A newer run that was never ordered is withdrawn, and the success taken in the same Close. The record takes the success of any earlier run of a task that waits. A run that is closed because its order had no effect never started, so it has no end to report.

A late success of a task that runs until cancelled, which has none, is acknowledged at once, as it was.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -97,7 +97,8 @@
 	// Start lists new runs; Stop lists runs to stop, repeated until they end.
 	Start []StartOrder `json:"start"`
 	Stop  []RunRef     `json:"stop"`
-	// Acknowledged lists ended runs that the record now holds.
+	// Acknowledged lists ended runs that need not be reported again: of a
+	// success, its task is final.
 	Acknowledged []RunRef `json:"acknowledged"`
 	// ConfigVersion is the configuration in force.
 	ConfigVersion uint64 `json:"config_version"`
--- a/internal/record/close.go
+++ b/internal/record/close.go
@@ -89,14 +89,15 @@
 	return Millis(delay / time.Millisecond)
 }
 
-// closeLate takes the success of a closed run if no newer run was placed and
-// the task still waits; one that runs until cancelled has no success. Any other
-// late report changes nothing.
+// closeLate takes the success of a closed run if the task still waits: what
+// the run did is done, whatever became of newer runs, and none of them is open.
+// One that runs until cancelled has no success. Any other late report changes
+// nothing.
 func (m *Machine) closeLate(task *Task, end *RunEnd) {
 	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady || task.Spec.UntilCancelled {
 		return
 	}
-	if end.Run.Number == 0 || end.Run.Number != task.LastRun {
+	if end.Run.Number == 0 || end.Run.Number > task.LastRun {
 		return
 	}
 	m.endWaiting(task, TaskSucceeded, "")
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -32,13 +32,11 @@
 	if !l.log.HoldsLease(l.token) {
 		return fleet.HeartbeatAnswer{}, l.notLeader()
 	}
-	ctx, cancel := context.WithTimeout(l.context, proposalTimeout)
-	defer cancel()
 	observed := l.observe(request)
-	if err := l.register(ctx, observed); err != nil {
+	if err := l.register(observed); err != nil {
 		return fleet.HeartbeatAnswer{}, err
 	}
-	acknowledged, err := l.commitReports(ctx, observed)
+	acknowledged, err := l.commitReports(observed)
 	if err != nil {
 		return fleet.HeartbeatAnswer{}, err
 	}
@@ -60,6 +58,7 @@
 	// mustRegister is true if the record has to learn of the worker first.
 	mustRegister bool
 	differences  reconciliation
+	reports      reports
 }
 
 // observe notes the heartbeat and compares it with the record.
@@ -83,6 +82,7 @@
 		observed.differences = reconcileLate(worker.runs, heartbeat)
 	}
 	l.noteDifferences(worker, &observed.differences)
+	observed.reports = l.sortReports(&observed.differences)
 	return observed
 }
 
@@ -124,12 +124,12 @@
 
 // register commits what the record must know of the worker. A worker that
 // cannot be registered yet is answered all the same, without orders.
-func (l *leader) register(ctx context.Context, observed *observation) error {
+func (l *leader) register(observed *observation) error {
 	if !observed.mustRegister {
 		return nil
 	}
 	info := workerInfo(observed.request, l.log.Now())
-	result, err := l.propose(ctx, record.Command{Register: &record.RegisterWorkers{Workers: []record.Worker{info}}})
+	result, err := l.proposeOwn(record.Command{Register: &record.RegisterWorkers{Workers: []record.Worker{info}}})
 	if err != nil {
 		return l.proposalError(err)
 	}
@@ -140,23 +140,6 @@
 	return nil
 }
 
-// commitReports puts the worker's reports into the record and returns what may
-// be acknowledged.
-func (l *leader) commitReports(ctx context.Context, observed *observation) ([]api.RunRef, error) {
-	acknowledged := observed.differences.unreadable
-	ended := observed.differences.ended
-	if len(ended) == 0 {
-		return acknowledged, nil
-	}
-	if _, err := l.propose(ctx, record.Command{Close: &record.Close{Runs: ended}}); err != nil {
-		return nil, l.proposalError(err)
-	}
-	for _, end := range ended {
-		acknowledged = append(acknowledged, runRef(end.Run))
-	}
-	return acknowledged, nil
-}
-
 // answerHeartbeat gives the hold and the orders, unless the heartbeat has been
 // overtaken meanwhile by a newer one or by the lapse of the hold.
 func (l *leader) answerHeartbeat(observed *observation, acknowledged []api.RunRef) (fleet.HeartbeatAnswer, error) {
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -178,15 +178,20 @@
 	return l.log.Propose(ctx, l.token, command)
 }
 
+// proposeOwn commits a command of the leader's own, whoever asked for it.
+func (l *leader) proposeOwn(command record.Command) (record.Result, error) {
+	ctx, cancel := context.WithTimeout(l.context, proposalTimeout)
+	defer cancel()
+	return l.propose(ctx, command)
+}
+
 // proposeUntilDone commits a command of the leader's own, again and again
 // until it is committed or the term ends. Every such command may be committed
 // twice without harm: the record decides on each run by its number. It returns
 // false if the term ended.
 func (l *leader) proposeUntilDone(what string, command record.Command) (record.Result, bool) {
 	for l.context.Err() == nil {
-		ctx, cancel := context.WithTimeout(l.context, proposalTimeout)
-		result, err := l.propose(ctx, command)
-		cancel()
+		result, err := l.proposeOwn(command)
 		if err == nil {
 			return result, true
 		}
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -216,7 +216,7 @@
 // closeIfNeverOrdered closes a run whose order was surely not given, so that
 // it need not be stopped.
 func (l *leader) closeIfNeverOrdered(run *runState) {
-	if run.orderedAt == 0 && !run.inherited {
+	if run.neverOrdered() {
 		l.closeLater(run, "withdrawn before it was ordered")
 	}
 }
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -18,8 +18,9 @@
 	dropped []*runState
 	// unwanted are runs that the worker lists and must not run.
 	unwanted []api.RunRef
-	// ended are the worker's reports.
+	// ended are the worker's reports of runs open on it, late those of others.
 	ended []record.RunEnd
+	late  []record.RunEnd
 	// unreadable are reports that name no task; they are acknowledged.
 	unreadable []api.RunRef
 }
@@ -79,10 +80,16 @@
 		return
 	}
 	listed[id] = true
-	if run, open := runs[id]; open && !run.listed {
+	end := record.RunEnd{Run: id, Outcome: report.Outcome, Message: report.Message}
+	run, open := runs[id]
+	if !open {
+		r.late = append(r.late, end)
+		return
+	}
+	if !run.listed {
 		r.started = append(r.started, run)
 	}
-	r.ended = append(r.ended, record.RunEnd{Run: id, Outcome: report.Outcome, Message: report.Message})
+	r.ended = append(r.ended, end)
 }
 
 // addUnlisted decides on an open run that the worker lists neither as running
--- /dev/null
+++ b/internal/scheduler/reports.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// reports is what a heartbeat tells of ended runs, and what follows from it.
+// The rules are in docs/DESIGN.md, "What an acknowledgement means".
+type reports struct {
+	// unreadable name no task; they are acknowledged.
+	unreadable []api.RunRef
+	// withdrawn are runs never ordered of tasks that turn out to be done.
+	withdrawn []record.RunEnd
+	// ended are of runs open on the worker, late of runs closed before.
+	ended, late []record.RunEnd
+}
+
+// sortReports decides which reports go to the record now. A late success whose
+// task is run anew is kept back, unless that run was never ordered: then it is
+// withdrawn. One of a group is not, since that would send the whole group back.
+func (l *leader) sortReports(differences *reconciliation) reports {
+	sorted := reports{unreadable: differences.unreadable, ended: differences.ended}
+	ending := make(map[record.RunID]bool, len(differences.ended))
+	for _, end := range differences.ended {
+		ending[end.Run] = true
+	}
+	for _, end := range differences.late {
+		newer, open := l.openByTask[end.Run.Task]
+		switch {
+		case !l.mayCount(end) || !open || ending[newer.id]:
+			sorted.late = append(sorted.late, end)
+		case newer.neverOrdered() && !newer.closing && !newer.together:
+			newer.closing = true
+			sorted.withdrawn = append(sorted.withdrawn, record.RunEnd{
+				Run: newer.id, Outcome: api.OutcomeLost, Message: "an earlier run of the task has succeeded",
+			})
+			sorted.late = append(sorted.late, end)
+		}
+	}
+	return sorted
+}
+
+// closes lists the runs in the order in which the record has to end them: a
+// late success counts only once no run of its task is open.
+func (r *reports) closes() []record.RunEnd {
+	var all []record.RunEnd
+	all = append(all, r.withdrawn...)
+	all = append(all, r.ended...)
+	return append(all, r.late...)
+}
+
+// commitReports puts the worker's reports into the record and returns what may
+// be acknowledged.
+func (l *leader) commitReports(observed *observation) ([]api.RunRef, error) {
+	reported := &observed.reports
+	closes := reported.closes()
+	if len(closes) == 0 {
+		return reported.unreadable, nil
+	}
+	if _, err := l.proposeOwn(record.Command{Close: &record.Close{Runs: closes}}); err != nil {
+		l.closeWithdrawn(reported.withdrawn)
+		return nil, l.proposalError(err)
+	}
+	return l.acknowledge(reported), nil
+}
+
+// closeWithdrawn closes runs whose withdrawal may have failed; that they are
+// marked as closing keeps them from being ordered.
+func (l *leader) closeWithdrawn(withdrawn []record.RunEnd) {
+	if len(withdrawn) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pendingCloses = append(l.pendingCloses, withdrawn...)
+	signal(l.wakeProposer)
+}
+
+// acknowledge lists the reports that the worker need not repeat. A success of
+// a task that is not final was not taken, and is not acknowledged.
+func (l *leader) acknowledge(reported *reports) []api.RunRef {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	acknowledged := reported.unreadable
+	for _, end := range reported.ended {
+		acknowledged = append(acknowledged, runRef(end.Run))
+	}
+	for _, end := range reported.late {
+		if !l.mayCount(end) {
+			acknowledged = append(acknowledged, runRef(end.Run))
+		}
+	}
+	return acknowledged
+}
+
+// mayCount tells whether a late report is a success of a task that is not
+// final. A task that runs until cancelled has no success.
+func (l *leader) mayCount(end record.RunEnd) bool {
+	if end.Outcome != api.OutcomeSucceeded {
+		return false
+	}
+	if run, open := l.openByTask[end.Run.Task]; open {
+		return !run.spec.UntilCancelled
+	}
+	entry, waits := l.waiting[end.Run.Task]
+	return waits && !entry.task.Spec.UntilCancelled
+}
--- a/internal/scheduler/reports_test.go
+++ b/internal/scheduler/reports_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/record"
 )
 
 // deliver brings a heartbeat to the leader under a context of its own.
@@ -101,3 +103,121 @@
 		t.Errorf("the task is at run %d, want 1", task.Run)
 	}
 }
+
+// lapsedOne returns a worker that is lost although its run of "j/s/0" has
+// succeeded, and another that is free to take the task.
+func (h *harness) lapsedOne() (silent, other *fakeWorker) {
+	h.t.Helper()
+	silent = h.runningOne()
+	silent.end(api.OutcomeSucceeded)
+	other = h.worker("other", "o-1")
+	other.exchange()
+	other.exchange()
+	for range 4 {
+		h.advance(testHold / 4)
+		other.exchange()
+	}
+	h.advance(testMargin + time.Millisecond)
+	return silent, other
+}
+
+func TestLateSuccessWithdrawsARunThatWasNotOrdered(t *testing.T) {
+	h := newHarness(t)
+	silent, other := h.lapsedOne()
+	if open := h.leader.openByTask[testTask()]; open == nil || open.workerID != "o-1" || open.orderedAt != 0 {
+		t.Fatalf("want the task placed anew and not ordered, got %+v", open)
+	}
+	if answer := silent.exchange(); len(answer.Acknowledged) != 1 {
+		t.Errorf("acknowledged %+v", answer.Acknowledged)
+	}
+	h.wantState("j", api.StateSucceeded)
+	if answer := other.exchange(); len(answer.Start) != 0 {
+		t.Errorf("started again: %+v", answer.Start)
+	}
+}
+
+func TestWithdrawnRunIsClosedAlthoughTheReportFails(t *testing.T) {
+	h := newHarness(t)
+	silent, other := h.lapsedOne()
+	h.log.overloaded = true
+	silent.heartbeat.Seq++
+	request := fleet.HeartbeatRequest{Agent: "a", Zone: "z1", Heartbeat: silent.heartbeat}
+	if _, err := h.leader.heartbeat(t.Context(), request); err == nil {
+		t.Fatal("answered although nothing could be recorded")
+	}
+	h.log.overloaded = false
+	h.settle()
+	if answer := silent.exchange(); len(answer.Acknowledged) != 1 {
+		t.Errorf("acknowledged %+v", answer.Acknowledged)
+	}
+	h.wantState("j", api.StateSucceeded)
+	if answer := other.exchange(); len(answer.Start) != 0 {
+		t.Errorf("started again: %+v", answer.Start)
+	}
+}
+
+func TestLateSuccessIsAcknowledgedOnceItsTaskIsFinal(t *testing.T) {
+	for _, outcome := range []api.Outcome{api.OutcomeSucceeded, api.OutcomeFailed, api.OutcomeStopped} {
+		t.Run(string(outcome), func(t *testing.T) {
+			h := newHarness(t)
+			silent, other := h.lapsedOne()
+			if answer := other.exchange(); len(answer.Start) != 1 || answer.Start[0].Run != 2 {
+				t.Fatalf("want run 2 on the other worker, got %+v", answer.Start)
+			}
+			reported := silent.heartbeat.Ended
+			if answer := silent.exchange(); len(answer.Acknowledged) != 0 {
+				t.Fatalf("acknowledged while a newer run is open: %+v", answer.Acknowledged)
+			}
+			other.end(outcome)
+			other.exchange()
+			silent.heartbeat.Ended = reported
+			if answer := silent.exchange(); len(answer.Acknowledged) != 1 {
+				t.Errorf("acknowledged %+v", answer.Acknowledged)
+			}
+			h.wantState("j", api.StateSucceeded)
+		})
+	}
+}
+
+// The worker refuses to run a task whose success it still reports.
+func TestLateSuccessCountsWithTheEndOfTheNewerRun(t *testing.T) {
+	h := newHarness(t)
+	worker := h.runningOne()
+	worker.end(api.OutcomeSucceeded)
+	success := worker.heartbeat.Ended
+	worker.heartbeat.Ended = nil
+	h.advance(testHold + testMargin + time.Millisecond)
+	worker.exchange()
+	worker.exchange()
+	if answer := worker.exchange(); len(answer.Start) != 1 {
+		t.Fatalf("want the task ordered anew, got %+v", answer.Start)
+	}
+	worker.end(api.OutcomeStopped)
+	worker.heartbeat.Ended = append(success, worker.heartbeat.Ended...)
+	if answer := worker.exchange(); len(answer.Acknowledged) != 2 {
+		t.Errorf("acknowledged %+v", answer.Acknowledged)
+	}
+	h.wantState("j", api.StateSucceeded)
+}
+
+// It has no success, so a worker must not wait until it is taken.
+func TestLateSuccessOfATaskUntilCancelledIsAcknowledged(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	step := tasks(1)
+	step.Tasks[0].UntilCancelled = true
+	h.submit("j", step)
+	worker.exchange()
+	worker.exchange()
+	worker.end(api.OutcomeSucceeded)
+	h.advance(testHold + testMargin + time.Millisecond)
+	if answer := worker.exchange(); len(answer.Acknowledged) != 1 {
+		t.Errorf("acknowledged %+v", answer.Acknowledged)
+	}
+	if state := h.status("j").State; state == api.StateSucceeded {
+		t.Error("the job has succeeded")
+	}
+}
+
+func testTask() record.TaskID { return record.TaskID{Job: "j", Step: "s", Index: 0} }
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -70,6 +70,9 @@
 	closing bool
 }
 
+// neverOrdered tells that the run's order was surely not given.
+func (r *runState) neverOrdered() bool { return r.orderedAt == 0 && !r.inherited }
+
 // stepKey names a step of a job.
 type stepKey struct {
 	job  string
