Keep the members of a group in lockstep together for their whole life

Cause: StepSpec.Lockstep was named and nothing acted on it. A Together step starts whole, but its members then end, fail and are retried each for itself, which is wrong for work that only goes on while all of it does.

Change: the record places such a group whole with one run number, one above the highest of any member. The first end of a member decides: a success makes every member succeeded, anything else marks the others StopGroup in the same log entry, so that a new leader goes on from the record alone. Failures are counted once for each run number. In one Close a success comes before failures; it also wins after the group was broken, but not after a newer placement or after the group failed for good, which is decided when the last run is closed. Runs that outlast the success keep their room, and their job is archived after them; a cancel that comes then changes nothing. A group one of whose members runs until cancelled has no success and no limit of failures. The leader withholds the orders until each member's worker takes work and was heard within two intervals, and sends a group back that was not seen started whole after 2 s. Weighed: to keep failures at the step; kept at each member, since callers see them there.

The property test's rule that only placed tasks have runs, and that used-up failures mean a failed task, does not hold for such groups. They are held to rules as strict: equal failures and run numbers, failures that equal the number of failed runs by events, no member that may go on beside a closed one, and a stop on every run that outlasts a success.

--- a/api/job.go
+++ b/api/job.go
@@ -170,8 +170,9 @@
 	Priority int    `json:"priority"`
 	State    State  `json:"state"`
 	// SubmittedAt and EndedAt are cluster time. EndedAt is absent until no task
-	// can run any more: a cancelled job has its state at once, and its EndedAt
-	// when the last of its runs has stopped.
+	// can run any more: a job that was cancelled, or whose group in lockstep has
+	// succeeded, has its state at once, and its EndedAt when the last of its runs
+	// has stopped.
 	SubmittedAt time.Time    `json:"submitted_at"`
 	EndedAt     *time.Time   `json:"ended_at,omitempty"`
 	Steps       []StepStatus `json:"steps,omitempty"`
--- a/internal/record/cancel.go
+++ b/internal/record/cancel.go
@@ -1,11 +1,11 @@
 package record
 
 // applyCancel cancels live jobs; unknown, ended and cancelled ones are passed
-// over.
+// over. A job has ended once all its tasks are final, although runs may be open.
 func (m *Machine) applyCancel(cancel *Cancel) {
 	for _, id := range cancel.Jobs {
 		job := m.state.jobs[id]
-		if job == nil || job.Cancelled {
+		if job == nil || job.Cancelled || job.OpenTasks == 0 {
 			continue
 		}
 		job.Cancelled = true
@@ -36,6 +36,7 @@
 	for _, id := range stop.Runs {
 		if run := m.openRun(id); run != nil {
 			m.markStopping(run, stop.Reason)
+			m.breakGroup(run.Task, "stopped: "+string(run.Stop))
 		}
 	}
 }
--- a/internal/record/close.go
+++ b/internal/record/close.go
@@ -17,6 +17,7 @@
 
 // applyClose ends runs in the order given.
 func (m *Machine) applyClose(closing *Close) {
+	m.takeGroupSuccesses(closing.Runs)
 	for i := range closing.Runs {
 		end := &closing.Runs[i]
 		task := m.state.task(end.Run.Task)
@@ -36,15 +37,21 @@
 func (m *Machine) closeRun(run *Run, end *RunEnd) {
 	task := run.Task
 	m.state.removeRun(run)
-	task.Run = nil
+	if task.State.Final() { // its group has succeeded
+		m.state.setRun(task, task.State, nil)
+		m.emit(RunClosed{Run: run, Outcome: end.Outcome})
+		return
+	}
 	next := m.stateAfterRun(run, end)
-	m.state.setState(task, next)
+	m.state.setRun(task, next, nil)
 	m.emit(RunClosed{Run: run, Outcome: end.Outcome})
-	if next == TaskReady {
-		m.emit(TaskBecameReady{Task: task})
+	if next != TaskReady {
+		m.taskEnded(task)
 		return
 	}
-	m.taskEnded(task)
+	m.emit(TaskBecameReady{Task: task})
+	m.breakGroup(task, task.Reason)
+	m.failGroupIfOver(task.Step)
 }
 
 // stateAfterRun decides what becomes of the task and notes failures and
@@ -54,7 +61,7 @@
 func (m *Machine) stateAfterRun(run *Run, end *RunEnd) TaskState {
 	task := run.Task
 	succeeded := end.Outcome == api.OutcomeSucceeded
-	if succeeded && !task.Spec.UntilCancelled {
+	if succeeded && !task.endless() {
 		task.Reason = ""
 		return TaskSucceeded
 	}
@@ -68,11 +75,19 @@
 	if end.Outcome == api.OutcomeFailed && run.Stop == StopNone {
 		return m.stateAfterFailure(task, end)
 	}
+	if run.Stop == StopGroup && task.Step.Spec.Lockstep {
+		return TaskReady // the reason is why the group was broken
+	}
 	task.Reason = interruption(run, end.Outcome)
 	return TaskReady
 }
 
 func (m *Machine) stateAfterFailure(task *Task, end *RunEnd) TaskState {
+	if task.Step.Spec.Lockstep {
+		task.Reason = failureReason(end.Message)
+		m.countGroupFailure(task.Step)
+		return TaskReady
+	}
 	task.Failures++
 	task.Reason = failureReason(end.Message)
 	if task.Failures >= task.AllowedFailures && !task.Spec.UntilCancelled {
@@ -94,7 +109,7 @@
 // One that runs until cancelled has no success. Any other late report changes
 // nothing.
 func (m *Machine) closeLate(task *Task, end *RunEnd) {
-	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady || task.Spec.UntilCancelled {
+	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady || task.endless() || task.Step.Spec.Lockstep {
 		return
 	}
 	if end.Run.Number == 0 || end.Run.Number > task.LastRun {
--- a/internal/record/counts.go
+++ b/internal/record/counts.go
@@ -36,13 +36,14 @@
 	}
 }
 
-// countOf is what one task in a state adds to its queue.
-func countOf(in TaskState) QueueCounts {
-	switch in {
-	case TaskBlocked, TaskReady:
-		return QueueCounts{PendingTasks: 1}
-	case TaskPlaced:
+// countOf is what one task adds to its queue. It runs while a run is open, also
+// one that goes on after the success of its group.
+func countOf(task *Task) QueueCounts {
+	switch {
+	case task.Run != nil:
 		return QueueCounts{RunningTasks: 1}
+	case !task.State.Final():
+		return QueueCounts{PendingTasks: 1}
 	}
 	return QueueCounts{}
 }
--- a/internal/record/lifecycle.go
+++ b/internal/record/lifecycle.go
@@ -97,9 +97,10 @@
 	}
 }
 
-// endJobIfDone takes a job out of memory once all its tasks are final.
+// endJobIfDone takes a job out of memory once all its tasks are final and no
+// run is open.
 func (m *Machine) endJobIfDone(job *Job) {
-	if job.OpenTasks > 0 || m.state.jobs[job.ID] != job {
+	if job.OpenTasks > 0 || job.openRuns > 0 || m.state.jobs[job.ID] != job {
 		return
 	}
 	m.state.removeJob(job)
--- /dev/null
+++ b/internal/record/lockstep.go
@@ -0,0 +1,155 @@
+package record
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/decklever/decklever/api"
+)
+
+// A step in lockstep is one group for its whole life. All members are placed
+// in one Place with one run number. What ends the group's newest run is the
+// first end of a member that is applied:
+//
+//   - A success makes every member that is not final succeeded.
+//   - Anything else breaks the group: the other members are marked StopGroup,
+//     and their ends, other than a success, count for nothing. A failure of a
+//     member that was not to be stopped counts as one failure of the group, so
+//     that there is at most one for each run number.
+//
+// In one Close a success comes before all other ends. A success that comes
+// after the group was broken still wins, unless the group was placed anew or
+// has failed for good meanwhile; that is decided when the last of its runs is
+// closed. Runs that are open beyond a success keep their room until they are
+// closed, and then change nothing.
+//
+// A group one of whose members runs until cancelled has no success and no limit
+// of failures: whatever ends a member, the group is broken and runs again.
+
+// Grouped reports whether the tasks of the step start together.
+func (s *Step) Grouped() bool { return s.Spec.Together || s.Spec.Lockstep }
+
+// NextRun is the number that the next run of the task must have. It is the same
+// for all members of a group in lockstep.
+func (t *Task) NextRun() uint32 {
+	if !t.Step.Spec.Lockstep {
+		return t.LastRun + 1
+	}
+	newest := uint32(0)
+	for _, member := range t.Step.Tasks {
+		newest = max(newest, member.LastRun)
+	}
+	return newest + 1
+}
+
+// endless reports whether the task has neither success nor limit of failures: it
+// runs until cancelled, or a member of its group in lockstep does.
+func (t *Task) endless() bool {
+	return t.Spec.UntilCancelled || t.Step.Spec.Lockstep && t.Step.endless()
+}
+
+// endless reports whether any task of the step runs until cancelled.
+func (s *Step) endless() bool {
+	return slices.ContainsFunc(s.Tasks, func(task *Task) bool { return task.Spec.UntilCancelled })
+}
+
+// takeGroupSuccesses lets the successes of one Close come before its other
+// ends, for groups in lockstep.
+func (m *Machine) takeGroupSuccesses(ends []RunEnd) {
+	for i := range ends {
+		end := &ends[i]
+		if end.Outcome != api.OutcomeSucceeded {
+			continue
+		}
+		task := m.state.task(end.Run.Task)
+		if task != nil && task.Step.Spec.Lockstep {
+			m.takeGroupSuccess(task, end.Run.Number)
+		}
+	}
+}
+
+// takeGroupSuccess ends a group whose newest run has succeeded. The runs that
+// are still open work for nothing and are marked to stop.
+func (m *Machine) takeGroupSuccess(task *Task, number uint32) {
+	if number == 0 || number != task.LastRun || task.State.Final() || task.endless() {
+		return
+	}
+	for _, member := range task.Step.Tasks {
+		switch {
+		case member.State.Final():
+		case member.Run == nil:
+			m.endWaiting(member, TaskSucceeded, "")
+		default:
+			m.succeedOpen(member)
+			m.stopOther(member.Run, task)
+		}
+	}
+}
+
+// succeedOpen makes a member succeeded whose run is open and stays so.
+func (m *Machine) succeedOpen(member *Task) {
+	member.Reason = ""
+	m.state.setState(member, TaskSucceeded)
+	m.taskEnded(member)
+}
+
+// stopOther marks the run of another member to stop.
+func (m *Machine) stopOther(run *Run, cause *Task) {
+	if run.Task != cause {
+		m.markStopping(run, StopGroup)
+	}
+}
+
+// breakGroup follows the first end of a run of the group that is no success, or
+// a mark to stop: the other members must stop. Once broken it changes nothing.
+func (m *Machine) breakGroup(cause *Task, why string) {
+	if !cause.Step.Spec.Lockstep || cause.Step.Job.Cancelled {
+		return
+	}
+	reason := shorten(fmt.Sprintf("member %d: %s", cause.ID.Index, why), maxReasonBytes)
+	for _, member := range cause.Step.Tasks {
+		if member == cause || member.Run == nil || member.State.Final() || member.Run.Stop != StopNone {
+			continue
+		}
+		member.Reason = reason
+		m.markStopping(member.Run, StopGroup)
+	}
+}
+
+// failGroupIfOver fails a group for good once its last run is closed and its
+// failures are used up.
+func (m *Machine) failGroupIfOver(step *Step) {
+	if !step.Spec.Lockstep || !step.outOfFailures() {
+		return
+	}
+	for _, member := range step.Tasks {
+		if member.State.Final() || member.Run != nil {
+			return
+		}
+	}
+	for _, member := range step.Tasks {
+		m.endWaiting(member, TaskFailed, member.Reason)
+	}
+}
+
+// outOfFailures reports whether the group has failed as often as the least
+// tolerant of its members allows.
+func (s *Step) outOfFailures() bool {
+	if s.endless() {
+		return false
+	}
+	for _, member := range s.Tasks {
+		if member.Failures >= member.AllowedFailures {
+			return true
+		}
+	}
+	return false
+}
+
+// countGroupFailure counts a failure of the group and sets when it runs again.
+func (m *Machine) countGroupFailure(step *Step) {
+	for _, member := range step.Tasks {
+		member.Failures++
+		member.NotBefore = max(member.NotBefore, m.state.clock+m.retryDelay(member.Failures))
+	}
+}
--- /dev/null
+++ b/internal/record/lockstep_property_test.go
@@ -0,0 +1,61 @@
+package record
+
+func (c *checker) noteFailedRun(run *Run) {
+	step := run.Task.Step
+	if c.failedRuns[step] == nil {
+		c.failedRuns[step] = make(map[uint32]bool)
+	}
+	c.failedRuns[step][run.Number] = true
+}
+
+// member checks a task in lockstep against the others of its group.
+func (c *checker) member(task *Task) {
+	outOfFailures := task.Failures == task.AllowedFailures
+	if task.endless() {
+		outOfFailures = false
+		if task.State == TaskSucceeded || task.State == TaskFailed {
+			c.t.Fatalf("%s has no end of its own and is in state %d", task.ID, task.State)
+		}
+	} else if task.Failures > task.AllowedFailures || (task.State == TaskFailed && !outOfFailures) {
+		c.t.Fatalf("%s: %d failures of %d allowed in state %d", task.ID, task.Failures, task.AllowedFailures, task.State)
+	}
+	group := groupOf(task.Step)
+	if group.open == 0 && outOfFailures && !task.State.Final() {
+		c.t.Fatalf("%s: its group is out of failures and waits", task.ID)
+	}
+	if !task.Step.Job.Cancelled && group.open < group.waitsOrRuns && group.mayGoOn > 0 {
+		c.t.Fatalf("%s: a member was closed and others may go on", task.ID)
+	}
+	first := task.Step.Tasks[0]
+	cancelled := task.Step.Job.Cancelled
+	if task.Failures != first.Failures || task.LastRun != first.LastRun || (!cancelled && task.State.Final() != first.State.Final()) {
+		c.t.Fatalf("%s differs from the first of its group", task.ID)
+	}
+	if failed := len(c.failedRuns[task.Step]); task.Failures != failed {
+		c.t.Fatalf("%s: %d failures, %d runs of the group failed", task.ID, task.Failures, failed)
+	}
+}
+
+// groupCounts counts the members of a group in lockstep.
+type groupCounts struct {
+	// open have an open run, mayGoOn one that is not to be stopped, and
+	// waitsOrRuns are not final and were placed before.
+	open, mayGoOn, waitsOrRuns int
+}
+
+func groupOf(step *Step) groupCounts {
+	var counts groupCounts
+	for _, member := range step.Tasks {
+		if !member.State.Final() && member.LastRun > 0 {
+			counts.waitsOrRuns++
+		}
+		if member.Run == nil {
+			continue
+		}
+		counts.open++
+		if member.Run.Stop == StopNone {
+			counts.mayGoOn++
+		}
+	}
+	return counts
+}
--- a/internal/record/place.go
+++ b/internal/record/place.go
@@ -15,9 +15,9 @@
 // being stopped; then a member that is retried joins it alone. An open run
 // marked StopGroup holds the whole step back until it is closed. So members
 // wait together again after a group stop, and a member that fails once all
-// have started is retried by itself.
+// have started is retried by itself. A step in lockstep is always placed whole.
 func (s *Step) GroupSize() int {
-	if !s.Spec.Together {
+	if !s.Grouped() {
 		return 0
 	}
 	members, going, stopping := 0, false, false
@@ -30,7 +30,7 @@
 			stopping = stopping || task.Run.Stop == StopGroup
 		}
 	}
-	if going && !stopping {
+	if going && !stopping && !s.Spec.Lockstep {
 		return 0
 	}
 	return members
@@ -102,17 +102,16 @@
 	task := taken.task
 	run := &Run{
 		Task:     task,
-		Number:   task.LastRun + 1,
+		Number:   taken.number,
 		WorkerID: taken.worker.ID,
 		Worker:   taken.worker.Name,
 		Token:    token,
 		PlacedAt: m.state.clock,
 	}
-	task.Run = run
 	task.LastRun = run.Number
 	task.LastWorker = run.Worker
 	task.Step.Job.started = true
-	m.state.setState(task, TaskPlaced)
+	m.state.setRun(task, TaskPlaced, run)
 	m.state.addRun(run)
 	m.emit(RunOpened{Run: run})
 }
@@ -127,6 +126,7 @@
 type takenPlace struct {
 	task   *Task
 	worker *Worker
+	number uint32
 }
 
 // take checks one placement and counts it in if it holds.
@@ -142,7 +142,7 @@
 	if !c.workerHolds(worker, task) || !c.boundsHold(task) {
 		return false
 	}
-	c.taken = append(c.taken, takenPlace{task: task, worker: worker})
+	c.taken = append(c.taken, takenPlace{task: task, worker: worker, number: placement.Run.Number})
 	return true
 }
 
@@ -150,7 +150,7 @@
 	if task.State != TaskReady || task.Step.Job.Cancelled {
 		return false
 	}
-	if c.state.clock < task.NotBefore || number != task.LastRun+1 {
+	if c.state.clock < task.NotBefore || number != task.NextRun() {
 		return false
 	}
 	return !slices.ContainsFunc(c.taken, func(taken takenPlace) bool {
--- a/internal/record/restore.go
+++ b/internal/record/restore.go
@@ -206,7 +206,7 @@
 }
 
 func (r *snapshotReader) restoreTask(task *Task, read *snapshotTask) error {
-	if read.State > TaskCancelled || (read.State == TaskPlaced) != (read.Run != nil) {
+	if !stateAndRunMatch(task, read) {
 		return fmt.Errorf("%w: task %s: state and run do not match", ErrSnapshot, task.ID)
 	}
 	task.State = read.State
@@ -222,6 +222,18 @@
 	return r.restoreRun(task, read.Run)
 }
 
+// stateAndRunMatch checks that a run is open where the state says so, and else
+// only after the success of a group in lockstep.
+func stateAndRunMatch(task *Task, read *snapshotTask) bool {
+	if read.State > TaskCancelled {
+		return false
+	}
+	if read.State == TaskSucceeded && task.Step.Spec.Lockstep {
+		return true
+	}
+	return (read.State == TaskPlaced) == (read.Run != nil)
+}
+
 // restoreCounts counts a final task in its step and job.
 func restoreCounts(task *Task) {
 	step, job := task.Step, task.Step.Job
--- a/internal/record/state.go
+++ b/internal/record/state.go
@@ -75,7 +75,7 @@
 	for _, step := range job.Steps {
 		s.taskTotal += len(step.Tasks)
 		for _, task := range step.Tasks {
-			s.count(job.Spec.Queue, countOf(task.State))
+			s.count(job.Spec.Queue, countOf(task))
 			if task.Run != nil {
 				s.addRun(task.Run)
 			}
@@ -136,9 +136,15 @@
 
 // setState changes a task's state and the counts of its queue.
 func (s *state) setState(task *Task, next TaskState) {
-	change := countOf(next).minus(countOf(task.State))
+	s.setRun(task, next, task.Run)
+}
+
+// setRun changes a task's state and open run, and the counts of its queue.
+func (s *state) setRun(task *Task, next TaskState, run *Run) {
+	before := countOf(task)
 	task.State = next
-	s.count(task.Step.Job.Spec.Queue, change)
+	task.Run = run
+	s.count(task.Step.Job.Spec.Queue, countOf(task).minus(before))
 }
 
 func (s *state) addRun(run *Run) {
@@ -150,6 +156,7 @@
 	held.used = held.used.Add(run.Task.Spec.Resources)
 	place, _ := held.find(run)
 	held.runs = slices.Insert(held.runs, place, run)
+	run.Task.Step.Job.openRuns++
 	s.runTotal++
 }
 
@@ -162,6 +169,7 @@
 	if len(held.runs) == 0 {
 		delete(s.loads, run.WorkerID)
 	}
+	run.Task.Step.Job.openRuns--
 	s.runTotal--
 }
 
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -43,6 +43,8 @@
 	OpenTasks int
 	// failedTasks counts tasks that failed for good.
 	failedTasks int
+	// openRuns counts open runs, also of members of a group that has succeeded.
+	openRuns int
 	// started is set once a run of the job was placed.
 	started bool
 }
@@ -71,13 +73,16 @@
 	Step  *Step
 	Spec  *api.TaskSpec
 	State TaskState
-	// Failures counts failed runs. AllowedFailures is at least 1: the task is
-	// failed for good once Failures reaches it, unless it runs until cancelled.
+	// Failures counts failed runs, or those of the whole group in lockstep.
+	// AllowedFailures is at least 1: the task is failed for good once Failures
+	// reaches it, unless it runs until cancelled; a group in lockstep once all
+	// its runs are closed then.
 	Failures        int
 	AllowedFailures int
 	// LastRun is the number of the newest run, 0 if none was placed.
 	LastRun uint32
-	// Run is the open run; nil unless State is TaskPlaced.
+	// Run is the open run; nil unless State is TaskPlaced, or TaskSucceeded by
+	// the success of another member of a group in lockstep.
 	Run *Run
 	// LastWorker names the worker of the newest run.
 	LastWorker string
@@ -118,7 +123,8 @@
 	StopCancelled StopReason = "cancelled"
 	StopDrained   StopReason = "drained"
 	StopPreempted StopReason = "preempted"
-	// StopGroup: the run's group did not start whole.
+	// StopGroup: the run's group did not start whole or, in lockstep, goes back
+	// whole or has succeeded.
 	StopGroup StopReason = "group"
 )
 
@@ -182,13 +188,13 @@
 
 // Place opens runs. It is checked again when applied: each one must still fit
 // (task ready, time come, worker incarnation current, room, service, labels,
-// spread, bounds of queue and team); one that does not is rejected alone, except that a group is
-// rejected whole.
+// spread, bounds of queue and team); one that does not is rejected alone,
+// except that a group is rejected whole.
 type Place struct {
 	Placements []Placement `cbor:"1,keyasint"`
 }
 
-// Placement opens run Number (the task's LastRun plus one) on a worker.
+// Placement opens run Number (the task's NextRun) on a worker.
 type Placement struct {
 	Run      RunID  `cbor:"1,keyasint"`
 	WorkerID string `cbor:"2,keyasint"`
@@ -197,7 +203,8 @@
 
 // Close ends runs. A success of a closed run counts if no newer run was
 // placed and the task is not final and does not run until cancelled; any other
-// report on a closed run changes nothing.
+// report on a closed run changes nothing. Groups in lockstep have rules of their
+// own, see lockstep.go.
 type Close struct {
 	Runs []RunEnd `cbor:"1,keyasint"`
 }
--- a/internal/scheduler/cancel.go
+++ b/internal/scheduler/cancel.go
@@ -40,13 +40,13 @@
 	return fleet.CancelManyAnswer{Answer: api.CancelAnswer{Cancelled: len(jobs)}}, nil
 }
 
-// cancellable returns the live jobs that the request names and that are not
-// cancelled yet.
+// cancellable returns the jobs that the request names and that have neither
+// ended nor been cancelled.
 func (l *leader) cancellable(request api.CancelRequest) []string {
 	var jobs []string
 	l.log.Record().Read(func(view record.View) {
 		for _, id := range request.Jobs {
-			if job, live := view.Job(id); live && !job.Cancelled {
+			if job, live := view.Job(id); live && mayCancel(job) {
 				jobs = append(jobs, id)
 			}
 		}
@@ -54,10 +54,13 @@
 			return
 		}
 		for job := range view.Jobs("") {
-			if job.Spec.Queue == request.Queue && !job.Cancelled {
+			if job.Spec.Queue == request.Queue && mayCancel(job) {
 				jobs = append(jobs, job.ID)
 			}
 		}
 	})
 	return jobs
 }
+
+// mayCancel reports whether a cancel would change the job.
+func mayCancel(job *record.Job) bool { return !job.Cancelled && job.OpenTasks > 0 }
--- a/internal/scheduler/group.go
+++ b/internal/scheduler/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/record"
@@ -20,6 +21,12 @@
 	// broken is true from the loss of a member before all had started until
 	// no member has an open run: none may be placed meanwhile.
 	broken bool
+	// lockstep is set for a group that is one for its whole life. startBy is when
+	// all its members must have started, and released is true once their orders
+	// are given out.
+	lockstep bool
+	startBy  time.Duration
+	released bool
 }
 
 func (g *groupState) allStarted() bool {
@@ -66,7 +73,7 @@
 		}
 		task := entry.task
 		if group.size > 0 {
-			task.Group = group.key.job + "/" + group.key.step
+			task.Group = group.key.String()
 			task.GroupSize = group.size
 		}
 		l.planner.Remove(id)
@@ -93,11 +100,14 @@
 	}
 }
 
-func (l *leader) groupRunOpened(run *runState, step *record.Step) {
+func (l *leader) groupRunOpened(run *runState, open *record.Run) {
 	group := l.group(run.step)
 	delete(group.ready, run.id.Task)
 	group.open[run.id] = false
-	group.size = step.GroupSize()
+	group.size = open.Task.Step.GroupSize()
+	if run.lockstep {
+		l.lockstepRunOpened(group, run, open)
+	}
 }
 
 func (l *leader) groupRunStopping(run *runState, step *record.Step) {
@@ -109,6 +119,7 @@
 func (l *leader) groupRunStarted(run *runState) {
 	if group, known := l.groups[run.step]; known {
 		group.open[run.id] = true
+		l.noteStarted(group)
 	}
 }
 
@@ -119,12 +130,16 @@
 	delete(group.open, run.id)
 	group.size = step.GroupSize()
 	lost := outcome == api.OutcomeLost || outcome == api.OutcomeStopped
-	if lost && !whole && len(group.open) > 0 {
+	if lost && !whole && len(group.open) > 0 && !run.lockstep {
 		l.breakGroup(group)
 	}
 	if len(group.open) == 0 {
 		group.broken = false
 	}
+	if run.lockstep {
+		// The record has marked the other members to stop.
+		delete(l.starting, run.step)
+	}
 	l.offerGroup(group)
 }
 
@@ -145,8 +160,16 @@
 // whether all had started; members that wait without ever having failed show
 // that a run was lost, and then the group is taken as not whole.
 func (l *leader) loadGroup(step *record.Step) {
-	group := l.group(stepKey{job: step.Job.ID, step: step.Spec.Name})
+	if len(step.Tasks) == 0 {
+		return
+	}
+	group := l.group(keyOf(step.Tasks[0].ID))
 	group.size = step.GroupSize()
+	if step.Spec.Lockstep {
+		// The record alone says whether it is broken.
+		l.offerGroup(group)
+		return
+	}
 	broken := slices.ContainsFunc(step.Tasks, func(task *record.Task) bool {
 		return task.Run != nil && task.Run.Stop == record.StopGroup
 	})
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -184,6 +184,9 @@
 		if run.orderedAt != 0 || run.inherited || run.closing || run.stop != record.StopNone {
 			continue
 		}
+		if run.lockstep && !l.mayOrderMember(run) {
+			continue
+		}
 		run.orderedAt = worker.seq
 		orders = append(orders, run.order())
 	}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -65,6 +65,8 @@
 	// failedOn are the workers on which runs of tasks failed.
 	failedOn failedOn
 	groups   map[stepKey]*groupState
+	// starting are the groups in lockstep not all of whose members have started.
+	starting map[stepKey]*groupState
 	// pendingCloses and pendingStops are the leader's own commands that wait
 	// to be proposed.
 	pendingCloses []record.RunEnd
@@ -114,6 +116,7 @@
 		waiting:       make(map[record.TaskID]*waitingTask),
 		failedOn:      make(failedOn),
 		groups:        make(map[stepKey]*groupState),
+		starting:      make(map[stepKey]*groupState),
 		jobWaiters:    make(map[string]chan struct{}),
 		processes:     make(map[string]*processEntry),
 		pendingStops:  make(map[record.StopReason][]record.RunID),
@@ -227,6 +230,7 @@
 	l.lapseHolds(now)
 	l.refreshUsable(now)
 	l.stopDrained(now)
+	l.breakLateGroups(now)
 	l.planner.SetTime(clusterNow)
 	l.refreshReservations(clusterNow)
 	l.releaseTimers(clusterNow)
--- /dev/null
+++ b/internal/scheduler/lockstep_test.go
@@ -0,0 +1,222 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// lockstepPair submits a group in lockstep that fills two workers, which have
+// been answered.
+func lockstepPair(h *harness) (first, second *fakeWorker) {
+	first, second = h.worker("a", "a-1"), h.worker("b", "b-1")
+	first.exchange()
+	second.exchange()
+	group := tasks(8)
+	group.Lockstep = true
+	h.submit("g", group)
+	return first, second
+}
+
+// wantRun checks that every order is of one run number.
+func wantRun(t *testing.T, answer api.HeartbeatAnswer, count int, number uint32) {
+	t.Helper()
+	if len(answer.Start) != count {
+		t.Fatalf("want %d orders, got %+v", count, answer.Start)
+	}
+	for _, order := range answer.Start {
+		if order.Run != number {
+			t.Fatalf("want run %d, got %+v", number, order.RunRef)
+		}
+	}
+}
+
+func TestLockstepFailureOfOneRunsTheGroupAgainWhole(t *testing.T) {
+	h := newHarness(t)
+	h.putConfig(api.Config{Queues: []api.QueueConfig{{Name: "q", DefaultAllowedFailures: 2}}})
+	first, second := lockstepPair(h)
+	wantRun(t, first.exchange(), 4, 1)
+	wantRun(t, second.exchange(), 4, 1)
+	first.exchange()
+	second.exchange()
+	failed := first.heartbeat.Running[0]
+	first.heartbeat.Running = first.heartbeat.Running[1:]
+	first.heartbeat.Ended = []api.EndedRun{{RunRef: failed, Outcome: api.OutcomeFailed}}
+	if answer := first.exchange(); len(answer.Stop) != 3 {
+		t.Fatalf("want the other 3 stopped here, got %+v", answer)
+	}
+	if answer := second.exchange(); len(answer.Stop) != 4 {
+		t.Fatalf("want 4 stopped there, got %+v", answer)
+	}
+	second.end(api.OutcomeFailed)
+	second.exchange()
+	h.advance(time.Second)
+	if answer := second.exchange(); len(answer.Start) != 0 {
+		t.Fatalf("started while runs of the group are open: %+v", answer.Start)
+	}
+	first.end(api.OutcomeStopped)
+	first.exchange()
+	wantRun(t, first.exchange(), 4, 2)
+	wantRun(t, second.exchange(), 4, 2)
+	if failures := h.task("g", 7).Failures; failures != 1 {
+		t.Errorf("%d failures of the group, want 1", failures)
+	}
+}
+
+func TestLockstepSuccessEndsTheGroup(t *testing.T) {
+	h := newHarness(t)
+	first, second := lockstepPair(h)
+	first.exchange()
+	second.exchange()
+	first.end(api.OutcomeSucceeded)
+	first.exchange()
+	if state := h.status("g").State; state != api.StateSucceeded {
+		t.Fatalf("job is %s after the success of some members", state)
+	}
+	h.submit("next", tasks(8))
+	if answer := second.exchange(); len(answer.Stop) != 4 || len(answer.Start) != 0 {
+		t.Fatalf("want 4 stops and their room kept, got %+v", answer)
+	}
+	second.end(api.OutcomeFailed)
+	second.exchange()
+	if answer := second.exchange(); len(answer.Start) != 4 {
+		t.Errorf("want the room given out after the ends were listed, got %+v", answer.Start)
+	}
+	if state := h.status("g").State; state != api.StateSucceeded {
+		t.Errorf("job is %s", state)
+	}
+}
+
+func TestLockstepOrdersWaitUntilEveryWorkerWasHeard(t *testing.T) {
+	h := newHarness(t)
+	first, second := lockstepPair(h)
+	h.advance(groupHeardIntervals*h.leader.interval(false) + time.Millisecond)
+	wantRun(t, first.exchange(), 0, 0)
+	wantRun(t, second.exchange(), 4, 1) // both were heard now
+	wantRun(t, first.exchange(), 4, 1)
+}
+
+func TestLockstepGoesBackWholeIfOneDoesNotStartInTime(t *testing.T) {
+	h := newHarness(t)
+	first, second := lockstepPair(h)
+	wantRun(t, first.exchange(), 4, 1)
+	h.advance(groupStartBound - time.Millisecond) // the other worker is silent
+	if answer := first.exchange(); len(answer.Stop) != 0 {
+		t.Fatalf("broken before the bound: %+v", answer.Stop)
+	}
+	h.advance(time.Millisecond)
+	if answer := first.exchange(); len(answer.Stop) != 4 {
+		t.Fatalf("want the members that wait stopped, got %+v", answer)
+	}
+	wantRun(t, second.exchange(), 0, 0)
+	first.end(api.OutcomeStopped)
+	first.exchange()
+	wantRun(t, first.exchange(), 4, 2)
+	wantRun(t, second.exchange(), 4, 2)
+}
+
+func TestLockstepOrdersThatNeverGoOutAreTakenBack(t *testing.T) {
+	h := newHarness(t)
+	first, _ := lockstepPair(h)
+	h.advance(time.Second)
+	wantRun(t, first.exchange(), 0, 0)
+	h.advance(groupStartBound - time.Second)
+	if run := h.task("g", 0).Run; run != 2 {
+		t.Fatalf("want the group placed anew, got run %d", run)
+	}
+	if answer := first.exchange(); len(answer.Start)+len(answer.Stop) != 0 {
+		t.Errorf("want nothing started or stopped, got %+v", answer)
+	}
+}
+
+func TestLockstepGroupThatStartedWholeIsNotWatched(t *testing.T) {
+	h := newHarness(t)
+	first, second := lockstepPair(h)
+	first.exchange()
+	second.exchange()
+	first.exchange()
+	second.exchange()
+	h.advance(groupStartBound)
+	if answer := first.exchange(); len(answer.Stop) != 0 || len(h.leader.starting) != 0 {
+		t.Errorf("a whole group was broken: %+v", answer)
+	}
+}
+
+func TestNewTermGoesOnWithALockstepGroup(t *testing.T) {
+	t.Run("placed, one half ordered", func(t *testing.T) {
+		h := newHarness(t)
+		first, second := lockstepPair(h)
+		wantRun(t, first.exchange(), 4, 1)
+		h.newTerm()
+		first.exchange()
+		second.exchange() // lists nothing: its orders were never given
+		if answer := first.exchange(); len(answer.Stop) != 4 {
+			t.Fatalf("want the started half stopped, got %+v", answer)
+		}
+		first.end(api.OutcomeStopped)
+		first.exchange()
+		wantRun(t, first.exchange(), 4, 2)
+		wantRun(t, second.exchange(), 4, 2)
+	})
+	t.Run("young, one worker silent", func(t *testing.T) {
+		h := newHarness(t)
+		first, second := lockstepPair(h)
+		first.exchange()
+		second.exchange()
+		h.newTerm()
+		first.exchange()
+		h.advance(groupStartBound)
+		if answer := first.exchange(); len(answer.Stop) != 4 {
+			t.Errorf("want the group broken, got %+v", answer)
+		}
+	})
+	t.Run("old, one worker silent", func(t *testing.T) {
+		h := newHarness(t)
+		first, second := lockstepPair(h)
+		for range 2 {
+			first.exchange()
+			second.exchange()
+		}
+		h.advance(groupStartBound + time.Millisecond)
+		h.newTerm()
+		first.exchange()
+		h.advance(groupStartBound)
+		if answer := first.exchange(); len(answer.Stop) != 0 {
+			t.Errorf("a group that goes on was broken: %+v", answer)
+		}
+	})
+	t.Run("broken before", func(t *testing.T) {
+		h := newHarness(t)
+		first, second := lockstepPair(h)
+		first.exchange()
+		second.exchange()
+		first.end(api.OutcomeStopped)
+		first.exchange()
+		h.newTerm()
+		first.exchange()
+		if answer := second.exchange(); len(answer.Stop) != 4 {
+			t.Fatalf("want the members that go on stopped, got %+v", answer)
+		}
+		second.end(api.OutcomeStopped)
+		second.exchange()
+		wantRun(t, first.exchange(), 4, 2)
+		wantRun(t, second.exchange(), 4, 2)
+	})
+}
+
+func TestLockstepPreemptionOfOneStopsAll(t *testing.T) {
+	h := newHarness(t)
+	first, second := lockstepPair(h)
+	first.exchange()
+	second.exchange()
+	h.leader.mu.Lock()
+	h.leader.stopLater(h.leader.openByTask[record.TaskID{Job: "g", Step: "s"}], record.StopPreempted)
+	h.leader.mu.Unlock()
+	h.settle()
+	stops := len(first.exchange().Stop) + len(second.exchange().Stop)
+	if stops != 8 {
+		t.Errorf("want all 8 members stopped, got %d", stops)
+	}
+}
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -16,7 +16,8 @@
 	step stepKey
 	// jobPriority is the job's own, without the queue's.
 	jobPriority int
-	lastRun     uint32
+	// nextRun is the number of the run to place.
+	nextRun uint32
 	// notBefore is the earliest start on the cluster clock.
 	notBefore record.Millis
 	// due is true once that time has come.
@@ -68,7 +69,7 @@
 			l.addWaiting(task)
 		}
 	}
-	if step.Spec.Together {
+	if step.Grouped() {
 		l.loadGroup(step)
 	}
 }
@@ -87,14 +88,14 @@
 			Colocate:    task.Step.Spec.Colocate,
 			Avoid:       l.failedOn.of(task),
 		},
-		step:        stepKey{job: task.ID.Job, step: task.ID.Step},
+		step:        keyOf(task.ID),
 		jobPriority: job.Spec.Priority,
-		lastRun:     task.LastRun,
+		nextRun:     task.NextRun(),
 		notBefore:   task.NotBefore,
 		due:         task.NotBefore == 0,
 	}
 	l.waiting[task.ID] = entry
-	if task.Step.Spec.Together {
+	if task.Step.Grouped() {
 		l.joinGroup(entry, task.Step)
 	}
 	if !entry.due {
@@ -164,8 +165,9 @@
 		id:        open.ID(),
 		spec:      task.Spec,
 		payload:   task.Step.Job.Spec.PayloadOf(task.Spec),
-		step:      stepKey{job: task.ID.Job, step: task.ID.Step},
-		together:  task.Step.Spec.Together,
+		step:      keyOf(task.ID),
+		together:  task.Step.Grouped(),
+		lockstep:  task.Step.Spec.Lockstep,
 		workerID:  open.WorkerID,
 		inherited: inherited,
 		stop:      open.Stop,
@@ -189,7 +191,7 @@
 	}
 	worker.runs[run.id] = run
 	if run.together {
-		l.groupRunOpened(run, task.Step)
+		l.groupRunOpened(run, open)
 	}
 	if worker.leaving() {
 		l.closeIfNeverOrdered(run)
@@ -250,7 +252,7 @@
 	}
 	l.failedOn.forgetJob(job)
 	for _, step := range job.Steps {
-		delete(l.groups, stepKey{job: job.ID, step: step.Spec.Name})
+		l.dropGroup(step)
 	}
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -58,7 +58,7 @@
 		}
 		entry.placing = true
 		placements = append(placements, record.Placement{
-			Run:      record.RunID{Task: decision.Task, Number: entry.lastRun + 1},
+			Run:      record.RunID{Task: decision.Task, Number: entry.nextRun},
 			WorkerID: decision.WorkerID,
 			Worker:   decision.Worker,
 		})
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -53,6 +54,7 @@
 	payload  json.RawMessage
 	step     stepKey
 	together bool
+	lockstep bool
 	workerID string
 	// inherited: placed under an earlier token, so that it is not known
 	// whether its order was given.
@@ -73,10 +75,24 @@
 // neverOrdered tells that the run's order was surely not given.
 func (r *runState) neverOrdered() bool { return r.orderedAt == 0 && !r.inherited }
 
-// stepKey names a step of a job.
+// stepKey names a step of a job, in one of its occurrences.
 type stepKey struct {
-	job  string
-	step string
+	job        string
+	step       string
+	occurrence int
+}
+
+// keyOf names the step of a task.
+func keyOf(id record.TaskID) stepKey {
+	return stepKey{job: id.Job, step: id.Step, occurrence: id.Occurrence}
+}
+
+// String names the step, or its occurrence, in one word.
+func (k stepKey) String() string {
+	if k.occurrence == 0 {
+		return k.job + "/" + k.step
+	}
+	return fmt.Sprintf("%s/%s/%d", k.job, k.step, k.occurrence)
 }
 
 func newWorkerEntry(info record.Worker) *workerEntry {
@@ -103,6 +119,11 @@
 	return now-w.acceptedAt < hold
 }
 
+// heardWithin reports whether a heartbeat came within some time.
+func (w *workerEntry) heardWithin(now, within time.Duration) bool {
+	return w.seq > 0 && now-w.heardAt <= within
+}
+
 // hear notes a heartbeat. It returns false if the heartbeat is no newer than
 // one heard before, which then allows no conclusion but that runs have ended.
 func (w *workerEntry) hear(heartbeat api.Heartbeat, now time.Duration) bool {
