Take a worker's notice that it leaves, and move its work in time

Cause: a worker could only set a flag in its heartbeats. It had no word that placements have stopped, the flag was lost with the next leader, and the time that it has left was not looked at: what ran there when it ended was lost with its hold, with the work since the last checkpoint.

Change: POST /v1/leave of the agent, Agent.Leave, and the call 'leave' of the leader. The leader marks the incarnation in memory and answers without a commit; placements stop, unordered runs are withdrawn, tasks that run until cancelled are stopped. The agent remembers the notice and marks every later heartbeat of that incarnation, so that a new leader learns it. remaining_ms of a heartbeat or notice gives the worker's end: mustStopNow decides on each run, with 200 ms for a stop, two heartbeat intervals and 100 ms for the way. Resumable and unknown work is stopped as late as that; what by twice its estimated rest ends is left alone; what by half of it does not end and saves nothing is moved at once. The flag alone, which workers also set for a while, still stops nothing.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -72,6 +72,23 @@
 	RemainingMillis int64 `json:"remaining_ms,omitempty"`
 }
 
+// LeaveNotice is the body of POST /v1/leave, worker to agent: the worker is
+// about to end. From the answer on it gets no new work; its heartbeats go on
+// for as long as it runs anything. Again, it changes nothing.
+type LeaveNotice struct {
+	// WorkerID is that of the heartbeats. Required.
+	WorkerID string `json:"worker_id"`
+	// RemainingMillis is the least time that the worker still has; what runs
+	// there after it is lost. Default 0: not known.
+	RemainingMillis int64 `json:"remaining_ms,omitempty"`
+}
+
+// LeaveAnswer is the answer of POST /v1/leave.
+type LeaveAnswer struct {
+	// Leaving is always true: the scheduler gives the worker no new work.
+	Leaving bool `json:"leaving"`
+}
+
 // StartOrder tells a worker to start a run. It stands in exactly one answer.
 type StartOrder struct {
 	RunRef
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,7 +43,9 @@
 	config  Config
 	routes  *http.ServeMux
 	workers *sequences
-	metrics *metrics
+	// departures are the workers that gave notice.
+	departures *departures
+	metrics    *metrics
 }
 
 // New makes an agent that is ready to serve.
@@ -58,8 +60,9 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{config: config, routes: http.NewServeMux(), workers: newSequences(), metrics: metrics}
+	a := &Agent{config: config, routes: http.NewServeMux(), workers: newSequences(), departures: newDepartures(), metrics: metrics}
 	a.routes.HandleFunc(HeartbeatPath, a.serveHeartbeat)
+	a.routes.HandleFunc(LeavePath, a.serveLeave)
 	if config.Status != nil {
 		for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
 			a.routes.Handle(path, config.Status)
@@ -76,7 +79,7 @@
 
 func (a *Agent) serveHeartbeat(writer http.ResponseWriter, request *http.Request) {
 	if request.Method != http.MethodPost {
-		refuseMethod(writer)
+		refuseMethod(writer, HeartbeatPath)
 		return
 	}
 	heartbeat, refusal := readHeartbeat(http.MaxBytesReader(writer, request.Body, maxHeartbeatBytes))
@@ -97,7 +100,7 @@
 func (a *Agent) Heartbeat(ctx context.Context, heartbeat api.Heartbeat) (api.HeartbeatAnswer, *api.Error) {
 	if fields := validateHeartbeat(heartbeat); len(fields) > 0 {
 		a.metrics.count(resultInvalid)
-		return api.HeartbeatAnswer{}, invalid(fields)
+		return api.HeartbeatAnswer{}, invalid("heartbeat", fields)
 	}
 	return a.relayTurn(ctx, heartbeat)
 }
@@ -111,7 +114,7 @@
 		a.metrics.count(resultOldSeq)
 		return api.HeartbeatAnswer{}, oldSeq(heartbeat)
 	}
-	answer, refusal := a.relay(ctx, heartbeat)
+	answer, refusal := a.relay(ctx, a.departures.mark(heartbeat, time.Now()))
 	newest := a.workers.end(turn)
 	if refusal == nil && !newest {
 		a.metrics.count(resultSuperseded)
--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -52,12 +52,12 @@
 	}
 }
 
-func refuseMethod(writer http.ResponseWriter) {
+func refuseMethod(writer http.ResponseWriter, path string) {
 	writer.Header().Set("Allow", http.MethodPost)
 	writeError(writer, &api.Error{
 		Status:  http.StatusMethodNotAllowed,
 		Code:    api.CodeWrongMethod,
-		Message: HeartbeatPath + " has POST only",
+		Message: path + " has POST only",
 	})
 }
 
--- /dev/null
+++ b/internal/agent/leave.go
@@ -0,0 +1,157 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const (
+	// LeavePath is where workers post that they leave.
+	LeavePath = "/v1/leave"
+	// maxLeaveBytes is the largest body of a notice.
+	maxLeaveBytes = 4 << 10
+	// leaveTries is how often a notice is sent, to follow a hint to another
+	// scheduler. Unlike a heartbeat, a doubled notice does no harm.
+	leaveTries = 2
+	// maxRemainingMillis is the most time that a notice may name.
+	maxRemainingMillis = int64(24 * time.Hour / time.Millisecond)
+)
+
+// serveLeave serves POST /v1/leave.
+func (a *Agent) serveLeave(writer http.ResponseWriter, request *http.Request) {
+	if request.Method != http.MethodPost {
+		refuseMethod(writer, LeavePath)
+		return
+	}
+	var notice api.LeaveNotice
+	refusal := api.DecodeStrict(http.MaxBytesReader(writer, request.Body, maxLeaveBytes), &notice)
+	if refusal == nil {
+		refusal = a.Leave(request.Context(), notice.WorkerID, notice.RemainingMillis)
+	}
+	if refusal != nil {
+		writeError(writer, refusal)
+		return
+	}
+	writeJSON(writer, http.StatusOK, api.LeaveAnswer{Leaving: true})
+}
+
+// Leave relays the notice of a worker that it is about to end; remainingMillis
+// is the least time that it still has, 0 if not known. Whatever comes of the
+// call, all later heartbeats of the worker say that it drains, so that a leader
+// to come learns of it too.
+func (a *Agent) Leave(ctx context.Context, workerID string, remainingMillis int64) *api.Error {
+	if fields := validateNotice(workerID, remainingMillis); len(fields) > 0 {
+		return invalid("notice", fields)
+	}
+	a.departures.note(workerID, remainingMillis, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, a.config.RelayTimeout)
+	defer cancel()
+	var refusal *api.Error
+	for range leaveTries {
+		leader, known := a.config.Link.Leader()
+		if !known {
+			return unavailable("the leading scheduler is not known")
+		}
+		request := fleet.LeaveRequest{WorkerID: workerID, RemainingMillis: remainingMillis}
+		_, err := rpc.Call[fleet.LeaveRequest, fleet.Empty](ctx, a.config.Client, leader, fleet.MethodLeave, request)
+		if err == nil {
+			return nil
+		}
+		refusal = a.leaveFailed(ctx, leader, workerID, err)
+	}
+	return refusal
+}
+
+// leaveFailed says what a failed call means for the worker and for the link.
+func (a *Agent) leaveFailed(ctx context.Context, leader, workerID string, err error) *api.Error {
+	a.config.Logger.Debug("notice not relayed", slog.String("worker_id", workerID), slog.String("address", leader), slog.Any("error", err))
+	var failure *rpc.Error
+	if !errors.As(err, &failure) {
+		return unavailable("the leading scheduler did not answer")
+	}
+	switch failure.Code {
+	case rpc.CodeNotLeader:
+		a.redirect(leader, failure.LeaderAddress)
+	case rpc.CodeTransport:
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			a.config.Link.Failed(leader)
+		}
+	case rpc.CodeRefused:
+		if failure.API != nil {
+			return failure.API
+		}
+	}
+	return unavailable("the leading scheduler did not answer")
+}
+
+// validateNotice returns every wrong field.
+func validateNotice(workerID string, remainingMillis int64) []api.FieldError {
+	var c checker
+	c.check(workerID != "" && len(workerID) <= maxWorkerIDBytes, "worker_id", workerID, "1 to 128 bytes, as in the heartbeats")
+	c.remaining(remainingMillis)
+	return c.fields
+}
+
+func (c *checker) remaining(millis int64) {
+	c.check(millis >= 0 && millis <= maxRemainingMillis, "remaining_ms", strconv.FormatInt(millis, 10), "0 to 86400000")
+}
+
+// departures remembers the workers that gave notice. It is safe for concurrent
+// use.
+type departures struct {
+	mutex   sync.Mutex
+	workers map[string]*departing
+}
+
+type departing struct {
+	// endsAt is the earliest end of the worker; zero if not known.
+	endsAt  time.Time
+	heardAt time.Time
+}
+
+func newDepartures() *departures { return &departures{workers: make(map[string]*departing)} }
+
+// note remembers a notice, and forgets workers that were silent for long.
+func (d *departures) note(workerID string, remainingMillis int64, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for id, worker := range d.workers {
+		if now.Sub(worker.heardAt) > idleForget {
+			delete(d.workers, id)
+		}
+	}
+	worker := d.workers[workerID]
+	if worker == nil {
+		worker = &departing{}
+		d.workers[workerID] = worker
+	}
+	worker.heardAt = now
+	if remainingMillis > 0 {
+		worker.endsAt = now.Add(time.Duration(remainingMillis) * time.Millisecond)
+	}
+}
+
+// mark adds to a heartbeat what its worker gave notice of.
+func (d *departures) mark(heartbeat api.Heartbeat, now time.Time) api.Heartbeat {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	worker := d.workers[heartbeat.WorkerID]
+	if worker == nil {
+		return heartbeat
+	}
+	worker.heardAt = now
+	heartbeat.Draining = true
+	if heartbeat.RemainingMillis == 0 && !worker.endsAt.IsZero() {
+		heartbeat.RemainingMillis = max(1, worker.endsAt.Sub(now).Milliseconds())
+	}
+	return heartbeat
+}
--- a/internal/agent/validate.go
+++ b/internal/agent/validate.go
@@ -24,16 +24,16 @@
 		return api.Heartbeat{}, refusal
 	}
 	if fields := validateHeartbeat(heartbeat); len(fields) > 0 {
-		return api.Heartbeat{}, invalid(fields)
+		return api.Heartbeat{}, invalid("heartbeat", fields)
 	}
 	return heartbeat, nil
 }
 
-func invalid(fields []api.FieldError) *api.Error {
+func invalid(what string, fields []api.FieldError) *api.Error {
 	return &api.Error{
 		Status:  http.StatusUnprocessableEntity,
 		Code:    api.CodeInvalid,
-		Message: fmt.Sprintf("the heartbeat has %d wrong fields", len(fields)),
+		Message: fmt.Sprintf("the %s has %d wrong fields", what, len(fields)),
 		Fields:  fields,
 	}
 }
@@ -66,6 +66,7 @@
 	}
 	_, unnamed := heartbeat.Labels[""]
 	c.check(!unnamed, "labels", "", "no empty key")
+	c.remaining(heartbeat.RemainingMillis)
 	c.runs(heartbeat)
 	return c.fields
 }
--- /dev/null
+++ b/internal/scheduler/departure.go
@@ -0,0 +1,167 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/record"
+)
+
+const (
+	// stopTime is the longest that a worker takes to stop a run and to note its
+	// checkpoint.
+	stopTime = 200 * time.Millisecond
+	// heartbeatsPerStop: one heartbeat carries the stop order to the worker, the
+	// next its report.
+	heartbeatsPerStop = 2
+	// departureMargin is for the way to the worker and back, and for the pause
+	// between two looks at the departures.
+	departureMargin = 100 * time.Millisecond
+	// estimateDoubt: a run may take this many times as long as was estimated, or
+	// only such a part of it.
+	estimateDoubt = 2
+	// maxRemaining bounds what is believed of the time that a worker has left.
+	maxRemaining = 24 * time.Hour
+)
+
+// departure is what a worker has said of its leaving.
+type departure struct {
+	// left: the worker gave notice that it leaves. It stays set.
+	left bool
+	// known: at is the earliest end of the worker, on the leader's monotonic
+	// clock.
+	known bool
+	at    time.Duration
+}
+
+// announced reports whether the worker surely ends.
+func (d *departure) announced() bool { return d.left || d.known }
+
+// notice takes in the least time that the worker still has; 0 says nothing.
+func (d *departure) notice(remainingMillis int64, now time.Duration) {
+	if remainingMillis <= 0 {
+		return
+	}
+	d.known = true
+	d.at = now + time.Duration(min(remainingMillis, maxRemaining.Milliseconds()))*time.Millisecond
+}
+
+// hear takes in a heartbeat. A worker that drains no more, and gave no notice,
+// goes on.
+func (d *departure) hear(heartbeat api.Heartbeat, now time.Duration) {
+	if !heartbeat.Draining && !d.left {
+		*d = departure{}
+		return
+	}
+	if heartbeat.Draining {
+		d.notice(heartbeat.RemainingMillis, now)
+	}
+}
+
+// departingRun is a run on a worker that surely ends.
+type departingRun struct {
+	untilCancelled bool
+	resumable      bool
+	// estimate is the caller's guess of the whole run; 0 if there is none.
+	estimate time.Duration
+	// elapsed is the time since the run was placed.
+	elapsed time.Duration
+}
+
+// rest is the time that the run still needs by the estimate; 0 if that is not
+// known.
+func (r departingRun) rest() time.Duration { return max(0, r.estimate-r.elapsed) }
+
+// surelyEnds reports whether the run ends within the time left, even if it
+// takes longer than was estimated.
+func (r departingRun) surelyEnds(left time.Duration) bool {
+	return r.rest() > 0 && r.rest()*estimateDoubt <= left
+}
+
+// surelyOutlasts reports whether the run does not end within the time left,
+// even if it takes less than was estimated.
+func (r departingRun) surelyOutlasts(left time.Duration) bool {
+	return r.rest() > left*estimateDoubt
+}
+
+// mustStopNow decides on a run while its worker has some time left; a stop is
+// in the record lead after it was decided. Work without an end of its own moves
+// at once. What surely ends is left alone. All else goes on until there is just
+// the time to stop it, so that resumable work leaves its checkpoint as late as
+// it can; only work that would be lost in any case is not gone on with.
+func mustStopNow(run departingRun, left, lead time.Duration) bool {
+	switch {
+	case run.untilCancelled:
+		return true
+	case run.surelyEnds(left):
+		return false
+	case left <= lead:
+		return true
+	default:
+		return !run.resumable && run.surelyOutlasts(left)
+	}
+}
+
+// leave marks a worker that gave notice. Nothing is committed: what follows
+// from the mark is, and a new leader learns it from the worker's heartbeats.
+func (l *leader) leave(_ context.Context, request fleet.LeaveRequest) (fleet.Empty, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.log.HoldsLease(l.token) {
+		return fleet.Empty{}, l.notLeader()
+	}
+	worker, known := l.workers[request.WorkerID]
+	if !known {
+		return fleet.Empty{}, nil
+	}
+	now := l.now()
+	if !worker.departure.left {
+		l.logger.Info("worker leaves", slog.String("worker", worker.info.Name), slog.String("worker_id", worker.info.ID),
+			slog.Int("runs", len(worker.runs)), slog.Int64("remaining_ms", request.RemainingMillis))
+	}
+	worker.departure.left = true
+	worker.departure.notice(request.RemainingMillis, now)
+	l.tellPlanner(worker)
+	l.withdrawUnordered(worker)
+	l.stopDeparting(worker, now)
+	return fleet.Empty{}, nil
+}
+
+// stopAllDeparting looks at every worker that surely ends.
+func (l *leader) stopAllDeparting(now time.Duration) {
+	for _, worker := range l.workers {
+		l.stopDeparting(worker, now)
+	}
+}
+
+// stopDeparting stops the runs of a worker that surely ends and that must not
+// be left alone any longer.
+func (l *leader) stopDeparting(worker *workerEntry, now time.Duration) {
+	if !worker.departure.announced() {
+		return
+	}
+	lead := stopTime + heartbeatsPerStop*l.interval(false) + departureMargin
+	for _, run := range worker.runs {
+		if l.mustStopDeparting(run, worker.departure, now, lead) {
+			l.stopLater(run, record.StopDrained)
+		}
+	}
+}
+
+// mustStopDeparting decides on one run. Without a known end of the worker only
+// work without an end of its own is moved.
+func (l *leader) mustStopDeparting(run *runState, leaving departure, now, lead time.Duration) bool {
+	if !leaving.known {
+		return run.spec.UntilCancelled
+	}
+	departing := departingRun{
+		untilCancelled: run.spec.UntilCancelled,
+		resumable:      run.spec.Resumable,
+		estimate:       run.spec.Estimate.Std(),
+		elapsed:        now - run.openedAt,
+	}
+	return mustStopNow(departing, leaving.at-now, lead)
+}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -178,6 +178,7 @@
 	orders := []api.StartOrder{}
 	if worker.leaving() {
 		l.withdrawUnordered(worker)
+		l.stopDeparting(worker, l.now())
 		return orders
 	}
 	for _, run := range worker.runs {
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -155,6 +155,7 @@
 	holdsUntil := l.startedAt + l.hold() + l.driftMargin()
 	for open := range view.AllOpenRuns() {
 		run := l.openRun(open, true)
+		run.openedAt -= time.Duration(view.Clock()-open.PlacedAt) * time.Millisecond
 		if worker, known := l.workers[run.workerID]; known {
 			worker.holdUntil(holdsUntil)
 		}
@@ -231,6 +232,7 @@
 	l.refreshUsable(now)
 	l.stopDrained(now)
 	l.breakLateGroups(now)
+	l.stopAllDeparting(now)
 	l.planner.SetTime(clusterNow)
 	l.refreshReservations(clusterNow)
 	l.releaseTimers(clusterNow)
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -169,6 +169,7 @@
 		together:  task.Step.Grouped(),
 		lockstep:  task.Step.Spec.Lockstep,
 		workerID:  open.WorkerID,
+		openedAt:  l.now(),
 		inherited: inherited,
 		stop:      open.Stop,
 	}
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -64,6 +64,7 @@
 // Register offers the calls that only the acting scheduler answers.
 func (s *Service) Register(server *rpc.Server) {
 	handle(s, server, fleet.MethodHeartbeat, (*leader).heartbeat)
+	handle(s, server, fleet.MethodLeave, (*leader).leave)
 	handle(s, server, fleet.MethodWatch, (*leader).watch)
 
 	handle(s, server, fleet.MethodSubmit, (*leader).submit)
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -39,6 +39,8 @@
 	draining     bool
 	drainCause   drainCause
 	drainedSince time.Duration
+	// departure is what the worker has said of its leaving.
+	departure departure
 	// usable is what the planner was last told.
 	usable bool
 	// inPlanner is true while the planner knows the worker.
@@ -56,6 +58,8 @@
 	together bool
 	lockstep bool
 	workerID string
+	// openedAt is when the run was placed.
+	openedAt time.Duration
 	// inherited: placed under an earlier token, so that it is not known
 	// whether its order was given.
 	inherited bool
@@ -104,7 +108,9 @@
 func (w *workerEntry) answered() bool { return w.answeredSeq > 0 }
 
 // leaving reports whether the worker gets no new work.
-func (w *workerEntry) leaving() bool { return w.draining || w.drained() }
+func (w *workerEntry) leaving() bool {
+	return w.draining || w.departure.left || w.drained()
+}
 
 // drained reports whether the configuration or an order drains the worker.
 func (w *workerEntry) drained() bool { return w.drainCause != drainedByNothing }
@@ -134,6 +140,7 @@
 	w.acceptedSeq = heartbeat.AcceptedSeq
 	w.heardAt = now
 	w.draining = heartbeat.Draining
+	w.departure.hear(heartbeat, now)
 	w.lapsed = false
 	if w.answered() && heartbeat.AcceptedSeq >= w.answeredSeq {
 		w.acceptedAt = w.answeredAt
@@ -184,7 +191,7 @@
 		return api.WorkerSilent, "not heard since this scheduler began to act"
 	case now-w.heardAt > hold/2:
 		return api.WorkerSilent, "no heartbeat lately"
-	case w.draining:
+	case w.draining, w.departure.left:
 		return api.WorkerDraining, "the worker is leaving"
 	case w.drained():
 		return api.WorkerDraining, string(w.drainCause)
