Run a scheduler without a disk as a relay

Cause: on the users' platform a role runs on a share of the machines of a class, and some of them may have no disk; such a process ended at once because it had no data folder.

Change: with the setting relay a scheduler keeps no record, never votes, and passes operators' calls to the leader; seeds that name one do not wait for it when a cluster forms. data_dir stays required without it.

Result: TestRelayCarriesCallsAndIsNotWaitedFor.

--- a/cmd/decklever-scheduler/main.go
+++ b/cmd/decklever-scheduler/main.go
@@ -15,6 +15,13 @@
 }
 
 func start(ctx context.Context, initial settings.Scheduler, options settings.LoadOptions) error {
+	if initial.Relay {
+		relay, err := schedulerprocess.NewRelay(initial, options)
+		if err != nil {
+			return err
+		}
+		return relay.Run(ctx)
+	}
 	made, err := schedulerprocess.New(initial, options)
 	if err != nil {
 		return err
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -112,6 +112,9 @@
 	// Founded is the membership that the cluster began with, while the replica
 	// still has it: a founder that comes late starts from it.
 	Founded *raft.Membership `cbor:"6,keyasint,omitempty"`
+	// Relay is true for a scheduler without a data folder: it is no replica,
+	// only its LeaderAddress means something, and nobody waits for it.
+	Relay bool `cbor:"7,keyasint,omitempty"`
 }
 
 // ReadIndexAnswer carries a read point: once a replica has applied Index, its
--- /dev/null
+++ b/internal/process/schedulerprocess/relay.go
@@ -0,0 +1,71 @@
+package schedulerprocess
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/decklever/decklever/internal/daemon"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/front"
+	"github.com/decklever/decklever/internal/process"
+	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/settings"
+)
+
+// relayRole is the role under which a relay watches the leader.
+const relayRole = "relay"
+
+// Relay is a scheduler on a machine without a data folder: it keeps no record,
+// never votes, and passes operators' calls to the leader.
+type Relay struct {
+	*process.Linked[settings.Scheduler]
+	// Gateway makes the calls.
+	Gateway *front.Front
+	handler http.Handler
+}
+
+// NewRelay makes the parts; none is at work yet.
+func NewRelay(initial settings.Scheduler, options settings.LoadOptions) (*Relay, error) {
+	r := &Relay{}
+	linked, err := process.NewLinked(process.LinkedConfig[settings.Scheduler]{
+		Program: Program,
+		Role:    relayRole,
+		Initial: initial,
+		Options: options,
+		Common:  func(s *settings.Scheduler) *settings.Common { return &s.Common },
+		// The gateway bounds each try by its context.
+		CallTimeout: front.MaxTry + time.Second,
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.Linked = linked
+	r.Gateway, err = front.New(front.Config{Link: r.Link, Client: r.Client, Logger: r.Logger})
+	if err != nil {
+		return nil, fmt.Errorf("make the gateway: %w", err)
+	}
+	server := rpc.NewServer(rpc.ServerConfig{Logger: r.Logger})
+	rpc.Handle(server, fleet.MethodIdentity, func(context.Context, fleet.Empty) (fleet.IdentityAnswer, error) {
+		address, _ := r.Link.Leader()
+		return fleet.IdentityAnswer{Relay: true, LeaderAddress: address}, nil
+	})
+	mux := http.NewServeMux()
+	mux.Handle("/rpc/", server)
+	mux.Handle("/", r.Status())
+	r.handler = mux
+	return r, nil
+}
+
+// Handler serves the calls between processes, health and metrics.
+func (r *Relay) Handler() http.Handler { return r.handler }
+
+// SetHandler replaces the handler. It must be called before Run.
+func (r *Relay) SetHandler(handler http.Handler) { r.handler = handler }
+
+// Run serves, on extra listeners too, until the context ends or a signal stops
+// the process.
+func (r *Relay) Run(ctx context.Context, extra ...daemon.Listener) error {
+	return r.Linked.Run(ctx, r.handler, extra)
+}
--- /dev/null
+++ b/internal/process/schedulerprocess/relay_test.go
@@ -0,0 +1,49 @@
+package schedulerprocess
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/settings"
+)
+
+// TestRelayCarriesCallsAndIsNotWaitedFor: a cluster whose seeds name a relay
+// forms without it, and a configuration put through the relay is taken.
+func TestRelayCarriesCallsAndIsNotWaitedFor(t *testing.T) {
+	replica := schedulerOn(t, t.TempDir())
+	relay := schedulerOn(t, t.TempDir())
+	relay.Name, relay.Relay, relay.DataDir = "relay-1", true, ""
+	replica.Seeds = []string{relay.Listen, replica.Listen}
+	relay.Seeds = replica.Seeds
+
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	scheduler, err := New(replica, settings.LoadOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	running.Go(func() { _ = scheduler.Run(ctx) })
+	relaying, err := NewRelay(relay, settings.LoadOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	running.Go(func() { _ = relaying.Run(ctx) })
+
+	config := api.Config{Queues: []api.QueueConfig{{Name: "q"}}}
+	deadline := time.Now().Add(patience)
+	for {
+		status, refusal := relaying.Gateway.PutConfig(ctx, "order-1", 0, config)
+		if refusal == nil && status.Version == 1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the relay carries no call: %v", refusal)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,7 +60,7 @@
 	}
 	lastLog := r.start.Add(-waitLogInterval)
 	for {
-		decision := r.decideFormation(r.askSeeds(ctx))
+		decision := r.decideFormation(replicasOf(r.askSeeds(ctx)))
 		switch decision.action {
 		case formationFound:
 			return r.found(decision.membership)
@@ -134,6 +135,11 @@
 	return answers
 }
 
+// replicasOf leaves out seeds that are no replicas.
+func replicasOf(answers []seedAnswer) []seedAnswer {
+	return slices.DeleteFunc(answers, func(seed seedAnswer) bool { return seed.err == nil && seed.answer.Relay })
+}
+
 func (r *Replica) askSeed(ctx context.Context, seed string) seedAnswer {
 	if seed == r.config.Address {
 		return seedAnswer{address: seed, answer: r.identity()}
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -134,7 +134,7 @@
 // and what it once voted for it still remembers.
 func (r *Replica) wasReplaced(ctx context.Context) bool {
 	for _, seed := range r.askSeeds(ctx) {
-		if seed.err != nil || seed.answer.LeaderAddress == "" {
+		if seed.err != nil || seed.answer.LeaderAddress == "" || seed.answer.Relay {
 			continue
 		}
 		if _, listed := findMember(seed.answer.Membership, r.self.ID); !listed {
