Write the log with one write and one sync a batch

Cause: the log was a bbolt file. A transaction syncs twice and writes whole pages, so that on a disk with syncs of 4 ms one batch cost over 8 ms. By its code (not run), a torn meta page after a loss of power refused the start, and a start trusted what a killed process had left unsynced.

Change: a write-ahead log in segments of 4 MiB. A batch (hard state and entries) is one write and one fdatasync, whole or not at all. A record carries the newest sequence that was durable before it, which tells a torn write (cut, logged) from damage (refused, file named). Segments open with the state so far and are removed once a durable record names the first one needed; each change of names is followed by a sync of the folder. Everything found at a start is synced before it counts. After a failed write nothing more is promised. A folder with log.db is refused and named. An upgrade was weighed: schedulers can join again, and the reader of the old log would stay for good.

--- /dev/null
+++ b/internal/storage/logbench_test.go
@@ -0,0 +1,104 @@
+package storage
+
+import (
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+// simulatedSync is what each sync takes in BenchmarkLog.
+const simulatedSync = 4 * time.Millisecond
+
+// slowFiles are real files whose syncs take simulatedSync.
+type slowFiles struct{ systemFiles }
+
+type slowFile struct{ dataFile }
+
+func (f slowFiles) Create(path string) (dataFile, error) {
+	file, err := f.systemFiles.Create(path)
+	return slowFile{file}, err
+}
+
+func (f slowFiles) Open(path string) (dataFile, error) {
+	file, err := f.systemFiles.Open(path)
+	return slowFile{file}, err
+}
+
+func (slowFiles) SyncDirectory(string) error { time.Sleep(simulatedSync); return nil }
+
+func (slowFile) Sync() error { time.Sleep(simulatedSync); return nil }
+
+// BenchmarkLog compares the write-ahead log with one transaction of bbolt for
+// each batch, as earlier versions had it. bbolt syncs twice in a transaction:
+// its pages, then its meta page.
+func BenchmarkLog(b *testing.B) {
+	for _, batch := range []uint64{1, 16, 256} {
+		b.Run(fmt.Sprintf("write-ahead/batch-%d", batch), func(b *testing.B) {
+			directory := b.TempDir()
+			must(b, createLog(slowFiles{}, directory, "0123456789abcdef", defaultSegmentSize))
+			wal, _, err := openLog(slowFiles{}, directory, discard(), defaultSegmentSize, []uint64{firstSegment})
+			must(b, err)
+			defer func() { _ = wal.close() }()
+			benchmarkBatches(b, batch, func(made []raft.Entry) error {
+				return wal.append(walBatch{entries: made}, true)
+			})
+		})
+		b.Run(fmt.Sprintf("bbolt/batch-%d", batch), func(b *testing.B) {
+			db, err := bbolt.Open(filepath.Join(b.TempDir(), earlierLogFile), filePermission,
+				&bbolt.Options{NoSync: true, FreelistType: bbolt.FreelistMapType, InitialMmapSize: 64 << 20})
+			must(b, err)
+			defer func() { _ = db.Close() }()
+			benchmarkBatches(b, batch, func(made []raft.Entry) error {
+				err := db.Update(func(tx *bbolt.Tx) error { return putEarlier(tx, made) })
+				time.Sleep(2 * simulatedSync)
+				return err
+			})
+		})
+	}
+}
+
+// putEarlier is what earlier versions did in the transaction of a batch.
+func putEarlier(tx *bbolt.Tx, made []raft.Entry) error {
+	bucket, err := tx.CreateBucketIfNotExists([]byte("log"))
+	if err != nil {
+		return err
+	}
+	bucket.FillPercent = 0.95
+	for i := range made {
+		key := binary.BigEndian.AppendUint64(nil, made[i].Index)
+		if err := bucket.Put(key, seal(key, appendEntry(nil, &made[i]))); err != nil {
+			return err
+		}
+	}
+	meta, err := tx.CreateBucketIfNotExists([]byte("meta"))
+	if err != nil {
+		return err
+	}
+	key := []byte("state")
+	sealed, err := sealValue(key, walState{LastIndex: made[len(made)-1].Index})
+	if err != nil {
+		return err
+	}
+	return meta.Put(key, sealed)
+}
+
+func benchmarkBatches(b *testing.B, batch uint64, save func([]raft.Entry) error) {
+	data := make([]byte, 400)
+	next := uint64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		made := make([]raft.Entry, batch)
+		for i := range made {
+			made[i] = raft.Entry{Index: next, Term: 1, Data: data}
+			next++
+		}
+		must(b, save(made))
+	}
+	b.ReportMetric(float64(next-1)/b.Elapsed().Seconds(), "entries/s")
+}
--- a/internal/storage/types.go
+++ b/internal/storage/types.go
@@ -12,6 +12,9 @@
 var (
 	// ErrCorrupt: a checksum or a shape is wrong; the process must not start.
 	ErrCorrupt = errors.New("storage: data folder is corrupt")
+	// ErrEarlierFormat: the folder holds the log of an earlier version, which
+	// this one does not read; the replica has to join anew, with an empty one.
+	ErrEarlierFormat = errors.New("storage: data folder is of an earlier version; empty it to join again")
 	// ErrLocked: another process has the folder open.
 	ErrLocked = errors.New("storage: data folder is in use by another process")
 )
--- /dev/null
+++ b/internal/storage/walpayload.go
@@ -0,0 +1,176 @@
+package storage
+
+import (
+	"encoding/binary"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/decklever/decklever/internal/raft"
+)
+
+const (
+	// entryHeaderSize is index, term and kind, before an entry's data.
+	entryHeaderSize = 8 + 8 + 1
+	// hardStateHeaderSize is term and commit, before the vote.
+	hardStateHeaderSize = 8 + 8
+)
+
+// segmentHeader opens a segment, so that those before it can be removed.
+type segmentHeader struct {
+	ReplicaID raft.ReplicaID `cbor:"1,keyasint"`
+	Segment   uint64         `cbor:"2,keyasint"`
+	// Size is the length of the file, in bytes. It is durable before the
+	// header is written, so a shorter file was cut.
+	Size  int64    `cbor:"3,keyasint"`
+	State walState `cbor:"4,keyasint"`
+}
+
+// walState is what the records up to a place amount to, the entries aside.
+type walState struct {
+	HardState raft.HardState `cbor:"1,keyasint"`
+	// SnapshotIndex and SnapshotTerm name the snapshot that must be there, or
+	// a newer one; zero if none was taken.
+	SnapshotIndex uint64 `cbor:"2,keyasint"`
+	SnapshotTerm  uint64 `cbor:"3,keyasint"`
+	// FirstIndex: entries before it are forgotten.
+	FirstIndex uint64 `cbor:"4,keyasint"`
+	// LastIndex is the last entry, or the snapshot's if there is none after.
+	LastIndex uint64 `cbor:"5,keyasint"`
+	// FirstSegment is the oldest segment that must be there.
+	FirstSegment uint64 `cbor:"6,keyasint"`
+}
+
+// snapshotNote says that a snapshot is durable, and what it replaces.
+type snapshotNote struct {
+	Index        uint64 `cbor:"1,keyasint"`
+	Term         uint64 `cbor:"2,keyasint"`
+	FirstIndex   uint64 `cbor:"3,keyasint"`
+	FirstSegment uint64 `cbor:"4,keyasint"`
+	// DropLog: no entry from before this record is left.
+	DropLog bool `cbor:"5,keyasint,omitempty"`
+}
+
+func (s *walState) note(note snapshotNote) {
+	s.SnapshotIndex, s.SnapshotTerm = note.Index, note.Term
+	s.FirstIndex, s.FirstSegment = note.FirstIndex, note.FirstSegment
+	s.LastIndex = max(s.LastIndex, note.Index)
+	if note.DropLog {
+		s.LastIndex = note.Index
+	}
+}
+
+// walBatch is what one append writes, all or nothing.
+type walBatch struct {
+	note      *snapshotNote // encoded as notePayload
+	hardState *raft.HardState
+	entries   []raft.Entry
+	closed    bool
+
+	notePayload []byte
+}
+
+func noteBatch(note snapshotNote) (walBatch, error) {
+	payload, err := cbor.Marshal(note)
+	return walBatch{note: &note, notePayload: payload}, err
+}
+
+// records counts the records.
+func (b walBatch) records() int {
+	count := len(b.entries)
+	for _, present := range []bool{b.note != nil, b.hardState != nil, b.closed} {
+		if present {
+			count++
+		}
+	}
+	return count
+}
+
+// size is the length of the batch in the log, in bytes.
+func (b walBatch) size() int64 {
+	size := int64(b.records()*recordHeaderSize + len(b.notePayload))
+	if b.hardState != nil {
+		size += int64(hardStateHeaderSize + len(b.hardState.VotedFor))
+	}
+	for _, entry := range b.entries {
+		size += int64(entryHeaderSize + len(entry.Data))
+	}
+	return size
+}
+
+// encode appends the batch, whose first record gets the sequence.
+func (b walBatch) encode(buffer []byte, sequence, synced uint64) []byte {
+	last := sequence + uint64(b.records()) - 1
+	add := func(kind recordType, payload func([]byte) []byte) {
+		var start int
+		buffer, start = beginRecord(buffer)
+		buffer = payload(buffer)
+		endRecord(buffer, start, walRecord{Sequence: sequence, Synced: synced, Type: kind, End: sequence == last})
+		sequence++
+	}
+	if b.note != nil {
+		add(recordSnapshot, func(to []byte) []byte { return append(to, b.notePayload...) })
+	}
+	if b.hardState != nil {
+		add(recordHardState, func(to []byte) []byte { return appendHardState(to, *b.hardState) })
+	}
+	for i := range b.entries {
+		add(recordEntry, func(to []byte) []byte { return appendEntry(to, &b.entries[i]) })
+	}
+	if b.closed {
+		add(recordClosed, func(to []byte) []byte { return to })
+	}
+	return buffer
+}
+
+// change brings a state to what it is after the batch.
+func (b walBatch) change(state *walState) {
+	if b.note != nil {
+		state.note(*b.note)
+	}
+	if b.hardState != nil {
+		state.HardState = *b.hardState
+	}
+	if n := len(b.entries); n > 0 {
+		state.LastIndex = b.entries[n-1].Index
+	}
+}
+
+func appendHardState(buffer []byte, state raft.HardState) []byte {
+	buffer = binary.BigEndian.AppendUint64(buffer, state.Term)
+	buffer = binary.BigEndian.AppendUint64(buffer, state.Commit)
+	return append(buffer, state.VotedFor...)
+}
+
+func decodeHardState(payload []byte) (state raft.HardState, ok bool) {
+	if len(payload) < hardStateHeaderSize {
+		return state, false
+	}
+	return raft.HardState{
+		Term:     binary.BigEndian.Uint64(payload),
+		Commit:   binary.BigEndian.Uint64(payload[8:]),
+		VotedFor: raft.ReplicaID(payload[hardStateHeaderSize:]),
+	}, true
+}
+
+func appendEntry(buffer []byte, entry *raft.Entry) []byte {
+	buffer = binary.BigEndian.AppendUint64(buffer, entry.Index)
+	buffer = binary.BigEndian.AppendUint64(buffer, entry.Term)
+	buffer = append(buffer, byte(entry.Kind))
+	return append(buffer, entry.Data...)
+}
+
+// decodeEntry copies the data.
+func decodeEntry(payload []byte) (entry raft.Entry, ok bool) {
+	if len(payload) < entryHeaderSize {
+		return entry, false
+	}
+	entry = raft.Entry{
+		Index: binary.BigEndian.Uint64(payload),
+		Term:  binary.BigEndian.Uint64(payload[8:]),
+		Kind:  raft.EntryKind(payload[16]),
+	}
+	if len(payload) > entryHeaderSize {
+		entry.Data = append([]byte(nil), payload[entryHeaderSize:]...)
+	}
+	return entry, true
+}
--- /dev/null
+++ b/internal/storage/walrecord.go
@@ -0,0 +1,123 @@
+package storage
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// A record of the write-ahead log is: length of the payload (4 bytes), CRC-32C
+// of all that follows and of the length (4), sequence (8), synced (8), type (1),
+// end of batch (1), payload. Numbers are big-endian.
+const (
+	lengthSize       = 4
+	recordHeaderSize = lengthSize + checksumSize + 8 + 8 + 1 + 1
+)
+
+// recordType tells what a payload is. Numbers are never used again.
+type recordType byte
+
+const (
+	// recordSegment opens each segment: a segmentHeader.
+	recordSegment recordType = 1
+	// recordHardState is a raft.HardState.
+	recordHardState recordType = 2
+	// recordEntry is a raft.Entry, in place of all held from its index on.
+	recordEntry recordType = 3
+	// recordSnapshot is a snapshotNote.
+	recordSnapshot recordType = 4
+	// recordClosed ends a log that was closed in order, so that damage to the
+	// record before it is told apart from a torn write.
+	recordClosed recordType = 5
+)
+
+// walRecord is one record.
+type walRecord struct {
+	// Sequence numbers all records of a log, through all segments.
+	Sequence uint64
+	// Synced is the newest record that was known to be durable when this one
+	// was written. A bad record that a later one names so is damage, not a
+	// torn write.
+	Synced uint64
+	Type   recordType
+	// End marks the last record of a batch. A batch counts whole or not at all.
+	End     bool
+	Payload []byte
+}
+
+// beginRecord reserves the header; the payload is appended by the caller, and
+// endRecord fills the header in.
+func beginRecord(buffer []byte) (grown []byte, start int) {
+	start = len(buffer)
+	return append(buffer, make([]byte, recordHeaderSize)...), start
+}
+
+// endRecord fills in the header of the record that starts there and ends with
+// the buffer. Its Payload is not used.
+func endRecord(buffer []byte, start int, record walRecord) {
+	header := buffer[start:]
+	binary.BigEndian.PutUint32(header, uint32(len(header)-recordHeaderSize))
+	binary.BigEndian.PutUint64(header[8:], record.Sequence)
+	binary.BigEndian.PutUint64(header[16:], record.Synced)
+	header[24] = byte(record.Type)
+	header[25] = 0
+	if record.End {
+		header[25] = 1
+	}
+	binary.BigEndian.PutUint32(header[lengthSize:], recordChecksum(header))
+}
+
+func recordChecksum(encoded []byte) uint32 {
+	sum := crc32.Checksum(encoded[:lengthSize], castagnoli)
+	return crc32.Update(sum, castagnoli, encoded[lengthSize+checksumSize:])
+}
+
+// decodeRecord reads the record that content starts with; its Payload shares
+// memory with content. ok is false if there is none that checks.
+func decodeRecord(content []byte) (record walRecord, size int, ok bool) {
+	if len(content) < recordHeaderSize {
+		return walRecord{}, 0, false
+	}
+	length := uint64(binary.BigEndian.Uint32(content))
+	if length > uint64(len(content)-recordHeaderSize) {
+		return walRecord{}, 0, false
+	}
+	size = recordHeaderSize + int(length)
+	record = walRecord{
+		Sequence: binary.BigEndian.Uint64(content[8:]),
+		Synced:   binary.BigEndian.Uint64(content[16:]),
+		Type:     recordType(content[24]),
+		End:      content[25] == 1,
+		Payload:  content[recordHeaderSize:size],
+	}
+	if record.Type < recordSegment || record.Type > recordClosed || content[25] > 1 || record.Synced >= record.Sequence {
+		return walRecord{}, 0, false
+	}
+	if binary.BigEndian.Uint32(content[lengthSize:]) != recordChecksum(content[:size]) {
+		return walRecord{}, 0, false
+	}
+	return record, size, true
+}
+
+// nextRecord is decodeRecord for the record that must follow in sequence.
+func nextRecord(content []byte, sequence uint64) (record walRecord, size int, ok bool) {
+	if len(content) < recordHeaderSize || binary.BigEndian.Uint64(content[8:]) != sequence {
+		return walRecord{}, 0, false
+	}
+	return decodeRecord(content)
+}
+
+// provesSynced tells whether content holds, at any place, a later record that
+// names the one of that sequence as durable.
+func provesSynced(content []byte, sequence uint64) bool {
+	last := sequence + uint64(len(content))
+	for ; len(content) >= recordHeaderSize; content = content[1:] {
+		// The cheap checks go first: most places are no record.
+		if synced := binary.BigEndian.Uint64(content[16:]); synced < sequence || synced > last {
+			continue
+		}
+		if _, _, ok := decodeRecord(content); ok {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/storage/walsegment.go
@@ -0,0 +1,153 @@
+package storage
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+const (
+	// segmentPrefix and segmentSuffix enclose the number, in hex digits.
+	segmentPrefix = "log-"
+	segmentSuffix = ".wal"
+	segmentDigits = 16
+	// firstSegment is the number of a new folder's segment.
+	firstSegment = 1
+	// defaultSegmentSize is the length of a segment's file, in bytes. It is set
+	// when the file is made; a batch that is longer gets a file of its own.
+	defaultSegmentSize = 4 << 20
+)
+
+// segment is one file of the log.
+type segment struct {
+	number uint64
+	// size is the length of the file, in bytes.
+	size int64
+	// last is the highest index of an entry in it, whether or not it was
+	// replaced since.
+	last uint64
+}
+
+func segmentName(number uint64) string {
+	return fmt.Sprintf("%s%0*x%s", segmentPrefix, segmentDigits, number, segmentSuffix)
+}
+
+// segmentNumber is the number in a file's name; ok is false for other files.
+func segmentNumber(name string) (number uint64, ok bool) {
+	digits, found := strings.CutPrefix(name, segmentPrefix)
+	if !found {
+		return 0, false
+	}
+	if digits, found = strings.CutSuffix(digits, segmentSuffix); !found || len(digits) != segmentDigits {
+		return 0, false
+	}
+	number, err := strconv.ParseUint(digits, 16, 64)
+	return number, err == nil && segmentName(number) == name
+}
+
+// segmentNumbers are the segments of a folder, oldest first.
+func segmentNumbers(files fileSystem, directory string) ([]uint64, error) {
+	names, err := files.Names(directory)
+	if err != nil {
+		return nil, fmt.Errorf("list data folder: %w", err)
+	}
+	var numbers []uint64
+	for _, name := range names { // in the order of names, and so of numbers
+		if number, ok := segmentNumber(name); ok {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers, nil
+}
+
+func readSegment(files fileSystem, directory string, number uint64) (content []byte, err error) {
+	path := filepath.Join(directory, segmentName(number))
+	file, err := files.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("open segment: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	size, err := file.Size()
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	content = make([]byte, size)
+	if _, err := io.ReadFull(io.NewSectionReader(file, 0, size), content); err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	return content, nil
+}
+
+// scanned says how far a segment is good.
+type scanned struct {
+	// end is the offset behind the last whole batch, next the sequence that
+	// has to follow there.
+	end  int
+	next uint64
+	// bad is the sequence of the first record that does not check.
+	bad uint64
+}
+
+// scan visits the whole batches of a segment until a record does not check.
+// The first record must have the sequence, unless that is 0.
+func scan(content []byte, sequence uint64, visit func(batch []walRecord) error) (scanned, error) {
+	if sequence == 0 && len(content) >= recordHeaderSize {
+		sequence = binary.BigEndian.Uint64(content[8:])
+	}
+	result := scanned{next: sequence, bad: sequence}
+	var batch []walRecord
+	for at := 0; ; {
+		record, size, ok := nextRecord(content[at:], result.bad)
+		if !ok {
+			return result, nil
+		}
+		at += size
+		result.bad++
+		batch = append(batch, record)
+		if !record.End {
+			continue
+		}
+		if err := visit(batch); err != nil {
+			return result, err
+		}
+		result.end, result.next = at, result.bad
+		batch = batch[:0]
+	}
+}
+
+// firstNeeded is the oldest segment that a segment says must be there; ok is
+// false if it does not open with a whole header.
+func firstNeeded(content []byte) (number uint64, ok bool) {
+	_, _ = scan(content, 0, func(batch []walRecord) error {
+		for _, record := range batch {
+			switch record.Type {
+			case recordSegment:
+				var header segmentHeader
+				if decodeInto(record.Payload, &header) {
+					number, ok = header.State.FirstSegment, true
+				}
+			case recordSnapshot:
+				var note snapshotNote
+				if decodeInto(record.Payload, &note) {
+					number = note.FirstSegment
+				}
+			default:
+			}
+		}
+		return nil
+	})
+	return number, ok
+}
+
+// allZero tells whether nothing was written.
+func allZero(content []byte) bool {
+	for _, b := range content {
+		if b != 0 {
+			return false
+		}
+	}
+	return true
+}
