--- a/api/job.go
+++ b/api/job.go
@@ -24,7 +24,10 @@
 
 // RepeatSpec says when the steps of a job run. Occurrence K, from 0, falls due
 // at First + K x Interval on the cluster clock. Occurrences do not wait for each
-// other and may overlap. The job has succeeded once each of them has.
+// other and may overlap; one that would take the job beyond MaxOpenTasksPerJob
+// open tasks starts late, once others have ended. One that fails does not stop
+// the others. The job is over once all of them are: succeeded if each
+// succeeded, else failed.
 type RepeatSpec struct {
 	// Times is the number of occurrences; 1 to MaxOccurrences. Required.
 	Times int `json:"times"`
@@ -35,6 +38,17 @@
 	Interval Duration `json:"interval,omitempty"`
 }
 
+// DueMillis is when an occurrence falls due, in Unix milliseconds.
+func (r *RepeatSpec) DueMillis(occurrence int) int64 {
+	// Whole and broken milliseconds are multiplied apart, since the product in
+	// nanoseconds may be out of range.
+	const millisecond = Duration(time.Millisecond)
+	number := int64(occurrence)
+	whole := number * int64(r.Interval/millisecond)
+	broken := number * int64(r.Interval%millisecond) / int64(millisecond)
+	return r.First.UnixMilli() + whole + broken
+}
+
 // StepSpec is a set of tasks that become ready together.
 type StepSpec struct {
 	// Name is unique in the job. Required.
@@ -173,23 +187,46 @@
 	// can run any more: a job that was cancelled, or whose group in lockstep has
 	// succeeded, has its state at once, and its EndedAt when the last of its runs
 	// has stopped.
-	SubmittedAt time.Time    `json:"submitted_at"`
-	EndedAt     *time.Time   `json:"ended_at,omitempty"`
-	Steps       []StepStatus `json:"steps,omitempty"`
+	SubmittedAt time.Time  `json:"submitted_at"`
+	EndedAt     *time.Time `json:"ended_at,omitempty"`
+	// Occurrences is absent unless the job repeats.
+	Occurrences *OccurrenceStatus `json:"occurrences,omitempty"`
+	// Steps of a repeating job are those of its open occurrences in turn.
+	Steps []StepStatus `json:"steps,omitempty"`
 	// Archived is true once the job was reduced to its outcome.
 	Archived bool `json:"archived,omitempty"`
 }
 
+// OccurrenceStatus counts the occurrences of a repeating job.
+type OccurrenceStatus struct {
+	// Times is the number of all.
+	Times int `json:"times"`
+	// Open counts those whose tasks can run now or wait to: they have fallen
+	// due, or do so within a moment, and have not ended.
+	Open int `json:"open"`
+	// Succeeded, Failed and Cancelled count those that have ended; those that a
+	// cancel kept from falling due are cancelled.
+	Succeeded int `json:"succeeded"`
+	Failed    int `json:"failed"`
+	Cancelled int `json:"cancelled"`
+	// NextDue is when the first of those falls due that are neither open nor
+	// ended; absent if there is none.
+	NextDue *time.Time `json:"next_due,omitempty"`
+}
+
 // StepStatus is the state of one step.
 type StepStatus struct {
-	Name  string       `json:"name"`
-	State State        `json:"state"`
-	Tasks []TaskStatus `json:"tasks"`
+	Name string `json:"name"`
+	// Occurrence is that of a repeating job, from 0.
+	Occurrence int          `json:"occurrence,omitempty"`
+	State      State        `json:"state"`
+	Tasks      []TaskStatus `json:"tasks"`
 }
 
 // TaskStatus is the state of one task.
 type TaskStatus struct {
-	// Task is the task's full name, "JOB/STEP/INDEX".
+	// Task is the task's full name, "JOB/STEP/INDEX", followed by "/OCCURRENCE"
+	// where that is not 0.
 	Task  string `json:"task"`
 	State State  `json:"state"`
 	// Reason says why a pending task waits or how a final one ended.
--- a/api/validate_job.go
+++ b/api/validate_job.go
@@ -17,6 +17,9 @@
 	MaxGroupMembers = 128
 	// MaxOccurrences bounds the occurrences of a repeating job.
 	MaxOccurrences = 100_000
+	// MaxOpenTasksPerJob bounds the tasks of a repeating job's open occurrences
+	// together; one occurrence is open in any case.
+	MaxOpenTasksPerJob = 10_000
 	// MaxCheckpointBytes bounds a checkpoint, in bytes.
 	MaxCheckpointBytes = 4096
 	// MaxServiceLength bounds the name of a service, in bytes.
@@ -39,6 +42,7 @@
 		check.step(index)
 	}
 	check.cycles()
+	check.repeat()
 	return check.errors.all()
 }
 
@@ -115,8 +119,8 @@
 	step := &c.spec.Steps[index]
 	path := fmt.Sprintf("steps[%d]", index)
 	c.after(path+".after", step)
-	if step.NotBefore != nil && (step.NotBefore.Year() < 1 || step.NotBefore.Year() > 9999) {
-		c.errors.add(path+".not_before", step.NotBefore, "a time in the years 1 to 9999")
+	if step.NotBefore != nil {
+		checkTime(&c.errors, path+".not_before", *step.NotBefore)
 	}
 	if len(step.Tasks) == 0 {
 		c.errors.add(path+".tasks", "[]", "at least one task")
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -72,12 +72,17 @@
 	return &failure{code: ExitUnavailable, text: fmt.Sprintf("job %s has not ended; it is %s", id, state)}
 }
 
-// printJob writes the state of a job with its tasks.
+// printJob writes the state of a job with its occurrences, if it repeats, and
+// its tasks.
 func (a *app) printJob(status api.JobStatus) error {
 	return a.print(status, func(writer io.Writer) {
 		job := newGrid("id", "queue", "priority", "state", "submitted", "ended")
 		job.add(status.ID, status.Queue, status.Priority, status.State, a.clock(status.SubmittedAt), a.clockOf(status.EndedAt))
 		job.render(writer)
+		if status.Occurrences != nil {
+			_, _ = fmt.Fprintln(writer)
+			a.occurrenceGrid(status.Occurrences).render(writer)
+		}
 		if len(status.Steps) > 0 {
 			_, _ = fmt.Fprintln(writer)
 			taskGrid(status).render(writer)
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -100,6 +100,13 @@
 // namesOf is a list in one cell.
 func namesOf(list []string) string { return strings.Join(list, ",") }
 
+// occurrenceGrid is the table of a repeating job's occurrences.
+func (a *app) occurrenceGrid(counts *api.OccurrenceStatus) *grid {
+	occurrences := newGrid("occurrences", "open", "succeeded", "failed", "cancelled", "next due")
+	occurrences.add(counts.Times, counts.Open, counts.Succeeded, counts.Failed, counts.Cancelled, a.clockOf(counts.NextDue))
+	return occurrences
+}
+
 // taskGrid is the table of a job's tasks.
 func taskGrid(status api.JobStatus) *grid {
 	tasks := newGrid("task", "state", "run", "failures", "worker", "reason")
--- a/internal/placement/queues.go
+++ b/internal/placement/queues.go
@@ -208,7 +208,7 @@
 }
 
 func compareTask(a, b record.TaskID) int {
-	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Occurrence, b.Occurrence))
 }
 
 // taskHeap implements heap.Interface, first task first.
--- a/internal/placement/steps.go
+++ b/internal/placement/steps.go
@@ -2,10 +2,15 @@
 
 import "github.com/decklever/decklever/internal/record"
 
-// stepKey names a step of a job.
-type stepKey struct{ job, step string }
+// stepKey names a step of one occurrence of a job.
+type stepKey struct {
+	job, step  string
+	occurrence int
+}
 
-func stepKeyOf(task record.TaskID) stepKey { return stepKey{job: task.Job, step: task.Step} }
+func stepKeyOf(task record.TaskID) stepKey {
+	return stepKey{job: task.Job, step: task.Step, occurrence: task.Occurrence}
+}
 
 // step counts the open runs of one step, as spread rules need it. It lives
 // while it has open runs or classes with a spread rule.
--- a/internal/record/archive.go
+++ b/internal/record/archive.go
@@ -25,6 +25,28 @@
 	EndedAt     Millis         `cbor:"7,keyasint"`
 	Steps       []ArchivedStep `cbor:"8,keyasint"`
 	Index       uint64         `cbor:"9,keyasint"` // log index of the entry that ended it
+	// Occurrences is nil unless the job repeated; Steps is empty then.
+	Occurrences *ArchivedOccurrences `cbor:"10,keyasint,omitempty"`
+}
+
+// ArchivedOccurrences counts the occurrences of a repeating job by outcome.
+type ArchivedOccurrences struct {
+	Succeeded int `cbor:"1,keyasint,omitempty"`
+	Failed    int `cbor:"2,keyasint,omitempty"`
+	Cancelled int `cbor:"3,keyasint,omitempty"`
+	// Tasks is the number of tasks of one occurrence.
+	Tasks int `cbor:"4,keyasint"`
+}
+
+// times is the number of all occurrences.
+func (o *ArchivedOccurrences) times() int { return o.Succeeded + o.Failed + o.Cancelled }
+
+// status is the answer to a caller; nil if the job did not repeat.
+func (o *ArchivedOccurrences) status() *api.OccurrenceStatus {
+	if o == nil {
+		return nil
+	}
+	return &api.OccurrenceStatus{Times: o.times(), Succeeded: o.Succeeded, Failed: o.Failed, Cancelled: o.Cancelled}
 }
 
 // ArchivedStep keeps the outcomes of one step.
@@ -128,6 +150,7 @@
 		EndedAt:     endedAt,
 		Steps:       make([]ArchivedStep, len(job.Steps)),
 		Index:       index,
+		Occurrences: archiveOccurrences(job),
 	}
 	for i, step := range job.Steps {
 		archived.Steps[i] = archiveStep(step)
@@ -135,6 +158,18 @@
 	return archived
 }
 
+func archiveOccurrences(job *Job) *ArchivedOccurrences {
+	if job.Repetition == nil {
+		return nil
+	}
+	return &ArchivedOccurrences{
+		Succeeded: job.Repetition.Succeeded,
+		Failed:    job.Repetition.Failed,
+		Cancelled: job.Repetition.Cancelled,
+		Tasks:     job.Spec.TaskCount(),
+	}
+}
+
 func archiveStep(step *Step) ArchivedStep {
 	archived := ArchivedStep{
 		Name:  step.Spec.Name,
@@ -162,6 +197,7 @@
 		State:       a.State,
 		SubmittedAt: a.SubmittedAt.Time(),
 		EndedAt:     &endedAt,
+		Occurrences: a.Occurrences.status(),
 		Steps:       make([]api.StepStatus, len(a.Steps)),
 		Archived:    true,
 	}
@@ -177,6 +213,9 @@
 	for i := range a.Steps {
 		tasks += len(a.Steps[i].Tasks)
 	}
+	if a.Occurrences != nil {
+		tasks = a.Occurrences.Tasks * a.Occurrences.times()
+	}
 	return api.JobSummary{
 		ID:          a.ID,
 		Queue:       a.Queue,
--- a/internal/record/cancel.go
+++ b/internal/record/cancel.go
@@ -9,6 +9,7 @@
 			continue
 		}
 		job.Cancelled = true
+		job.cancelRest()
 		m.cancelTasks(job)
 		m.endJobIfDone(job)
 	}
--- a/internal/record/command.go
+++ b/internal/record/command.go
@@ -110,6 +110,9 @@
 }
 
 func checkTimes(submit *Submit) error {
+	if repeat := submit.Spec.Repeat; repeat != nil && !writable(repeat.First) {
+		return fmt.Errorf("first occurrence: %w", ErrTimeRange)
+	}
 	for i := range submit.Spec.Steps {
 		step := &submit.Spec.Steps[i]
 		if step.NotBefore != nil && !writable(*step.NotBefore) {
--- a/internal/record/events.go
+++ b/internal/record/events.go
@@ -27,6 +27,20 @@
 // JobAdded begins a live job.
 type JobAdded struct{ Job *Job }
 
+// OccurrenceAdded: a repeating job's next occurrence is live. Its first is part
+// of JobAdded.
+type OccurrenceAdded struct {
+	Job        *Job
+	Occurrence int
+}
+
+// OccurrenceEnded: all tasks of an occurrence are final, and it leaves memory.
+type OccurrenceEnded struct {
+	Job        *Job
+	Occurrence int
+	Steps      []*Step
+}
+
 // JobEnded ends a live job; it is archived.
 type JobEnded struct{ Job *Job }
 
@@ -60,6 +74,8 @@
 func (RunStopping) event()      {}
 func (RunClosed) event()        {}
 func (JobAdded) event()         {}
+func (OccurrenceAdded) event()  {}
+func (OccurrenceEnded) event()  {}
 func (JobEnded) event()         {}
 func (ConfigChanged) event()    {}
 func (WorkerChanged) event()    {}
--- a/internal/record/fuzz_test.go
+++ b/internal/record/fuzz_test.go
@@ -17,6 +17,8 @@
 		{Place: &Place{Placements: []Placement{onWorker(id("j", "a", 0), 1, "w")}}},
 		{Close: &Close{Runs: []RunEnd{{Run: RunID{Task: id("j", "a", 0), Number: 1}, Outcome: api.OutcomeFailed}}}},
 		{Register: &RegisterWorkers{Workers: []Worker{testWorker("w")}}},
+		{Submit: &Submit{ID: "k", Spec: repeating(3, 2000, step("a", 1)), Digest: "d"}},
+		{Expand: &ExpandRepeats{Jobs: []Expansion{{Job: "r", Through: 2}}}},
 		{Release: &ReleaseWindow{Queue: testQueue, Booking: "b", Start: 2000, End: 3000}},
 	}
 	for _, seed := range seeds {
@@ -34,6 +36,7 @@
 		r := newRig(t)
 		r.register(testWorker("w"))
 		r.submit("j", step("a", 2), step("b", 1, "a"))
+		r.submitSpec("r", repeating(3, 2000, step("a", 1)))
 		if _, err := r.machine.Apply(r.index+1, data); err != nil {
 			t.Fatalf("a readable entry could not be applied: %v", err)
 		}
@@ -46,6 +49,8 @@
 	r.submit("j", step("a", 2), replicas("b", 3, "a"))
 	r.mustPlace(onWorker(id("j", "a", 0), 1, "w"))
 	r.apply(Command{Release: &ReleaseWindow{Queue: testQueue, Booking: "b", Start: 2000, End: 3000}})
+	r.submitSpec("r", repeating(9, 2000, step("a", 2), step("b", 1, "a")))
+	r.expand("r", 3)
 	data := snapshotBytes(f, r.machine)
 	f.Add(data[len(snapshotMagic) : len(data)-sha256.Size])
 	f.Add([]byte{0xa1, 0x01, 0x01})
--- a/internal/record/lifecycle.go
+++ b/internal/record/lifecycle.go
@@ -40,6 +40,8 @@
 	step := task.Step
 	step.OpenTasks--
 	step.Job.OpenTasks--
+	step.occurrence.openTasks--
+	step.noteIfOver()
 	switch task.State {
 	case TaskSucceeded:
 		step.succeededTasks++
@@ -97,10 +99,15 @@
 	}
 }
 
-// endJobIfDone takes a job out of memory once all its tasks are final and no
-// run is open.
+// endJobIfDone takes what has ended out of memory: occurrences of a repeating
+// job, and the job once all its tasks are final, no run is open and no
+// occurrence is to come.
 func (m *Machine) endJobIfDone(job *Job) {
-	if job.OpenTasks > 0 || job.openRuns > 0 || m.state.jobs[job.ID] != job {
+	if m.state.jobs[job.ID] != job {
+		return
+	}
+	m.reduceEnded(job)
+	if job.openRuns > 0 || !job.done() {
 		return
 	}
 	m.state.removeJob(job)
--- a/internal/record/machine.go
+++ b/internal/record/machine.go
@@ -96,6 +96,8 @@
 		return m.applyExpire(command.Expire)
 	case command.Release != nil:
 		m.applyRelease(command.Release)
+	case command.Expand != nil:
+		m.applyExpand(command.Expand)
 	case command.DrainZone != nil:
 		m.applyDrainZone(command.DrainZone)
 	default:
--- a/internal/record/property_test.go
+++ b/internal/record/property_test.go
@@ -117,7 +117,7 @@
 
 func drawCommand(t *rapid.T, machine *Machine, expiry bool) Command {
 	command := Command{Time: machine.state.clock + Millis(rapid.IntRange(-50, 300).Draw(t, "time")), Token: 1}
-	most := 16
+	most := 18
 	if expiry {
 		most++
 	}
@@ -144,6 +144,8 @@
 		command.Release = drawRelease(t, machine)
 	case 16:
 		command.DrainZone = &DrainZone{Zone: drawZone.Draw(t, "zone"), Drained: rapid.Bool().Draw(t, "drained")}
+	case 17, 18:
+		command.Expand = drawExpand(t)
 	default:
 		command.Expire = &ExpireArchive{Before: machine.state.clock - 100, Limit: 2}
 	}
@@ -171,9 +173,22 @@
 	third := step("three", 1, "two")
 	spec := api.JobSpec{Queue: rapid.SampledFrom([]string{testQueue, "narrow"}).Draw(t, "queue")}
 	spec.Steps = []api.StepSpec{first, second, third}
+	if rapid.IntRange(0, 2).Draw(t, "repeat") == 0 {
+		repeat := repeating(rapid.IntRange(1, 4).Draw(t, "times"), Millis(rapid.IntRange(900, 2000).Draw(t, "first")))
+		spec.Repeat = repeat.Repeat
+	}
 	return &Submit{ID: drawJobID.Draw(t, "id"), Spec: spec, Digest: spec.Digest()}
 }
 
+func drawExpand(t *rapid.T) *ExpandRepeats {
+	expand := &ExpandRepeats{}
+	for _, job := range rapid.SliceOfN(drawJobID, 1, 4).Draw(t, "jobs") {
+		through := rapid.IntRange(-1, 5).Draw(t, "through")
+		expand.Jobs = append(expand.Jobs, Expansion{Job: job, Through: through})
+	}
+	return expand
+}
+
 func drawPutConfig(t *rapid.T) *PutConfig {
 	config := testConfig()
 	config.Queues[1].MaxRunningTasks = rapid.IntRange(0, 2).Draw(t, "max")
@@ -246,7 +261,8 @@
 	outcomes := []api.Outcome{api.OutcomeSucceeded, api.OutcomeFailed, api.OutcomeStopped, api.OutcomeLost}
 	closing := &Close{}
 	runs := drawOpen(t, machine)
-	stray := RunID{Task: id(drawJobID.Draw(t, "job"), "one", 0), Number: uint32(rapid.IntRange(0, 2).Draw(t, "number"))}
+	strayTask := occurrenceID(drawJobID.Draw(t, "job"), "one", 0, rapid.IntRange(0, 3).Draw(t, "occurrence"))
+	stray := RunID{Task: strayTask, Number: uint32(rapid.IntRange(0, 2).Draw(t, "number"))}
 	for _, run := range append(runs, stray) {
 		outcome := rapid.SampledFrom(outcomes).Draw(t, "outcome")
 		closing.Runs = append(closing.Runs, RunEnd{Run: run, Outcome: outcome})
@@ -296,6 +312,9 @@
 		if e.Run.Task.Step.WaitsOn != 0 || e.Run.Task.Step.Job.Cancelled {
 			c.t.Fatalf("%v must not start", e.Run.ID())
 		}
+		if e.Run.Task.Step.earliestStart() > c.machine.state.clock {
+			c.t.Fatalf("%v started before it fell due", e.Run.ID())
+		}
 		c.lastRun[e.Run.Task] = e.Run.Number
 		c.open[e.Run.ID()] = true
 		c.boundsHold(e.Run.Task.Step.Job.Spec.Queue)
@@ -312,15 +331,45 @@
 		}
 	case WindowReleased:
 		c.released = append(c.released, e.Window)
+	case OccurrenceEnded:
+		c.ended(e.Steps)
 	case JobEnded:
-		for _, step := range e.Job.Steps {
-			for _, task := range step.Tasks {
-				c.task(task)
+		c.ended(e.Job.Steps)
+		c.repetition(e.Job)
+	}
+}
+
+// ended checks steps that leave memory.
+func (c *checker) ended(steps []*Step) {
+	for _, step := range steps {
+		for _, task := range step.Tasks {
+			c.task(task)
+			if !task.State.Final() {
+				c.t.Fatalf("%s left memory in state %d", task.ID, task.State)
 			}
 		}
 	}
 }
 
+// repetition holds the counts of a repeating job against its live occurrences.
+func (c *checker) repetition(job *Job) {
+	if job.Repetition == nil {
+		return
+	}
+	counted := job.Repetition.Succeeded + job.Repetition.Failed + job.Repetition.Cancelled + len(job.occurrences)
+	if counted != job.Repetition.Next || counted > job.Occurrences() {
+		c.t.Fatalf("job %s: %d occurrences of %d counted, %+v", job.ID, counted, job.Occurrences(), *job.Repetition)
+	}
+	if job.Repetition.Cancelled > 0 && !job.Cancelled {
+		c.t.Fatalf("job %s: occurrences are cancelled, the job is not", job.ID)
+	}
+	for _, one := range job.occurrences {
+		if one.over() {
+			c.t.Fatalf("job %s: occurrence %d has ended and is live", job.ID, one.number)
+		}
+	}
+}
+
 // boundsHold checks queue and team right after a run was opened.
 func (c *checker) boundsHold(queue string) {
 	s := c.machine.state
@@ -361,7 +410,7 @@
 	c.drains(command, result)
 	c.windows(command, c.releasedBefore)
 	c.releasedBefore = len(c.released)
-	runs, used, queues := 0, make(map[string]api.Resources), make(map[string]QueueCounts)
+	tasks, runs, used, queues := 0, 0, make(map[string]api.Resources), make(map[string]QueueCounts)
 	for _, job := range s.jobList {
 		open, outlasting := 0, 0
 		counts := queues[job.Spec.Queue]
@@ -369,6 +418,7 @@
 		for _, step := range job.Steps {
 			for _, task := range step.Tasks {
 				c.task(task)
+				tasks++
 				switch {
 				case task.Run != nil:
 					if task.State.Final() {
@@ -386,10 +436,15 @@
 			}
 		}
 		queues[job.Spec.Queue] = counts
-		if open+outlasting == 0 || open != job.OpenTasks || s.jobs[job.ID] != job {
+		c.repetition(job)
+		toCome := job.Repetition != nil && job.Repetition.Next < job.Occurrences()
+		if open+outlasting == 0 && !toCome || open != job.OpenTasks || s.jobs[job.ID] != job {
 			c.t.Fatalf("job %s: %d open tasks, %d counted", job.ID, open, job.OpenTasks)
 		}
 	}
+	if tasks != s.taskTotal {
+		c.t.Fatalf("%d tasks, %d counted", tasks, s.taskTotal)
+	}
 	c.totals(runs, used, queues)
 	c.teams(queues)
 	c.jobsAreFound()
--- /dev/null
+++ b/internal/record/repeat_test.go
@@ -0,0 +1,212 @@
+package record
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/decklever/decklever/api"
+)
+
+const testInterval = 100 * time.Millisecond
+
+func repeating(times int, first Millis, steps ...api.StepSpec) api.JobSpec {
+	repeat := &api.RepeatSpec{Times: times, First: first.Time(), Interval: api.Duration(testInterval)}
+	return api.JobSpec{Queue: testQueue, Repeat: repeat, Steps: steps}
+}
+
+func (r *rig) submitSpec(id string, spec api.JobSpec) SubmitOutcome {
+	r.t.Helper()
+	return r.apply(Command{Submit: &Submit{ID: id, Spec: spec, Digest: spec.Digest()}}).Submit.Outcome
+}
+
+func (r *rig) expand(id string, through int) {
+	r.t.Helper()
+	r.apply(Command{Expand: &ExpandRepeats{Jobs: []Expansion{{Job: id, Through: through}}}})
+}
+
+func occurrenceID(job, step string, index, occurrence int) TaskID {
+	return TaskID{Job: job, Step: step, Index: index, Occurrence: occurrence}
+}
+
+// runOnce takes a task through one run.
+func (r *rig) runOnce(task TaskID, outcome api.Outcome) {
+	r.t.Helper()
+	number := r.task(task).LastRun + 1
+	r.mustPlace(onWorker(task, number, "w1"))
+	r.close(task, number, outcome)
+}
+
+func TestOccurrencesFallDueOneAfterTheOther(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	r.submitSpec("j", repeating(3, 2000, step("a", 1), step("b", 1, "a")))
+	if got := r.status("j"); got.State != api.StatePending || len(got.Steps) != 2 || got.Occurrences.Open != 1 {
+		t.Fatalf("at first: %+v", got)
+	}
+	r.mustReject(onWorker(occurrenceID("j", "a", 0, 0), 1, "w1")) // before it falls due
+	r.now = 2000
+	r.runOnce(occurrenceID("j", "a", 0, 0), api.OutcomeSucceeded)
+	r.expand("j", 1)
+	r.expand("j", 1) // doubled
+	r.mustReject(onWorker(occurrenceID("j", "a", 0, 1), 1, "w1"))
+	r.now = 2100
+	r.runOnce(occurrenceID("j", "a", 0, 1), api.OutcomeSucceeded) // beside the first
+	status := r.status("j")
+	var names []string
+	for _, step := range status.Steps {
+		for _, task := range step.Tasks {
+			names = append(names, task.Task)
+		}
+	}
+	if diff := cmp.Diff([]string{"j/a/0", "j/b/0", "j/a/0/1", "j/b/0/1"}, names); diff != "" {
+		t.Fatal(diff)
+	}
+	due := Millis(2200).Time()
+	want := &api.OccurrenceStatus{Times: 3, Open: 2, NextDue: &due}
+	if diff := cmp.Diff(want, status.Occurrences); diff != "" || status.State != api.StateRunning {
+		t.Fatalf("%s: %s", status.State, diff)
+	}
+	r.runOnce(occurrenceID("j", "b", 0, 0), api.OutcomeSucceeded)
+	r.runOnce(occurrenceID("j", "b", 0, 1), api.OutcomeSucceeded)
+	if got := r.status("j"); got.State != api.StateRunning || len(got.Steps) != 0 || got.Occurrences.Succeeded != 2 {
+		t.Fatalf("between occurrences: %+v", got)
+	}
+	r.expand("j", 99)
+	r.now = 2200
+	r.runOnce(occurrenceID("j", "a", 0, 2), api.OutcomeSucceeded)
+	r.runOnce(occurrenceID("j", "b", 0, 2), api.OutcomeSucceeded)
+	got := r.status("j")
+	if got.State != api.StateSucceeded || !got.Archived || got.Occurrences.Succeeded != 3 || got.Occurrences.Times != 3 {
+		t.Fatalf("at last: %+v", got)
+	}
+	archived, _, _ := r.archive.Get("j")
+	if row := archived.Summary(); row.TasksTotal != 6 || row.TasksEnded != 6 {
+		t.Fatalf("row %+v", row)
+	}
+}
+
+func TestFailedOccurrenceDoesNotStopTheOthers(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	failing := step("a", 1)
+	one := 1
+	failing.Tasks[0].AllowedFailures = &one
+	r.submitSpec("j", repeating(2, 1000, failing, step("b", 1, "a")))
+	r.runOnce(occurrenceID("j", "a", 0, 0), api.OutcomeFailed)
+	if got := r.status("j"); got.State != api.StateRunning || got.Occurrences.Failed != 1 || got.Occurrences.Open != 0 {
+		t.Fatalf("after the first: %+v", got)
+	}
+	r.expand("j", 1)
+	r.now = 1100
+	r.runOnce(occurrenceID("j", "a", 0, 1), api.OutcomeSucceeded)
+	r.runOnce(occurrenceID("j", "b", 0, 1), api.OutcomeSucceeded)
+	got := r.status("j")
+	want := &api.OccurrenceStatus{Times: 2, Succeeded: 1, Failed: 1}
+	if diff := cmp.Diff(want, got.Occurrences); diff != "" || got.State != api.StateFailed || !got.Archived {
+		t.Fatalf("%s: %s", got.State, diff)
+	}
+}
+
+func TestCancelEndsARepeatingJob(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	r.submitSpec("j", repeating(1000, 1000, step("a", 1)))
+	r.runOnce(occurrenceID("j", "a", 0, 0), api.OutcomeSucceeded)
+	r.now = 1200
+	r.expand("j", 2)
+	r.mustPlace(onWorker(occurrenceID("j", "a", 0, 1), 1, "w1"))
+	r.cancel("j")
+	r.expand("j", 500)
+	if got := r.status("j"); got.State != api.StateCancelled || got.EndedAt != nil || got.Occurrences.Open != 1 {
+		t.Fatalf("while one runs: %+v", got)
+	}
+	r.close(occurrenceID("j", "a", 0, 1), 1, api.OutcomeStopped)
+	got := r.status("j")
+	want := &api.OccurrenceStatus{Times: 1000, Succeeded: 1, Cancelled: 999}
+	if diff := cmp.Diff(want, got.Occurrences); diff != "" || got.State != api.StateCancelled || got.EndedAt == nil {
+		t.Fatalf("%+v: %s", got, diff)
+	}
+}
+
+func TestEndedOccurrencesLeaveMemory(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	r.submitSpec("j", repeating(api.MaxOccurrences, 1000, replicas("a", 3)))
+	size := len(snapshotBytes(t, r.machine))
+	for number := range 200 {
+		r.now = 1000 + Millis(number)*100
+		r.expand("j", number)
+		for index := range 3 {
+			r.runOnce(occurrenceID("j", "a", index, number), api.OutcomeSucceeded)
+		}
+		job := r.machine.state.jobs["j"]
+		if len(job.Steps) != 0 || len(job.occurrences) != 0 || r.machine.state.taskTotal != 0 {
+			t.Fatalf("after occurrence %d: %d steps, %d tasks", number, len(job.Steps), r.machine.state.taskTotal)
+		}
+	}
+	if grown := len(snapshotBytes(t, r.machine)); grown > size {
+		t.Fatalf("a snapshot of %d bytes grew to %d", size, grown)
+	}
+	job := r.machine.state.jobs["j"]
+	if row := job.Summary(); row.TasksTotal != 3*api.MaxOccurrences || row.TasksEnded != 600 {
+		t.Fatalf("row %+v", row)
+	}
+}
+
+func TestOpenTasksOfARepeatingJobAreBounded(t *testing.T) {
+	r := newRig(t)
+	r.submitSpec("j", repeating(api.MaxOccurrences, 1000, replicas("a", 1000)))
+	r.now = 1 << 40
+	r.expand("j", api.MaxOccurrences)
+	job := r.machine.state.jobs["j"]
+	if job.OpenTasks != api.MaxOpenTasksPerJob || job.Repetition.Next != api.MaxOpenTasksPerJob/1000 {
+		t.Fatalf("%d open tasks, next %d", job.OpenTasks, job.Repetition.Next)
+	}
+	if allocated := testing.AllocsPerRun(1, func() { r.expand("j", api.MaxOccurrences) }); allocated > 1000 {
+		t.Fatalf("an expansion beyond the bound allocates %v times", allocated)
+	}
+}
+
+func TestSpreadHoldsWithinOneOccurrence(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	apart := replicas("a", 2)
+	apart.Tasks[0].Spread = &api.Spread{By: api.SpreadByWorker}
+	r.submitSpec("j", repeating(2, 1000, apart))
+	r.now = 1100
+	r.expand("j", 1)
+	r.mustPlace(onWorker(occurrenceID("j", "a", 0, 0), 1, "w1"))
+	r.mustReject(onWorker(occurrenceID("j", "a", 1, 0), 1, "w1"))
+	r.mustPlace(onWorker(occurrenceID("j", "a", 0, 1), 1, "w1"))
+}
+
+func TestRepeatingJobSurvivesARestore(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	r.submitSpec("j", repeating(50, 1000, step("a", 1), step("b", 1, "a")))
+	r.now = 2000
+	r.expand("j", 5)
+	for _, number := range []int{0, 3} {
+		r.runOnce(occurrenceID("j", "a", 0, number), api.OutcomeSucceeded)
+		r.runOnce(occurrenceID("j", "b", 0, number), api.OutcomeSucceeded)
+	}
+	r.mustPlace(onWorker(occurrenceID("j", "a", 0, 4), 1, "w1"))
+	written := snapshotBytes(t, r.machine)
+	again := restored(t, written, r.archive)
+	if !bytes.Equal(written, snapshotBytes(t, again)) {
+		t.Fatal("a restored machine writes another snapshot")
+	}
+	if live := again.state.jobs["j"].liveOccurrences(); !slices.Equal(live, []int{1, 2, 4, 5}) {
+		t.Fatalf("live %v", live)
+	}
+	r.machine = again
+	r.close(occurrenceID("j", "a", 0, 4), 1, api.OutcomeSucceeded)
+	r.runOnce(occurrenceID("j", "b", 0, 4), api.OutcomeSucceeded)
+	if got := r.status("j"); got.Occurrences.Succeeded != 3 || got.State != api.StateRunning {
+		t.Fatalf("%s, %+v", got.State, got.Occurrences)
+	}
+}
--- a/internal/record/restore.go
+++ b/internal/record/restore.go
@@ -170,8 +170,13 @@
 	if err := read.matchesSpec(); err != nil {
 		return err
 	}
-	job := newJob(read.ID, read.Digest, *read.Spec, read.SubmittedAt)
+	job := &Job{ID: read.ID, Digest: read.Digest, Spec: *read.Spec, SubmittedAt: read.SubmittedAt}
 	job.Cancelled = read.Cancelled
+	job.Repetition = read.Repetition
+	job.started = read.Started
+	for _, number := range read.liveOccurrences() {
+		job.addOccurrence(number)
+	}
 	for i, step := range job.Steps {
 		if err := r.restoreStep(step, &read.Steps[i]); err != nil {
 			return err
@@ -184,17 +189,41 @@
 // matchesSpec holds what was read against the spec before memory is taken for
 // what the spec only counts.
 func (j *snapshotJob) matchesSpec() error {
-	if j.Spec == nil || len(j.Steps) != len(j.Spec.Steps) {
+	if j.Spec == nil || (j.Spec.Repeat == nil) != (j.Repetition == nil) {
+		return fmt.Errorf("%w: job %q: no spec, or it does not match the repetition", ErrSnapshot, j.ID)
+	}
+	live := j.liveOccurrences()
+	if len(j.Steps) != len(live)*len(j.Spec.Steps) || !j.numbersHold(live) {
 		return fmt.Errorf("%w: job %q: steps do not match the spec", ErrSnapshot, j.ID)
 	}
 	for i := range j.Steps {
-		if len(j.Steps[i].Tasks) != j.Spec.Steps[i].TaskCount() {
+		if len(j.Steps[i].Tasks) != j.Spec.Steps[i%len(j.Spec.Steps)].TaskCount() {
 			return fmt.Errorf("%w: job %q: tasks do not match the spec", ErrSnapshot, j.ID)
 		}
 	}
 	return nil
 }
 
+// liveOccurrences returns the numbers of the live occurrences.
+func (j *snapshotJob) liveOccurrences() []int {
+	if j.Repetition == nil {
+		return []int{0}
+	}
+	return j.Occurrences
+}
+
+// numbersHold reports that live occurrences ascend and were added.
+func (j *snapshotJob) numbersHold(live []int) bool {
+	before := -1
+	for _, number := range live {
+		if number <= before || j.Repetition != nil && number >= j.Repetition.Next {
+			return false
+		}
+		before = number
+	}
+	return true
+}
+
 func (r *snapshotReader) restoreStep(step *Step, read *snapshotStep) error {
 	step.WaitsOn = read.WaitsOn
 	for i, task := range step.Tasks {
@@ -242,6 +271,7 @@
 	}
 	step.OpenTasks--
 	job.OpenTasks--
+	step.occurrence.openTasks--
 	switch task.State {
 	case TaskSucceeded:
 		step.succeededTasks++
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -44,6 +44,12 @@
 	SubmittedAt Millis         `cbor:"4,keyasint"`
 	Cancelled   bool           `cbor:"5,keyasint,omitempty"`
 	Steps       []snapshotStep `cbor:"6,keyasint"`
+	// Repetition is absent unless the job repeats; Occurrences are then the
+	// numbers of the live ones, whose steps follow each other in Steps.
+	Repetition  *Repetition `cbor:"7,keyasint,omitempty"`
+	Occurrences []int       `cbor:"8,keyasint,omitempty"`
+	// Started of a repeating job does not follow from its live tasks.
+	Started bool `cbor:"9,keyasint,omitempty"`
 }
 
 type snapshotStep struct {
@@ -90,11 +96,18 @@
 	job       *Job
 	cancelled bool
 	firstStep int
+	// stepCount is the number of steps of all live occurrences.
+	stepCount int
+	// repetition, occurrences and started are set of a repeating job.
+	repetition  *Repetition
+	occurrences []int
+	started     bool
 }
 
 type capturedStep struct {
 	waitsOn   int
 	firstTask int
+	taskCount int
 }
 
 // Snapshot captures the state and returns a function that writes it, to be
@@ -156,15 +169,26 @@
 }
 
 func (c *capture) addJob(job *Job) {
-	c.jobs = append(c.jobs, capturedJob{job: job, cancelled: job.Cancelled, firstStep: len(c.steps)})
+	c.jobs = append(c.jobs, c.captureJob(job))
 	for _, step := range job.Steps {
-		c.steps = append(c.steps, capturedStep{waitsOn: step.WaitsOn, firstTask: len(c.tasks)})
+		c.steps = append(c.steps, capturedStep{waitsOn: step.WaitsOn, firstTask: len(c.tasks), taskCount: len(step.Tasks)})
 		for _, task := range step.Tasks {
 			c.addTask(task)
 		}
 	}
 }
 
+func (c *capture) captureJob(job *Job) capturedJob {
+	captured := capturedJob{job: job, cancelled: job.Cancelled, firstStep: len(c.steps), stepCount: len(job.Steps)}
+	if job.Repetition != nil {
+		repetition := *job.Repetition
+		captured.repetition = &repetition
+		captured.occurrences = job.liveOccurrences()
+		captured.started = job.started
+	}
+	return captured
+}
+
 func (c *capture) addTask(task *Task) {
 	c.tasks = append(c.tasks, snapshotTask{
 		State:           task.State,
@@ -246,13 +270,16 @@
 		Spec:        &job.Spec,
 		SubmittedAt: job.SubmittedAt,
 		Cancelled:   captured.cancelled,
-		Steps:       make([]snapshotStep, len(job.Steps)),
+		Steps:       make([]snapshotStep, captured.stepCount),
+		Repetition:  captured.repetition,
+		Occurrences: captured.occurrences,
+		Started:     captured.started,
 	}
-	for i, step := range job.Steps {
+	for i := range written.Steps {
 		from := c.steps[captured.firstStep+i]
 		written.Steps[i] = snapshotStep{
 			WaitsOn: from.waitsOn,
-			Tasks:   c.tasks[from.firstTask : from.firstTask+len(step.Tasks)],
+			Tasks:   c.tasks[from.firstTask : from.firstTask+from.taskCount],
 		}
 	}
 	return written
--- a/internal/record/state.go
+++ b/internal/record/state.go
@@ -72,7 +72,12 @@
 // indexJob counts a job's tasks and runs.
 func (s *state) indexJob(job *Job) {
 	s.count(job.Spec.Queue, QueueCounts{Jobs: 1})
-	for _, step := range job.Steps {
+	s.indexSteps(job, job.Steps)
+}
+
+// indexSteps counts the tasks and runs of steps that a job has anew.
+func (s *state) indexSteps(job *Job, steps []*Step) {
+	for _, step := range steps {
 		s.taskTotal += len(step.Tasks)
 		for _, task := range step.Tasks {
 			s.count(job.Spec.Queue, countOf(task))
@@ -86,10 +91,15 @@
 // removeJob takes an ended job out; jobList follows in compactJobs.
 func (s *state) removeJob(job *Job) {
 	delete(s.jobs, job.ID)
-	for _, step := range job.Steps {
+	s.removeSteps(job.Steps)
+	s.count(job.Spec.Queue, QueueCounts{Jobs: -1})
+}
+
+// removeSteps takes out steps whose tasks are all final.
+func (s *state) removeSteps(steps []*Step) {
+	for _, step := range steps {
 		s.taskTotal -= len(step.Tasks)
 	}
-	s.count(job.Spec.Queue, QueueCounts{Jobs: -1})
 }
 
 // fewRemovals is the number up to which removing one at a time is cheaper
@@ -122,7 +132,11 @@
 	if job == nil {
 		return nil
 	}
-	for _, step := range job.Steps {
+	in := job.findOccurrence(id.Occurrence)
+	if in == nil {
+		return nil
+	}
+	for _, step := range in.steps {
 		if step.Spec.Name != id.Step {
 			continue
 		}
@@ -157,6 +171,7 @@
 	place, _ := held.find(run)
 	held.runs = slices.Insert(held.runs, place, run)
 	run.Task.Step.Job.openRuns++
+	run.Task.Step.occurrence.openRuns++
 	s.runTotal++
 }
 
@@ -170,6 +185,8 @@
 		delete(s.loads, run.WorkerID)
 	}
 	run.Task.Step.Job.openRuns--
+	run.Task.Step.occurrence.openRuns--
+	run.Task.Step.noteIfOver()
 	s.runTotal--
 }
 
@@ -201,6 +218,7 @@
 func compareRuns(a, b *Run) int {
 	return cmp.Or(
 		strings.Compare(a.Task.ID.Job, b.Task.ID.Job),
+		cmp.Compare(a.Task.ID.Occurrence, b.Task.ID.Occurrence),
 		strings.Compare(a.Task.ID.Step, b.Task.ID.Step),
 		cmp.Compare(a.Task.ID.Index, b.Task.ID.Index),
 		cmp.Compare(a.Number, b.Number),
--- a/internal/record/status.go
+++ b/internal/record/status.go
@@ -29,9 +29,9 @@
 	switch {
 	case j.Cancelled:
 		return api.StateCancelled
-	case j.OpenTasks == 0 && j.failedTasks > 0:
+	case j.done() && j.failed():
 		return api.StateFailed
-	case j.OpenTasks == 0:
+	case j.done():
 		return api.StateSucceeded
 	case j.started:
 		return api.StateRunning
@@ -39,6 +39,16 @@
 	return api.StatePending
 }
 
+// done reports that every task is final and no occurrence is still to come.
+func (j *Job) done() bool {
+	return j.OpenTasks == 0 && (j.Repetition == nil || j.Repetition.Next >= j.Occurrences())
+}
+
+// failed reports that a task failed for good.
+func (j *Job) failed() bool {
+	return j.failedTasks > 0 || j.Repetition != nil && j.Repetition.Failed > 0
+}
+
 // State is the step's state: pending until a task was placed or has ended.
 func (s *Step) State() api.State {
 	switch {
@@ -69,9 +79,11 @@
 
 // Summary is the job's row in a list.
 func (j *Job) Summary() api.JobSummary {
-	total := 0
-	for _, step := range j.Steps {
-		total += len(step.Tasks)
+	perOccurrence := j.Spec.TaskCount()
+	total := perOccurrence * j.Occurrences()
+	ended := total - j.OpenTasks
+	if j.Repetition != nil {
+		ended -= perOccurrence * (j.Occurrences() - j.Repetition.Next)
 	}
 	return api.JobSummary{
 		ID:          j.ID,
@@ -79,7 +91,7 @@
 		State:       j.State(),
 		SubmittedAt: j.SubmittedAt.Time(),
 		TasksTotal:  total,
-		TasksEnded:  total - j.OpenTasks,
+		TasksEnded:  ended,
 	}
 }
 
@@ -91,6 +103,7 @@
 		Priority:    j.Spec.Priority,
 		State:       j.State(),
 		SubmittedAt: j.SubmittedAt.Time(),
+		Occurrences: j.occurrenceStatus(),
 		Steps:       make([]api.StepStatus, len(j.Steps)),
 	}
 	for i, step := range j.Steps {
@@ -99,11 +112,31 @@
 	return status
 }
 
+// occurrenceStatus counts the occurrences of a repeating job.
+func (j *Job) occurrenceStatus() *api.OccurrenceStatus {
+	if j.Repetition == nil {
+		return nil
+	}
+	status := &api.OccurrenceStatus{
+		Times:     j.Occurrences(),
+		Open:      len(j.occurrences),
+		Succeeded: j.Repetition.Succeeded,
+		Failed:    j.Repetition.Failed,
+		Cancelled: j.Repetition.Cancelled,
+	}
+	if j.Repetition.Next < j.Occurrences() {
+		due := Millis(j.Spec.Repeat.DueMillis(j.Repetition.Next)).Time()
+		status.NextDue = &due
+	}
+	return status
+}
+
 func (s *Step) status(clock Millis, reason func(*Task) string) api.StepStatus {
 	status := api.StepStatus{
-		Name:  s.Spec.Name,
-		State: s.State(),
-		Tasks: make([]api.TaskStatus, len(s.Tasks)),
+		Name:       s.Spec.Name,
+		Occurrence: s.Occurrence,
+		State:      s.State(),
+		Tasks:      make([]api.TaskStatus, len(s.Tasks)),
 	}
 	waits := s.waitReason()
 	for i, task := range s.Tasks {
--- a/internal/record/submit.go
+++ b/internal/record/submit.go
@@ -50,49 +50,27 @@
 }
 
 func (m *Machine) addJob(id, digest string, spec api.JobSpec, queue api.QueueConfig) {
-	job := newJob(id, digest, spec, m.state.clock)
-	for _, step := range job.Steps {
-		for _, task := range step.Tasks {
-			task.AllowedFailures = allowedFailures(task.Spec, queue)
-			task.NotBefore = notBefore(step.Spec)
-		}
+	job := &Job{ID: id, Spec: spec, Digest: digest, SubmittedAt: m.state.clock}
+	if spec.Repeat != nil {
+		job.Repetition = &Repetition{Next: 1, AllowedFailures: queue.DefaultAllowedFailures}
 	}
+	first := job.addOccurrence(0)
+	first.prepare(queue.DefaultAllowedFailures)
 	m.state.addJob(job)
 	m.emit(JobAdded{Job: job})
-	for _, step := range job.Steps {
-		if len(step.before) == 0 {
-			m.startStep(step)
-		}
-	}
+	m.start(first)
 	m.endJobIfDone(job)
 }
 
-// newJob links jobs, steps and tasks; every task is blocked.
-func newJob(id, digest string, spec api.JobSpec, submittedAt Millis) *Job {
-	job := &Job{ID: id, Spec: spec, Digest: digest, SubmittedAt: submittedAt}
-	job.Steps = make([]*Step, len(spec.Steps))
-	byName := make(map[string]*Step, len(spec.Steps))
-	for i := range job.Spec.Steps {
-		step := newStep(job, i)
-		job.Steps[i] = step
-		job.OpenTasks += step.OpenTasks
-		byName[step.Spec.Name] = step
-	}
-	for _, step := range job.Steps {
-		linkStep(step, byName)
-	}
-	return job
-}
-
-func newStep(job *Job, index int) *Step {
+func newStep(job *Job, of *occurrence, index int) *Step {
 	spec := &job.Spec.Steps[index]
 	count := spec.TaskCount()
-	step := &Step{Job: job, Index: index, Spec: spec, OpenTasks: count}
+	step := &Step{Job: job, Occurrence: of.number, Index: index, Spec: spec, OpenTasks: count, occurrence: of}
 	step.Tasks = make([]*Task, count)
 	tasks := make([]Task, count)
 	for i := range tasks {
 		tasks[i] = Task{
-			ID:   TaskID{Job: job.ID, Step: spec.Name, Index: i},
+			ID:   TaskID{Job: job.ID, Step: spec.Name, Index: i, Occurrence: of.number},
 			Step: step,
 			Spec: spec.TaskAt(i),
 		}
@@ -113,8 +91,8 @@
 	step.WaitsOn = len(step.before)
 }
 
-func allowedFailures(spec *api.TaskSpec, queue api.QueueConfig) int {
-	allowed := queue.DefaultAllowedFailures
+func allowedFailures(spec *api.TaskSpec, byDefault int) int {
+	allowed := byDefault
 	if spec.AllowedFailures != nil {
 		allowed = *spec.AllowedFailures
 	}
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -38,22 +38,34 @@
 	SubmittedAt Millis
 	// Cancelled is set by a cancel; open runs are then marked to stop.
 	Cancelled bool
-	Steps     []*Step
-	// OpenTasks counts tasks that are not final.
+	// Steps are those of the spec; of a repeating job, those of each live
+	// occurrence in turn. An occurrence is live from when it is added until all
+	// of its tasks are final.
+	Steps []*Step
+	// Repetition is nil unless the job repeats.
+	Repetition *Repetition
+	// OpenTasks counts tasks of live occurrences that are not final.
 	OpenTasks int
-	// failedTasks counts tasks that failed for good.
+	// failedTasks counts tasks of live occurrences that failed for good.
 	failedTasks int
 	// openRuns counts open runs, also of members of a group that has succeeded.
 	openRuns int
+	// occurrences are the live ones, by number; mayReduce is set once one of
+	// them may have ended.
+	occurrences []*occurrence
+	mayReduce   bool
 	// started is set once a run of the job was placed.
 	started bool
 }
 
-// Step is one step of a live job.
+// Step is one step of a live job, in one of its occurrences.
 type Step struct {
-	Job   *Job
-	Index int
-	Spec  *api.StepSpec
+	Job *Job
+	// Occurrence is that of a repeating job, from 0; Index is the step's place
+	// in the spec.
+	Occurrence int
+	Index      int
+	Spec       *api.StepSpec
 	// WaitsOn counts the steps before it that have not succeeded.
 	WaitsOn int
 	Tasks   []*Task
@@ -62,6 +74,7 @@
 	FailedTasks int
 	// succeededTasks counts tasks that succeeded.
 	succeededTasks int
+	occurrence     *occurrence
 	// before and dependents are the neighbours in the order of steps.
 	before     []*Step
 	dependents []*Step
@@ -253,7 +266,8 @@
 }
 
 // ExpandRepeats adds the tasks of occurrences of repeating jobs that fall due.
-// Unknown jobs and occurrences that were added before are passed over.
+// Unknown jobs and occurrences that were added before are passed over, as are
+// those that would take a job beyond api.MaxOpenTasksPerJob.
 type ExpandRepeats struct {
 	Jobs []Expansion `cbor:"1,keyasint"`
 }
--- a/internal/scheduler/failed_on.go
+++ b/internal/scheduler/failed_on.go
@@ -32,9 +32,9 @@
 	return f[task.ID]
 }
 
-// forgetJob drops what is known of an ended job's tasks.
-func (f failedOn) forgetJob(job *record.Job) {
-	for _, step := range job.Steps {
+// forgetSteps drops what is known of the tasks of steps that have ended.
+func (f failedOn) forgetSteps(steps []*record.Step) {
+	for _, step := range steps {
 		for _, task := range step.Tasks {
 			delete(f, task.ID)
 		}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -71,6 +71,10 @@
 	// to be proposed.
 	pendingCloses []record.RunEnd
 	pendingStops  map[record.StopReason][]record.RunID
+	// repeats are jobs with occurrences to come; pendingExpansions those that
+	// wait to be proposed.
+	repeats           repeats
+	pendingExpansions []record.Expansion
 	// jobWaiters are closed when the job ends.
 	jobWaiters map[string]chan struct{}
 	processes  map[string]*processEntry
@@ -117,6 +121,7 @@
 		failedOn:      make(failedOn),
 		groups:        make(map[stepKey]*groupState),
 		starting:      make(map[stepKey]*groupState),
+		repeats:       newRepeats(),
 		jobWaiters:    make(map[string]chan struct{}),
 		processes:     make(map[string]*processEntry),
 		pendingStops:  make(map[record.StopReason][]record.RunID),
@@ -161,6 +166,7 @@
 		}
 	}
 	for job := range view.Jobs("") {
+		l.repeats.add(job)
 		for _, step := range job.Steps {
 			l.loadStep(step)
 		}
@@ -236,6 +242,7 @@
 	l.planner.SetTime(clusterNow)
 	l.refreshReservations(clusterNow)
 	l.releaseTimers(clusterNow)
+	l.expandLater(clusterNow)
 	// The planner makes room step by step, and goes on although nothing came.
 	l.wake()
 }
@@ -277,12 +284,15 @@
 	l.mu.Lock()
 	closes := l.pendingCloses
 	stops := l.pendingStops
+	expansions := l.pendingExpansions
+	l.pendingExpansions = nil
 	l.pendingCloses = nil
 	l.pendingStops = make(map[record.StopReason][]record.RunID)
 	l.mu.Unlock()
 	if len(closes) > 0 {
 		l.proposeUntilDone("close", record.Command{Close: &record.Close{Runs: closes}})
 	}
+	l.expand(expansions)
 	for reason, runs := range stops {
 		l.proposeUntilDone("stop", record.Command{Stop: &record.Stop{Runs: runs, Reason: reason}})
 	}
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -43,6 +43,11 @@
 	case record.RunClosed:
 		l.closeRun(change.Run, change.Outcome)
 	case record.JobAdded:
+		l.repeats.add(change.Job)
+	case record.OccurrenceAdded:
+		l.repeats.added(change.Job)
+	case record.OccurrenceEnded:
+		l.endSteps(change.Steps)
 	case record.JobEnded:
 		l.endJob(change.Job)
 	case record.ConfigChanged:
@@ -105,14 +110,15 @@
 	l.offer(entry)
 }
 
-// sequence orders tasks of equal priority by the time of submission.
+// sequence orders tasks of equal priority by the time of submission or, of a
+// repeating job, by that at which they fell due.
 func sequence(task *record.Task) uint64 {
 	const (
 		tasksPerStep = 1 << 10
 		stepsPerJob  = 1 << 8
 	)
 	place := task.Step.Index%stepsPerJob*tasksPerStep + task.ID.Index%tasksPerStep
-	return uint64(task.Step.Job.SubmittedAt)*tasksPerStep*stepsPerJob + uint64(place)
+	return uint64(task.Step.FellDue())*tasksPerStep*stepsPerJob + uint64(place)
 }
 
 // offer lets the planner place a task that is due. Members of a group go
@@ -251,8 +257,14 @@
 		close(waiter)
 		delete(l.jobWaiters, job.ID)
 	}
-	l.failedOn.forgetJob(job)
-	for _, step := range job.Steps {
+	l.repeats.remove(job.ID)
+	l.endSteps(job.Steps)
+}
+
+// endSteps forgets steps whose tasks are all final.
+func (l *leader) endSteps(steps []*record.Step) {
+	l.failedOn.forgetSteps(steps)
+	for _, step := range steps {
 		l.dropGroup(step)
 	}
 }
--- /dev/null
+++ b/internal/scheduler/repeats.go
@@ -0,0 +1,183 @@
+package scheduler
+
+import (
+	"container/heap"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+const (
+	// expandAheadMillis is how long before it falls due an occurrence is added
+	// to the record, so that its tasks can be placed right when it does.
+	expandAheadMillis = 300
+	// expandRetryMillis is the pause before an occurrence is added that the
+	// record did not take, since the job has too many open tasks.
+	expandRetryMillis = 500
+	// expansionTasks bounds the tasks that one command adds, beyond those of
+	// its first occurrence, and so the time for which the record is held.
+	expansionTasks = 4096
+)
+
+// repeatingJob is a live job with occurrences that are still to be added.
+type repeatingJob struct {
+	id   string
+	spec *api.RepeatSpec
+	// tasks is the number of tasks of one occurrence.
+	tasks int
+	// next is the number of the occurrence to be added next.
+	next int
+	// addAt is when it is to be added, on the cluster clock.
+	addAt record.Millis
+	// position is the job's place in the heap; -1 while it has none because an
+	// expansion of it is being committed.
+	position int
+}
+
+// repeats are the repeating jobs, first the one to be expanded next.
+type repeats struct {
+	byID map[string]*repeatingJob
+	heap repeatHeap
+}
+
+func newRepeats() repeats { return repeats{byID: make(map[string]*repeatingJob)} }
+
+// add takes a job in that has occurrences to come.
+func (r *repeats) add(job *record.Job) {
+	if job.Repetition == nil || job.Repetition.Next >= job.Occurrences() {
+		return
+	}
+	entry := &repeatingJob{id: job.ID, spec: job.Spec.Repeat, tasks: job.Spec.TaskCount(), next: job.Repetition.Next}
+	r.byID[job.ID] = entry
+	r.arm(entry, entry.nextAddTime())
+}
+
+// added notes that the record holds a job's occurrences before next.
+func (r *repeats) added(job *record.Job) {
+	entry, known := r.byID[job.ID]
+	if !known {
+		return
+	}
+	entry.next = job.Repetition.Next
+	if entry.next >= job.Occurrences() {
+		r.remove(job.ID)
+	}
+}
+
+func (r *repeats) remove(id string) {
+	entry, known := r.byID[id]
+	if !known {
+		return
+	}
+	delete(r.byID, id)
+	if entry.position >= 0 {
+		heap.Remove(&r.heap, entry.position)
+	}
+}
+
+func (r *repeats) arm(entry *repeatingJob, at record.Millis) {
+	entry.addAt = at
+	heap.Push(&r.heap, entry)
+}
+
+// takeDue returns what is to be added now. The jobs in it are looked at again
+// after proposed was called with it.
+func (r *repeats) takeDue(now record.Millis) []record.Expansion {
+	var due []record.Expansion
+	room := expansionTasks
+	for len(r.heap) > 0 && r.heap[0].addAt <= now && (room > 0 || len(due) == 0) {
+		entry := heap.Pop(&r.heap).(*repeatingJob)
+		through := entry.lastDue(now, room)
+		room -= entry.tasks * (through - entry.next + 1)
+		due = append(due, record.Expansion{Job: entry.id, Through: through})
+	}
+	return due
+}
+
+// proposed arms the jobs again of an expansion that was committed.
+func (r *repeats) proposed(expansions []record.Expansion, now record.Millis) {
+	for _, expansion := range expansions {
+		entry, known := r.byID[expansion.Job]
+		if !known || entry.position >= 0 {
+			continue
+		}
+		at := entry.nextAddTime()
+		if entry.next <= expansion.Through {
+			at = now + expandRetryMillis
+		}
+		r.arm(entry, at)
+	}
+}
+
+// lastDue is the last occurrence to be added now, within the room for tasks;
+// the next one in any case.
+func (j *repeatingJob) lastDue(now record.Millis, room int) int {
+	last := j.next
+	room -= j.tasks
+	for last+1 < j.spec.Times && room >= j.tasks && j.addTime(last+1) <= now {
+		last++
+		room -= j.tasks
+	}
+	return last
+}
+
+func (j *repeatingJob) nextAddTime() record.Millis { return j.addTime(j.next) }
+
+// addTime is when an occurrence is to be added.
+func (j *repeatingJob) addTime(occurrence int) record.Millis {
+	return record.Millis(j.spec.DueMillis(occurrence)) - expandAheadMillis
+}
+
+// expandLater queues the expansion of repeating jobs whose next occurrences
+// fall due.
+func (l *leader) expandLater(now record.Millis) {
+	due := l.repeats.takeDue(now)
+	if len(due) == 0 {
+		return
+	}
+	l.pendingExpansions = append(l.pendingExpansions, due...)
+	signal(l.wakeProposer)
+}
+
+// expand commits what expandLater has queued.
+func (l *leader) expand(expansions []record.Expansion) {
+	if len(expansions) == 0 {
+		return
+	}
+	command := record.Command{Expand: &record.ExpandRepeats{Jobs: expansions}}
+	if _, done := l.proposeUntilDone("expand", command); !done {
+		return
+	}
+	now := l.log.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.repeats.proposed(expansions, now)
+}
+
+// repeatHeap implements heap.Interface, the earliest first.
+type repeatHeap []*repeatingJob
+
+func (h repeatHeap) Len() int           { return len(h) }
+func (h repeatHeap) Less(i, j int) bool { return h[i].addAt < h[j].addAt }
+
+func (h repeatHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (h *repeatHeap) Push(item any) {
+	entry := item.(*repeatingJob)
+	entry.position = len(*h)
+	*h = append(*h, entry)
+}
+
+// Pop implements heap.Interface.
+func (h *repeatHeap) Pop() any {
+	last := len(*h) - 1
+	entry := (*h)[last]
+	entry.position = -1
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return entry
+}
--- /dev/null
+++ b/internal/scheduler/repeats_test.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// repeating runs a step of one task again and again, first after a delay.
+func (h *harness) repeating(times int, delay, interval time.Duration) api.JobSpec {
+	first := (h.log.clock + record.Millis(delay.Milliseconds())).Time()
+	repeat := &api.RepeatSpec{Times: times, First: first, Interval: api.Duration(interval)}
+	return api.JobSpec{Queue: "q", Repeat: repeat, Steps: []api.StepSpec{tasks(1)}}
+}
+
+func (h *harness) job(id string) (job *record.Job) {
+	h.t.Helper()
+	h.log.machine.Read(func(view record.View) { job, _ = view.Job(id) })
+	if job == nil {
+		h.t.Fatalf("job %s is not live", id)
+	}
+	return job
+}
+
+func TestOccurrencesStartWhenTheyFallDue(t *testing.T) {
+	const times = 5
+	for _, newTerms := range []bool{false, true} {
+		h := newHarness(t)
+		worker := h.worker("w", "w-1")
+		worker.exchange()
+		spec := h.repeating(times, time.Second, 500*time.Millisecond)
+		h.submitSpec("j", spec)
+		started := map[string]record.Millis{}
+		terms := 0
+		for h.status("j").State != api.StateSucceeded {
+			if newTerms && len(started) > terms {
+				terms = len(started)
+				h.newTerm()
+				worker.exchange()
+			}
+			h.advance(50 * time.Millisecond)
+			for _, order := range worker.exchange().Start {
+				started[order.Task] = h.log.clock
+			}
+			worker.end(api.OutcomeSucceeded)
+			worker.exchange()
+			if open := h.status("j").Occurrences.Open; open > 2 {
+				t.Fatalf("%d occurrences are open at once", open)
+			}
+			if h.log.clock > record.Millis(spec.Repeat.DueMillis(times))+1000 {
+				t.Fatalf("not over: %+v", h.status("j").Occurrences)
+			}
+		}
+		for number := range times {
+			name := record.TaskID{Job: "j", Step: "s", Occurrence: number}.String()
+			due := record.Millis(spec.Repeat.DueMillis(number))
+			if late := started[name] - due; late < 0 || late > 100 {
+				t.Errorf("new terms %v: %s started %d ms after it fell due", newTerms, name, late)
+			}
+		}
+	}
+}
+
+func TestOnlyTheNextOccurrenceIsInTheRecord(t *testing.T) {
+	h := newHarness(t)
+	h.submitSpec("j", h.repeating(api.MaxOccurrences, time.Second, time.Second))
+	for range 10 {
+		h.advance(time.Second)
+		job := h.job("j")
+		due := int((h.log.clock-record.Millis(job.Spec.Repeat.First.UnixMilli()))/1000) + 1
+		if next := job.Repetition.Next; next != due && next != due+1 {
+			t.Fatalf("%d occurrences were added of %d that fell due", next, due)
+		}
+	}
+}
+
+func TestExpansionsOfManyJobsAreOneCommand(t *testing.T) {
+	h := newHarness(t)
+	for number := range 50 {
+		h.submitSpec(fmt.Sprintf("j-%d", number), h.repeating(3, time.Second, time.Second))
+	}
+	before := h.log.index
+	h.advance(2 * time.Second) // occurrences 1 and, with the next tick, none
+	if commands := h.log.index - before; commands != 1 {
+		t.Errorf("%d commands", commands)
+	}
+	for number := range 50 {
+		if next := h.job(fmt.Sprintf("j-%d", number)).Repetition.Next; next != 2 {
+			t.Errorf("job %d: next is %d", number, next)
+		}
+	}
+}
+
+func TestMissedOccurrencesComeInBatches(t *testing.T) {
+	h := newHarness(t)
+	spec := h.repeating(20_000, -time.Hour, time.Millisecond)
+	h.submitSpec("j", spec)
+	next := h.job("j").Repetition.Next
+	for range 10 {
+		h.advance(50 * time.Millisecond)
+		now := h.job("j").Repetition.Next
+		if now-next > expansionTasks {
+			t.Fatalf("%d occurrences in one command", now-next)
+		}
+		next = now
+	}
+	if next != api.MaxOpenTasksPerJob {
+		t.Fatalf("%d of at most %d are open", next, api.MaxOpenTasksPerJob)
+	}
+	before := h.log.index
+	h.advance(time.Second)
+	for range 10 {
+		h.advance(10 * time.Millisecond)
+	}
+	if commands := h.log.index - before; commands > 2 {
+		t.Errorf("%d commands although nothing can be added", commands)
+	}
+}
+
+func TestCancelledJobIsExpandedNoMore(t *testing.T) {
+	h := newHarness(t)
+	h.submitSpec("j", h.repeating(10, time.Second, time.Second))
+	if _, err := h.leader.propose(t.Context(), record.Command{Cancel: &record.Cancel{Jobs: []string{"j"}}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := h.status("j"); got.State != api.StateCancelled || got.Occurrences.Cancelled != 10 {
+		t.Fatalf("%+v", got)
+	}
+	before := h.log.index
+	h.advance(5 * time.Second)
+	if h.log.index != before || len(h.leader.repeats.byID)+len(h.leader.repeats.heap) != 0 {
+		t.Errorf("%d commands after the cancel, %d jobs kept", h.log.index-before, len(h.leader.repeats.byID))
+	}
+}
+
+func TestGroupsOfOccurrencesArePlacedForThemselves(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	spec := h.repeating(2, 0, 100*time.Millisecond)
+	spec.Steps[0].Together = true
+	spec.Steps[0].Replicas = 2
+	h.submitSpec("j", spec)
+	h.advance(100 * time.Millisecond)
+	h.advance(50 * time.Millisecond)
+	orders := worker.exchange().Start
+	if len(orders) != 4 {
+		t.Fatalf("want both groups of two started, got %+v", orders)
+	}
+	worker.end(api.OutcomeSucceeded)
+	worker.exchange()
+	if got := h.status("j"); got.State != api.StateSucceeded || len(h.leader.groups) != 0 {
+		t.Fatalf("%s, %d groups kept", got.State, len(h.leader.groups))
+	}
+}
