Keep orders from a heartbeat whose caller went away

Cause: a heartbeat that came after the agent had given its call up was answered with orders, which could have no effect: the run was closed as lost and the task placed anew.

Now the order waits for the next heartbeat.

Test first: the gone caller was given the order, and the next heartbeat none.

--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -27,8 +27,9 @@
 // it draws conclusions and right before it answers.
 //
 // What a heartbeat tells is true whether or not its caller still waits, so the
-// caller's context bounds nothing here.
-func (l *leader) heartbeat(_ context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
+// caller's context bounds nothing here. It only keeps orders from an answer that
+// nobody takes.
+func (l *leader) heartbeat(ctx context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
 	if !l.log.HoldsLease(l.token) {
 		return fleet.HeartbeatAnswer{}, l.notLeader()
 	}
@@ -43,7 +44,7 @@
 	if observed.late {
 		return fleet.HeartbeatAnswer{}, &rpc.Error{Code: rpc.CodeUnavailable, Message: "heartbeat is not newer than one already heard"}
 	}
-	return l.answerHeartbeat(observed, acknowledged)
+	return l.answerHeartbeat(ctx, observed, acknowledged)
 }
 
 // observation is a heartbeat in work.
@@ -142,7 +143,7 @@
 
 // answerHeartbeat gives the hold and the orders, unless the heartbeat has been
 // overtaken meanwhile by a newer one or by the lapse of the hold.
-func (l *leader) answerHeartbeat(observed *observation, acknowledged []api.RunRef) (fleet.HeartbeatAnswer, error) {
+func (l *leader) answerHeartbeat(ctx context.Context, observed *observation, acknowledged []api.RunRef) (fleet.HeartbeatAnswer, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	worker := observed.worker
@@ -160,7 +161,7 @@
 		Token:          l.token,
 		HoldMillis:     l.hold().Milliseconds(),
 		IntervalMillis: l.interval(len(acknowledged) > 0).Milliseconds(),
-		Start:          l.startOrders(worker),
+		Start:          l.startOrders(ctx, worker),
 		Stop:           l.stopOrders(worker, observed.differences),
 		Acknowledged:   acknowledged,
 		ConfigVersion:  l.configVersion,
@@ -173,14 +174,18 @@
 	return fleet.HeartbeatAnswer{Answer: answer}, nil
 }
 
-// startOrders gives each run placed on the worker its one order.
-func (l *leader) startOrders(worker *workerEntry) []api.StartOrder {
+// startOrders gives each run placed on the worker its one order, if the caller
+// still waits for it.
+func (l *leader) startOrders(ctx context.Context, worker *workerEntry) []api.StartOrder {
 	orders := []api.StartOrder{}
 	if worker.leaving() {
 		l.withdrawUnordered(worker)
 		l.stopDeparting(worker, l.now())
 		return orders
 	}
+	if ctx.Err() != nil {
+		return orders
+	}
 	for _, run := range worker.runs {
 		if run.orderedAt != 0 || run.inherited || run.closing || run.stop != record.StopNone {
 			continue
--- a/internal/scheduler/reports_test.go
+++ b/internal/scheduler/reports_test.go
@@ -221,3 +221,20 @@
 }
 
 func testTask() record.TaskID { return record.TaskID{Job: "j", Step: "s", Index: 0} }
+
+// An order in an answer that nobody takes would cost the task a run.
+func TestCallerThatWentAwayGetsNoOrders(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	h.submit("j", tasks(1))
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	worker.heartbeat.Seq++
+	if answer, _ := h.deliver(gone, worker.heartbeat); len(answer.Start) != 0 {
+		t.Errorf("orders that cannot arrive: %+v", answer.Start)
+	}
+	if answer := worker.exchange(); len(answer.Start) != 1 || answer.Start[0].Run != 1 {
+		t.Errorf("want the order for run 1, got %+v", answer.Start)
+	}
+}
