Hold back workers on which work fails, and stop runs that stand still

Cause: a worker that fails all it starts, or on which work stands still or crawls, kept on getting work. It used up the allowed failures of whole jobs, and a run that stood still held its job up for ever.

Change: the pure package workerhealth judges incarnations by ends of runs, standstills and pace against the same queue elsewhere. Suspect workers get nothing that another could hold, then one run at a time on probation, never a task's last attempt; slow ones get work last. At most a quarter of a service's workers are held back. A task that fails on two workers counts against itself, one job's failures count once. Runs without progress beyond a bound that follows from estimate and percents are stopped with reason "stalled", which is no failure, and avoid that worker; the bound doubles, four stops at most. All is in the leader's memory. GET /v1/workers shows suspect and probation with the reason; two metrics, two log lines. A failing job's excuse for all its workers was weighed and refused: two bad workers would hide.

TestHealthyFleetIsTrusted: fewer than one hold in 1,000 tasks of a healthy fleet with tasks and jobs that fail by their own fault, over 100 drawn runs of 6,000 tasks. TestFailingWorkersAreFound: one or two of 11 workers that fail 40% or more are found within 60 tasks each.

--- a/api/status.go
+++ b/api/status.go
@@ -15,6 +15,11 @@
 	WorkerDraining WorkerState = "draining"
 	// WorkerSilent has not been heard; its hold may still stand.
 	WorkerSilent WorkerState = "silent"
+	// WorkerSuspect gets no new work for a while, except what no other worker
+	// could take: work fails or stands still there, and not elsewhere.
+	WorkerSuspect WorkerState = "suspect"
+	// WorkerProbation was suspect; it gets one task at a time.
+	WorkerProbation WorkerState = "probation"
 	// WorkerLost is silent and its hold has lapsed.
 	WorkerLost WorkerState = "lost"
 )
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -22,7 +22,7 @@
 }
 
 var workerStates = []api.WorkerState{
-	api.WorkerReady, api.WorkerWaiting, api.WorkerDraining, api.WorkerSilent, api.WorkerLost,
+	api.WorkerReady, api.WorkerWaiting, api.WorkerSuspect, api.WorkerProbation, api.WorkerDraining, api.WorkerSilent, api.WorkerLost,
 }
 
 // statusCommand shows the fleet on one screen.
--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -19,6 +19,8 @@
 	need        api.Resources
 	queue       string
 	preemptible bool
+	// mayTry allows workers on probation.
+	mayTry bool
 	// duration bounds a run; 0 is no bound.
 	duration     record.Millis
 	spreadBy     string
@@ -75,6 +77,7 @@
 		selector:    selector{service: spec.Service, labels: canonicalLabels(spec.Labels)},
 		need:        spec.Resources,
 		preemptible: e.isPreemptible(task),
+		mayTry:      task.MayTry,
 	}
 	if !key.preemptible {
 		key.duration = durationOf(spec)
@@ -171,7 +174,7 @@
 	if !fits(c.key.need, w.free) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
 		return false
 	}
-	return withinSpread(c.spread, &w.Worker)
+	return withinSpread(c.spread, &w.Worker) && c.admits(w)
 }
 
 // mayUse reports whether the class may find room on a worker that changed: a
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -146,7 +146,7 @@
 
 func sameWorker(a, b *Worker) bool {
 	return a.ID == b.ID && a.Name == b.Name && a.Zone == b.Zone &&
-		a.Capacity == b.Capacity && a.Usable == b.Usable && a.Slow == b.Slow &&
+		a.Capacity == b.Capacity && a.Usable == b.Usable && a.Slow == b.Slow && a.Probation == b.Probation && a.HeldBack == b.HeldBack &&
 		slices.Equal(a.Services, b.Services) && maps.Equal(a.Labels, b.Labels)
 }
 
@@ -154,7 +154,7 @@
 	return a.ID == b.ID && a.Queue == b.Queue && a.Priority == b.Priority && a.Sequence == b.Sequence &&
 		a.Spec == b.Spec && a.Group == b.Group && a.GroupSize == b.GroupSize &&
 		a.StartedAt == b.StartedAt && a.Preemptions == b.Preemptions &&
-		a.StepSize == b.StepSize && a.Colocate == b.Colocate && slices.Equal(a.Avoid, b.Avoid)
+		a.StepSize == b.StepSize && a.Colocate == b.Colocate && a.MayTry == b.MayTry && a.Tries == b.Tries && slices.Equal(a.Avoid, b.Avoid)
 }
 
 func (w *worker) runsByStep() map[*step]int {
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -286,7 +286,7 @@
 		if total >= enough {
 			return enough
 		}
-		here := placesOn(c.key.need, c.roomOn(w), enough-total)
+		here := min(placesOn(c.key.need, c.roomOn(w), enough-total), c.mostOn(w))
 		if c.spread != nil && here > 0 {
 			here = takeFromDomain(left, c.spread, &w.Worker, here)
 		}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -205,7 +205,7 @@
 func (e *Engine) priorityChoice(c *class, priority int) choice {
 	var best choice
 	for _, w := range c.pool.workers {
-		if !withinSpread(c.spread, &w.Worker) || !c.leavesSlices(w) {
+		if w.guarded || !withinSpread(c.spread, &w.Worker) || !c.leavesSlices(w) {
 			continue
 		}
 		if victims, ok := w.victimsFor(c.key.need, priority); ok {
--- a/internal/placement/preempt_group.go
+++ b/internal/placement/preempt_group.go
@@ -65,6 +65,9 @@
 		if total >= enough {
 			break
 		}
+		if w.guarded {
+			continue
+		}
 		here := placesOn(c.key.need, w.coming().Add(w.preemptible), enough-total)
 		if c.spread != nil && here > 0 {
 			here = takeFromDomain(left, c.spread, &w.Worker, here)
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -80,6 +80,9 @@
 	if !task.Spec.Resources.Fits(w.Capacity.Sub(m.used(w.ID))) {
 		return false
 	}
+	if !m.admits(task, w) {
+		return false
+	}
 	if !m.inSlice(task.ID) && !m.leavesSlices(task, w) {
 		return false
 	}
@@ -90,6 +93,29 @@
 	return ok && m.inDomain(task, domain) < max(task.Spec.Spread.MaxPerDomain, 1)
 }
 
+// admits applies the rule of probation.
+func (m *model) admits(task Task, w Worker) bool {
+	guarded := func(w Worker) bool { return w.Probation || w.HeldBack }
+	if !guarded(w) {
+		return true
+	}
+	for id, p := range m.open {
+		if p.worker == w.ID && id != task.ID {
+			return false
+		}
+	}
+	if task.MayTry && !w.HeldBack {
+		return true
+	}
+	for _, other := range m.workers {
+		if other.Usable && !guarded(other) && offersService(&other, task.Spec.Service) &&
+			hasLabels(&other, task.Spec.Labels) && task.Spec.Resources.Fits(other.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *model) mayRun(queue string) bool {
 	limit := m.queues[queue].MaxRunning
 	return (limit == 0 || m.running(queue) < limit) && m.teamMayRun(m.queues[queue].Team)
@@ -99,12 +125,14 @@
 	number := rapid.IntRange(0, 5).Draw(t, "worker")
 	return Worker{
 		ID: fmt.Sprint("id", number), Name: fmt.Sprint("w", number),
-		Zone:     rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone"),
-		Capacity: api.Resources{CPUMillis: rapid.Int64Range(0, 12).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(0, 12).Draw(t, "memory")},
-		Services: rapid.SampledFrom([][]string{{"s"}, {"s", "x"}, {"x"}}).Draw(t, "services"),
-		Labels:   rapid.SampledFrom([]map[string]string{nil, {"k": "1"}, {"k": "2"}}).Draw(t, "labels"),
-		Usable:   rapid.IntRange(0, 3).Draw(t, "usable") > 0,
-		Slow:     rapid.IntRange(0, 3).Draw(t, "slow") == 0,
+		Zone:      rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone"),
+		Capacity:  api.Resources{CPUMillis: rapid.Int64Range(0, 12).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(0, 12).Draw(t, "memory")},
+		Services:  rapid.SampledFrom([][]string{{"s"}, {"s", "x"}, {"x"}}).Draw(t, "services"),
+		Labels:    rapid.SampledFrom([]map[string]string{nil, {"k": "1"}, {"k": "2"}}).Draw(t, "labels"),
+		Usable:    rapid.IntRange(0, 3).Draw(t, "usable") > 0,
+		HeldBack:  rapid.IntRange(0, 5).Draw(t, "held back") == 0,
+		Probation: rapid.IntRange(0, 3).Draw(t, "probation") == 0,
+		Slow:      rapid.IntRange(0, 3).Draw(t, "slow") == 0,
 	}
 }
 
@@ -139,6 +167,7 @@
 		task := Task{
 			ID: record.TaskID{Job: name, Step: "a", Index: i}, Queue: queue, Priority: priority,
 			Sequence: uint64(m.next), Spec: spec, Colocate: colocate, StepSize: rapid.SampledFrom([]int{0, count}).Draw(t, "size"),
+			MayTry: rapid.Bool().Draw(t, "may try"), Tries: rapid.Bool().Draw(t, "tries"),
 			Avoid: rapid.SampledFrom([][]string{nil, nil, {"w1"}, {"w1", "w2"}}).Draw(t, "avoid"),
 		}
 		if together {
--- a/internal/placement/reasons.go
+++ b/internal/placement/reasons.go
@@ -15,6 +15,7 @@
 	reasonNoUsableWorker = "no usable worker"
 	reasonTurn           = "waits for its turn"
 	reasonPreempting     = "waits for preempted runs to stop"
+	reasonGuarded        = "waits for a worker on which work does not fail"
 )
 
 // Reason implements Planner. It is worked out from the state at the time of
@@ -79,8 +80,12 @@
 	}
 	var most api.Resources
 	var booked record.Millis
-	roomy, spreadable := false, false
+	roomy, spreadable, guarded := false, false, true
 	for _, candidate := range c.pool.workers {
+		if !c.admits(candidate) {
+			continue
+		}
+		guarded = false
 		most = largestOf(most, candidate.free)
 		roomy = roomy || fits(c.key.need, candidate.free)
 		if c.fitsOn(candidate) {
@@ -91,6 +96,9 @@
 		}
 		spreadable = spreadable || withinSpread(c.spread, &candidate.Worker)
 	}
+	if guarded {
+		return reasonGuarded
+	}
 	if booked > 0 {
 		return fmt.Sprintf("no room until %s (booked)", booked.Time().Format("15:04"))
 	}
--- a/internal/placement/seats.go
+++ b/internal/placement/seats.go
@@ -40,7 +40,7 @@
 // mayEnter reports whether a task of the class may run in a slice of the set,
 // room aside.
 func (c *class) mayEnter(s *sliceSet) bool {
-	return s.used < s.slots && c.mayBook(s) && withinSpread(c.spread, &s.worker.Worker)
+	return s.used < s.slots && c.mayBook(s) && withinSpread(c.spread, &s.worker.Worker) && c.admits(s.worker)
 }
 
 // mayBook reports whether the set is of a reservation for the class, in its
--- a/internal/placement/slices.go
+++ b/internal/placement/slices.go
@@ -161,7 +161,7 @@
 // dropSlicesOf takes off the slices that a worker does not serve any more.
 func (e *Engine) dropSlicesOf(w *worker) {
 	for _, s := range slices.Clone(w.slices) {
-		if !s.reservation.pool.matches(w) {
+		if !s.reservation.pool.matches(w) || w.HeldBack {
 			e.dropSlices(s, s.slots)
 		}
 	}
@@ -242,7 +242,7 @@
 
 func (e *Engine) siteOn(r *reservation, w *worker) (site, bool) {
 	slack := w.slackDuring(r, nil)
-	if !fits(r.Slice, slack) {
+	if !fits(r.Slice, slack) || w.guarded {
 		return site{}, false
 	}
 	return site{
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -18,6 +18,12 @@
 	Usable bool
 	// Slow workers are taken by tasks that find no room elsewhere.
 	Slow bool
+	// Probation: the worker takes one run at a time, and only of tasks that may
+	// try it or that no other worker could hold.
+	Probation bool
+	// HeldBack: the worker takes one run at a time, and only of tasks that no
+	// other worker could hold. Slices leave it.
+	HeldBack bool
 }
 
 // Task is a task that waits for a place.
@@ -43,6 +49,8 @@
 	Colocate string
 	// Avoid names workers on which runs of the task failed: others come first.
 	Avoid []string
+	// MayTry allows workers on probation; Tries prefers them.
+	MayTry, Tries bool
 }
 
 // TeamRule is what the engine must know of a team.
--- a/internal/placement/wishes.go
+++ b/internal/placement/wishes.go
@@ -7,7 +7,9 @@
 // order. None ever makes a task wait.
 const (
 	// costFailedHere: a run of the task failed on the worker.
-	costFailedHere = 1 << (4 - iota)
+	costFailedHere = 1 << (5 - iota)
+	// costGuarded: the worker is on probation or held back.
+	costGuarded
 	// costSlow: the worker is slower than others at the same work.
 	costSlow
 	// costNotPreferred: the worker lacks a label of TaskSpec.Prefer.
@@ -40,7 +42,7 @@
 // hasWishes reports whether the task may have to look past the first worker.
 func (e *Engine) hasWishes(task *Task) bool {
 	return len(task.Avoid) > 0 || task.Colocate != "" || task.StepSize > 1 ||
-		len(task.Spec.Prefer) > 0 || e.workers.slow > 0
+		len(task.Spec.Prefer) > 0 || e.workers.slow > 0 || len(e.workers.guarded) > 0
 }
 
 // fullest returns the worker that a task which waits takes, or nil: of those
@@ -51,6 +53,9 @@
 	if first == nil || !e.hasWishes(&w.Task) {
 		return first
 	}
+	if tried := e.toTry(w); tried != nil {
+		return tried
+	}
 	wanted := e.wishesOf(w)
 	if wanted.cost(first) == 0 {
 		return first
@@ -76,6 +81,9 @@
 	if slices.Contains(s.task.Avoid, w.Name) {
 		cost += costFailedHere
 	}
+	if w.guarded {
+		cost += costGuarded
+	}
 	if w.Slow {
 		cost += costSlow
 	}
--- a/internal/placement/workers.go
+++ b/internal/placement/workers.go
@@ -27,6 +27,9 @@
 	points []point
 	// firm is the part of free that no slice needs at any time.
 	firm api.Resources
+	// guarded is true on probation and while held back: the worker may take a
+	// part of what comes only.
+	guarded bool
 	// Worker is as last set; only ID is set while known is false.
 	Worker
 	// known is false while there are only runs held for it.
@@ -82,8 +85,10 @@
 	largest api.Resources
 	// stale is set when largest must be worked out again.
 	stale bool
-	// slow counts the workers that are slow.
-	slow int
+	// slow counts the workers that are slow, guarded lists those on probation
+	// or held back.
+	slow    int
+	guarded []*worker
 	// changed lists the workers that may have gained room since the last pass.
 	changed []*worker
 }
@@ -105,11 +110,12 @@
 // set takes over what is known of the worker.
 func (x *workerIndex) set(w *worker, to Worker) {
 	x.leavePools(w)
-	x.countSlow(w, -1)
+	x.countOut(w)
 	to.Services = slices.Clone(to.Services)
 	to.Labels = maps.Clone(to.Labels)
 	w.Worker, w.known = to, true
-	x.countSlow(w, 1)
+	w.guarded = to.Probation || to.HeldBack
+	x.countIn(w)
 	w.pools = nil
 	x.stale = true
 	w.rebuildPoints()
@@ -126,7 +132,7 @@
 
 func (x *workerIndex) remove(w *worker) {
 	x.leavePools(w)
-	x.countSlow(w, -1)
+	x.countOut(w)
 	w.pools = nil
 	// It may still be listed as changed; no slice may go there.
 	w.known = false
@@ -134,12 +140,6 @@
 	delete(x.byID, w.ID)
 }
 
-func (x *workerIndex) countSlow(w *worker, change int) {
-	if w.known && w.Slow {
-		x.slow += change
-	}
-}
-
 // take accounts for a run on its worker.
 func (x *workerIndex) take(r *run) {
 	w := r.worker
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -139,6 +139,8 @@
 	// StopGroup: the run's group did not start whole or, in lockstep, goes back
 	// whole or has succeeded.
 	StopGroup StopReason = "group"
+	// StopStalled: the run made no progress for long.
+	StopStalled StopReason = "stalled"
 )
 
 // Worker is a worker known to the record; the newest incarnation of a name.
--- a/internal/scheduler/failed_on_test.go
+++ b/internal/scheduler/failed_on_test.go
@@ -47,8 +47,8 @@
 	if state := h.status("j").State; state != api.StateFailed {
 		t.Fatalf("job is %s", state)
 	}
-	if len(h.leader.failedOn) != 0 {
-		t.Errorf("kept after the job's end: %v", h.leader.failedOn)
+	if len(h.leader.health.failedOn) != 0 {
+		t.Errorf("kept after the job's end: %v", h.leader.health.failedOn)
 	}
 	known := failedOn{}
 	id := record.TaskID{Job: "j"}
--- /dev/null
+++ b/internal/scheduler/health.go
@@ -0,0 +1,184 @@
+package scheduler
+
+import (
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/placement"
+	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/workerhealth"
+)
+
+const (
+	// reviewInterval is how often workers and runs are judged.
+	reviewInterval = 250 * time.Millisecond
+	// shortRun: tasks of at most this estimate try workers on probation first.
+	shortRun = 2 * time.Second
+	// freshStart is the greatest percent of a run's first report at which its
+	// whole time says something: one that goes on from a checkpoint begins later.
+	freshStart = 5
+)
+
+// health is what a leader has learned of workers and of how work goes on. It
+// lives in memory: a new leader starts afresh.
+type health struct {
+	tracker    *workerhealth.Tracker
+	reviewedAt time.Duration
+	// finely marks the queues whose runs report percents in small steps.
+	finely map[string]bool
+	// stalls counts how often a run of a task was stopped for standing still.
+	stalls map[record.TaskID]int
+	// failedOn are the workers on which runs of tasks failed or stood still.
+	failedOn failedOn
+}
+
+func newHealth() health {
+	return health{
+		tracker:  workerhealth.New(),
+		finely:   make(map[string]bool),
+		stalls:   make(map[record.TaskID]int),
+		failedOn: make(failedOn),
+	}
+}
+
+// forgetSteps drops what is known of the tasks of steps that have ended.
+func (h *health) forgetSteps(steps []*record.Step) {
+	h.failedOn.forgetSteps(steps)
+	for _, step := range steps {
+		for _, task := range step.Tasks {
+			delete(h.stalls, task.ID)
+		}
+	}
+}
+
+// advise tells the planner what the leader has learned about a task: where not
+// to run it again, and whether it may try a worker on probation. Its last
+// attempt may not.
+func (h *health) advise(planned *placement.Task, task *record.Task) {
+	planned.Avoid = h.failedOn.of(task)
+	hasAttempts := task.Spec.UntilCancelled || task.Failures+1 < task.AllowedFailures
+	estimate := task.Spec.Estimate.Std()
+	planned.MayTry = hasAttempts && !task.Step.Grouped()
+	planned.Tries = planned.MayTry && (task.Spec.UntilCancelled || estimate > 0 && estimate <= shortRun)
+}
+
+// noteProgress takes in how far the runs of a worker say that they are.
+func (l *leader) noteProgress(worker *workerEntry, reports []api.RunProgress, now time.Duration) {
+	for _, report := range reports {
+		id, ok := parseRun(report.RunRef)
+		run, open := worker.runs[id]
+		if !ok || !open || !run.listed {
+			continue
+		}
+		if !run.progress.Report(report.Percent, now) {
+			continue
+		}
+		if run.progress.ReportsFinely() {
+			l.health.finely[run.queue] = true
+		}
+		ratio := run.progress.Ratio(run.spec.Estimate.Std())
+		l.health.tracker.Paced(run.workerID, workerhealth.Pace{Run: id, Work: run.queue, Ratio: ratio}, now)
+	}
+}
+
+// noteEnd learns from the end of a run.
+func (l *leader) noteEnd(run *runState, open *record.Run, outcome api.Outcome) {
+	now := l.now()
+	switch {
+	case outcome == api.OutcomeSucceeded:
+		l.health.tracker.Succeeded(run.workerID, run.id.Task, now)
+		l.notePace(run, now)
+	case open.Stop == record.StopStalled:
+		l.health.failedOn.note(run.id.Task, open.Worker)
+	case outcome == api.OutcomeFailed && open.Stop == record.StopNone:
+		l.health.failedOn.note(run.id.Task, open.Worker)
+		l.health.tracker.Failed(run.workerID, run.id.Task, now)
+	}
+}
+
+// notePace takes in the whole time of a run that this leader saw start.
+func (l *leader) notePace(run *runState, now time.Duration) {
+	estimate := run.spec.Estimate.Std()
+	if run.inherited || !run.listed || estimate <= 0 || run.progress.First > freshStart {
+		return
+	}
+	ratio := float64(now-run.progress.StartedAt) / float64(estimate)
+	pace := workerhealth.Pace{Run: run.id, Work: run.queue, Ratio: ratio, Ended: true}
+	l.health.tracker.Paced(run.workerID, pace, now)
+}
+
+// reviewHealth stops runs that stand still, and holds back workers on which work
+// fails, stands still or crawls.
+func (l *leader) reviewHealth(now time.Duration) {
+	if now-l.health.reviewedAt < reviewInterval {
+		return
+	}
+	l.health.reviewedAt = now
+	for _, run := range l.runs {
+		l.stopIfStalled(run, now)
+	}
+	for _, change := range l.health.tracker.Review(now, l.subjects()) {
+		l.setVerdict(l.workers[change.WorkerID], change, now)
+	}
+}
+
+// stopIfStalled stops a run that stands still, so that its task runs elsewhere.
+// That is no failure of the task.
+func (l *leader) stopIfStalled(run *runState, now time.Duration) {
+	if !run.listed || run.closing || run.stop != record.StopNone || run.spec.UntilCancelled || l.waitsForGroup(run) {
+		return
+	}
+	worker := l.workers[run.workerID]
+	stops := l.health.stalls[run.id.Task]
+	bound := run.progress.QuietBound(run.spec.Estimate.Std(), l.health.finely[run.queue], stops)
+	if worker.lapsed || !run.progress.StandsStill(worker.heardAt, bound) {
+		return
+	}
+	l.logger.Warn("run stands still", slog.String("task", run.id.Task.String()),
+		slog.Uint64("number", uint64(run.id.Number)), slog.String("worker", worker.info.Name),
+		slog.Int("percent", run.progress.Percent), slog.Duration("quiet", worker.heardAt-run.progress.MovedAt))
+	l.health.stalls[run.id.Task]++
+	l.metrics.runsStalled.Inc()
+	if !run.together {
+		// Members of a group may wait for one of them: none is to blame alone.
+		l.health.tracker.Stalled(run.workerID, run.id.Task, now)
+	}
+	l.stopLater(run, record.StopStalled)
+}
+
+// waitsForGroup reports whether the run's group has not started whole: its
+// members may then rightly stand.
+func (l *leader) waitsForGroup(run *runState) bool {
+	group, known := l.groups[run.step]
+	return run.together && known && !group.allStarted()
+}
+
+// subjects are the workers that would take work, whatever their health.
+func (l *leader) subjects() []workerhealth.Subject {
+	subjects := make([]workerhealth.Subject, 0, len(l.byName))
+	for _, worker := range l.byName {
+		if worker.answered() && !worker.lapsed && !worker.leaving() {
+			subjects = append(subjects, workerhealth.Subject{ID: worker.info.ID, Services: worker.info.Services})
+		}
+	}
+	slices.SortFunc(subjects, func(a, b workerhealth.Subject) int { return strings.Compare(a.ID, b.ID) })
+	return subjects
+}
+
+// setVerdict takes over a worker's new standing. A suspect worker loses what was
+// not ordered there yet.
+func (l *leader) setVerdict(worker *workerEntry, change workerhealth.Change, now time.Duration) {
+	worker.verdict = change.Verdict
+	l.logger.Info("worker's standing changed", slog.String("worker", worker.info.Name),
+		slog.String("worker_id", worker.info.ID), slog.String("standing", string(change.Standing)),
+		slog.String("reason", change.Reason), slog.Duration("for", max(change.Until-now, 0)))
+	if change.Standing == workerhealth.Suspect {
+		l.metrics.workersHeldBack.Inc()
+		l.withdrawUnordered(worker)
+	}
+	l.tellPlanner(worker)
+	l.wake()
+}
--- /dev/null
+++ b/internal/scheduler/health_test.go
@@ -0,0 +1,206 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// stateOf is a worker's row of GET /v1/workers.
+func (h *harness) stateOf(name string) api.WorkerStatus {
+	h.t.Helper()
+	answer, err := h.leader.listWorkers(h.t.Context(), fleet.Empty{})
+	if err != nil {
+		h.t.Fatalf("list workers: %v", err)
+	}
+	for _, row := range answer.List.Workers {
+		if row.Name == name {
+			return row
+		}
+	}
+	h.t.Fatalf("no worker %s", name)
+	return api.WorkerStatus{}
+}
+
+// estimated is tasks(count) with estimates.
+func estimated(count int, estimate time.Duration) api.StepSpec {
+	step := tasks(count)
+	for i := range step.Tasks {
+		step.Tasks[i].Estimate = api.Duration(estimate)
+	}
+	return step
+}
+
+// fleetOf registers workers "a", "b", ...
+func (h *harness) fleetOf(count int) []*fakeWorker {
+	var workers []*fakeWorker
+	for i := range count {
+		name := string(rune('a' + i))
+		workers = append(workers, h.worker(name, name+"-1"))
+		workers[i].exchange()
+	}
+	return workers
+}
+
+// TestFailingWorkerIsHeldBack: worker a fails whatever it starts; after three
+// jobs it gets nothing, and then one task at a time.
+func TestFailingWorkerIsHeldBack(t *testing.T) {
+	h := newHarness(t)
+	workers := h.fleetOf(4)
+	failing := workers[0]
+	for i := range 3 {
+		h.submit(fmt.Sprint("j", i), tasks(1))
+		if answer := failing.exchange(); len(answer.Start) != 1 {
+			t.Fatalf("job %d: want its run on a, got %+v", i, answer.Start)
+		}
+		failing.end(api.OutcomeFailed)
+		failing.exchange()
+	}
+	h.advance(reviewInterval)
+	if row := h.stateOf("a"); row.State != api.WorkerSuspect || row.Reason == "" {
+		t.Fatalf("a: %+v", row)
+	}
+	h.submit("after", tasks(8))
+	if answer := failing.exchange(); len(answer.Start) != 0 {
+		t.Fatalf("a was given work: %+v", answer.Start)
+	}
+	for range 10 {
+		h.advance(200 * time.Millisecond)
+		for _, worker := range workers {
+			worker.exchange()
+		}
+	}
+	if row := h.stateOf("a"); row.State != api.WorkerProbation {
+		t.Fatalf("a after its hold: %+v", row)
+	}
+	h.submit("short", estimated(2, time.Second))
+	if answer := failing.exchange(); len(answer.Start) != 1 {
+		t.Fatalf("a on probation: %+v", answer.Start)
+	}
+	failing.end(api.OutcomeFailed)
+	failing.exchange()
+	h.advance(reviewInterval)
+	if row := h.stateOf("a"); row.State != api.WorkerSuspect {
+		t.Fatalf("a after another failure: %+v", row)
+	}
+	h.newTerm()
+	failing.exchange()
+	if row := h.stateOf("a"); row.State != api.WorkerReady {
+		t.Errorf("a under a new leader: %+v", row)
+	}
+}
+
+// TestRunThatStandsStillRunsElsewhere: run 1 reports 10% for 2 s.
+func TestRunThatStandsStillRunsElsewhere(t *testing.T) {
+	h := newHarness(t)
+	workers := h.fleetOf(2)
+	h.submit("j", estimated(1, time.Second))
+	workers[0].exchange()
+	var stops []api.RunRef
+	for range 11 {
+		h.advance(200 * time.Millisecond)
+		if len(workers[0].heartbeat.Running) == 1 {
+			workers[0].heartbeat.Progress = []api.RunProgress{{RunRef: workers[0].heartbeat.Running[0], Percent: 10}}
+		}
+		stops = workers[0].exchange().Stop
+		workers[1].exchange()
+	}
+	if len(stops) != 0 {
+		t.Fatalf("stopped before its bound: %+v", stops)
+	}
+	for range 3 {
+		h.advance(200 * time.Millisecond)
+		stops = append(stops, workers[0].exchange().Stop...)
+		workers[1].exchange()
+	}
+	if len(stops) == 0 {
+		t.Fatal("not stopped")
+	}
+	if answer := workers[1].exchange(); len(answer.Start) != 0 {
+		t.Fatalf("run 2 beside run 1: %+v", answer.Start)
+	}
+	workers[0].end(api.OutcomeStopped)
+	workers[0].heartbeat.Progress = nil
+	workers[0].exchange()
+	if answer := workers[1].exchange(); len(answer.Start) != 1 || answer.Start[0].Run != 2 {
+		t.Fatalf("want run 2 on b, got %+v", answer.Start)
+	}
+	if task := h.task("j", 0); task.Failures != 0 {
+		t.Errorf("counted as %d failures", task.Failures)
+	}
+	if got := h.leader.health.stalls[record.TaskID{Job: "j", Step: "s"}]; got != 1 {
+		t.Errorf("%d stalls", got)
+	}
+	workers[1].end(api.OutcomeSucceeded)
+	workers[1].exchange()
+	if len(h.leader.health.stalls) != 0 {
+		t.Error("kept after the job's end")
+	}
+}
+
+// TestRunsThatAreLeftAlone have no estimate, or run until cancelled, or belong
+// to a worker that is not heard.
+func TestRunsThatAreLeftAlone(t *testing.T) {
+	lasting := estimated(1, time.Second)
+	lasting.Tasks[0].UntilCancelled = true
+	cases := []struct {
+		name string
+		step api.StepSpec
+	}{{"no estimate", tasks(1)}, {"until cancelled", lasting}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			worker := h.fleetOf(2)[0]
+			h.submit("j", c.step)
+			worker.exchange()
+			for range 300 {
+				h.advance(time.Second)
+				if answer := worker.exchange(); len(answer.Stop) != 0 {
+					t.Fatalf("stopped: %+v", answer.Stop)
+				}
+			}
+		})
+	}
+	t.Run("silent", func(t *testing.T) {
+		h := newHarness(t)
+		worker := h.fleetOf(2)[0]
+		h.submit("j", estimated(1, 10*time.Millisecond))
+		worker.exchange()
+		worker.heartbeat.Progress = []api.RunProgress{{RunRef: worker.heartbeat.Running[0], Percent: 10}}
+		worker.exchange()
+		h.advance(testHold - time.Millisecond)
+		if h.leader.runs[record.RunID{Task: record.TaskID{Job: "j", Step: "s"}, Number: 1}].stop != record.StopNone {
+			t.Error("silence was taken for a standstill")
+		}
+	})
+}
+
+// TestSlowWorkerGetsWorkLast: worker a takes three times as long as others.
+func TestSlowWorkerGetsWorkLast(t *testing.T) {
+	h := newHarness(t)
+	workers := h.fleetOf(4)
+	slow := workers[0]
+	for i := range 6 {
+		h.submit(fmt.Sprint("j", i), estimated(8, time.Second))
+		for tenth := range 31 {
+			h.advance(100 * time.Millisecond)
+			for _, worker := range workers {
+				if tenth == 9 && worker != slow || tenth == 29 {
+					worker.end(api.OutcomeSucceeded)
+				}
+				worker.exchange()
+			}
+		}
+	}
+	if row := h.stateOf("a"); row.State != api.WorkerReady || row.Reason == "" {
+		t.Fatalf("a: %+v", row)
+	}
+	h.submit("next", estimated(1, time.Second))
+	if answer := slow.exchange(); len(answer.Start) != 0 {
+		t.Errorf("a was given work though others have room: %+v", answer.Start)
+	}
+}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -9,6 +9,7 @@
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/record"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/workerhealth"
 )
 
 const (
@@ -83,6 +84,9 @@
 		observed.differences = reconcileLate(worker.runs, heartbeat)
 	}
 	l.noteDifferences(worker, &observed.differences)
+	if !observed.late {
+		l.noteProgress(worker, heartbeat.Progress, now)
+	}
 	observed.reports = l.sortReports(&observed.differences)
 	return observed
 }
@@ -112,6 +116,7 @@
 func (l *leader) noteDifferences(worker *workerEntry, differences *reconciliation) {
 	for _, run := range differences.started {
 		run.listed = true
+		run.progress = workerhealth.Began(l.now())
 		if run.together {
 			l.groupRunStarted(run)
 		}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -62,11 +62,10 @@
 	preemptOnOpen map[record.TaskID]bool
 	waiting       map[record.TaskID]*waitingTask
 	timers        taskTimers
-	// failedOn are the workers on which runs of tasks failed.
-	failedOn failedOn
-	groups   map[stepKey]*groupState
+	groups        map[stepKey]*groupState
 	// starting are the groups in lockstep not all of whose members have started.
 	starting map[stepKey]*groupState
+	health   health
 	// pendingCloses and pendingStops are the leader's own commands that wait
 	// to be proposed.
 	pendingCloses []record.RunEnd
@@ -118,7 +117,7 @@
 		preemptOnOpen: make(map[record.TaskID]bool),
 		calendar:      calendar{released: make(map[string]time.Time)},
 		waiting:       make(map[record.TaskID]*waitingTask),
-		failedOn:      make(failedOn),
+		health:        newHealth(),
 		groups:        make(map[stepKey]*groupState),
 		starting:      make(map[stepKey]*groupState),
 		repeats:       newRepeats(),
@@ -239,6 +238,7 @@
 	l.stopDrained(now)
 	l.breakLateGroups(now)
 	l.stopAllDeparting(now)
+	l.reviewHealth(now)
 	l.planner.SetTime(clusterNow)
 	l.refreshReservations(clusterNow)
 	l.releaseTimers(clusterNow)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -10,6 +10,8 @@
 	heartbeats  *prometheus.CounterVec
 	runsClosed  *prometheus.CounterVec
 	planSeconds prometheus.Histogram
+
+	runsStalled, workersHeldBack prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -35,6 +37,13 @@
 			Buckets: prometheus.ExponentialBuckets(0.00001, 4, 9),
 		}),
 	}
+	m.runsStalled = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "runs_stalled_total", Help: "Runs stopped since they stood still.",
+	})
+	m.workersHeldBack = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "workers_held_back_total", Help: "Times that a worker was held back since work failed or stood still there.",
+	})
+	registerer.MustRegister(m.runsStalled, m.workersHeldBack)
 	registerer.MustRegister(m.proposals, m.placements, m.orders, m.heartbeats, m.runsClosed, m.planSeconds)
 	return m
 }
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -91,7 +91,6 @@
 			Preemptions: task.Preemptions,
 			StepSize:    len(task.Step.Tasks),
 			Colocate:    task.Step.Spec.Colocate,
-			Avoid:       l.failedOn.of(task),
 		},
 		step:        keyOf(task.ID),
 		jobPriority: job.Spec.Priority,
@@ -99,6 +98,7 @@
 		notBefore:   task.NotBefore,
 		due:         task.NotBefore == 0,
 	}
+	l.health.advise(&entry.task, task)
 	l.waiting[task.ID] = entry
 	if task.Step.Grouped() {
 		l.joinGroup(entry, task.Step)
@@ -176,6 +176,7 @@
 		lockstep:  task.Step.Spec.Lockstep,
 		workerID:  open.WorkerID,
 		openedAt:  l.now(),
+		queue:     task.Step.Job.Spec.Queue,
 		inherited: inherited,
 		stop:      open.Stop,
 	}
@@ -243,9 +244,7 @@
 	if len(worker.runs) == 0 && (worker.lapsed || !worker.registered) {
 		l.dropFromPlanner(worker)
 	}
-	if outcome == api.OutcomeFailed && open.Stop == record.StopNone {
-		l.failedOn.note(run.id.Task, open.Worker)
-	}
+	l.noteEnd(run, open, outcome)
 	if run.together {
 		l.groupRunClosed(run, outcome, open.Task.Step)
 	}
@@ -263,7 +262,7 @@
 
 // endSteps forgets steps whose tasks are all final.
 func (l *leader) endSteps(steps []*record.Step) {
-	l.failedOn.forgetSteps(steps)
+	l.health.forgetSteps(steps)
 	for _, step := range steps {
 		l.dropGroup(step)
 	}
@@ -276,6 +275,7 @@
 		earlier.registered = false
 		l.dropFromPlanner(earlier)
 		delete(l.workers, earlier.info.ID)
+		l.health.tracker.Forget(earlier.info.ID)
 	}
 	worker, known := l.workers[info.ID]
 	if !known {
@@ -299,6 +299,7 @@
 	delete(l.byName, info.Name)
 	l.registered = nil
 	delete(l.workers, info.ID)
+	l.health.tracker.Forget(info.ID)
 }
 
 // tellPlanner brings the planner's picture of a worker up to date.
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -8,6 +8,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/placement"
 	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/workerhealth"
 )
 
 // workerEntry is what was observed, in this term, of one worker incarnation,
@@ -43,6 +44,8 @@
 	departure departure
 	// usable is what the planner was last told.
 	usable bool
+	// verdict is how far the worker is trusted; of no standing as yet, it is.
+	verdict workerhealth.Verdict
 	// inPlanner is true while the planner knows the worker.
 	inPlanner bool
 	runs      map[record.RunID]*runState
@@ -60,6 +63,7 @@
 	workerID string
 	// openedAt is when the run was placed.
 	openedAt time.Duration
+	queue    string
 	// inherited: placed under an earlier token, so that it is not known
 	// whether its order was given.
 	inherited bool
@@ -68,7 +72,9 @@
 	orderedAt uint64
 	// listed is true once a heartbeat listed the run as running or ended.
 	listed bool
-	stop   record.StopReason
+	// progress is how far the run said that it is, from when it was listed.
+	progress workerhealth.Progress
+	stop     record.StopReason
 	// droppedAt is the seq of the first answer that told the worker to stop
 	// the run because it accepted the order and does not list it; 0 if none.
 	droppedAt uint64
@@ -178,6 +184,10 @@
 		Services: w.info.Services,
 		Labels:   w.info.Labels,
 		Usable:   usable,
+
+		Slow:      w.verdict.Standing == workerhealth.Slow,
+		Probation: w.verdict.Standing == workerhealth.Probation,
+		HeldBack:  w.verdict.Standing == workerhealth.Suspect,
 	}
 }
 
@@ -199,6 +209,12 @@
 		return api.WorkerWaiting, "another process under this name may still run tasks"
 	case !w.canTakeWork(now, hold):
 		return api.WorkerWaiting, "answers to it do not arrive"
+	case w.verdict.Standing == workerhealth.Suspect:
+		return api.WorkerSuspect, w.verdict.Reason
+	case w.verdict.Standing == workerhealth.Probation:
+		return api.WorkerProbation, w.verdict.Reason
+	case w.verdict.Standing == workerhealth.Slow:
+		return api.WorkerReady, "gets work last: " + w.verdict.Reason
 	default:
 		return api.WorkerReady, ""
 	}
--- /dev/null
+++ b/internal/workerhealth/pace.go
@@ -0,0 +1,124 @@
+package workerhealth
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// paceSeen is the pace of one run, as a multiple of what is usual.
+type paceSeen struct {
+	run      record.RunID
+	at       time.Duration
+	multiple float64
+}
+
+// usual is what runs of one queue take, over their estimates.
+type usual struct {
+	ratios []float64
+	next   int
+	median float64
+}
+
+// Paced notes how fast a run goes, or went, on a worker. The newest word on a
+// run counts.
+func (t *Tracker) Paced(workerID string, pace Pace, now time.Duration) {
+	if pace.Ratio <= 0 {
+		return
+	}
+	usualHere := t.usualOf(pace.Work)
+	if pace.Ended {
+		usualHere.add(pace.Ratio)
+	}
+	if usualHere.median == 0 {
+		return
+	}
+	t.worker(workerID).pace(paceSeen{run: pace.Run, at: now, multiple: pace.Ratio / usualHere.median})
+}
+
+func (t *Tracker) usualOf(work string) *usual {
+	found, known := t.usual[work]
+	if known {
+		return found
+	}
+	if len(t.usual) >= queuesKept {
+		clear(t.usual)
+	}
+	found = &usual{}
+	t.usual[work] = found
+	return found
+}
+
+func (u *usual) add(ratio float64) {
+	if len(u.ratios) < usualKept {
+		u.ratios = append(u.ratios, ratio)
+	} else {
+		u.ratios[u.next] = ratio
+		u.next = (u.next + 1) % usualKept
+	}
+	if len(u.ratios) >= pacesNeeded {
+		u.median = median(u.ratios)
+	}
+}
+
+// pace keeps the newest word on each of the newest runs.
+func (w *worker) pace(seen paceSeen) {
+	w.paces = slices.DeleteFunc(w.paces, func(other paceSeen) bool { return other.run == seen.run })
+	if len(w.paces) == pacesKept {
+		w.paces = append(w.paces[:0], w.paces[1:]...)
+	}
+	w.paces = append(w.paces, seen)
+}
+
+// medianPace returns the median of the worker's newest paces; false if too few are
+// known.
+func (w *worker) medianPace(now time.Duration) (float64, bool) {
+	w.paces = slices.DeleteFunc(w.paces, func(seen paceSeen) bool { return now-seen.at >= paceLife })
+	if len(w.paces) < pacesNeeded {
+		return 0, false
+	}
+	multiples := make([]float64, 0, len(w.paces))
+	for _, seen := range w.paces {
+		multiples = append(multiples, seen.multiple)
+	}
+	return median(multiples), true
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+// judgeSlow marks trusted workers that are far slower than others.
+func (r *review) judgeSlow(subjects []Subject) {
+	for _, subject := range subjects {
+		w := r.tracker.worker(subject.ID)
+		if w.verdict.Standing != Trusted || len(w.paces) < pacesNeeded {
+			continue
+		}
+		pace, known := w.medianPace(r.now)
+		if !known || pace < slowFrom || !r.allows(subject, r.slow) {
+			continue
+		}
+		subject.count(r.slow)
+		r.markSlow(w, pace)
+	}
+}
+
+func (r *review) markSlow(w *worker, pace float64) {
+	lasts := min(firstHold<<min(w.strikes, 10), maxHold)
+	w.strikes++
+	r.set(w, Verdict{Standing: Slow, Reason: fmt.Sprintf("takes %.1f times as long as others", pace)}, lasts)
+}
+
+// endSlow asks again once the time of a verdict is over: a worker whose runs are
+// still slow stays so, one that got none is tried again.
+func (r *review) endSlow(w *worker) {
+	if pace, known := w.medianPace(r.now); known && pace >= slowTo {
+		r.markSlow(w, pace)
+		return
+	}
+	r.acquit(w)
+}
--- /dev/null
+++ b/internal/workerhealth/tracker_test.go
@@ -0,0 +1,310 @@
+package workerhealth
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// fleet drives a Tracker with workers "w0" to "wN" of service "s".
+type fleet struct {
+	*Tracker
+	now      time.Duration
+	subjects []Subject
+	job      int
+}
+
+func newFleet(workers int) *fleet {
+	f := &fleet{Tracker: New(), now: time.Hour}
+	for i := range workers {
+		f.subjects = append(f.subjects, Subject{ID: fmt.Sprint("w", i), Services: []string{"s"}})
+	}
+	return f
+}
+
+// task returns task 0 of a job of its own.
+func (f *fleet) task() record.TaskID {
+	f.job++
+	return record.TaskID{Job: fmt.Sprint("job", f.job), Step: "s"}
+}
+
+func (f *fleet) ends(worker, good, bad int) {
+	id := f.subjects[worker].ID
+	for range good {
+		f.Succeeded(id, f.task(), f.now)
+	}
+	for range bad {
+		f.Failed(id, f.task(), f.now)
+	}
+}
+
+func (f *fleet) review(after time.Duration) []Change {
+	f.now += after
+	return f.Review(f.now, f.subjects)
+}
+
+func (f *fleet) heldBack() int {
+	held := 0
+	for _, subject := range f.subjects {
+		if s := f.Verdict(subject.ID).Standing; s == Suspect || s == Probation {
+			held++
+		}
+	}
+	return held
+}
+
+func (f *fleet) expectHeld(t *testing.T, want int) {
+	t.Helper()
+	if got := f.heldBack(); got != want {
+		t.Fatalf("%d workers are held back, want %d", got, want)
+	}
+}
+
+func TestWhoIsSuspect(t *testing.T) {
+	cases := []struct {
+		name    string
+		workers int
+		ends    func(*fleet)
+		want    int
+	}{
+		{"one that fails all", 11, func(f *fleet) { f.ends(0, 0, 3) }, 1},
+		{"two failures are too few", 11, func(f *fleet) { f.ends(0, 0, 2) }, 0},
+		{"one that fails a third", 11, func(f *fleet) { f.ends(0, 8, 4) }, 1},
+		{"a few failures among many", 11, func(f *fleet) { f.ends(0, 13, 3) }, 0},
+		{"three of eleven, two held at most", 11, func(f *fleet) {
+			for i := range 11 {
+				f.ends(i, 8, 0)
+			}
+			for i := range 3 {
+				f.ends(i, 0, 8)
+			}
+		}, 2},
+		{"all fail", 11, func(f *fleet) {
+			for i := range 11 {
+				f.ends(i, 0, 8)
+			}
+		}, 0},
+		{"half of two", 2, func(f *fleet) { f.ends(0, 0, 4); f.ends(1, 8, 0) }, 1},
+		{"the only one", 1, func(f *fleet) { f.ends(0, 0, 16) }, 0},
+		{"one job that cannot succeed", 11, func(f *fleet) {
+			for i := range 16 {
+				f.Failed("w0", record.TaskID{Job: "hopeless", Step: "s", Index: i}, f.now)
+			}
+		}, 0},
+		{"tasks that fail elsewhere too", 11, func(f *fleet) {
+			for range 8 {
+				task := f.task()
+				f.Failed("w0", task, f.now)
+				f.Failed("w1", task, f.now)
+			}
+		}, 0},
+		{"two runs that stood still", 11, func(f *fleet) {
+			f.ends(0, 4, 0)
+			f.Stalled("w0", f.task(), f.now)
+			f.Stalled("w0", f.task(), f.now)
+		}, 1},
+		{"one run that stood still", 11, func(f *fleet) { f.Stalled("w0", f.task(), f.now) }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(c.workers)
+			c.ends(f)
+			f.review(time.Second)
+			f.expectHeld(t, c.want)
+		})
+	}
+}
+
+func TestWorstIsHeldBackFirst(t *testing.T) {
+	f := newFleet(4)
+	f.ends(1, 4, 4)
+	f.ends(2, 0, 4)
+	f.ends(3, 16, 0)
+	f.review(0)
+	f.expectHeld(t, 1)
+	if got := f.Verdict("w2"); got.Standing != Suspect || got.Reason == "" {
+		t.Errorf("w2: %+v", got)
+	}
+}
+
+func TestOldFailuresAreForgotten(t *testing.T) {
+	f := newFleet(11)
+	f.ends(0, 0, 2)
+	f.review(eventLife)
+	f.ends(0, 0, 2)
+	f.review(0)
+	f.expectHeld(t, 0)
+	if len(f.blemished) != 1 {
+		t.Errorf("%d blemished", len(f.blemished))
+	}
+}
+
+func TestHoldsGrowAndEnd(t *testing.T) {
+	f := newFleet(11)
+	f.ends(0, 0, 3)
+	hold := firstHold
+	for range 8 {
+		f.review(0)
+		if got := f.Verdict("w0").Standing; got != Suspect {
+			t.Fatalf("hold %v: %s", hold, got)
+		}
+		f.review(hold - 1)
+		if got := f.Verdict("w0").Standing; got != Suspect {
+			t.Fatalf("before the end of hold %v: %s", hold, got)
+		}
+		f.review(1)
+		if got := f.Verdict("w0").Standing; got != Probation {
+			t.Fatalf("after hold %v: %s", hold, got)
+		}
+		f.ends(0, 2, 1)
+		hold = min(2*hold, maxHold)
+	}
+	f.review(0)
+	f.review(maxHold)
+	f.ends(0, probationSuccesses, 0)
+	f.review(0)
+	if got := f.Verdict("w0"); got.Standing != Trusted || got.Reason != "" {
+		t.Fatalf("after successes: %+v", got)
+	}
+	f.review(strikesForgotten)
+	f.ends(0, 0, 3)
+	f.review(0)
+	f.review(firstHold)
+	if got := f.Verdict("w0").Standing; got != Probation {
+		t.Fatalf("strikes were kept: %s", got)
+	}
+	f.review(probationLife)
+	if got := f.Verdict("w0").Standing; got != Trusted {
+		t.Fatalf("no work on probation: %s", got)
+	}
+}
+
+func TestSlowWorker(t *testing.T) {
+	f := newFleet(11)
+	pace := func(worker string, run int, ratio float64, ended bool) {
+		id := record.RunID{Task: record.TaskID{Job: "j", Step: worker, Index: run}, Number: 1}
+		f.Paced(worker, Pace{Run: id, Work: "q", Ratio: ratio, Ended: ended}, f.now)
+	}
+	// Estimates of this queue are half of what runs take: that is usual.
+	for i := range 20 {
+		pace("w1", i, 2, true)
+	}
+	for i := range pacesNeeded {
+		f.review(0)
+		if got := f.Verdict("w0").Standing; got != Trusted {
+			t.Fatalf("after %d runs: %s", i, got)
+		}
+		pace("w0", i, 4.2, false)
+		pace("w0", i, 4.2, false) // the same run again
+	}
+	f.review(0)
+	if got := f.Verdict("w0"); got.Standing != Slow || got.Reason != "takes 2.1 times as long as others" {
+		t.Fatalf("w0: %+v", got)
+	}
+	f.review(firstHold)
+	if got := f.Verdict("w0").Standing; got != Slow {
+		t.Fatalf("runs still slow: %s", got)
+	}
+	for i := range pacesKept {
+		pace("w0", 100+i, 2, true)
+	}
+	f.review(2 * firstHold)
+	if got := f.Verdict("w0").Standing; got != Trusted {
+		t.Fatalf("runs as fast as others': %s", got)
+	}
+	if got := f.Verdict("w1").Standing; got != Trusted {
+		t.Errorf("w1: %s", got)
+	}
+}
+
+func TestForget(t *testing.T) {
+	f := newFleet(11)
+	f.ends(0, 0, 3)
+	f.review(0)
+	f.Forget("w0")
+	if got := f.Verdict("w0").Standing; got != Trusted || len(f.blemished) != 0 {
+		t.Errorf("%s, %d blemished", got, len(f.blemished))
+	}
+}
+
+// TestHealthyFleetIsTrusted: 2% of tasks fail by their own fault, half of them
+// everywhere, and 1% of jobs can never succeed. Over 6,000 tasks on 11 workers
+// less than one hold in 1,000 tasks is tolerated.
+func TestHealthyFleetIsTrusted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(11)
+		random := rapid.Uint64Range(1, 1<<62).Draw(t, "seed")
+		next := func(below int) int {
+			random = random*6364136223846793005 + 1442695040888963407
+			return int(random>>33) % below
+		}
+		holds := 0
+		const jobs, tasks = 1000, 6
+		for range jobs {
+			job := f.task().Job
+			hopeless := next(100) == 0
+			for i := range tasks {
+				task := record.TaskID{Job: job, Step: "s", Index: i}
+				first := next(11)
+				own := next(100) < 2
+				if !hopeless && !own {
+					f.Succeeded(f.subjects[first].ID, task, f.now)
+					continue
+				}
+				f.Failed(f.subjects[first].ID, task, f.now)
+				second := (first + 1 + next(10)) % 11
+				if hopeless || next(2) == 0 {
+					f.Failed(f.subjects[second].ID, task, f.now+time.Second)
+				} else {
+					f.Succeeded(f.subjects[second].ID, task, f.now+time.Second)
+				}
+			}
+			for _, change := range f.review(100 * time.Millisecond) {
+				if change.Standing == Suspect {
+					holds++
+				}
+			}
+			if held := f.heldBack(); held > 2 {
+				t.Fatalf("%d held back", held)
+			}
+		}
+		if holds > jobs*tasks/1000 {
+			t.Fatalf("%d holds of healthy workers in %d tasks", holds, jobs*tasks)
+		}
+	})
+}
+
+// TestFailingWorkersAreFound: of 11 workers one or two fail 40% or more of what
+// they start; each is held back before it was given 60 tasks.
+func TestFailingWorkersAreFound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(11)
+		failing := rapid.IntRange(1, 2).Draw(t, "failing")
+		percent := rapid.IntRange(40, 100).Draw(t, "percent")
+		random := rapid.Uint64Range(1, 1<<62).Draw(t, "seed")
+		next := func(below int) int {
+			random = random*6364136223846793005 + 1442695040888963407
+			return int(random>>33) % below
+		}
+		found := map[string]bool{}
+		for range 60 {
+			for worker := range 11 {
+				if worker < failing && next(100) < percent {
+					f.ends(worker, 0, 1)
+					continue
+				}
+				f.ends(worker, 1, 0)
+			}
+			for _, change := range f.review(100 * time.Millisecond) {
+				found[change.WorkerID] = true
+			}
+		}
+		if len(found) != failing || !found["w0"] {
+			t.Fatalf("found %v of %d", found, failing)
+		}
+	})
+}
