Check the fields of placement, objectives, annotations and progress

Cause: colocate, prefer, estimate, backup_runs, lockstep, annotations and objectives were taken as they came, and so was what heartbeats say of progress and checkpoints.

Change: each has its rule, and a wrong one is named with field, value and expectation. Groups in lockstep have the bounds of those that start together. Backup runs are refused in groups and for tasks that run until cancelled, and the error says which. Progress must be of a run that the heartbeat lists as running, named once, from 0 to 100 percent; checkpoints are bounded in both reports.

--- a/api/validate_config.go
+++ b/api/validate_config.go
@@ -54,6 +54,7 @@
 // the 400 days after it, 20000 at most, are held against its lead and duration.
 func ValidateConfigAt(config *Config, now time.Time) []FieldError {
 	var errors fieldErrors
+	checkAnnotations(&errors, "annotations", config.Annotations)
 	checkQueues(&errors, config)
 	checkTeams(&errors, config.Teams)
 	checkBookings(&errors, config, now)
@@ -83,7 +84,9 @@
 // checkQueue checks one queue for itself. A zero weight means the default.
 func checkQueue(errors *fieldErrors, path string, queue QueueConfig) {
 	checkShortName(errors, path+".name", queue.Name)
+	checkAnnotations(errors, path+".annotations", queue.Annotations)
 	checkService(errors, path+".service", queue.Service)
+	checkObjective(errors, path+".objective", queue.Objective)
 	checkRange(errors, path+".priority", queue.Priority, MinPriority, MaxPriority)
 	checkRange(errors, path+".weight", queue.Weight, 0, MaxQueueWeight)
 	checkAtLeast(errors, path+".max_running_tasks", queue.MaxRunningTasks, 0)
--- /dev/null
+++ b/api/validate_fields_test.go
@@ -0,0 +1,98 @@
+package api
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// annotations returns count entries, the first with a value of so many bytes.
+func annotations(count, size int) map[string]string {
+	made := make(map[string]string, count)
+	for number := range count {
+		made[fmt.Sprintf("key-%02d", number)] = "text"
+	}
+	made["key-00"] = strings.Repeat("x", size)
+	return made
+}
+
+func TestValidatePlacementFields(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(step *StepSpec, task *TaskSpec)
+		want   []string
+	}{
+		{"colocate by zone", func(step *StepSpec, _ *TaskSpec) { step.Colocate = "zone" }, nil},
+		{"colocate by label", func(step *StepSpec, _ *TaskSpec) { step.Colocate = "label:rack" }, nil},
+		{"colocate by worker", func(step *StepSpec, _ *TaskSpec) { step.Colocate = "worker" }, []string{"steps[0].colocate"}},
+		{"colocate by no label", func(step *StepSpec, _ *TaskSpec) { step.Colocate = "label:" }, []string{"steps[0].colocate"}},
+		{"prefer", func(_ *StepSpec, task *TaskSpec) { task.Prefer = map[string]string{"disk": ""} }, nil},
+		{"prefer no label", func(_ *StepSpec, task *TaskSpec) { task.Prefer = map[string]string{"": "x"} }, []string{"steps[0].tasks[0].prefer"}},
+		{"estimate", func(_ *StepSpec, task *TaskSpec) { task.Estimate = Duration(time.Hour) }, nil},
+		{"negative estimate", func(_ *StepSpec, task *TaskSpec) { task.Estimate = -1 }, []string{"steps[0].tasks[0].estimate"}},
+		{"resumable", func(_ *StepSpec, task *TaskSpec) { task.Resumable = true }, nil},
+		{"lockstep", func(step *StepSpec, _ *TaskSpec) { step.Lockstep, step.Replicas = true, MaxGroupMembers }, nil},
+		{"large lockstep", func(step *StepSpec, _ *TaskSpec) { step.Lockstep, step.Replicas = true, MaxGroupMembers+1 }, []string{"steps[0].replicas"}},
+		{"lockstep of listed tasks", func(step *StepSpec, task *TaskSpec) {
+			step.Lockstep, step.Tasks = true, slices.Repeat([]TaskSpec{*task}, MaxGroupMembers+1)
+		}, []string{"steps[0].tasks"}},
+		{"backup runs", func(_ *StepSpec, task *TaskSpec) { task.BackupRuns = true }, nil},
+		{"backup runs in lockstep", func(step *StepSpec, task *TaskSpec) { task.BackupRuns, step.Lockstep = true, true }, []string{"steps[0].tasks[0].backup_runs"}},
+		{"backup runs in a group", func(step *StepSpec, task *TaskSpec) { task.BackupRuns, step.Together = true, true }, []string{"steps[0].tasks[0].backup_runs"}},
+		{"backup runs until cancelled", func(_ *StepSpec, task *TaskSpec) { task.BackupRuns, task.UntilCancelled = true, true }, []string{"steps[0].tasks[0].backup_runs"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			spec := validJob()
+			c.change(&spec.Steps[0], &spec.Steps[0].Tasks[0])
+			if got := fieldNames(ValidateJob("job-1", spec, validConfig())); !slices.Equal(got, c.want) {
+				t.Fatalf("wrong fields %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestLockstepIsHeldToTheBoundsOfItsQueue(t *testing.T) {
+	config := validConfig()
+	config.Queues[0].MaxRunningTasks = 3
+	spec := validJob()
+	spec.Steps[0].Lockstep, spec.Steps[0].Replicas = true, 4
+	fields := ValidateJob("job-1", spec, config)
+	if len(fields) != 1 || fields[0].Field != "steps[0].replicas" || !strings.Contains(fields[0].Expected, "max_running_tasks") {
+		t.Fatalf("a group of 4 where 3 can run: %+v", fields)
+	}
+}
+
+func TestValidateAnnotationsAndObjective(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(c *Config)
+		want   []string
+	}{
+		{"the most", func(c *Config) { c.Annotations = annotations(MaxAnnotations, MaxAnnotationBytes) }, nil},
+		{"too many", func(c *Config) { c.Annotations = annotations(MaxAnnotations+1, 1) }, []string{"annotations"}},
+		{"too long", func(c *Config) { c.Annotations = annotations(2, MaxAnnotationBytes+1) }, []string{`annotations["key-00"]`}},
+		{"without a name", func(c *Config) { c.Annotations = map[string]string{"": "x"} }, []string{"annotations"}},
+		{"too many of a queue", func(c *Config) { c.Queues[0].Annotations = annotations(MaxAnnotations+1, 1) }, []string{"queues[0].annotations"}},
+		{"too long of a queue", func(c *Config) { c.Queues[0].Annotations = annotations(1, MaxAnnotationBytes+1) }, []string{`queues[0].annotations["key-00"]`}},
+		{"objective", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Target: 1, Stretch: MaxStretch} }, nil},
+		{
+			"low objective", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Target: -1, Stretch: -0.1} },
+			[]string{"queues[0].objective.stretch", "queues[0].objective.target"},
+		},
+		{"high objective", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Stretch: MaxStretch + 0.1} }, []string{"queues[0].objective.stretch"}},
+		{"no number", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Stretch: math.NaN()} }, []string{"queues[0].objective.stretch"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			config := validConfig()
+			c.change(config)
+			if got := fieldNames(ValidateConfig(config)); !slices.Equal(got, c.want) {
+				t.Fatalf("wrong fields %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/api/validate_job.go
+++ b/api/validate_job.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strings"
 )
 
 // Bounds of a job that no configuration changes.
@@ -126,11 +125,14 @@
 		c.errors.add(path+".tasks", "[]", "at least one task")
 	}
 	c.replicas(path, step)
-	if step.Together {
+	if step.Together || step.Lockstep {
 		c.group(step.countField(path), step.TaskCount())
 	}
+	checkColocate(&c.errors, path+".colocate", step.Colocate)
 	for number := range step.Tasks {
-		c.task(fmt.Sprintf("%s.tasks[%d]", path, number), &step.Tasks[number])
+		task := fmt.Sprintf("%s.tasks[%d]", path, number)
+		c.task(task, &step.Tasks[number])
+		c.backupRuns(task+".backup_runs", step, &step.Tasks[number])
 	}
 }
 
@@ -192,6 +194,8 @@
 	c.payload(path+".payload", task.Payload)
 	checkRoom(&c.errors, path+".resources", task.Resources)
 	checkLabels(&c.errors, path+".labels", task.Labels)
+	checkLabels(&c.errors, path+".prefer", task.Prefer)
+	checkAtLeast(&c.errors, path+".estimate", task.Estimate, 0)
 	if task.Spread != nil {
 		c.spread(path+".spread", task.Spread)
 	}
@@ -224,9 +228,7 @@
 
 // spread checks a spread rule.
 func (c *jobCheck) spread(path string, spread *Spread) {
-	key, byLabel := strings.CutPrefix(spread.By, SpreadByLabelPrefix)
-	valid := spread.By == SpreadByWorker || spread.By == SpreadByZone || byLabel && key != ""
-	if !valid {
+	if spread.By != SpreadByWorker && !zoneOrLabel(spread.By) {
 		c.errors.add(path+".by", spread.By, `"worker", "zone" or "label:KEY"`)
 	}
 	checkAtLeast(&c.errors, path+".max_per_domain", spread.MaxPerDomain, 0)
--- a/internal/agent/validate.go
+++ b/internal/agent/validate.go
@@ -13,6 +13,7 @@
 const (
 	maxWorkerIDBytes = 128
 	maxMessageBytes  = 1024
+	maxPercent       = 100
 )
 
 var namePattern = regexp.MustCompile(`^[a-zA-Z0-9._-]{1,64}$`)
@@ -95,7 +96,33 @@
 		c.run(path, ended.RunRef, seen)
 		c.check(reportable(ended.Outcome), path+".outcome", string(ended.Outcome), "succeeded, failed or stopped")
 		c.check(len(ended.Message) <= maxMessageBytes, path+".message", ended.Message, "at most 1024 bytes")
+		c.checkpoint(path, ended.Checkpoint)
 	}
+	c.progress(heartbeat)
+}
+
+// progress checks what is said of runs, each of which must be listed as running.
+func (c *checker) progress(heartbeat api.Heartbeat) {
+	if len(heartbeat.Progress) == 0 {
+		return
+	}
+	silent := make(map[api.RunRef]bool, len(heartbeat.Running))
+	for _, ref := range heartbeat.Running {
+		silent[ref] = true
+	}
+	for i, said := range heartbeat.Progress {
+		path := fmt.Sprintf("progress[%d]", i)
+		name := fmt.Sprintf("%s run %d", said.Task, said.Run)
+		c.check(silent[said.RunRef], path, name, "a run of running, named once")
+		silent[said.RunRef] = false
+		c.check(said.Percent >= 0 && said.Percent <= maxPercent, path+".percent", strconv.Itoa(said.Percent), "0 to 100")
+		c.checkpoint(path, said.Checkpoint)
+	}
+}
+
+func (c *checker) checkpoint(path, checkpoint string) {
+	size := strconv.Itoa(len(checkpoint)) + " bytes"
+	c.check(len(checkpoint) <= api.MaxCheckpointBytes, path+".checkpoint", size, fmt.Sprintf("at most %d bytes", api.MaxCheckpointBytes))
 }
 
 func (c *checker) run(path string, ref api.RunRef, seen map[api.RunRef]bool) {
