Let a cancel end a repeating job between two occurrences

The starts were all of later occurrences: a cancel passed over a job without open tasks, which a repeating job is between the end of one occurrence and the due time of the next. Ruled out: orders given late (the starts came with the occurrence's due time), and a cancel before the job was known (each was accepted first).

Change: what may be cancelled is any job that is not done, by one method that the record and the mass cancel share.

--- a/internal/record/cancel.go
+++ b/internal/record/cancel.go
@@ -5,7 +5,7 @@
 func (m *Machine) applyCancel(cancel *Cancel) {
 	for _, id := range cancel.Jobs {
 		job := m.state.jobs[id]
-		if job == nil || job.Cancelled || job.OpenTasks == 0 {
+		if job == nil || !job.MayCancel() {
 			continue
 		}
 		job.Cancelled = true
--- a/internal/record/repeat_test.go
+++ b/internal/record/repeat_test.go
@@ -210,3 +210,19 @@
 		t.Fatalf("%s, %+v", got.State, got.Occurrences)
 	}
 }
+
+// TestCancelBetweenOccurrences: a job none of whose occurrences is open at the
+// moment still has some to come, which a cancel must end.
+func TestCancelBetweenOccurrences(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	r.submitSpec("j", repeating(3, 2000, step("a", 1)))
+	r.now = 2000
+	r.runOnce(occurrenceID("j", "a", 0, 0), api.OutcomeSucceeded)
+	r.apply(Command{Cancel: &Cancel{Jobs: []string{"j"}}})
+	r.expand("j", 1)
+	got := r.status("j")
+	if got.State != api.StateCancelled || got.Occurrences == nil || got.Occurrences.Cancelled != 2 {
+		t.Fatalf("after the cancel: %+v, occurrences %+v", got, got.Occurrences)
+	}
+}
--- a/internal/record/status.go
+++ b/internal/record/status.go
@@ -44,6 +44,10 @@
 	return j.OpenTasks == 0 && (j.Repetition == nil || j.Repetition.Next >= j.Occurrences())
 }
 
+// MayCancel reports whether a cancel would change the job: it was not cancelled
+// before, and some task is not final or some occurrence is still to come.
+func (j *Job) MayCancel() bool { return !j.Cancelled && !j.done() }
+
 // failed reports that a task failed for good.
 func (j *Job) failed() bool {
 	return j.failedTasks > 0 || j.Repetition != nil && j.Repetition.Failed > 0
--- a/internal/scheduler/cancel.go
+++ b/internal/scheduler/cancel.go
@@ -46,7 +46,7 @@
 	var jobs []string
 	l.log.Record().Read(func(view record.View) {
 		for _, id := range request.Jobs {
-			if job, live := view.Job(id); live && mayCancel(job) {
+			if job, live := view.Job(id); live && job.MayCancel() {
 				jobs = append(jobs, id)
 			}
 		}
@@ -54,13 +54,10 @@
 			return
 		}
 		for job := range view.Jobs("") {
-			if job.Spec.Queue == request.Queue && mayCancel(job) {
+			if job.Spec.Queue == request.Queue && job.MayCancel() {
 				jobs = append(jobs, job.ID)
 			}
 		}
 	})
 	return jobs
 }
-
-// mayCancel reports whether a cancel would change the job.
-func mayCancel(job *record.Job) bool { return !job.Cancelled && job.OpenTasks > 0 }
