Read a job without its steps, and one queue by itself

Cause: GetJobRequest.Brief was sent by fronts and not heeded: each poll of a job's state built the state of every task and asked the planner for its reasons. The count of one queue came with those of all queues, and a cancellation was answered with every task twice over.

Change: View.BriefStatus; the leader heeds Brief in get-job and cancel, and the checks before a submission and a cancellation use it. The call 'queue', GET /v1/queues/{queue}, Front.Queue, Front.CancelBrief and Client.Queue.

--- a/api/client_calls.go
+++ b/api/client_calls.go
@@ -152,6 +152,13 @@
 	return answer, err
 }
 
+// Queue reads one queue and what waits in it.
+func (c *Client) Queue(ctx context.Context, name string) (QueueStatus, error) {
+	var answer QueueStatus
+	err := c.read(ctx, "/v1/queues/"+url.PathEscape(name), &answer)
+	return answer, err
+}
+
 // read makes a plain GET call.
 func (c *Client) read(ctx context.Context, path string, into any) error {
 	err := c.do(ctx, clientCall{method: http.MethodGet, path: path}, into)
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -43,6 +43,7 @@
 	MethodWorkers        Method = "workers"
 	MethodMembers        Method = "members"
 	MethodQueues         Method = "queues"
+	MethodQueue          Method = "queue"
 	MethodBookings       Method = "bookings"
 	MethodRelease        Method = "release"
 	MethodCancelMany     Method = "cancel-many"
@@ -205,6 +206,8 @@
 // CancelRequest cancels a job; idempotent.
 type CancelRequest struct {
 	ID string `cbor:"1,keyasint"`
+	// Brief asks for the job's own fields only, without its steps.
+	Brief bool `cbor:"2,keyasint,omitempty"`
 }
 
 // GetJobRequest reads a job, held until it is final or WaitMillis passed.
@@ -280,6 +283,16 @@
 	List api.QueueList `cbor:"1,keyasint"`
 }
 
+// QueueRequest asks for one queue.
+type QueueRequest struct {
+	Name string `cbor:"1,keyasint"`
+}
+
+// QueueAnswer carries one queue.
+type QueueAnswer struct {
+	Status api.QueueStatus `cbor:"1,keyasint"`
+}
+
 // BookingsRequest asks for the windows that overlap the coming hours.
 type BookingsRequest struct {
 	HorizonMillis int64 `cbor:"1,keyasint"`
--- a/internal/front/job_calls.go
+++ b/internal/front/job_calls.go
@@ -108,12 +108,21 @@
 
 // Cancel cancels a job and returns its state; doubled, it has no effect.
 func (f *Front) Cancel(ctx context.Context, id string) (api.JobStatus, *api.Error) {
-	if !api.ValidJobID(id) {
-		return api.JobStatus{}, noJob(id)
+	return f.cancel(ctx, fleet.CancelRequest{ID: id})
+}
+
+// CancelBrief is Cancel without the steps in the answer.
+func (f *Front) CancelBrief(ctx context.Context, id string) (api.JobStatus, *api.Error) {
+	return f.cancel(ctx, fleet.CancelRequest{ID: id, Brief: true})
+}
+
+func (f *Front) cancel(ctx context.Context, request fleet.CancelRequest) (api.JobStatus, *api.Error) {
+	if !api.ValidJobID(request.ID) {
+		return api.JobStatus{}, noJob(request.ID)
 	}
 	answer, refusal := relay[fleet.CancelRequest, fleet.JobAnswer](ctx, f, relayCall[fleet.CancelRequest]{
 		method:  fleet.MethodCancel,
-		request: fleet.CancelRequest{ID: id},
+		request: request,
 		effect:  true,
 	})
 	return answer.Status, refusal
--- a/internal/front/openapi_test.go
+++ b/internal/front/openapi_test.go
@@ -268,6 +268,8 @@
 		{front, "GET", "/v1/workers", "", nil, 200, false},
 		{front, "GET", "/v1/members", "", nil, 200, false},
 		{front, "GET", "/v1/queues", "", nil, 200, false},
+		{front, "GET", "/v1/queues/q", "", nil, 200, false},
+		{front, "GET", "/v1/queues/missing", "", nil, 404, false},
 		{front, "GET", "/v1/bookings", "", nil, 200, false},
 		{front, "GET", "/v1/bookings?hours=168", "", nil, 200, false},
 		{front, "GET", "/v1/bookings?hours=169", "", nil, 400, true},
@@ -394,6 +396,12 @@
 		return fleet.Empty{}, nil
 	})
 	give[fleet.CancelManyRequest](leader, fleet.MethodCancelMany, fleet.CancelManyAnswer{Answer: api.CancelAnswer{Cancelled: 2}})
+	on(leader, fleet.MethodQueue, func(_ context.Context, request fleet.QueueRequest, _ int) (fleet.QueueAnswer, error) {
+		if request.Name == "missing" {
+			return fleet.QueueAnswer{}, apiError(404, api.CodeNotFound, 0)
+		}
+		return fleet.QueueAnswer{Status: api.QueueStatus{Name: request.Name, Jobs: 1, Pending: 2, Running: 3}}, nil
+	})
 	give[fleet.Empty](leader, fleet.MethodQueues, fleet.QueuesAnswer{List: api.QueueList{Queues: []api.QueueStatus{{Name: "q", Jobs: 1}}}})
 }
 
--- a/internal/front/read_calls.go
+++ b/internal/front/read_calls.go
@@ -51,3 +51,19 @@
 	answer.List.Queues = listOf(answer.List.Queues)
 	return answer.List, refusal
 }
+
+// queue serves GET /v1/queues/{queue}.
+func (f *Front) queue(_ http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
+	status, refusal := f.Queue(request.Context(), pathValue(request, "queue"))
+	return http.StatusOK, status, refusal
+}
+
+// Queue reads what one queue holds; one that the configuration in force does
+// not have is not found.
+func (f *Front) Queue(ctx context.Context, name string) (api.QueueStatus, *api.Error) {
+	answer, refusal := relay[fleet.QueueRequest, fleet.QueueAnswer](ctx, f, relayCall[fleet.QueueRequest]{
+		method:  fleet.MethodQueue,
+		request: fleet.QueueRequest{Name: name},
+	})
+	return answer.Status, refusal
+}
--- a/internal/front/routes.go
+++ b/internal/front/routes.go
@@ -36,6 +36,7 @@
 		v1.Get("/workers", serve(f.workers))
 		v1.Get("/members", serve(f.members))
 		v1.Get("/queues", serve(f.queues))
+		v1.Get("/queues/{queue}", serve(f.queue))
 		v1.Get("/bookings", serve(f.bookings))
 		v1.Post("/bookings/release", serve(f.releaseBooking))
 		v1.Get("/drains", serve(f.drains))
--- a/internal/record/archive.go
+++ b/internal/record/archive.go
@@ -189,8 +189,18 @@
 
 // Status is the answer to a caller.
 func (a *ArchivedJob) Status() api.JobStatus {
+	status := a.brief()
+	status.Steps = make([]api.StepStatus, len(a.Steps))
+	for i := range a.Steps {
+		status.Steps[i] = a.Steps[i].status(a.ID)
+	}
+	return status
+}
+
+// brief is the answer to a caller without the steps.
+func (a *ArchivedJob) brief() api.JobStatus {
 	endedAt := a.EndedAt.Time()
-	status := api.JobStatus{
+	return api.JobStatus{
 		ID:          a.ID,
 		Queue:       a.Queue,
 		Priority:    a.Priority,
@@ -198,13 +208,8 @@
 		SubmittedAt: a.SubmittedAt.Time(),
 		EndedAt:     &endedAt,
 		Occurrences: a.Occurrences.status(),
-		Steps:       make([]api.StepStatus, len(a.Steps)),
 		Archived:    true,
 	}
-	for i := range a.Steps {
-		status.Steps[i] = a.Steps[i].status(a.ID)
-	}
-	return status
 }
 
 // Summary is the job's row in a list.
--- a/internal/record/status.go
+++ b/internal/record/status.go
@@ -99,17 +99,22 @@
 	}
 }
 
-// status builds the answer to a caller; reason may be nil.
-func (j *Job) status(clock Millis, reason func(*Task) string) api.JobStatus {
-	status := api.JobStatus{
+// brief is the answer to a caller without the steps.
+func (j *Job) brief() api.JobStatus {
+	return api.JobStatus{
 		ID:          j.ID,
 		Queue:       j.Spec.Queue,
 		Priority:    j.Spec.Priority,
 		State:       j.State(),
 		SubmittedAt: j.SubmittedAt.Time(),
 		Occurrences: j.occurrenceStatus(),
-		Steps:       make([]api.StepStatus, len(j.Steps)),
 	}
+}
+
+// status builds the answer to a caller; reason may be nil.
+func (j *Job) status(clock Millis, reason func(*Task) string) api.JobStatus {
+	status := j.brief()
+	status.Steps = make([]api.StepStatus, len(j.Steps))
 	for i, step := range j.Steps {
 		status.Steps[i] = step.status(clock, reason)
 	}
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -369,6 +369,9 @@
 	// Status builds the answer to a caller, live or archived. reason gives
 	// the text for a task that waits; it may be nil.
 	Status(id string, reason func(*Task) string) (api.JobStatus, bool, error)
+	// BriefStatus is Status without the steps, at a cost that does not grow with
+	// a live job's size.
+	BriefStatus(id string) (api.JobStatus, bool, error)
 	// Clock is the greatest command time applied.
 	Clock() Millis
 	// Applied is the index of the last entry applied.
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -132,6 +132,18 @@
 	return archived.Status(), true, nil
 }
 
+// BriefStatus implements View.
+func (v view) BriefStatus(id string) (api.JobStatus, bool, error) {
+	if job := v.machine.state.jobs[id]; job != nil {
+		return job.brief(), true, nil
+	}
+	archived, known, err := v.machine.archived(id)
+	if err != nil || !known {
+		return api.JobStatus{}, false, err
+	}
+	return archived.brief(), true, nil
+}
+
 // Clock implements View.
 func (v view) Clock() Millis { return v.machine.state.clock }
 
--- a/internal/scheduler/cancel.go
+++ b/internal/scheduler/cancel.go
@@ -15,14 +15,17 @@
 
 // cancel cancels a job and returns its state.
 func (l *leader) cancel(ctx context.Context, request fleet.CancelRequest) (fleet.JobAnswer, error) {
-	status, err := l.status(request.ID)
-	if err != nil || status.State.Final() {
+	status, err := l.status(request.ID, true)
+	if err != nil {
 		return l.jobAnswer(status, err)
 	}
+	if status.State.Final() {
+		return l.jobAnswer(l.status(request.ID, request.Brief))
+	}
 	if _, err := l.propose(ctx, record.Command{Cancel: &record.Cancel{Jobs: []string{request.ID}}}); err != nil {
 		return fleet.JobAnswer{}, l.proposalError(err)
 	}
-	return l.jobAnswer(l.status(request.ID))
+	return l.jobAnswer(l.status(request.ID, request.Brief))
 }
 
 // cancelMany cancels jobs in bounded batches. If a batch fails, those before it
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -142,7 +142,7 @@
 
 func (h *harness) status(id string) api.JobStatus {
 	h.t.Helper()
-	status, err := h.leader.status(id)
+	status, err := h.leader.status(id, false)
 	if err != nil {
 		h.t.Fatalf("status %s: %v", id, err)
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -82,7 +82,7 @@
 	if _, live := view.Job(id); live {
 		return true
 	}
-	_, known, err := view.Status(id, nil)
+	_, known, err := view.BriefStatus(id)
 	return known && err == nil
 }
 
@@ -188,7 +188,7 @@
 
 // getJob reads a job, held until it is final or the wait is over.
 func (l *leader) getJob(ctx context.Context, request fleet.GetJobRequest) (fleet.JobAnswer, error) {
-	status, err := l.status(request.ID)
+	status, err := l.status(request.ID, request.Brief)
 	if err != nil || status.State.Final() || request.WaitMillis <= 0 {
 		return l.jobAnswer(status, err)
 	}
@@ -200,7 +200,7 @@
 	case <-ctx.Done():
 	case <-l.context.Done():
 	}
-	return l.jobAnswer(l.status(request.ID))
+	return l.jobAnswer(l.status(request.ID, request.Brief))
 }
 
 // jobAnswer gives out a state only while the lease shows that it is the
@@ -215,11 +215,16 @@
 	return fleet.JobAnswer{Status: status}, nil
 }
 
-func (l *leader) status(id string) (api.JobStatus, error) {
+// status reads a job; brief leaves its steps out.
+func (l *leader) status(id string, brief bool) (api.JobStatus, error) {
 	var status api.JobStatus
 	var known bool
 	var err error
 	l.log.Record().Read(func(view record.View) {
+		if brief {
+			status, known, err = view.BriefStatus(id)
+			return
+		}
 		status, known, err = view.Status(id, l.waitReason)
 	})
 	if err != nil {
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -88,6 +88,7 @@
 	handle(s, server, fleet.MethodWorkers, (*leader).listWorkers)
 	handle(s, server, fleet.MethodMembers, (*leader).listMembers)
 	handle(s, server, fleet.MethodQueues, (*leader).listQueues)
+	handle(s, server, fleet.MethodQueue, (*leader).readQueue)
 }
 
 // handle serves a call by the present leader, or names where to go.
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -81,16 +81,36 @@
 	return row
 }
 
+// readQueue counts what one queue holds.
+func (l *leader) readQueue(_ context.Context, request fleet.QueueRequest) (fleet.QueueAnswer, error) {
+	var answer fleet.QueueAnswer
+	var known bool
+	l.log.Record().Read(func(view record.View) {
+		_, config := view.Config()
+		known = slices.ContainsFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == request.Name })
+		answer.Status = queueStatus(view, request.Name)
+	})
+	if !l.log.HoldsLease(l.token) {
+		return fleet.QueueAnswer{}, l.notLeader()
+	}
+	if !known {
+		return fleet.QueueAnswer{}, notFound("queue", request.Name)
+	}
+	return answer, nil
+}
+
+func queueStatus(view record.View, name string) api.QueueStatus {
+	counts := view.QueueCounts(name)
+	return api.QueueStatus{Name: name, Jobs: counts.Jobs, Pending: counts.PendingTasks, Running: counts.RunningTasks}
+}
+
 // listQueues counts what each queue holds.
 func (l *leader) listQueues(context.Context, fleet.Empty) (fleet.QueuesAnswer, error) {
 	list := api.QueueList{Queues: []api.QueueStatus{}}
 	l.log.Record().Read(func(view record.View) {
 		_, config := view.Config()
 		for _, queue := range config.Queues {
-			counts := view.QueueCounts(queue.Name)
-			list.Queues = append(list.Queues, api.QueueStatus{
-				Name: queue.Name, Jobs: counts.Jobs, Pending: counts.PendingTasks, Running: counts.RunningTasks,
-			})
+			list.Queues = append(list.Queues, queueStatus(view, queue.Name))
 		}
 	})
 	if !l.log.HoldsLease(l.token) {
