Let runs of resumable tasks go on from checkpoints

Cause: TaskSpec.Resumable, Heartbeat.Progress and the checkpoints of reports and orders were named and nothing carried them, so that a task that was lost, stopped or preempted began anew.

Change: the leader keeps the newest progress that it heard of each open run and puts it into RunEnd when the run is closed, by a report or by itself. The record keeps the checkpoint of the newest run number that left one, unless the run succeeded, and the order of the next run carries it. A group in lockstep has one, with its first member: the one that got furthest within a run number. Texts that are too long are refused by the agent and passed over by leader and record.

Their texts are bounded well below the agent's limit of 1 MiB, since 300 reports with checkpoints would have made every heartbeat too large; reports without room come later and their runs are named as running until then. The built-in handlers work in parts where a task is resumable. Weighed: to send all progress in each heartbeat, which at 5 heartbeats a second takes 20 KB/s for one run with the largest checkpoint.

--- a/internal/builtin/builtin_test.go
+++ b/internal/builtin/builtin_test.go
@@ -58,6 +58,27 @@
 	}
 }
 
+func TestResumableHandlerGoesOnFromItsCheckpoint(t *testing.T) {
+	cases := []struct {
+		checkpoint string
+		took       time.Duration
+	}{
+		{"", 1050 * time.Millisecond},
+		{"700", 350 * time.Millisecond},
+		{"1050", 0},
+		{"not mine", 1050 * time.Millisecond},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			task := worker.Task{Spec: api.TaskSpec{Payload: json.RawMessage(`{"millis":1050}`), Resumable: true}, Checkpoint: c.checkpoint}
+			began := time.Now()
+			if err := Handlers()[Sleep](t.Context(), task); err != nil || time.Since(began) != c.took {
+				t.Errorf("from %q: took %v, %v", c.checkpoint, time.Since(began), err)
+			}
+		})
+	}
+}
+
 func TestServices(t *testing.T) {
 	services, err := Services([]string{"sleep", "swap=sleep", "charge=flaky"})
 	if err != nil || len(services) != 3 || services["swap"] == nil || services["charge"] == nil {
--- a/internal/builtin/handlers.go
+++ b/internal/builtin/handlers.go
@@ -115,6 +115,9 @@
 // work takes the time asked, unless the run is stopped before. A process that
 // was frozen meanwhile finds its hold gone and must not call the work done.
 func work(ctx context.Context, task worker.Task, duration time.Duration) error {
+	if task.Spec.Resumable {
+		return workInParts(ctx, task, duration)
+	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	finished := timer.C
--- a/internal/record/close.go
+++ b/internal/record/close.go
@@ -42,6 +42,7 @@
 		m.emit(RunClosed{Run: run, Outcome: end.Outcome})
 		return
 	}
+	task.keepCheckpoint(end)
 	next := m.stateAfterRun(run, end)
 	m.state.setRun(task, next, nil)
 	m.emit(RunClosed{Run: run, Outcome: end.Outcome})
@@ -107,8 +108,11 @@
 // closeLate takes the success of a closed run if the task still waits: what
 // the run did is done, whatever became of newer runs, and none of them is open.
 // One that runs until cancelled has no success. Any other late report changes
-// nothing.
+// nothing but the checkpoint, if it is of the newest run.
 func (m *Machine) closeLate(task *Task, end *RunEnd) {
+	if task.State == TaskReady && end.Run.Number == task.LastRun {
+		task.keepCheckpoint(end)
+	}
 	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady || task.endless() || task.Step.Spec.Lockstep {
 		return
 	}
--- a/internal/record/property_test.go
+++ b/internal/record/property_test.go
@@ -165,6 +165,9 @@
 	if rapid.Bool().Draw(t, "spread") {
 		first.Tasks[0].Spread = &api.Spread{By: api.SpreadByWorker}
 	}
+	for i := range first.Tasks {
+		first.Tasks[i].Resumable = rapid.Bool().Draw(t, "resumable")
+	}
 	if rapid.Bool().Draw(t, "replicas") {
 		first.Replicas, first.Tasks = len(first.Tasks), first.Tasks[:1]
 	}
@@ -265,7 +268,12 @@
 	stray := RunID{Task: strayTask, Number: uint32(rapid.IntRange(0, 2).Draw(t, "number"))}
 	for _, run := range append(runs, stray) {
 		outcome := rapid.SampledFrom(outcomes).Draw(t, "outcome")
-		closing.Runs = append(closing.Runs, RunEnd{Run: run, Outcome: outcome})
+		end := RunEnd{Run: run, Outcome: outcome}
+		if rapid.Bool().Draw(t, "checkpoint") {
+			end.Percent = rapid.IntRange(0, 3).Draw(t, "percent")
+			end.Checkpoint = checkpointText(run, end.Percent)
+		}
+		closing.Runs = append(closing.Runs, end)
 	}
 	return closing
 }
@@ -282,7 +290,9 @@
 	preempted map[*Task]int
 	// failedRuns are the numbers of the failed runs of groups in lockstep.
 	failedRuns map[*Step]map[uint32]bool
-	released   []ReleaseWindow
+	// checkpointRun is the run that left the checkpoint seen last.
+	checkpointRun map[*Task]uint32
+	released      []ReleaseWindow
 	// releasedBefore is the length of released before the newest command.
 	releasedBefore int
 	// drained are the zones that orders drained.
@@ -297,7 +307,7 @@
 		t: t, machine: machine, open: make(map[RunID]bool), lastRun: make(map[*Task]uint32),
 		final: make(map[*Task]TaskState), accepted: make(map[string]bool),
 		preempted: make(map[*Task]int), drained: make(map[string]bool),
-		failedRuns: make(map[*Step]map[uint32]bool),
+		failedRuns: make(map[*Step]map[uint32]bool), checkpointRun: make(map[*Task]uint32),
 	}
 	machine.Observe(nil, c.event)
 	return c
@@ -464,6 +474,7 @@
 	if outlasts && task.Run != nil && task.Run.Stop == StopNone {
 		c.t.Fatalf("%s: its group has succeeded and its run may go on", task.ID)
 	}
+	c.checkpoint(task)
 	if task.Preemptions != c.preempted[task] {
 		c.t.Fatalf("%s: %d preemptions, expected %d", task.ID, task.Preemptions, c.preempted[task])
 	}
--- a/internal/record/restore.go
+++ b/internal/record/restore.go
@@ -246,6 +246,7 @@
 	task.NotBefore = read.NotBefore
 	task.Reason = read.Reason
 	task.Preemptions = read.Preemptions
+	task.checkpoint = checkpoint{text: read.Checkpoint, run: read.CheckpointRun, percent: read.CheckpointPercent}
 	task.Step.Job.started = task.Step.Job.started || read.LastRun > 0
 	restoreCounts(task)
 	return r.restoreRun(task, read.Run)
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -67,6 +67,10 @@
 	Reason          string       `cbor:"7,keyasint,omitempty"`
 	Run             *snapshotRun `cbor:"8,keyasint,omitempty"`
 	Preemptions     int          `cbor:"9,keyasint,omitempty"`
+	// The checkpoint is absent from snapshots of earlier programs.
+	Checkpoint        string `cbor:"10,keyasint,omitempty"`
+	CheckpointRun     uint32 `cbor:"11,keyasint,omitempty"`
+	CheckpointPercent int    `cbor:"12,keyasint,omitempty"`
 }
 
 // snapshotRun is the open run; its number and worker are the task's last.
@@ -199,7 +203,12 @@
 		NotBefore:       task.NotBefore,
 		Reason:          task.Reason,
 		Preemptions:     task.Preemptions,
-		Run:             c.addRun(task.Run),
+
+		Checkpoint:        task.checkpoint.text,
+		CheckpointRun:     task.checkpoint.run,
+		CheckpointPercent: task.checkpoint.percent,
+
+		Run: c.addRun(task.Run),
 	})
 }
 
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -102,8 +102,8 @@
 	// Preemptions counts runs that were stopped to make room for others and
 	// did not succeed.
 	Preemptions int
-	// Checkpoint is the newest that an earlier run left, or empty.
-	Checkpoint string
+	// checkpoint is the newest that an earlier run left; see NewestCheckpoint.
+	checkpoint checkpoint
 	// NotBefore is the earliest next start: the step's or the retry's.
 	NotBefore Millis
 	// Reason says how a final task ended or why the last run did.
@@ -229,8 +229,10 @@
 	Run     RunID       `cbor:"1,keyasint"`
 	Outcome api.Outcome `cbor:"2,keyasint"`
 	Message string      `cbor:"3,keyasint,omitempty"`
-	// Checkpoint is the newest known of the run; empty if there is none.
+	// Checkpoint is the newest known of the run; empty if there is none. Percent
+	// is how far the run was, 0 to 100, as last heard.
 	Checkpoint string `cbor:"4,keyasint,omitempty"`
+	Percent    int    `cbor:"5,keyasint,omitempty"`
 }
 
 // Stop marks open runs to be stopped; the first reason stands, except that
--- /dev/null
+++ b/internal/scheduler/checkpoints.go
@@ -0,0 +1,34 @@
+package scheduler
+
+import (
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// noteCheckpoints keeps the newest that a worker says of runs open on it. What is
+// said of others, or with a checkpoint beyond the bound, is passed over.
+func (w *workerEntry) noteCheckpoints(all []api.RunProgress) {
+	for _, progress := range all {
+		id, ok := parseRun(progress.RunRef)
+		if !ok || len(progress.Checkpoint) > api.MaxCheckpointBytes {
+			continue
+		}
+		run, open := w.runs[id]
+		if !open {
+			continue
+		}
+		run.heardPercent = progress.Percent
+		if progress.Checkpoint != "" {
+			run.heardCheckpoint = progress.Checkpoint
+		}
+	}
+}
+
+// addCheckpoint puts what was last heard of the run beside how it ended. The
+// checkpoint that came with the end is newer.
+func (r *runState) addCheckpoint(end *record.RunEnd) {
+	end.Percent = r.heardPercent
+	if end.Checkpoint == "" {
+		end.Checkpoint = r.heardCheckpoint
+	}
+}
--- /dev/null
+++ b/internal/scheduler/checkpoints_test.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+)
+
+// say sets what the worker's next heartbeat tells of a run's progress.
+func (w *fakeWorker) say(run api.RunRef, percent int, checkpoint string) {
+	w.heartbeat.Progress = []api.RunProgress{{RunRef: run, Percent: percent, Checkpoint: checkpoint}}
+}
+
+// resumableOne has one resumable task that runs on the worker returned.
+func resumableOne(t *testing.T) (*harness, *fakeWorker, api.RunRef) {
+	t.Helper()
+	h := newHarness(t)
+	worker := h.worker("a", "a-1")
+	worker.exchange()
+	step := tasks(1)
+	step.Tasks[0].Resumable = true
+	h.submit("j", step)
+	answer := worker.exchange()
+	if len(answer.Start) != 1 || answer.Start[0].Checkpoint != "" {
+		t.Fatalf("want one order without a checkpoint, got %+v", answer.Start)
+	}
+	return h, worker, answer.Start[0].RunRef
+}
+
+// wantOrderFrom checks that a new worker is told to go on from a checkpoint.
+func (h *harness) wantOrderFrom(checkpoint string) {
+	h.t.Helper()
+	other := h.worker("other", "o-1")
+	other.exchange()
+	answer := other.exchange()
+	if len(answer.Start) != 1 || answer.Start[0].Checkpoint != checkpoint {
+		h.t.Fatalf("want an order from %q, got %+v", checkpoint, answer.Start)
+	}
+}
+
+func TestLostRunGoesOnFromTheCheckpointHeardLast(t *testing.T) {
+	h, worker, run := resumableOne(t)
+	worker.say(run, 10, "ten")
+	worker.exchange()
+	worker.say(run, 20, "twenty")
+	worker.exchange()
+	worker.say(run, 25, "")
+	worker.exchange()
+	worker.say(run, 30, strings.Repeat("x", api.MaxCheckpointBytes+1))
+	worker.exchange()
+	h.advance(testHold + testMargin + time.Millisecond)
+	h.wantOrderFrom("twenty")
+}
+
+func TestReportOfAStopBringsTheNewestCheckpoint(t *testing.T) {
+	for _, test := range []struct{ reported, want string }{{"at the stop", "at the stop"}, {"", "heard"}} {
+		h, worker, run := resumableOne(t)
+		worker.say(run, 10, "heard")
+		worker.exchange()
+		worker.heartbeat.Progress = nil
+		worker.end(api.OutcomeStopped)
+		worker.heartbeat.Ended[0].Checkpoint = test.reported
+		worker.heartbeat.Draining = true
+		worker.exchange()
+		h.wantOrderFrom(test.want)
+	}
+}
+
+func TestNewLeaderLearnsTheCheckpointFromAHeartbeat(t *testing.T) {
+	h, worker, run := resumableOne(t)
+	h.newTerm()
+	worker.say(run, 10, "ten")
+	worker.exchange()
+	h.newTerm() // another one, which hears nothing of the worker
+	h.advance(testHold + testMargin + time.Millisecond)
+	h.wantOrderFrom("")
+
+	h, worker, run = resumableOne(t)
+	h.newTerm()
+	worker.say(run, 10, "ten")
+	worker.exchange()
+	h.advance(testHold + testMargin + time.Millisecond)
+	h.newTerm() // what was closed is in the record
+	h.wantOrderFrom("ten")
+}
+
+func TestProgressOfRunsElsewhereIsPassedOver(t *testing.T) {
+	h, worker, run := resumableOne(t)
+	stranger := h.worker("stranger", "s-1")
+	stranger.heartbeat.Services = nil
+	stranger.say(run, 99, "not its own")
+	stranger.exchange()
+	worker.say(api.RunRef{Task: run.Task, Run: run.Run + 1}, 99, "of no run")
+	worker.exchange()
+	h.advance(testHold + testMargin + time.Millisecond)
+	h.wantOrderFrom("")
+}
+
+func TestLockstepOrdersCarryOneCheckpoint(t *testing.T) {
+	h := newHarness(t)
+	first, second := h.worker("a", "a-1"), h.worker("b", "b-1")
+	first.exchange()
+	second.exchange()
+	group := tasks(8)
+	group.Lockstep = true
+	for i := range group.Tasks {
+		group.Tasks[i].Resumable = true
+	}
+	h.submit("g", group)
+	first.exchange()
+	second.exchange()
+	first.say(first.heartbeat.Running[0], 70, "at 70")
+	second.say(second.heartbeat.Running[1], 60, "at 60")
+	first.exchange()
+	second.exchange()
+	first.heartbeat.Progress, second.heartbeat.Progress = nil, nil
+	first.end(api.OutcomeStopped)
+	first.exchange()
+	second.end(api.OutcomeStopped)
+	second.exchange()
+	orders := append(first.exchange().Start, second.exchange().Start...)
+	if len(orders) != 8 {
+		t.Fatalf("want all members again, got %d", len(orders))
+	}
+	for _, order := range orders {
+		if order.Checkpoint != "at 70" || order.Run != 2 {
+			t.Errorf("%s run %d starts from %q", order.Task, order.Run, order.Checkpoint)
+		}
+	}
+}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -76,6 +76,7 @@
 	}
 	observed := &observation{request: request, worker: worker, lapses: worker.lapses}
 	if worker.hear(heartbeat, now) {
+		worker.noteCheckpoints(heartbeat.Progress)
 		observed.mustRegister = l.mustRegister(worker, workerInfo(request, 0), now)
 		observed.differences = reconcile(worker.runs, heartbeat)
 	} else {
@@ -209,6 +210,7 @@
 func (r *runState) order() api.StartOrder {
 	order := api.StartOrder{RunRef: runRef(r.id), Spec: *r.spec}
 	order.Spec.Payload = r.payload
+	order.Checkpoint = r.checkpoint
 	return order
 }
 
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -254,6 +254,7 @@
 	}
 	run.closing = true
 	end := record.RunEnd{Run: run.id, Outcome: api.OutcomeLost, Message: message}
+	run.addCheckpoint(&end)
 	l.pendingCloses = append(l.pendingCloses, end)
 	signal(l.wakeProposer)
 }
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -179,6 +179,8 @@
 		queue:     task.Step.Job.Spec.Queue,
 		inherited: inherited,
 		stop:      open.Stop,
+
+		checkpoint: task.NewestCheckpoint(),
 	}
 	delete(l.waiting, task.ID)
 	l.planner.Remove(task.ID)
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -80,7 +80,7 @@
 		return
 	}
 	listed[id] = true
-	end := record.RunEnd{Run: id, Outcome: report.Outcome, Message: report.Message}
+	end := record.RunEnd{Run: id, Outcome: report.Outcome, Message: report.Message, Checkpoint: report.Checkpoint}
 	run, open := runs[id]
 	if !open {
 		r.late = append(r.late, end)
@@ -89,6 +89,7 @@
 	if !run.listed {
 		r.started = append(r.started, run)
 	}
+	run.addCheckpoint(&end)
 	r.ended = append(r.ended, end)
 }
 
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -75,6 +75,12 @@
 	// progress is how far the run said that it is, from when it was listed.
 	progress workerhealth.Progress
 	stop     record.StopReason
+	// checkpoint is what the order carries: the newest of earlier runs.
+	checkpoint string
+	// heardCheckpoint is the newest that was heard of the run itself, and
+	// heardPercent how far it was.
+	heardCheckpoint string
+	heardPercent    int
 	// droppedAt is the seq of the first answer that told the worker to stop
 	// the run because it accepted the order and does not list it; 0 if none.
 	droppedAt uint64
--- a/worker/doc.go
+++ b/worker/doc.go
@@ -14,6 +14,10 @@
 // returned because of a cancelled context is reported as stopped and is not
 // counted as a failure; nil always means that the task is done.
 //
+// A handler says how far it is with Task.Report. The runs of a task whose
+// description says Resumable also leave checkpoints: a later run finds the
+// newest in Task.Checkpoint and goes on from there.
+//
 // The rules of the protocol are in docs/DESIGN.md, "Holds, tokens and the
 // life of a run"; session is their pure form.
 package worker
--- a/worker/execute.go
+++ b/worker/execute.go
@@ -26,6 +26,7 @@
 	}
 	result := w.guard(ctx, handler, task)
 	ended := report(task.RunRef, result, context.Cause(ctx))
+	ended.Checkpoint = task.left(ended.Outcome)
 	if w.config.OnEnd != nil {
 		event.Outcome = ended.Outcome
 		w.config.OnEnd(event)
--- a/worker/loop.go
+++ b/worker/loop.go
@@ -171,7 +171,7 @@
 		l.start(ctx, order)
 	}
 	l.logOrders(todo)
-	if l.urgent || len(todo.refused) > 0 {
+	if l.urgent || len(todo.refused) > 0 || l.session.heldBack {
 		l.urgent = false
 		l.hurry(now)
 	}
@@ -202,7 +202,8 @@
 func (l *loop) start(ctx context.Context, order api.StartOrder) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	l.cancels[order.RunRef] = cancel
-	task := Task{RunRef: order.RunRef, Token: l.session.token, Spec: order.Spec}
+	task := Task{RunRef: order.RunRef, Token: l.session.token, Spec: order.Spec, Checkpoint: order.Checkpoint}
+	task.progress = &l.session.running[order.RunRef].progress
 	task.held = func() bool { return ctx.Err() == nil && int64(l.now()) < l.holdUntil.Load() }
 	handler := l.worker.handlers[order.Spec.Service]
 	l.logger.Debug("run starts", slog.String("task", order.Task), slog.Uint64("run", uint64(order.Run)))
--- /dev/null
+++ b/worker/progress_test.go
@@ -0,0 +1,191 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/decklever/decklever/api"
+)
+
+// runningSession has open runs of tasks "j/s/0" and so on.
+func runningSession(t *testing.T, count int) *session {
+	t.Helper()
+	s := testSession()
+	var orders []api.StartOrder
+	for i := range count {
+		orders = append(orders, order(fmt.Sprintf("j/s/%d", i), 1))
+	}
+	give(t, s, 0, 1, orders...)
+	return s
+}
+
+func TestProgressIsSentUntilItIsConfirmed(t *testing.T) {
+	s := runningSession(t, 2)
+	run := s.running[ref("j/s/0", 1)]
+	sent := func(accept bool, token uint64) []api.RunProgress {
+		heartbeat := s.nextHeartbeat(0)
+		if !accept {
+			s.abandon()
+		} else if _, err := s.accept(0, answerTo(heartbeat, token)); err != nil {
+			t.Fatal(err)
+		}
+		return heartbeat.Progress
+	}
+	if got := sent(true, 1); len(got) != 0 {
+		t.Fatalf("nothing was said, sent %+v", got)
+	}
+	run.progress.set(130, "a")
+	if got := sent(true, 1); len(got) != 1 || got[0] != (api.RunProgress{RunRef: ref("j/s/0", 1), Percent: 100, Checkpoint: "a"}) {
+		t.Fatalf("sent %+v", got)
+	}
+	steps := []struct {
+		what   string
+		accept bool
+		token  uint64
+		want   int
+	}{
+		{"confirmed before", false, 0, 0},
+		{"after a failed heartbeat", true, 1, 1},
+		{"confirmed again, and the answer has a new token", true, 2, 0},
+		{"under the new token", true, 2, 1},
+		{"confirmed under it", true, 2, 0},
+	}
+	for _, step := range steps {
+		if got := sent(step.accept, step.token); len(got) != step.want {
+			t.Fatalf("%s: sent %+v", step.what, got)
+		}
+	}
+	run.progress.set(7, "")
+	if got := sent(true, 2); len(got) != 1 || got[0].Checkpoint != "a" || got[0].Percent != 7 {
+		t.Errorf("sent %+v", got)
+	}
+}
+
+func TestProgressOfManyRunsIsBoundedAndComesInTurn(t *testing.T) {
+	const runs = 40
+	s := runningSession(t, runs)
+	heard := map[api.RunRef]bool{}
+	for range runs * api.MaxCheckpointBytes / maxProgressBytes {
+		for _, run := range s.running {
+			run.progress.set(1, strings.Repeat("x", api.MaxCheckpointBytes))
+		}
+		heartbeat := s.nextHeartbeat(0)
+		if size := len(heartbeat.Progress) * api.MaxCheckpointBytes; size > maxProgressBytes {
+			t.Fatalf("%d bytes of checkpoints", size)
+		}
+		for _, progress := range heartbeat.Progress {
+			heard[progress.RunRef] = true
+		}
+		if _, err := s.accept(0, answerTo(heartbeat, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(heard) != runs {
+		t.Errorf("heard of %d runs of %d", len(heard), runs)
+	}
+}
+
+func TestReportsWithoutRoomAreNamedAsRunning(t *testing.T) {
+	const runs = 60
+	s := runningSession(t, runs)
+	for _, open := range s.runningRefs() {
+		s.finish(api.EndedRun{RunRef: open, Outcome: api.OutcomeStopped, Checkpoint: strings.Repeat("x", api.MaxCheckpointBytes)})
+	}
+	reported := 0
+	for s.heldBack = true; s.heldBack; {
+		heartbeat := s.nextHeartbeat(0)
+		if len(heartbeat.Ended)*api.MaxCheckpointBytes > maxReportBytes || len(heartbeat.Ended) == 0 {
+			t.Fatalf("%d reports in one heartbeat", len(heartbeat.Ended))
+		}
+		if named := len(heartbeat.Ended) + len(heartbeat.Running); named != runs-reported {
+			t.Fatalf("%d runs are named, want %d", named, runs-reported)
+		}
+		answer := answerTo(heartbeat, 1)
+		for _, ended := range heartbeat.Ended {
+			answer.Acknowledged = append(answer.Acknowledged, ended.RunRef)
+		}
+		reported += len(heartbeat.Ended)
+		if _, err := s.accept(0, answer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if reported != runs || len(s.ended) != 0 {
+		t.Errorf("%d reports of %d, %d left", reported, runs, len(s.ended))
+	}
+}
+
+func TestTaskReportRefuses(t *testing.T) {
+	resumable := Task{Spec: api.TaskSpec{Resumable: true}, progress: &progress{}}
+	cases := []struct {
+		name       string
+		task       Task
+		checkpoint string
+		want       error
+	}{
+		{"none", Task{}, "", nil},
+		{"not resumable", Task{}, "a", ErrNotResumable},
+		{"as long as may be", resumable, strings.Repeat("x", api.MaxCheckpointBytes), nil},
+		{"too long", resumable, strings.Repeat("x", api.MaxCheckpointBytes+1), ErrCheckpoint},
+		{"not text", resumable, "\xff", ErrCheckpoint},
+	}
+	for _, c := range cases {
+		if err := c.task.Report(1, c.checkpoint); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+	if _, checkpoint, changes := resumable.progress.get(); changes != 1 || len(checkpoint) != api.MaxCheckpointBytes {
+		t.Errorf("%d changes, %d bytes", changes, len(checkpoint))
+	}
+}
+
+func TestRunGoesOnFromItsCheckpointAndLeavesTheNewest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		agent := &fakeAgent{}
+		given := make(chan string, 1)
+		w, err := New(Config{Name: "w", AgentURL: "http://agent:1", HTTPClient: &http.Client{Transport: agent}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Handle("save", func(ctx context.Context, task Task) error {
+			given <- task.Checkpoint
+			if err := task.Report(50, "half"); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			return errors.Join(task.Report(60, "at the stop"), context.Cause(ctx))
+		})
+		start := orderFor("save", "j/s/0")
+		start.Spec.Resumable = true
+		start.Checkpoint = "before"
+		agent.set(func() { agent.orders = []api.StartOrder{start} })
+		ctx, cancel := context.WithCancel(t.Context())
+		result := make(chan error, 1)
+		go func() { result <- w.Run(ctx) }()
+		time.Sleep(time.Second)
+		if got := <-given; got != "before" {
+			t.Errorf("the run was given %q", got)
+		}
+		cancel()
+		if err := <-result; err != nil {
+			t.Fatal(err)
+		}
+		var progress, left string
+		for _, heartbeat := range agent.heartbeats {
+			for _, said := range heartbeat.Progress {
+				progress = said.Checkpoint
+			}
+			for _, ended := range heartbeat.Ended {
+				left = ended.Checkpoint
+			}
+		}
+		if progress != "half" || left != "at the stop" {
+			t.Errorf("heartbeats said %q, the report %q", progress, left)
+		}
+	})
+}
--- a/worker/protocol.go
+++ b/worker/protocol.go
@@ -42,6 +42,12 @@
 type openRun struct {
 	stopping bool
 	lapsed   bool
+	progress progress
+	// sent counts the changes that the outstanding heartbeat covers, confirmed
+	// those that an accepted answer does.
+	sent, confirmed uint64
+	// sentIn is the newest heartbeat that spoke of the run's progress.
+	sentIn uint64
 }
 
 // actions is what the worker must do at once.
@@ -77,6 +83,8 @@
 
 	running map[api.RunRef]*openRun
 	ended   map[api.RunRef]api.EndedRun
+	// heldBack is true if the newest heartbeat had no room for some reports.
+	heldBack bool
 }
 
 func newSession(who identity) *session {
@@ -95,6 +103,8 @@
 	s.outstanding = true
 	s.sentAt = now
 	s.sentDrain = s.draining
+	ended, heldBack := s.splitEnded()
+	s.heldBack = len(heldBack) > 0
 	return api.Heartbeat{
 		WorkerID:    s.identity.WorkerID,
 		Name:        s.identity.Name,
@@ -103,14 +113,18 @@
 		Capacity:    s.identity.Capacity,
 		Services:    s.identity.Services,
 		Labels:      s.identity.Labels,
-		Running:     s.runningRefs(),
-		Ended:       s.endedRuns(),
+		Running:     append(s.runningRefs(), heldBack...),
+		Ended:       ended,
+		Progress:    s.progressToSend(),
 		Draining:    s.draining || s.blocked(),
 	}
 }
 
 // abandon gives up the outstanding heartbeat: its request has failed.
-func (s *session) abandon() { s.outstanding = false }
+func (s *session) abandon() {
+	s.outstanding = false
+	s.forgetConfirmed()
+}
 
 // lapsed reports whether the hold is over (or there never was one).
 func (s *session) lapsed(now time.Duration) bool { return now >= s.holdUntil }
@@ -155,6 +169,7 @@
 	s.outstanding = false
 	s.acceptedSeq = answer.Seq
 	s.acceptedDrain = s.acceptedDrain || s.sentDrain
+	s.confirmProgress(answer.Token != s.token)
 	s.token = answer.Token
 	s.hold = hold
 	s.holdUntil = s.sentAt + hold
--- a/worker/task.go
+++ b/worker/task.go
@@ -38,8 +38,12 @@
 	Token uint64
 	// Spec is the whole description of the task.
 	Spec api.TaskSpec
+	// Checkpoint is the newest of a resumable task's earlier runs, from which
+	// this one goes on; empty if there is none. See Report.
+	Checkpoint string
 
-	held func() bool
+	held     func() bool
+	progress *progress
 }
 
 // Decode reads the payload, as JSON, into a value.
