--- /dev/null
+++ b/internal/record/checker_test.go
@@ -0,0 +1,289 @@
+package record
+
+import (
+	"slices"
+
+	"pgregory.net/rapid"
+
+	"github.com/decklever/decklever/api"
+)
+
+// checker holds the machine against what it has shown before.
+type checker struct {
+	t        *rapid.T
+	machine  *Machine
+	open     map[RunID]bool
+	lastRun  map[*Task]uint32
+	final    map[*Task]TaskState
+	accepted map[string]bool
+	// preempted counts as Task.Preemptions should.
+	preempted map[*Task]int
+	// failedRuns are the numbers of the failed runs of groups in lockstep.
+	failedRuns map[*Step]map[uint32]bool
+	// checkpointRun is the run that left the checkpoint seen last.
+	checkpointRun map[*Task]uint32
+	released      []ReleaseWindow
+	// releasedBefore is the length of released before the newest command.
+	releasedBefore int
+	// drained are the zones that orders drained.
+	drained map[string]bool
+	// drainedInConfig are the zones that configuration configVersion drains.
+	drainedInConfig []string
+	configVersion   uint64
+}
+
+func newChecker(t *rapid.T, machine *Machine) *checker {
+	c := &checker{
+		t: t, machine: machine, open: make(map[RunID]bool), lastRun: make(map[*Task]uint32),
+		final: make(map[*Task]TaskState), accepted: make(map[string]bool),
+		preempted: make(map[*Task]int), drained: make(map[string]bool),
+		failedRuns: make(map[*Step]map[uint32]bool), checkpointRun: make(map[*Task]uint32),
+	}
+	machine.Observe(nil, c.event)
+	return c
+}
+
+func (c *checker) event(event Event) {
+	switch e := event.(type) {
+	case RunOpened:
+		if c.open[e.Run.ID()] || e.Run.Number != c.lastRun[e.Run.Task]+1 {
+			c.t.Fatalf("%v opened again or out of order", e.Run.ID())
+		}
+		if e.Run.Task.Step.WaitsOn != 0 || e.Run.Task.Step.Job.Cancelled {
+			c.t.Fatalf("%v must not start", e.Run.ID())
+		}
+		if e.Run.Task.Step.earliestStart() > c.machine.state.clock {
+			c.t.Fatalf("%v started before it fell due", e.Run.ID())
+		}
+		c.lastRun[e.Run.Task] = e.Run.Number
+		c.open[e.Run.ID()] = true
+		c.boundsHold(e.Run.Task.Step.Job.Spec.Queue)
+	case RunClosed:
+		if !c.open[e.Run.ID()] {
+			c.t.Fatalf("%v closed but not open", e.Run.ID())
+		}
+		delete(c.open, e.Run.ID())
+		if e.Run.Stop == StopPreempted && e.Outcome != api.OutcomeSucceeded && e.Run.Task.State != TaskSucceeded {
+			c.preempted[e.Run.Task]++
+		}
+		if e.Run.Stop == StopNone && e.Outcome == api.OutcomeFailed && e.Run.Task.State != TaskSucceeded {
+			c.noteFailedRun(e.Run)
+		}
+	case WindowReleased:
+		c.released = append(c.released, e.Window)
+	case OccurrenceEnded:
+		c.ended(e.Steps)
+	case JobEnded:
+		c.ended(e.Job.Steps)
+		c.repetition(e.Job)
+	}
+}
+
+// ended checks steps that leave memory.
+func (c *checker) ended(steps []*Step) {
+	for _, step := range steps {
+		for _, task := range step.Tasks {
+			c.task(task)
+			if !task.State.Final() {
+				c.t.Fatalf("%s left memory in state %d", task.ID, task.State)
+			}
+		}
+	}
+}
+
+// repetition holds the counts of a repeating job against its live occurrences.
+func (c *checker) repetition(job *Job) {
+	if job.Repetition == nil {
+		return
+	}
+	counted := job.Repetition.Succeeded + job.Repetition.Failed + job.Repetition.Cancelled + len(job.occurrences)
+	if counted != job.Repetition.Next || counted > job.Occurrences() {
+		c.t.Fatalf("job %s: %d occurrences of %d counted, %+v", job.ID, counted, job.Occurrences(), *job.Repetition)
+	}
+	if job.Repetition.Cancelled > 0 && !job.Cancelled {
+		c.t.Fatalf("job %s: occurrences are cancelled, the job is not", job.ID)
+	}
+	for _, one := range job.occurrences {
+		if one.over() {
+			c.t.Fatalf("job %s: occurrence %d has ended and is live", job.ID, one.number)
+		}
+	}
+}
+
+// boundsHold checks queue and team right after a run was opened.
+func (c *checker) boundsHold(queue string) {
+	s := c.machine.state
+	most := s.settings.queues[queue].MaxRunningTasks
+	if most > 0 && s.queues[queue].RunningTasks > most {
+		c.t.Fatalf("queue %s runs more than %d tasks", queue, most)
+	}
+	team := s.settings.queues[queue].Team
+	most = s.settings.teams[team].MaxRunningTasks
+	if most > 0 && s.teams[team].RunningTasks > most {
+		c.t.Fatalf("team %s runs more than %d tasks", team, most)
+	}
+}
+
+// windows holds the released windows against those that events told of.
+func (c *checker) windows(command Command, before int) {
+	s := c.machine.state
+	if release := command.Release; release != nil {
+		known := slices.ContainsFunc(c.released[:before], func(other ReleaseWindow) bool {
+			return other.End > s.clock && release.sameWindow(other)
+		})
+		if told := len(c.released) > before; told == (known || release.End <= s.clock) {
+			c.t.Fatalf("release of %v told: %v", *release, told)
+		}
+	}
+	c.released = slices.DeleteFunc(c.released, func(window ReleaseWindow) bool { return window.End <= s.clock })
+	slices.SortFunc(c.released, compareReleases)
+	if !slices.Equal(c.released, s.released) {
+		c.t.Fatalf("released %v, expected %v", s.released, c.released)
+	}
+}
+
+func (c *checker) after(command Command, result Result) {
+	if command.Submit != nil && result.Submit.Outcome == SubmitAccepted {
+		c.accepted[command.Submit.ID] = true
+	}
+	s := c.machine.state
+	c.drains(command, result)
+	c.windows(command, c.releasedBefore)
+	c.releasedBefore = len(c.released)
+	tasks, runs, used, queues := 0, 0, make(map[string]api.Resources), make(map[string]QueueCounts)
+	for _, job := range s.jobList {
+		open, outlasting := 0, 0
+		counts := queues[job.Spec.Queue]
+		counts.Jobs++
+		for _, step := range job.Steps {
+			for _, task := range step.Tasks {
+				c.task(task)
+				tasks++
+				switch {
+				case task.Run != nil:
+					if task.State.Final() {
+						outlasting++
+					} else {
+						open++
+					}
+					runs++
+					counts.RunningTasks++
+					used[task.Run.WorkerID] = used[task.Run.WorkerID].Add(task.Spec.Resources)
+				case !task.State.Final():
+					open++
+					counts.PendingTasks++
+				}
+			}
+		}
+		queues[job.Spec.Queue] = counts
+		c.repetition(job)
+		toCome := job.Repetition != nil && job.Repetition.Next < job.Occurrences()
+		if open+outlasting == 0 && !toCome || open != job.OpenTasks || s.jobs[job.ID] != job {
+			c.t.Fatalf("job %s: %d open tasks, %d counted", job.ID, open, job.OpenTasks)
+		}
+	}
+	if tasks != s.taskTotal {
+		c.t.Fatalf("%d tasks, %d counted", tasks, s.taskTotal)
+	}
+	c.totals(runs, used, queues)
+	c.teams(queues)
+	c.jobsAreFound()
+}
+
+func (c *checker) task(task *Task) {
+	if before, ended := c.final[task]; ended && before != task.State {
+		c.t.Fatalf("%s was final and changed", task.ID)
+	}
+	if task.State.Final() {
+		c.final[task] = task.State
+	}
+	outlasts := task.Step.Spec.Lockstep && task.State == TaskSucceeded
+	if (task.State == TaskPlaced) != (task.Run != nil) && !outlasts {
+		c.t.Fatalf("%s: state %d and run do not match", task.ID, task.State)
+	}
+	if outlasts && task.Run != nil && task.Run.Stop == StopNone {
+		c.t.Fatalf("%s: its group has succeeded and its run may go on", task.ID)
+	}
+	c.checkpoint(task)
+	if task.Preemptions != c.preempted[task] {
+		c.t.Fatalf("%s: %d preemptions, expected %d", task.ID, task.Preemptions, c.preempted[task])
+	}
+	if task.Step.Spec.Lockstep {
+		c.member(task)
+		return
+	}
+	if task.Spec.UntilCancelled {
+		if task.State == TaskSucceeded || task.State == TaskFailed {
+			c.t.Fatalf("%s runs until cancelled and is in state %d", task.ID, task.State)
+		}
+		return
+	}
+	if task.Failures > task.AllowedFailures || (task.Failures == task.AllowedFailures) != (task.State == TaskFailed) {
+		c.t.Fatalf("%s: %d failures of %d allowed in state %d", task.ID, task.Failures, task.AllowedFailures, task.State)
+	}
+}
+
+func (c *checker) totals(runs int, used map[string]api.Resources, queues map[string]QueueCounts) {
+	s := c.machine.state
+	if runs != s.runTotal || runs != len(c.open) || len(s.jobs) != len(s.jobList) {
+		c.t.Fatalf("%d runs, %d counted, %d by events", runs, s.runTotal, len(c.open))
+	}
+	listed := 0
+	for workerID, held := range s.loads {
+		for _, run := range held.runs {
+			listed++
+			if run.Task.Run != run || run.WorkerID != workerID {
+				c.t.Fatalf("worker %s: run %v is listed and not open there", workerID, run.ID())
+			}
+		}
+	}
+	if listed != runs {
+		c.t.Fatalf("%d runs are listed of %d", listed, runs)
+	}
+	for workerID, amount := range used {
+		worker := s.workersByID[workerID]
+		if s.used(workerID) != amount || worker == nil || !amount.Fits(worker.Capacity) {
+			c.t.Fatalf("worker %s: used %v, counted %v", workerID, amount, s.used(workerID))
+		}
+	}
+	if len(used) != len(s.loads) || len(queues) != len(s.queues) {
+		c.t.Fatal("a load or a queue is left over")
+	}
+	for name, counts := range queues {
+		if *s.queues[name] != counts {
+			c.t.Fatalf("queue %s: %v, counted %v", name, counts, *s.queues[name])
+		}
+	}
+}
+
+// teams holds a team's counts against the sum over its queues.
+func (c *checker) teams(queues map[string]QueueCounts) {
+	s := c.machine.state
+	var sum QueueCounts
+	for name, counts := range queues {
+		if s.settings.queues[name].Team == "t" {
+			sum.Jobs += counts.Jobs
+			sum.PendingTasks += counts.PendingTasks
+			sum.RunningTasks += counts.RunningTasks
+		}
+	}
+	c.machine.Read(func(v View) {
+		if got := v.TeamCounts("t"); got != sum {
+			c.t.Fatalf("team counted %v, expected %v", got, sum)
+		}
+	})
+	if sum == (QueueCounts{}) && len(s.teams) > 0 {
+		c.t.Fatal("a team is left over")
+	}
+}
+
+func (c *checker) jobsAreFound() {
+	expired := c.machine.state.expiredBefore > 0
+	c.machine.Read(func(v View) {
+		for id := range c.accepted {
+			if _, known, err := v.Status(id, nil); err != nil || (!known && !expired) {
+				c.t.Fatalf("job %s was accepted and is not found: %v", id, err)
+			}
+		}
+	})
+}
--- a/internal/record/repeat_test.go
+++ b/internal/record/repeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -184,6 +185,47 @@
 	r.mustPlace(onWorker(occurrenceID("j", "a", 0, 1), 1, "w1"))
 }
 
+func TestRestoreBetweenOccurrences(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	failing := step("a", 1)
+	one := 1
+	failing.Tasks[0].AllowedFailures = &one
+	r.submitSpec("j", repeating(3, 1000, failing))
+	r.runOnce(occurrenceID("j", "a", 0, 0), api.OutcomeFailed)
+	again := restored(t, snapshotBytes(t, r.machine), r.archive)
+	if before, after := r.machine.state.jobs["j"], again.state.jobs["j"]; !reflect.DeepEqual(before, after) {
+		t.Fatalf("%+v became %+v", before, after)
+	}
+	r.machine = again
+	if got := r.status("j"); got.State != api.StateRunning || got.Occurrences.Failed != 1 {
+		t.Fatalf("%s, %+v", got.State, got.Occurrences)
+	}
+}
+
+func TestRunsOfOccurrencesAreToldApart(t *testing.T) {
+	for _, first := range []int{0, 1, 2} {
+		r := newRig(t)
+		r.register(testWorker("w1"))
+		r.submitSpec("j", repeating(3, 1000, step("a", 1)))
+		r.now = 2000
+		r.expand("j", 2)
+		for number := range 3 {
+			r.mustPlace(onWorker(occurrenceID("j", "a", 0, number), 1, "w1"))
+		}
+		r.close(occurrenceID("j", "a", 0, first), 1, api.OutcomeSucceeded)
+		open := map[int]bool{}
+		r.machine.Read(func(v View) {
+			for run := range v.OpenRuns("w1-1") {
+				open[run.Task.ID.Occurrence] = true
+			}
+		})
+		if len(open) != 2 || open[first] {
+			t.Errorf("after the end of occurrence %d, open are %v", first, open)
+		}
+	}
+}
+
 func TestRepeatingJobSurvivesARestore(t *testing.T) {
 	r := newRig(t)
 	r.register(testWorker("w1"))
