Hold a mixed group in lockstep to its least tolerant member

The record was right: a group in lockstep fails as often as the least tolerant of its members allows. The checker compared each member with its own allowance, which until then was that of all.

Change: the checker compares with the least allowance of the group, which is as strict, and stricter for the other members: their group may not go on beyond it.

--- a/internal/record/lockstep_property_test.go
+++ b/internal/record/lockstep_property_test.go
@@ -10,14 +10,15 @@
 
 // member checks a task in lockstep against the others of its group.
 func (c *checker) member(task *Task) {
-	outOfFailures := task.Failures == task.AllowedFailures
+	allowed := leastAllowed(task.Step)
+	outOfFailures := task.Failures == allowed
 	if task.endless() {
 		outOfFailures = false
 		if task.State == TaskSucceeded || task.State == TaskFailed {
 			c.t.Fatalf("%s has no end of its own and is in state %d", task.ID, task.State)
 		}
-	} else if task.Failures > task.AllowedFailures || (task.State == TaskFailed && !outOfFailures) {
-		c.t.Fatalf("%s: %d failures of %d allowed in state %d", task.ID, task.Failures, task.AllowedFailures, task.State)
+	} else if task.Failures > allowed || (task.State == TaskFailed && !outOfFailures) {
+		c.t.Fatalf("%s: %d failures of %d allowed in state %d", task.ID, task.Failures, allowed, task.State)
 	}
 	group := groupOf(task.Step)
 	if group.open == 0 && outOfFailures && !task.State.Final() {
@@ -36,6 +37,15 @@
 	}
 }
 
+// leastAllowed is the allowance of a group: that of its least tolerant member.
+func leastAllowed(step *Step) int {
+	least := step.Tasks[0].AllowedFailures
+	for _, member := range step.Tasks {
+		least = min(least, member.AllowedFailures)
+	}
+	return least
+}
+
 // groupCounts counts the members of a group in lockstep.
 type groupCounts struct {
 	// open have an open run, mayGoOn one that is not to be stopped, and
