Give up the lead on a slow disk, and bound the log by bytes

Cause: a leader whose syncs take longer than its lease, but less than an election timeout, stayed leader and could hardly act.

--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	defaultSnapshotEvery = 10_000 // entries
-	defaultKeepEntries   = 2_000  // entries
+	defaultSnapshotEvery = 10_000  // entries
+	defaultSnapshotBytes = 8 << 20 // bytes
+	defaultKeepEntries   = 2_000   // entries
 	// defaultMaxVoters bears the loss of two replicas.
 	defaultMaxVoters = 5
 )
@@ -61,8 +62,10 @@
 	WallClock func() time.Time
 	Timing    Timing
 	// SnapshotEvery is how many applied entries make a new snapshot, default
-	// 10000. KeepEntries stay in the log behind it, default 2000.
+	// 10000. SnapshotBytes of them, default 8 MiB, make one as well, so that
+	// the log is bounded whatever is in it. KeepEntries stay in the log behind it, default 2000.
 	SnapshotEvery uint64
+	SnapshotBytes int64
 	KeepEntries   uint64
 	// Logger and Registerer may be nil.
 	Logger     *slog.Logger
@@ -75,6 +78,7 @@
 func (c Config) withDefaults() Config {
 	c.Timing = c.Timing.withDefaults()
 	defaultTo(&c.SnapshotEvery, defaultSnapshotEvery)
+	defaultTo(&c.SnapshotBytes, int64(defaultSnapshotBytes))
 	defaultTo(&c.KeepEntries, defaultKeepEntries)
 	defaultTo(&c.MaxVoters, defaultMaxVoters)
 	if c.WallClock == nil {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -42,6 +42,7 @@
 	lastRequest uint64
 	term        termRun
 	snapshots   snapshotState
+	disk        slowDisk
 	// transfers are the replicas that a snapshot is being sent to.
 	transfers map[raft.ReplicaID]bool
 }
@@ -176,6 +177,20 @@
 // handleReady persists, sends and applies until nothing is left to do. What
 // others must not believe any longer is published before a message goes out.
 func (l *loop) handleReady() error {
+	if err := l.handleAll(); err != nil {
+		return err
+	}
+	if l.giveUpSlowLead() {
+		if err := l.handleAll(); err != nil {
+			return err
+		}
+	}
+	l.runTerm()
+	l.maybeSnapshot()
+	return nil
+}
+
+func (l *loop) handleAll() error {
 	l.publish(l.node.Status())
 	for l.node.HasReady() {
 		if err := l.handleOne(l.node.Ready()); err != nil {
@@ -183,8 +198,6 @@
 		}
 		l.publish(l.node.Status())
 	}
-	l.runTerm()
-	l.maybeSnapshot()
 	return nil
 }
 
@@ -196,7 +209,7 @@
 			return fmt.Errorf("save: %w", err)
 		}
 		if ready.MustSync {
-			l.metrics.saveSeconds.Observe(time.Since(began).Seconds())
+			l.noteSave(time.Since(began))
 		}
 	}
 	l.send(ready.Messages)
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -8,10 +8,16 @@
 	"github.com/decklever/decklever/internal/raft"
 )
 
+// entryOverhead is about what the log takes for an entry beside its data, in
+// bytes.
+const entryOverhead = 48
+
 // snapshotState is what the loop knows for taking snapshots.
 type snapshotState struct {
 	// last is the index of the newest snapshot asked for.
 	last uint64
+	// bytes were applied since then.
+	bytes int64
 	// writing: one is being written in the background.
 	writing bool
 	// membership is the one in force at the last applied entry.
@@ -40,6 +46,7 @@
 	if s.terms[len(s.terms)-1].term != entry.Term {
 		s.terms = append(s.terms, termStart{index: entry.Index, term: entry.Term})
 	}
+	s.bytes += int64(len(entry.Data)) + entryOverhead
 	if entry.Kind != raft.EntryMembership {
 		return
 	}
@@ -64,13 +71,19 @@
 	}
 }
 
-// maybeSnapshot captures the record every SnapshotEvery entries, and lets it be
-// written beside the loop.
+// due tells whether enough was applied since the newest snapshot.
+func (s *snapshotState) due(applied uint64, config Config) bool {
+	return applied >= s.last+config.SnapshotEvery || s.bytes >= config.SnapshotBytes
+}
+
+// maybeSnapshot captures the record every SnapshotEvery entries or SnapshotBytes
+// bytes, and lets it be written beside the loop.
 func (l *loop) maybeSnapshot() {
 	applied := l.applied.get()
-	if l.snapshots.writing || applied < l.snapshots.last+l.config.SnapshotEvery {
+	if l.snapshots.writing || !l.snapshots.due(applied, l.config) {
 		return
 	}
+	l.snapshots.bytes = 0
 	index, write, err := l.config.Record.Snapshot()
 	if err != nil {
 		l.logger.Error("snapshot failed", "error", err)
