Bound the archive of ended jobs by bytes

The look at the archive every 10 s also wrote and synced the jobs that were waiting in memory.

Change: beyond archive_max_bytes (24 MiB) the leader proposes to drop the oldest ended jobs, in batches of 1000, at most ten in 10 s. It is the same entry as for retention, so each replica hides the same jobs from the same place of the log on; a bound of each replica's own would have let Submit see an old id on one and not on another. Bytes are the pages in use; the file grows by 1 MiB and not by 16. The look no longer syncs.

--- a/internal/process/schedulerprocess/process.go
+++ b/internal/process/schedulerprocess/process.go
@@ -73,10 +73,11 @@
 	}
 	p.client = rpc.NewClient(rpc.ClientConfig{Dialer: rpc.DialFrom(p.initial.Source), Metrics: counted})
 	service := scheduler.NewService(scheduler.Config{
-		Archive:    p.store.Archive(),
-		NewPlanner: func() scheduler.Planner { return placement.New(placement.Config{}) },
-		Logger:     p.logger,
-		Registerer: registry,
+		Archive:      p.store.Archive(),
+		ArchiveBytes: p.initial.ArchiveMaxBytes,
+		NewPlanner:   func() scheduler.Planner { return placement.New(placement.Config{}) },
+		Logger:       p.logger,
+		Registerer:   registry,
 	})
 	made, err := replica.New(p.replicaConfig(registry, service.Lead))
 	if err != nil {
--- a/internal/record/archive.go
+++ b/internal/record/archive.go
@@ -78,6 +78,12 @@
 	// Expire drops at most limit jobs that ended before the time, oldest
 	// first, and returns how many.
 	Expire(before Millis, limit int) (int, error)
+	// Bytes is the room that the store takes now, in bytes.
+	Bytes() int64
+	// OldestEnd returns when the last of the oldest jobs ended that together
+	// take at least that many bytes, or of the limit oldest ones, and how many
+	// they are; 0 if the store is empty.
+	OldestEnd(bytes int64, limit int) (end Millis, count int, err error)
 	// Sync makes all earlier calls durable; the record calls it before a
 	// snapshot that leaves those jobs out.
 	Sync() error
--- a/internal/record/archive_test.go
+++ b/internal/record/archive_test.go
@@ -53,4 +53,8 @@
 	return dropped, nil
 }
 
+func (a *testArchive) Bytes() int64 { return 0 }
+
+func (a *testArchive) OldestEnd(int64, int) (Millis, int, error) { return 0, 0, nil }
+
 func (a *testArchive) Sync() error { return nil }
--- a/internal/scheduler/expire.go
+++ b/internal/scheduler/expire.go
@@ -10,25 +10,52 @@
 const (
 	// expireInterval is the pause between two looks at the archive.
 	expireInterval = 10 * time.Second
+	// DefaultArchiveBytes bounds the archive, in bytes.
+	DefaultArchiveBytes = 24 << 20
+	// expireBatches bounds the drops at one look at the archive.
+	expireBatches = 10
 	// expireBatch bounds what one log entry drops from the archive.
 	expireBatch = 1000
 )
 
-// expireArchive drops a bounded batch of archived jobs beyond their retention.
-// It proposes a drop only if the oldest job is beyond retention, so that an idle
-// archive adds nothing to the log.
+// expireArchive drops archived jobs beyond their retention, and the oldest ones
+// if the archive takes more bytes than it may, in bounded batches. It proposes
+// a drop only if there is something to drop, so that an idle archive adds
+// nothing to the log. What is dropped is decided once, by the leader, and in
+// the log: every replica hides the same jobs from the same entry on.
 func (l *leader) expireArchive() {
+	for range expireBatches {
+		before, found, err := l.expireBefore()
+		if err != nil {
+			l.logger.Error("archive cannot be read", slog.Any("error", err))
+			return
+		}
+		if !found {
+			return
+		}
+		held := l.archive.Bytes()
+		expire := &record.ExpireArchive{Before: before, Limit: expireBatch}
+		if _, done := l.proposeUntilDone("expire", record.Command{Expire: expire}); !done {
+			return
+		}
+		if l.archive.Bytes() >= held {
+			return // it waits for a snapshot that hides them
+		}
+	}
+}
+
+// expireBefore is the end before which jobs are to be dropped now.
+func (l *leader) expireBefore() (before record.Millis, found bool, err error) {
 	l.mu.Lock()
 	retention := l.config.Timings.Retention.Std()
 	l.mu.Unlock()
-	before := l.log.Now() - record.Millis(retention.Milliseconds())
-	oldest, err := l.archive.Page(0, "", 1)
-	if err != nil {
-		l.logger.Error("archive cannot be read", slog.Any("error", err))
-		return
-	}
-	if len(oldest) == 0 || oldest[0].EndedAt >= before {
-		return
+	before = l.log.Now() - record.Millis(retention.Milliseconds())
+	if over := l.archive.Bytes() - l.archiveBytes; over > 0 {
+		end, count, err := l.archive.OldestEnd(over, expireBatch)
+		if err != nil || count > 0 {
+			return max(before, end+1), true, err
+		}
 	}
-	l.proposeUntilDone("expire", record.Command{Expire: &record.ExpireArchive{Before: before, Limit: expireBatch}})
+	end, count, err := l.archive.OldestEnd(1, 1)
+	return before, count > 0 && end < before, err
 }
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -31,10 +31,12 @@
 	token   uint64
 	log     replica.Log
 	archive record.Archive
-	logger  *slog.Logger
-	metrics *metrics
-	now     func() time.Duration
-	context context.Context
+	// archiveBytes bounds the archive, in bytes.
+	archiveBytes int64
+	logger       *slog.Logger
+	metrics      *metrics
+	now          func() time.Duration
+	context      context.Context
 
 	// wakePlanner has room for one signal.
 	wakePlanner chan struct{}
@@ -88,13 +90,15 @@
 
 // leaderConfig makes a leader.
 type leaderConfig struct {
-	Log        replica.Log
-	Archive    record.Archive
-	Planner    Planner
-	Logger     *slog.Logger
-	Metrics    *metrics
-	Now        func() time.Duration
-	Leadership replica.Leadership
+	Log     replica.Log
+	Archive record.Archive
+	// ArchiveBytes bounds the archive, in bytes.
+	ArchiveBytes int64
+	Planner      Planner
+	Logger       *slog.Logger
+	Metrics      *metrics
+	Now          func() time.Duration
+	Leadership   replica.Leadership
 }
 
 func newLeader(config leaderConfig) *leader {
@@ -102,6 +106,7 @@
 		token:         config.Leadership.Token,
 		log:           config.Log,
 		archive:       config.Archive,
+		archiveBytes:  config.ArchiveBytes,
 		logger:        config.Logger.With(slog.Uint64("token", config.Leadership.Token)),
 		metrics:       config.Metrics,
 		now:           config.Now,
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -18,6 +18,9 @@
 type Config struct {
 	// Archive is the store of ended jobs that the record writes.
 	Archive record.Archive
+	// ArchiveBytes bounds the archive: beyond it the oldest ended jobs are
+	// dropped. Default DefaultArchiveBytes.
+	ArchiveBytes int64
 	// NewPlanner makes an empty planner for each term.
 	NewPlanner func() Planner
 	Logger     *slog.Logger
@@ -37,6 +40,9 @@
 
 // NewService returns a Service. SetLog must be called before it is used.
 func NewService(config Config) *Service {
+	if config.ArchiveBytes == 0 {
+		config.ArchiveBytes = DefaultArchiveBytes
+	}
 	if config.Now == nil {
 		started := time.Now()
 		config.Now = func() time.Duration { return time.Since(started) }
@@ -52,7 +58,7 @@
 // Lead works as the acting scheduler until the leadership ends.
 func (s *Service) Lead(leadership replica.Leadership) {
 	current := newLeader(leaderConfig{
-		Log: s.log, Archive: s.config.Archive, Planner: s.config.NewPlanner(), Logger: s.config.Logger,
+		Log: s.log, Archive: s.config.Archive, ArchiveBytes: s.config.ArchiveBytes, Planner: s.config.NewPlanner(), Logger: s.config.Logger,
 		Metrics: s.metrics, Now: s.config.Now, Leadership: leadership,
 	})
 	s.config.Logger.Info("acting", slog.Uint64("token", leadership.Token))
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -22,6 +22,7 @@
 		Lease:              api.Duration(400 * time.Millisecond),
 	}
 	s.SnapshotEvery = 10000
+	s.ArchiveMaxBytes = 24 << 20
 	s.MayForm = true
 	s.Tolerate = 2
 }
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -67,9 +67,10 @@
 			ElectionTimeoutMin: api.Duration(500 * time.Millisecond),
 			ElectionTimeoutMax: api.Duration(time.Second),
 		},
-		SnapshotEvery: 7,
-		MayForm:       false,
-		Tolerate:      2,
+		SnapshotEvery:   7,
+		ArchiveMaxBytes: 24 << 20,
+		MayForm:         false,
+		Tolerate:        2,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Fatalf("settings differ (-want +got):\n%s", diff)
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -76,6 +76,9 @@
 	Tolerate int `koanf:"tolerate" validate:"min=0,max=4" expected:"a whole number, 0 to 4" usage:"schedulers whose loss at once is borne; twice as many and one vote"`
 	// Timing is the timing of the replicated log.
 	Timing SchedulerTiming `koanf:"timing"`
+	// ArchiveMaxBytes bounds the archive of ended jobs; beyond it the oldest
+	// are dropped. Default 25165824.
+	ArchiveMaxBytes int64 `koanf:"archive_max_bytes" validate:"min=1048576" expected:"a whole number of bytes, at least 1048576" usage:"bytes of ended jobs kept; the oldest are dropped beyond it, the file may take twice as much"`
 	// SnapshotEvery is the number of log entries between two snapshots.
 	// Default 10000.
 	SnapshotEvery uint64 `koanf:"snapshot_every" validate:"min=1" expected:"a whole number, at least 1" usage:"log entries between two snapshots"`
--- a/internal/storage/diskarchive.go
+++ b/internal/storage/diskarchive.go
@@ -36,6 +36,9 @@
 
 var _ record.Archive = (*DiskArchive)(nil)
 
+// archiveGrowth is by how much the file grows at once, in bytes.
+const archiveGrowth = 1 << 20
+
 // openDiskArchive keeps the free list in the file: reading it anew from a file
 // of some gigabytes would make starts slow.
 func openDiskArchive(path string) (*DiskArchive, error) {
@@ -44,7 +47,12 @@
 		return nil, err
 	}
 	a := &DiskArchive{db: db, waiting: make(map[string]record.ArchivedJob)}
-	if err := a.view(checkArchiveBuckets(path)); err != nil {
+	db.AllocSize = archiveGrowth
+	err = a.view(checkArchiveBuckets(path))
+	if err == nil {
+		err = a.countPages()
+	}
+	if err != nil {
 		_ = db.Close()
 		return nil, err
 	}
@@ -79,6 +87,44 @@
 	return guard(a.db.Path(), func() error { return a.db.Update(change) })
 }
 
+// countPages makes bbolt count its free pages, which it does at the end of a
+// transaction that can write. This one writes nothing.
+func (a *DiskArchive) countPages() error {
+	return guard(a.db.Path(), func() error {
+		tx, err := a.db.Begin(true)
+		if err != nil {
+			return err
+		}
+		return tx.Rollback()
+	})
+}
+
+// Bytes implements record.Archive: the pages in use. The file does not shrink,
+// but free pages are used again.
+func (a *DiskArchive) Bytes() int64 {
+	var used int64
+	_ = a.db.View(func(tx *bbolt.Tx) error {
+		stats := a.db.Stats()
+		used = tx.Size() - int64(stats.FreePageN+stats.PendingPageN)*int64(a.db.Info().PageSize)
+		return nil
+	})
+	return used
+}
+
+// OldestEnd implements record.Archive, for the jobs in the file.
+func (a *DiskArchive) OldestEnd(bytes int64, limit int) (end record.Millis, count int, err error) {
+	err = a.view(func(tx *bbolt.Tx) error {
+		jobs, cursor := tx.Bucket(jobsBucket), tx.Bucket(endedBucket).Cursor()
+		for key, _ := cursor.First(); key != nil && bytes > 0 && count < limit; key, _ = cursor.Next() {
+			end = record.Millis(binary.BigEndian.Uint64(key))
+			bytes -= int64(len(jobs.Get(idOf(key))) + 3*len(key))
+			count++
+		}
+		return nil
+	})
+	return end, count, err
+}
+
 // Put implements record.Archive.
 func (a *DiskArchive) Put(jobs []record.ArchivedJob) error {
 	a.mutex.Lock()
--- a/internal/storage/memoryarchive.go
+++ b/internal/storage/memoryarchive.go
@@ -81,6 +81,26 @@
 	return len(jobs), nil
 }
 
+// memoryJobBytes stands for the room that a job takes.
+const memoryJobBytes = 100
+
+// Bytes implements record.Archive with memoryJobBytes for each job.
+func (a *MemoryArchive) Bytes() int64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return int64(len(a.jobs)) * memoryJobBytes
+}
+
+// OldestEnd implements record.Archive.
+func (a *MemoryArchive) OldestEnd(bytes int64, limit int) (record.Millis, int, error) {
+	jobs := a.sorted(byEnd)
+	count := min(int((bytes+memoryJobBytes-1)/memoryJobBytes), limit, len(jobs))
+	if count <= 0 {
+		return 0, 0, nil
+	}
+	return jobs[count-1].EndedAt, count, nil
+}
+
 // Sync implements record.Archive.
 func (a *MemoryArchive) Sync() error {
 	a.mutex.Lock()
