--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/lab/deployment"
+	"github.com/decklever/decklever/lab/launch"
 	"github.com/decklever/decklever/lab/ledger"
 	"github.com/decklever/decklever/lab/relay"
 )
@@ -43,7 +44,7 @@
 type Fleet struct {
 	config    Config
 	layout    layout
-	launcher  *launcher
+	launcher  *launch.Launcher
 	links     *relay.Network
 	client    *api.Client
 	processes []*Process
@@ -71,7 +72,7 @@
 	if err := f.addProcesses(); err != nil {
 		return nil, err
 	}
-	f.launcher = newLauncher()
+	f.launcher = launch.New()
 	for _, process := range f.processes {
 		process.launcher = f.launcher
 	}
@@ -155,7 +156,7 @@
 	for _, role := range stopOrder {
 		failures = append(failures, f.stopRole(role))
 	}
-	f.launcher.close()
+	f.launcher.Close()
 	if f.links != nil {
 		failures = append(failures, f.links.Close())
 	}
--- a/lab/fleet/launcher.go
+++ b/lab/launch/launcher.go
@@ -1,4 +1,4 @@
-package fleet
+package launch
 
 import (
 	"errors"
@@ -8,13 +8,13 @@
 	"syscall"
 )
 
-// errLauncherClosed is returned for a start after the fleet was stopped.
-var errLauncherClosed = errors.New("the fleet is stopped")
+// ErrClosed is returned for a start after Close.
+var ErrClosed = errors.New("the launcher is closed")
 
-// launcher starts processes from one operating system thread that it keeps.
+// Launcher starts processes from one operating system thread that it keeps.
 // A process is told to die when the thread that started it ends, so this must
 // not be a thread that the Go runtime may retire.
-type launcher struct {
+type Launcher struct {
 	requests chan launch
 	closing  chan struct{}
 	once     sync.Once
@@ -26,13 +26,14 @@
 	result  chan error
 }
 
-func newLauncher() *launcher {
-	l := &launcher{requests: make(chan launch), closing: make(chan struct{})}
+// New returns a launcher. Close must be called in the end.
+func New() *Launcher {
+	l := &Launcher{requests: make(chan launch), closing: make(chan struct{})}
 	l.done.Go(l.serve)
 	return l
 }
 
-func (l *launcher) serve() {
+func (l *Launcher) serve() {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	for {
@@ -45,20 +46,20 @@
 	}
 }
 
-// start starts a command in its own process group.
-func (l *launcher) start(command *exec.Cmd) error {
+// Start starts a command in its own process group.
+func (l *Launcher) Start(command *exec.Cmd) error {
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	request := launch{command: command, result: make(chan error, 1)}
 	select {
 	case l.requests <- request:
 		return <-request.result
 	case <-l.closing:
-		return errLauncherClosed
+		return ErrClosed
 	}
 }
 
-// close ends the thread. All processes must have ended before.
-func (l *launcher) close() {
+// Close ends the thread. All processes must have ended before.
+func (l *Launcher) Close() {
 	l.once.Do(func() { close(l.closing) })
 	l.done.Wait()
 }
