--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -76,6 +76,9 @@
 	Offset uint64            `cbor:"5,keyasint"`
 	Data   []byte            `cbor:"6,keyasint"`
 	Last   bool              `cbor:"7,keyasint"`
+	// Address is where the sender is reached. The receiver asks there for the
+	// archive: no membership that it knows need list the sender.
+	Address string `cbor:"8,keyasint"`
 }
 
 // SnapshotChunkAnswer: a chunk was taken. The sender repeats the last chunk
--- a/internal/replica/receivesnapshot.go
+++ b/internal/replica/receivesnapshot.go
@@ -20,6 +20,7 @@
 type incomingSnapshot struct {
 	mutex      sync.Mutex
 	from       raft.ReplicaID
+	address    string
 	meta       raft.SnapshotMeta
 	data       []byte
 	installing bool
@@ -29,7 +30,9 @@
 	return s.from == from && s.meta.Index == meta.Index && s.meta.Term == meta.Term
 }
 
-func (s *incomingSnapshot) reset() { s.from, s.meta, s.data = "", raft.SnapshotMeta{}, nil }
+func (s *incomingSnapshot) reset() {
+	s.from, s.address, s.meta, s.data = "", "", raft.SnapshotMeta{}, nil
+}
 
 // take adds a chunk; complete is true once, with the last one.
 func (s *incomingSnapshot) take(chunk fleet.SnapshotChunkRequest) (complete bool, err error) {
@@ -41,7 +44,7 @@
 	case s.installing:
 		return false, errors.New("another snapshot is being installed")
 	case !s.is(chunk.From, chunk.Meta) && chunk.Offset == 0:
-		s.from, s.meta, s.data = chunk.From, chunk.Meta, nil
+		s.from, s.address, s.meta, s.data = chunk.From, chunk.Address, chunk.Meta, nil
 	case !s.is(chunk.From, chunk.Meta):
 		return false, errors.New("another snapshot is being received")
 	}
@@ -118,14 +121,7 @@
 // installing is set nobody changes what was collected.
 func (r *Replica) install(ctx context.Context) error {
 	meta := r.transfer.meta
-	sender, known := findMember(meta.Membership, r.transfer.from)
-	if !known {
-		sender, known = findMember(r.status.Load().Membership, r.transfer.from)
-	}
-	if !known {
-		return fmt.Errorf("sender %s is in no known membership", r.transfer.from)
-	}
-	if err := r.copyArchive(ctx, sender.Address); err != nil {
+	if err := r.copyArchive(ctx, r.transfer.address); err != nil {
 		return err
 	}
 	source := &snapshotSource{data: r.transfer.data}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -192,6 +192,22 @@
 	}
 }
 
+// TestEveryDiskIsLostInTurn: the last newcomer gets a snapshot whose membership
+// lists nobody who is left, not even its sender.
+func TestEveryDiskIsLostInTurn(t *testing.T) {
+	machines := newMachines(t, 3)
+	startAll(machines)
+	register(t, "before", machines...)
+	for i, lost := range machines {
+		replace(t, lost, int64(90+i), others(machines, lost))
+	}
+	for _, m := range machines {
+		if got := workers(t, m); !slices.Equal(got, []string{"before"}) {
+			t.Errorf("%s has the workers %v", m.name, got)
+		}
+	}
+}
+
 func TestLaggingFollowerGetsASnapshot(t *testing.T) {
 	machines := newMachines(t, 3)
 	for _, m := range machines {
--- a/internal/replica/sendsnapshot.go
+++ b/internal/replica/sendsnapshot.go
@@ -58,7 +58,7 @@
 		return 0, errors.New("there is no snapshot")
 	}
 	defer func() { _ = data.Close() }()
-	chunk := fleet.SnapshotChunkRequest{From: r.self.ID, To: to.ID, Term: term, Meta: meta}
+	chunk := fleet.SnapshotChunkRequest{From: r.self.ID, To: to.ID, Term: term, Meta: meta, Address: r.config.Address}
 	buffer := make([]byte, snapshotChunk)
 	for !chunk.Last {
 		count, err := io.ReadFull(data, buffer)
