Show a newcomer as a voter only once no loss can take its vote back

Cause: the list of members showed a newcomer as a voter while the change that brought it was still joint, or its end not committed. Change: the log's status names the memberships that may still decide, and the list of members shows those as voters who vote in all of them. Result: tests of the log for the joint and for the uncommitted end.

--- a/api/status.go
+++ b/api/status.go
@@ -54,7 +54,9 @@
 	Zone      string `json:"zone"`
 	Address   string `json:"address"`
 	Leader    bool   `json:"leader"`
-	Voter     bool   `json:"voter"`
+	// Voter is true once the member votes, also should a change of the members
+	// that is under way be lost: from then on another one may stop.
+	Voter bool `json:"voter"`
 	// Matched is the last log index known to be on the member.
 	Matched uint64 `json:"matched"`
 	// SilentMillis is the time since the leader heard it.
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -41,6 +41,18 @@
 	return found.clone()
 }
 
+// unsettledMemberships are those from the committed one on, without the newest;
+// nil once that is committed.
+func (n *Node) unsettledMemberships() []Membership {
+	var unsettled []Membership
+	for i, next := range n.memberships[1:] {
+		if next.index > n.log.commit {
+			unsettled = append(unsettled, n.memberships[i].membership.clone())
+		}
+	}
+	return unsettled
+}
+
 func (n *Node) addMemberships(added []membershipAt) {
 	if len(added) == 0 {
 		return
@@ -225,6 +237,11 @@
 	n.becomeFollower(n.term, "")
 }
 
+// votes reports whether a replica votes in each half of the membership.
+func (m Membership) votes(id ReplicaID) bool {
+	return containsID(m.Voters, id) && (!m.joint() || containsID(m.Outgoing, id))
+}
+
 func (m Membership) joint() bool { return len(m.Outgoing) > 0 }
 
 func (m Membership) empty() bool {
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -62,8 +62,12 @@
 	if err := leader.ChangeMembership(cluster.now, target); err != nil {
 		t.Fatal(err)
 	}
-	if joint := leader.Status().Membership; len(joint.Outgoing) != 3 {
-		t.Errorf("membership %+v is not joint", joint)
+	joint := leader.Status()
+	if len(joint.Membership.Outgoing) != 3 {
+		t.Errorf("membership %+v is not joint", joint.Membership)
+	}
+	if joint.Votes("d") || joint.Votes("c") || !joint.Votes("a") {
+		t.Errorf("while the change is joint d votes: %v, c: %v, a: %v", joint.Votes("d"), joint.Votes("c"), joint.Votes("a"))
 	}
 	if err := leader.ChangeMembership(cluster.now, target); !errors.Is(err, ErrChangePending) {
 		t.Errorf("second change: %v", err)
@@ -74,6 +78,9 @@
 			t.Errorf("replica %s: %s", id, cmp.Diff(target, got))
 		}
 	}
+	if settled := leader.Status(); !settled.Votes("d") || len(settled.Unsettled) > 0 {
+		t.Errorf("once the change is committed d votes: %v, unsettled are %+v", settled.Votes("d"), settled.Unsettled)
+	}
 	// The new voter carries the quorum with one loss more.
 	cluster.dropTo("b")
 	cluster.propose(leader, 1)
@@ -82,6 +89,36 @@
 	}
 }
 
+// TestNewcomerDoesNotCountBeforeTheEndIsCommitted: the entry that ends a joint
+// membership may be lost, and with it the newcomer's vote.
+func TestNewcomerDoesNotCountBeforeTheEndIsCommitted(t *testing.T) {
+	cluster := newTestCluster(t, "a", "b", "c")
+	leader := cluster.elect("a")
+	withLearner(t, cluster, leader, "d")
+	cluster.pass(4 * DefaultTickInterval)
+	installSnapshots(cluster, leader, "d")
+	if err := leader.ChangeMembership(cluster.now, testMembership("a", "b", "d")); err != nil {
+		t.Fatal(err)
+	}
+	joined := leader.Status().LastIndex
+	cluster.drop = func(message Message) bool {
+		for _, entry := range message.Entries {
+			if entry.Index > joined {
+				return true
+			}
+		}
+		return false
+	}
+	cluster.pass(2 * DefaultTickInterval)
+	status := leader.Status()
+	if len(status.Membership.Outgoing) != 0 || status.Commit != joined {
+		t.Fatalf("the end of the change is not appended alone: %+v", status)
+	}
+	if status.Votes("d") || !status.Votes("b") {
+		t.Errorf("d votes: %v, b: %v", status.Votes("d"), status.Votes("b"))
+	}
+}
+
 func TestLearnerDoesNotCount(t *testing.T) {
 	cluster := newTestCluster(t, "a", "b", "c")
 	leader := cluster.elect("a")
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -227,6 +227,7 @@
 		LastIndex:  n.log.lastIndex(),
 		FirstIndex: n.log.firstIndex(),
 		Membership: n.membership().clone(),
+		Unsettled:  n.unsettledMemberships(),
 		LeaseUntil: n.leaseUntil(),
 		TermReady:  n.termReady(),
 	}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -211,6 +211,10 @@
 	LastIndex  uint64
 	FirstIndex uint64
 	Membership Membership
+	// Unsettled are the older memberships that still decide should the newest
+	// be lost: from the committed one on. There are none once the newest is
+	// committed.
+	Unsettled []Membership
 	// LeaseUntil is the monotonic time at which the leader lease ends; zero
 	// on others.
 	LeaseUntil time.Duration
@@ -220,6 +224,21 @@
 	Progress []Progress
 }
 
+// Votes reports whether a replica votes under the newest membership, both
+// halves of it if it is joint, and under all unsettled ones: then any majority
+// may count on it.
+func (s *Status) Votes(id ReplicaID) bool {
+	if !s.Membership.votes(id) {
+		return false
+	}
+	for _, older := range s.Unsettled {
+		if !older.votes(id) {
+			return false
+		}
+	}
+	return true
+}
+
 // Progress is what a leader knows of one replica.
 type Progress struct {
 	ID       ReplicaID
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -52,22 +52,19 @@
 	status := l.log.Status()
 	now := l.now()
 	list := api.MemberList{Token: status.Term, CommitIndex: status.Commit, Members: []api.MemberStatus{}}
-	add := func(member raft.Member, voter bool) {
-		list.Members = append(list.Members, memberStatus(status, member, voter, now))
-	}
-	for _, member := range status.Membership.Voters {
-		add(member, true)
-	}
-	for _, member := range status.Membership.Learners {
-		add(member, false)
+	for _, member := range slices.Concat(status.Membership.Voters, status.Membership.Learners) {
+		list.Members = append(list.Members, memberStatus(&status, member, now))
 	}
 	return fleet.MembersAnswer{List: list}, nil
 }
 
-func memberStatus(status raft.Status, member raft.Member, voter bool, now time.Duration) api.MemberStatus {
+// memberStatus describes a member. A newcomer is shown as a voter only once it
+// votes whatever becomes of the change that brought it: before, the loss of
+// another voter may leave no majority.
+func memberStatus(status *raft.Status, member raft.Member, now time.Duration) api.MemberStatus {
 	row := api.MemberStatus{
 		ReplicaID: string(member.ID), Name: member.Name, Zone: member.Zone, Address: member.Address,
-		Leader: member.ID == status.Leader, Voter: voter,
+		Leader: member.ID == status.Leader, Voter: status.Votes(member.ID),
 	}
 	if row.Leader {
 		row.Matched = status.LastIndex
