Order work by the slack that is left to its objective

Cause: QueueConfig.Objective was read by nothing. Jobs of equal priority went in the order of arrival, so a long chain behind a burst of short jobs was late though these could have waited; weights held urgent work of light queues back.

Change: the pure package objective works out a task's latest start (deadline less the longest chain of estimates that is left), which orders like slack and does not change while it waits; it is the planner's sequence. Queues with an objective go by slack among each other and share with the others as one queue with the sum of their weights. Comparing each pair by the rule that fits both was refused: it is not transitive.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -1,6 +1,9 @@
 package placement
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // pass is one call of Plan.
 type pass struct {
@@ -100,22 +103,50 @@
 func (l *line) mayPlace() bool { return len(l.ready) > 0 && l.queue.mayRun(1) }
 
 // nextLine returns the line whose queue has the lowest share, then the one
-// with the lowest Sequence; nil if none may place.
+// with the lowest Sequence; nil if none may place. Queues with BySlack share
+// together, and of these the lowest Sequence goes first.
 func nextLine(lines []*line) *line {
-	var best *line
+	var best, urgent *line
+	running, weight := 0, 0
 	for _, l := range lines {
-		if l.mayPlace() && (best == nil || l.before(best)) {
-			best = l
+		if !l.mayPlace() {
+			continue
 		}
+		if !l.queue.rule.BySlack {
+			if best == nil || l.before(best) {
+				best = l
+			}
+			continue
+		}
+		running += l.queue.running
+		weight += l.queue.rule.Weight
+		if urgent == nil || l.first(urgent) {
+			urgent = l
+		}
+	}
+	switch {
+	case urgent == nil:
+		return best
+	case best == nil:
+		return urgent
+	}
+	byShare := cmp.Compare(running*best.queue.rule.Weight, best.queue.running*weight)
+	if byShare < 0 || byShare == 0 && urgent.first(best) {
+		return urgent
 	}
 	return best
 }
 
+// first reports whether the line's first task has the lower Sequence.
+func (l *line) first(other *line) bool {
+	return compareWaiting(l.ready[0].tasks[0], other.ready[0].tasks[0]) < 0
+}
+
 func (l *line) before(other *line) bool {
 	if byShare := compareShare(l.queue, other.queue); byShare != 0 {
 		return byShare < 0
 	}
-	return compareWaiting(l.ready[0].tasks[0], other.ready[0].tasks[0]) < 0
+	return l.first(other)
 }
 
 // roomOf is the room that a task of the class takes.
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -259,6 +259,7 @@
 		rule := QueueRule{
 			Name: name, Weight: rapid.IntRange(1, 3).Draw(t, "weight"),
 			MaxRunning: rapid.SampledFrom([]int{0, 0, 3, 8}).Draw(t, "limit"),
+			BySlack:    rapid.Bool().Draw(t, "by slack"),
 			Team:       rapid.SampledFrom([]string{"", "t1", "t1", "t2"}).Draw(t, "team"),
 		}
 		rules = append(rules, rule)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -124,6 +124,9 @@
 	// MaxRunning bounds open runs; 0 is no bound.
 	MaxRunning int
 	Weight     int
+	// BySlack: Sequence tells how urgent a task is against those of other queues
+	// with it, whatever their weights.
+	BySlack bool
 	// Team is the queue's team, or empty.
 	Team string
 }
@@ -149,7 +152,8 @@
 	Remove(task record.TaskID)
 	// Plan places at most limit tasks (a group counts whole and may exceed
 	// limit if it is the first), highest priority first, then fair by weight
-	// among queues, then by Sequence.
+	// among queues, then by Sequence. Queues with BySlack count as one in that,
+	// with the sum of their weights, and take turns by Sequence alone.
 	Plan(limit int) []Decision
 	// Reason says why a waiting task was passed over in the last pass.
 	Reason(task record.TaskID) string
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/objective"
 	"github.com/decklever/decklever/internal/placement"
 	"github.com/decklever/decklever/internal/record"
 	"github.com/decklever/decklever/internal/replica"
@@ -64,7 +65,11 @@
 	preemptOnOpen map[record.TaskID]bool
 	waiting       map[record.TaskID]*waitingTask
 	timers        taskTimers
-	groups        map[stepKey]*groupState
+	// ranks are the times at which waiting tasks change their place in the order.
+	ranks taskTimers
+	// chains are the estimates of live jobs.
+	chains map[string]objective.Chains
+	groups map[stepKey]*groupState
 	// starting are the groups in lockstep not all of whose members have started.
 	starting map[stepKey]*groupState
 	health   health
@@ -123,6 +128,7 @@
 		calendar:      calendar{released: make(map[string]time.Time)},
 		waiting:       make(map[record.TaskID]*waitingTask),
 		health:        newHealth(),
+		chains:        make(map[string]objective.Chains),
 		groups:        make(map[stepKey]*groupState),
 		starting:      make(map[stepKey]*groupState),
 		repeats:       newRepeats(),
@@ -246,6 +252,7 @@
 	l.reviewHealth(now)
 	l.planner.SetTime(clusterNow)
 	l.refreshReservations(clusterNow)
+	l.refreshRanks(clusterNow)
 	l.releaseTimers(clusterNow)
 	l.expandLater(clusterNow)
 	// The planner makes room step by step, and goes on although nothing came.
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
 
 	"github.com/decklever/decklever/api"
@@ -16,6 +15,7 @@
 	step stepKey
 	// jobPriority is the job's own, without the queue's.
 	jobPriority int
+	urgency     urgency
 	// nextRun is the number of the run to place.
 	nextRun uint32
 	// notBefore is the earliest start on the cluster clock.
@@ -86,7 +86,6 @@
 			ID:          task.ID,
 			Queue:       job.Spec.Queue,
 			Priority:    job.Spec.Priority + l.queuePriority(job.Spec.Queue),
-			Sequence:    sequence(task),
 			Spec:        task.Spec,
 			Preemptions: task.Preemptions,
 			StepSize:    len(task.Step.Tasks),
@@ -94,11 +93,14 @@
 		},
 		step:        keyOf(task.ID),
 		jobPriority: job.Spec.Priority,
+		urgency:     l.urgencyOf(task),
 		nextRun:     task.NextRun(),
 		notBefore:   task.NotBefore,
 		due:         task.NotBefore == 0,
 	}
 	l.health.advise(&entry.task, task)
+	entry.urgency.apply(objectiveOf(l.config, job.Spec.Queue))
+	l.rank(entry, l.log.Now())
 	l.waiting[task.ID] = entry
 	if task.Step.Grouped() {
 		l.joinGroup(entry, task.Step)
@@ -110,17 +112,6 @@
 	l.offer(entry)
 }
 
-// sequence orders tasks of equal priority by the time of submission or, of a
-// repeating job, by that at which they fell due.
-func sequence(task *record.Task) uint64 {
-	const (
-		tasksPerStep = 1 << 10
-		stepsPerJob  = 1 << 8
-	)
-	place := task.Step.Index%stepsPerJob*tasksPerStep + task.ID.Index%tasksPerStep
-	return uint64(task.Step.FellDue())*tasksPerStep*stepsPerJob + uint64(place)
-}
-
 // offer lets the planner place a task that is due. Members of a group go
 // through the group, which offers them together.
 func (l *leader) offer(entry *waitingTask) {
@@ -259,6 +250,7 @@
 		delete(l.jobWaiters, job.ID)
 	}
 	l.repeats.remove(job.ID)
+	delete(l.chains, job.ID)
 	l.endSteps(job.Steps)
 }
 
@@ -325,14 +317,17 @@
 
 // setConfig takes over a configuration.
 func (l *leader) setConfig(version uint64, config *api.Config) {
-	prioritiesChanged := l.config != nil && !maps.Equal(queuePriorities(l.config), queuePriorities(config))
+	orderChanged := l.config != nil && !sameOrder(l.config, config)
 	l.config = config
 	l.configVersion = version
 	close(l.configChanged)
 	l.configChanged = make(chan struct{})
 	rules := make([]placement.QueueRule, 0, len(config.Queues))
 	for _, queue := range config.Queues {
-		rules = append(rules, placement.QueueRule{Name: queue.Name, MaxRunning: queue.MaxRunningTasks, Weight: queue.Weight, Team: queue.Team})
+		rules = append(rules, placement.QueueRule{
+			Name: queue.Name, MaxRunning: queue.MaxRunningTasks, Weight: queue.Weight, Team: queue.Team,
+			BySlack: queue.Objective != nil,
+		})
 	}
 	teams := make([]placement.TeamRule, 0, len(config.Teams))
 	for _, team := range config.Teams {
@@ -342,20 +337,12 @@
 	l.planner.SetQueues(rules)
 	l.planner.SetMaxPreemptions(config.Timings.MaxPreemptions)
 	l.resetCalendar()
-	if prioritiesChanged {
+	if orderChanged {
 		l.reorderWaiting()
 	}
 	l.logger.Info("configuration in force", slog.Uint64("version", version))
 }
 
-func queuePriorities(config *api.Config) map[string]int {
-	priorities := make(map[string]int, len(config.Queues))
-	for _, queue := range config.Queues {
-		priorities[queue.Name] = queue.Priority
-	}
-	return priorities
-}
-
 func (l *leader) queuePriority(name string) int {
 	index := slices.IndexFunc(l.config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
 	if index < 0 {
@@ -363,18 +350,3 @@
 	}
 	return l.config.Queues[index].Priority
 }
-
-// reorderWaiting offers every waiting task anew, since a change of a queue's
-// priority changes where each stands.
-func (l *leader) reorderWaiting() {
-	l.logger.Info("queue priorities changed", slog.Int("waiting", len(l.waiting)))
-	for id := range l.waiting {
-		l.planner.Remove(id)
-	}
-	for _, entry := range l.waiting {
-		entry.task.Priority = entry.jobPriority + l.queuePriority(entry.task.Queue)
-		if entry.due {
-			l.offer(entry)
-		}
-	}
-}
--- /dev/null
+++ b/internal/scheduler/urgency.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"log/slog"
+	"slices"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/objective"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// A planner's sequence holds, from the highest bits down, a tier, a moment in
+// milliseconds and the task's place in its job.
+const (
+	tasksPerStep = 1 << 10
+	stepsPerJob  = 1 << 8
+	momentBits   = 43
+	placesPerJob = tasksPerStep * stepsPerJob
+)
+
+// urgency is what decides on a waiting task's place among those of equal
+// priority.
+type urgency struct {
+	// place is the task's place in its job.
+	place uint64
+	// fellDue orders tasks of queues without an objective.
+	fellDue record.Millis
+	// since is when the objective begins to count; chains and step give the
+	// estimates that lie ahead.
+	since  record.Millis
+	chains objective.Chains
+	step   int
+	// times are set while the task has an objective.
+	times  objective.Times
+	timely bool
+}
+
+// urgencyOf gathers it for a task that begins to wait.
+func (l *leader) urgencyOf(task *record.Task) urgency {
+	step := task.Step
+	place := step.Index%stepsPerJob*tasksPerStep + task.ID.Index%tasksPerStep
+	since := step.FellDue()
+	if step.Spec.NotBefore != nil {
+		since = max(since, record.Millis(step.Spec.NotBefore.UnixMilli()))
+	}
+	return urgency{
+		place: uint64(place), fellDue: step.FellDue(), since: since,
+		chains: l.chainsOf(step.Job), step: step.Index,
+	}
+}
+
+// chainsOf works a job's chains out once.
+func (l *leader) chainsOf(job *record.Job) objective.Chains {
+	chains, known := l.chains[job.ID]
+	if !known {
+		chains = objective.ChainsOf(job.Spec.Steps)
+		l.chains[job.ID] = chains
+	}
+	return chains
+}
+
+// apply takes over the queue's objective.
+func (u *urgency) apply(rule *api.ObjectiveConfig) {
+	u.times, u.timely = objective.TimesOf(rule, u.since, u.chains.Whole, u.chains.From[u.step])
+}
+
+// sequence is the task's place at a moment, and until when it holds; 0 for ever.
+func (u *urgency) sequence(now record.Millis) (sequence uint64, until record.Millis) {
+	if !u.timely {
+		return uint64(u.fellDue)*placesPerJob + u.place, 0
+	}
+	rank := u.times.RankAt(now)
+	moment := uint64(rank.Tier)<<momentBits + uint64(max(rank.Key, 0))
+	return moment*placesPerJob + u.place, rank.Until
+}
+
+// rank gives an entry its place as of now. It reports whether that changed.
+func (l *leader) rank(entry *waitingTask, now record.Millis) bool {
+	sequence, until := entry.urgency.sequence(now)
+	if until > 0 {
+		l.ranks.add(until, entry.task.ID)
+	}
+	changed := sequence != entry.task.Sequence
+	entry.task.Sequence = sequence
+	return changed
+}
+
+// refreshRanks moves the waiting tasks whose place among others has changed.
+func (l *leader) refreshRanks(now record.Millis) {
+	var moved []*waitingTask
+	for _, id := range l.ranks.takeDue(now) {
+		entry, waits := l.waiting[id]
+		if waits && l.rank(entry, now) && entry.due {
+			moved = append(moved, entry)
+		}
+	}
+	l.offerAgain(moved)
+}
+
+// offerAgain offers tasks that changed; members of one group once.
+func (l *leader) offerAgain(entries []*waitingTask) {
+	offered := make(map[stepKey]bool)
+	for _, entry := range entries {
+		if _, grouped := l.groups[entry.step]; grouped {
+			if offered[entry.step] {
+				continue
+			}
+			offered[entry.step] = true
+		}
+		l.offer(entry)
+	}
+}
+
+// objectiveOf returns a queue's objective, or nil.
+func objectiveOf(config *api.Config, name string) *api.ObjectiveConfig {
+	index := slices.IndexFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
+	if index < 0 {
+		return nil
+	}
+	return config.Queues[index].Objective
+}
+
+// sameOrder reports whether two configurations order waiting tasks alike.
+func sameOrder(a, b *api.Config) bool {
+	return slices.EqualFunc(a.Queues, b.Queues, func(a, b api.QueueConfig) bool {
+		return a.Name == b.Name && a.Priority == b.Priority && sameObjective(a.Objective, b.Objective)
+	})
+}
+
+func sameObjective(a, b *api.ObjectiveConfig) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
+// reorderWaiting offers every waiting task anew, since a change of a queue's
+// priority or objective changes where each stands.
+func (l *leader) reorderWaiting() {
+	now := l.log.Now()
+	l.logger.Info("order of queues changed", slog.Int("waiting", len(l.waiting)))
+	l.ranks = nil
+	var due []*waitingTask
+	for id, entry := range l.waiting {
+		l.planner.Remove(id)
+		entry.task.Priority = entry.jobPriority + l.queuePriority(entry.task.Queue)
+		entry.urgency.apply(objectiveOf(l.config, entry.task.Queue))
+		l.rank(entry, now)
+		if entry.due {
+			due = append(due, entry)
+		}
+	}
+	l.offerAgain(due)
+}
