Let no report that contradicts the record have an effect

Cause: the end of a run was taken from any worker. One that named a run open on another worker would have closed it there, and its task would have run twice; the end of a run that was never ordered counted as a failure or a success; a run that went on unordered was ordered beside itself.

Change: such reports are logged, acknowledged and set aside before anything follows from the heartbeat.

--- a/internal/record/lockstep_test.go
+++ b/internal/record/lockstep_test.go
@@ -235,3 +235,20 @@
 	}
 	r.wantGroup(TaskReady, 3)
 }
+
+func TestOccurrenceOfALockstepGroupStaysWhileARunIsOpen(t *testing.T) {
+	r := newRig(t)
+	r.register(testWorker("w1"))
+	group := step("a", 2)
+	group.Lockstep = true
+	r.submitSpec("j", repeating(2, 2000, group))
+	r.now = 2000
+	first, second := occurrenceID("j", "a", 0, 0), occurrenceID("j", "a", 1, 0)
+	r.mustPlace(onWorker(first, 1, "w1"), onWorker(second, 1, "w1"))
+	r.close(first, 1, api.OutcomeSucceeded)
+	expect(t, "open runs", r.task(second).Run != nil, true)
+	r.close(second, 1, api.OutcomeStopped)
+	got := r.status("j")
+	expect(t, "state", got.State, api.StateRunning)
+	expect(t, "succeeded occurrences", got.Occurrences.Succeeded, 1)
+}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -84,6 +84,7 @@
 		observed.late = true
 		observed.differences = reconcileLate(worker.runs, heartbeat)
 	}
+	l.setAsideContradictions(worker, &observed.differences)
 	l.noteDifferences(worker, &observed.differences)
 	if !observed.late {
 		l.noteProgress(worker, heartbeat.Progress, now)
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -23,6 +23,9 @@
 	late  []record.RunEnd
 	// unreadable are reports that name no task; they are acknowledged.
 	unreadable []api.RunRef
+	// contradicting are reports that cannot be true by the record; they are
+	// acknowledged, and nothing else follows.
+	contradicting []api.RunRef
 }
 
 // reconcile compares a heartbeat, which is the newest of its worker, with the
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/record"
 )
@@ -8,7 +10,7 @@
 // reports is what a heartbeat tells of ended runs, and what follows from it.
 // The rules are in docs/DESIGN.md, "What an acknowledgement means".
 type reports struct {
-	// unreadable name no task; they are acknowledged.
+	// unreadable name no task, or contradict the record; they are acknowledged.
 	unreadable []api.RunRef
 	// withdrawn are runs never ordered of tasks that turn out to be done.
 	withdrawn []record.RunEnd
@@ -20,7 +22,7 @@
 // task is run anew is kept back, unless that run was never ordered: then it is
 // withdrawn. One of a group is not, since that would send the whole group back.
 func (l *leader) sortReports(differences *reconciliation) reports {
-	sorted := reports{unreadable: differences.unreadable, ended: differences.ended}
+	sorted := reports{unreadable: slices.Concat(differences.unreadable, differences.contradicting), ended: differences.ended}
 	ending := make(map[record.RunID]bool, len(differences.ended))
 	for _, end := range differences.ended {
 		ending[end.Run] = true
