Ask the leader known last whenever none is known

Cause: an agent gave its last leader up as soon as that said "not leader". A leader whose lease was not renewed in time, on a busy machine for a moment, says so too, and names itself or nobody; then the agent refused all heartbeats again until a watch was answered.

The link now remembers the leader that it forgot last, for whatever reason, and the agent asks that one while none is known. If it leads no more it answers at once, and may name the next.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -15,15 +15,15 @@
 // zoneLabel is the worker label that the agent sets.
 const zoneLabel = "zone"
 
-// silentTimeout bounds a call to a leader whose last answer did not come, so
-// that the next one is known soon enough for the worker's hold.
-const silentTimeout = 300 * time.Millisecond
+// doubtfulTimeout bounds a call to a scheduler that may lead no more, so that the
+// next leader is asked soon enough for the worker's hold.
+const doubtfulTimeout = 300 * time.Millisecond
 
 // target is the scheduler that a heartbeat goes to.
 type target struct {
 	address string
-	// silent: its last answer did not come, and no other leader is known.
-	silent bool
+	// doubtful: it was the leader, and none is known now.
+	doubtful bool
 }
 
 // target picks the scheduler for a heartbeat. The worker's reports must not
@@ -32,8 +32,8 @@
 	if address, known := a.config.Link.Leader(); known {
 		return target{address: address}, true
 	}
-	address, known := a.config.Link.SilentLeader()
-	return target{address: address, silent: true}, known
+	address, known := a.config.Link.LastLeader()
+	return target{address: address, doubtful: true}, known
 }
 
 // relay makes the one call that a heartbeat ever gets.
@@ -45,8 +45,8 @@
 		return none, unavailable("the leading scheduler is not known")
 	}
 	timeout := a.config.RelayTimeout
-	if leader.silent {
-		timeout = min(timeout, silentTimeout)
+	if leader.doubtful {
+		timeout = min(timeout, doubtfulTimeout)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -115,7 +115,7 @@
 			return failure.API
 		}
 	case rpc.CodeTransport:
-		if !leader.silent {
+		if !leader.doubtful {
 			a.config.Link.Failed(leader.address)
 		}
 	}
--- a/internal/leaderlink/link.go
+++ b/internal/leaderlink/link.go
@@ -176,7 +176,9 @@
 func (l *Link) redirected(address, hint string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.state.deposed(address)
+	if l.state.leader == address {
+		l.state.forget()
+	}
 	if hint == "" || hint == address {
 		return false
 	}
@@ -227,12 +229,12 @@
 	return l.state.leader, l.state.leader != ""
 }
 
-// SilentLeader returns the leader that was forgotten because it gave no
-// answer, while no other is known: it may be alive and its answers lost.
-func (l *Link) SilentLeader() (address string, ok bool) {
+// LastLeader returns the leader that was last forgotten. It may lead, its
+// answers lost or its lease not renewed in time; if not, it may know who does.
+func (l *Link) LastLeader() (address string, ok bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.state.silent, l.state.leader == "" && l.state.silent != ""
+	return l.state.last, l.state.last != ""
 }
 
 // Hint takes the leader's address from a refusal with rpc.CodeNotLeader. An
--- a/internal/leaderlink/state.go
+++ b/internal/leaderlink/state.go
@@ -30,9 +30,8 @@
 // nanoseconds since the link was made.
 type state struct {
 	leader string
-	// silent is the leader that was last forgotten because it gave no answer,
-	// until one answers or it is said to lead no more.
-	silent        string
+	// last is the leader that was last forgotten.
+	last          string
 	confirmedAt   time.Duration
 	confirmed     bool
 	failedAt      map[string]time.Duration
@@ -64,21 +63,7 @@
 	if s.confirmed && address == s.leader && now-s.confirmedAt < confirmedGrace {
 		return false
 	}
-	forgotten := s.reject(now, address)
-	if forgotten {
-		s.silent = address
-	}
-	return forgotten
-}
-
-// deposed notes that the address says of itself that it does not lead.
-func (s *state) deposed(address string) {
-	if s.leader == address {
-		s.forget()
-	}
-	if s.silent == address {
-		s.silent = ""
-	}
+	return s.reject(now, address)
 }
 
 // reject bars the address for a while and reports whether the leader was
@@ -95,9 +80,6 @@
 // hint takes another process's word for who leads and reports whether that
 // is news.
 func (s *state) hint(now time.Duration, address string) bool {
-	if address == "" {
-		s.silent = ""
-	}
 	if address == s.leader {
 		return false
 	}
@@ -116,6 +98,9 @@
 }
 
 func (s *state) forget() {
+	if s.leader != "" {
+		s.last = s.leader
+	}
 	s.leader = ""
 	s.confirmed = false
 }
@@ -156,7 +141,6 @@
 	if answer.LeaderAddress != "" {
 		s.leader = answer.LeaderAddress
 	}
-	s.silent = ""
 	s.confirmed = true
 	s.confirmedAt = now
 	s.answeredAt = now
