Lapse a hold once, so that a worker heard again can be answered

Cause: a worker that had been silent beyond its hold and was heard again lapsed anew at the next tick, 50 ms later, until it was answered; and a heartbeat in work when its worker lapses gets no answer. If committing its reports took longer than a tick, the worker was never answered, so its reports stayed, and the next heartbeat took as long.

A hold now lapses once. A run that is opened on the worker after that, since its placement was under way, is given up too; before, it stayed open until the worker was heard again.

Tests first: a heartbeat with a report was overtaken by a tick, and the run opened after the lapse stayed open.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -28,6 +28,8 @@
 	lease   bool
 	// overloaded refuses all proposals.
 	overloaded bool
+	// meanwhile is done while a proposal is being committed, if not nil.
+	meanwhile func()
 }
 
 // Propose gives up, as a replica does, for a caller that has gone away.
@@ -36,6 +38,9 @@
 	if ctx.Err() != nil || f.overloaded {
 		return record.Result{}, replica.ErrOverloaded
 	}
+	if f.meanwhile != nil {
+		f.meanwhile()
+	}
 	if !f.lease {
 		return record.Result{}, replica.ErrNotLeader
 	}
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -9,7 +9,7 @@
 // worker has stopped them by itself before now (P11).
 func (l *leader) lapseHolds(now time.Duration) {
 	for _, worker := range l.workers {
-		if worker.lapsed || worker.holdsUntil == 0 || now <= worker.holdsUntil {
+		if !worker.mustLapse(now) {
 			continue
 		}
 		worker.lapse()
--- a/internal/scheduler/reports_test.go
+++ b/internal/scheduler/reports_test.go
@@ -238,3 +238,34 @@
 		t.Errorf("want the order for run 1, got %+v", answer.Start)
 	}
 }
+
+// Otherwise a worker with reports would never be answered while a commit takes
+// longer than a tick.
+func TestWorkerThatIsHeardAgainDoesNotLapseAgain(t *testing.T) {
+	h := newHarness(t)
+	worker := h.runningOne()
+	worker.end(api.OutcomeSucceeded)
+	h.advance(testHold + testMargin + time.Millisecond)
+	h.log.meanwhile = func() { h.leader.tick() }
+	if answer := worker.exchange(); len(answer.Acknowledged) != 1 {
+		t.Errorf("acknowledged %+v", answer.Acknowledged)
+	}
+}
+
+// Its placement may have been under way while the hold lapsed.
+func TestRunOpenedAfterTheLapseIsGivenUp(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	worker.exchange()
+	h.submit("j", tasks(1))
+	h.now += testHold + testMargin + time.Millisecond
+	entry := h.leader.workers["w-1"]
+	h.leader.mu.Lock()
+	entry.lapse()
+	h.leader.mu.Unlock()
+	h.settle()
+	if len(h.leader.runs) != 0 || len(h.leader.waiting) != 1 {
+		t.Errorf("%d runs open, %d tasks wait", len(h.leader.runs), len(h.leader.waiting))
+	}
+}
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -34,6 +34,8 @@
 	// lapses counts how often holdsUntil has passed; a heartbeat that was in
 	// work meanwhile gets no answer.
 	lapses uint64
+	// lapsedHold is the holdsUntil that has lapsed last.
+	lapsedHold time.Duration
 	// lapsed is true from the lapse to the next heartbeat.
 	lapsed bool
 	// draining is the worker's own flag; drainCause is what else drains it.
@@ -177,9 +179,29 @@
 // lapse notes that the hold has passed without a newer answer.
 func (w *workerEntry) lapse() {
 	w.lapses++
+	w.lapsedHold = w.holdsUntil
 	w.lapsed = true
 }
 
+// mustLapse tells whether the hold has passed and that has not been acted on
+// yet, or a run was opened since. A hold lapses once: a worker that is heard
+// again must not lapse at each tick until its heartbeat is answered, since that
+// would keep a heartbeat whose reports take a while from ever being answered.
+func (w *workerEntry) mustLapse(now time.Duration) bool {
+	if w.holdsUntil == 0 || now <= w.holdsUntil {
+		return false
+	}
+	if w.lapsedHold != w.holdsUntil {
+		return true
+	}
+	for _, run := range w.runs {
+		if !run.closing {
+			return true
+		}
+	}
+	return false
+}
+
 // planned is the worker as the planner sees it.
 func (w *workerEntry) planned(usable bool) placement.Worker {
 	return placement.Worker{
