Keep the wishes of a task beside it, for cheaper waiting tasks

Change: they are in a struct that the task points to; tasks without any share one.

Tests of placement and scheduler pass unchanged but for how they write wishes down.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -72,6 +72,7 @@
 		for i := range coming {
 			coming[i] = l.task()
 			if l.change != nil {
+				coming[i].Wishes = &Wishes{}
 				l.change(&coming[i])
 			}
 			tasks[coming[i].ID] = coming[i]
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -42,6 +42,8 @@
 	// preemptions are those asked for since Preemptions was called.
 	preemptions    []Preemption
 	maxPreemptions int
+	// noWishes is shared by the tasks that have none.
+	noWishes Wishes
 	// victims counts by priority the runs that may be preempted.
 	victims map[int]int
 	// hopeful are blocked lanes, in the order in which they get another trial
@@ -154,7 +156,12 @@
 	return a.ID == b.ID && a.Queue == b.Queue && a.Priority == b.Priority && a.Sequence == b.Sequence &&
 		a.Spec == b.Spec && a.Group == b.Group && a.GroupSize == b.GroupSize &&
 		a.StartedAt == b.StartedAt && a.Preemptions == b.Preemptions &&
-		a.StepSize == b.StepSize && a.Colocate == b.Colocate && a.MayTry == b.MayTry && a.Tries == b.Tries && slices.Equal(a.Avoid, b.Avoid)
+		sameWishes(a.Wishes, b.Wishes)
+}
+
+func sameWishes(a, b *Wishes) bool {
+	return a == b || a.StepSize == b.StepSize && a.Colocate == b.Colocate &&
+		a.MayTry == b.MayTry && a.Tries == b.Tries && slices.Equal(a.Avoid, b.Avoid)
 }
 
 func (w *worker) runsByStep() map[*step]int {
@@ -249,6 +256,9 @@
 	if _, held := e.runs[task.ID]; held {
 		return
 	}
+	if task.Wishes == nil {
+		task.Wishes = &e.noWishes
+	}
 	if present, ok := e.waiting[task.ID]; ok {
 		if sameTask(&present.Task, &task) {
 			return
--- a/internal/placement/engine_test.go
+++ b/internal/placement/engine_test.go
@@ -21,7 +21,7 @@
 // testTask is task JOB/a/SEQUENCE of queue "q".
 func testTask(job string, sequence int, need int64) Task {
 	return Task{
-		ID: record.TaskID{Job: job, Step: "a", Index: sequence}, Queue: "q", Sequence: uint64(sequence),
+		ID: record.TaskID{Job: job, Step: "a", Index: sequence}, Queue: "q", Sequence: uint64(sequence), Wishes: &Wishes{},
 		Spec: &api.TaskSpec{Service: "s", Resources: cpu(need)},
 	}
 }
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -166,9 +166,11 @@
 		}
 		task := Task{
 			ID: record.TaskID{Job: name, Step: "a", Index: i}, Queue: queue, Priority: priority,
-			Sequence: uint64(m.next), Spec: spec, Colocate: colocate, StepSize: rapid.SampledFrom([]int{0, count}).Draw(t, "size"),
-			MayTry: rapid.Bool().Draw(t, "may try"), Tries: rapid.Bool().Draw(t, "tries"),
-			Avoid: rapid.SampledFrom([][]string{nil, nil, {"w1"}, {"w1", "w2"}}).Draw(t, "avoid"),
+			Sequence: uint64(m.next), Spec: spec, Wishes: &Wishes{
+				Colocate: colocate, StepSize: rapid.SampledFrom([]int{0, count}).Draw(t, "size"),
+				MayTry: rapid.Bool().Draw(t, "may try"), Tries: rapid.Bool().Draw(t, "tries"),
+				Avoid: rapid.SampledFrom([][]string{nil, nil, {"w1"}, {"w1", "w2"}}).Draw(t, "avoid"),
+			},
 		}
 		if together {
 			task.Group, task.GroupSize = name+"/a", count
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -43,6 +43,13 @@
 	// Preemptions is how often the task was preempted; from the bound on it
 	// counts as not preemptible.
 	Preemptions int
+	// Wishes is what the task would rather have; nil for none. It is never
+	// changed once the task was added.
+	*Wishes
+}
+
+// Wishes is what a task would rather have of its worker.
+type Wishes struct {
 	// StepSize is the number of tasks of the step; 0 if it is not known.
 	StepSize int
 	// Colocate is the step's soft domain, as in api.StepSpec.
