Ask all seeds at once, probe connections, and spare agents the configuration

Cause: a process that lost its leader asked one scheduler at a time, 300 ms each, with pauses of up to 250 ms: two machines gone without a word cost most of the watch hold. A connection to such a machine was kept until a call on it ran out. Agents were sent every configuration whole and use its version only.

Change: while no leader has answered, the named one and up to three seeds are asked at once, 300 ms together, and the longest pause is 100 ms. WatchRequest.VersionOnly leaves the content out; agents set it. The watch stays at two calls a second: with a hold of 1.5 s one lost call must still leave the time for a second.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,8 @@
 	// Background functions run from the start until their context ends. An
 	// error that one returns before stops the daemon.
 	Background []func(ctx context.Context) error
+	// Wrap changes the listener on Listen before it is served. Optional.
+	Wrap func(net.Listener) net.Listener
 	// Extra listeners serve beside Listen, from the same start to the same stop.
 	Extra []Listener
 	// Stopping is called first when the daemon is told to stop, so that it no
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -35,6 +35,9 @@
 			}
 			return nil, fmt.Errorf("listen on %s: %w", each.Address, err)
 		}
+		if config.Wrap != nil && len(open) == 0 {
+			listener = config.Wrap(listener)
+		}
 		open = append(open, openListener{Listener: each, listener: listener})
 	}
 	return open, nil
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -182,6 +182,8 @@
 	ConfigVersion uint64 `cbor:"4,keyasint"`
 	Token         uint64 `cbor:"5,keyasint"`
 	MaxWaitMillis int64  `cbor:"6,keyasint"`
+	// VersionOnly: the process needs no content of configurations.
+	VersionOnly bool `cbor:"7,keyasint,omitempty"`
 }
 
 // WatchAnswer says what is in force. A process that got none for longer than
@@ -190,7 +192,8 @@
 	Token         uint64 `cbor:"1,keyasint"`
 	LeaderAddress string `cbor:"2,keyasint"`
 	ConfigVersion uint64 `cbor:"3,keyasint"`
-	// Config is nil if the process has this version already.
+	// Config is nil if the process has this version already, or asked for the
+	// version only.
 	Config     *api.Config `cbor:"4,keyasint,omitempty"`
 	HoldMillis int64       `cbor:"5,keyasint"`
 }
--- a/internal/leaderlink/link.go
+++ b/internal/leaderlink/link.go
@@ -26,7 +26,7 @@
 	roundPause = 10 * time.Millisecond
 	// firstRetryPause and longestRetryPause bound the jittered pause after a failure.
 	firstRetryPause   = 30 * time.Millisecond
-	longestRetryPause = 250 * time.Millisecond
+	longestRetryPause = 100 * time.Millisecond
 	// maxRedirects is how many hints in a row are followed without a pause.
 	maxRedirects = 2
 )
@@ -36,9 +36,12 @@
 	// Process, Role ("front" or "agent") and Zone say who watches.
 	Process, Role, Zone string
 	// Seeds returns the schedulers' addresses now in the settings.
-	Seeds  func() []string
-	Client *rpc.Client
-	Logger *slog.Logger
+	Seeds func() []string
+	// VersionOnly: only the version of the configuration is of use here; Config
+	// stays nil and OnConfig gets nil.
+	VersionOnly bool
+	Client      *rpc.Client
+	Logger      *slog.Logger
 	// OnConfig is called from Run with each newer configuration, before it is
 	// confirmed to the leader. Optional; it must not block for long.
 	OnConfig func(version uint64, config *api.Config)
@@ -65,7 +68,7 @@
 		config:  config,
 		started: time.Now(),
 		zone:    config.Zone,
-		state:   state{failedAt: make(map[string]time.Duration)},
+		state:   state{failedAt: make(map[string]time.Duration), versionOnly: config.VersionOnly},
 	}
 	if link.config.Logger == nil {
 		link.config.Logger = slog.New(slog.DiscardHandler)
@@ -95,11 +98,15 @@
 	defer cancel()
 	l.mutex.Lock()
 	l.interrupt = cancel
-	address, confirmed := l.state.target(l.config.Seeds())
+	address, confirmed := l.state.target()
+	var candidates []string
+	if !confirmed {
+		candidates = l.state.candidates(l.config.Seeds())
+	}
 	l.mutex.Unlock()
 	defer l.endRound()
 
-	if address != "" && l.ask(ctx, address, confirmed) {
+	if confirmed && l.askLeader(ctx, address) || !confirmed && l.askCandidates(ctx, candidates) {
 		pause.Reset()
 		return
 	}
@@ -112,28 +119,66 @@
 	l.interrupt = nil
 }
 
-// ask makes one watch call and reports whether the next may follow at once.
-func (l *Link) ask(ctx context.Context, address string, confirmed bool) bool {
-	timeout := probeTimeout
-	if confirmed {
-		timeout = watchTimeout
-	}
-	callContext, cancel := context.WithTimeout(ctx, timeout)
+// outcome is what came of one watch call.
+type outcome struct {
+	address string
+	sentAt  time.Duration
+	answer  fleet.WatchAnswer
+	err     error
+}
+
+// askLeader makes one held watch call and reports whether the next may follow
+// at once.
+func (l *Link) askLeader(ctx context.Context, address string) bool {
+	calling, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
+	_, again := l.take(ctx, l.call(calling, address, true))
+	return again
+}
+
+// askCandidates asks all candidates at once until one answers as leader, since
+// any of them may be gone without a word. It reports whether it is worth asking
+// again at once.
+func (l *Link) askCandidates(ctx context.Context, candidates []string) (again bool) {
+	calling, cancel := context.WithTimeout(ctx, probeTimeout)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	outcomes := make(chan outcome, len(candidates))
+	for _, address := range candidates {
+		calls.Go(func() { outcomes <- l.call(calling, address, false) })
+	}
+	for range candidates {
+		accepted, hinted := l.take(ctx, <-outcomes)
+		if accepted {
+			return true
+		}
+		again = again || hinted
+	}
+	return again
+}
+
+func (l *Link) call(ctx context.Context, address string, held bool) outcome {
 	sentAt := l.now()
-	answer, err := l.watch(callContext, address, l.request(confirmed))
-	if err != nil {
-		return l.refused(ctx, address, err)
+	answer, err := l.watch(ctx, address, l.request(held))
+	return outcome{address: address, sentAt: sentAt, answer: answer, err: err}
+}
+
+// take takes the outcome of a call in. It reports whether the answer was
+// accepted, and whether the next call may follow at once.
+func (l *Link) take(ctx context.Context, got outcome) (accepted, again bool) {
+	if got.err != nil {
+		return false, l.refused(ctx, got.address, got.err)
 	}
-	if err := l.accept(sentAt, address, answer); err != nil {
-		l.config.Logger.Warn("watch answer refused", slog.String("address", address), slog.Any("error", err))
-		l.reject(address)
-		return false
+	if err := l.accept(got.sentAt, got.address, got.answer); err != nil {
+		l.config.Logger.Warn("watch answer refused", slog.String("address", got.address), slog.Any("error", err))
+		l.reject(got.address)
+		return false, false
 	}
-	return true
+	return true, true
 }
 
-func (l *Link) request(confirmed bool) fleet.WatchRequest {
+func (l *Link) request(held bool) fleet.WatchRequest {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	request := fleet.WatchRequest{
@@ -142,8 +187,9 @@
 		Zone:          l.zone,
 		ConfigVersion: l.state.configVersion,
 		Token:         l.state.token,
+		VersionOnly:   l.config.VersionOnly,
 	}
-	if confirmed {
+	if held {
 		request.MaxWaitMillis = watchWait.Milliseconds()
 	}
 	return request
@@ -182,9 +228,10 @@
 	if hint == "" || hint == address {
 		return false
 	}
-	l.state.hint(l.now(), hint)
-	// Schedulers may point at each other while they elect.
-	l.redirects++
+	if l.state.hint(l.now(), hint) {
+		// Schedulers may point at each other while they elect.
+		l.redirects++
+	}
 	return l.state.leader != "" && l.redirects <= maxRedirects
 }
 
--- a/internal/leaderlink/link_test.go
+++ b/internal/leaderlink/link_test.go
@@ -208,3 +208,45 @@
 		})
 	}
 }
+
+// TestSeedsAreAskedAtOnce has two of three seeds gone without a word.
+func TestSeedsAreAskedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		schedulers := &fakeSchedulers{leader: "c", token: 4, version: 7, dead: map[string]bool{"a": true, "b": true}}
+		link := startLink(t, schedulers, nil)
+		time.Sleep(roundPause)
+		synctest.Wait()
+		if leader, _ := link.Leader(); leader != "c" || !link.Fresh() {
+			t.Fatalf("leader %q, fresh %v", leader, link.Fresh())
+		}
+	})
+}
+
+// TestNextLeaderIsFoundBehindADeadOne has the followers name the dead leader
+// until they elect, and a seed that is gone as well.
+func TestNextLeaderIsFoundBehindADeadOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		schedulers := &fakeSchedulers{leader: "a", token: 4, version: 7, dead: map[string]bool{}}
+		link := startLink(t, schedulers, nil)
+		time.Sleep(time.Second)
+		schedulers.set(func() { schedulers.dead["a"] = true })
+		time.Sleep(watchTimeout)
+		schedulers.set(func() { schedulers.leader, schedulers.token = "b", 5 })
+		elected := time.Now()
+		for link.Token() != 5 {
+			time.Sleep(time.Millisecond)
+		}
+		found := time.Since(elected)
+		if longest := probeTimeout + longestRetryPause*3/2 + roundPause; found > longest {
+			t.Fatalf("found after %v, want at most %v", found, longest)
+		}
+	})
+}
+
+func TestVersionIsEnoughForProcessesThatNeedNoContent(t *testing.T) {
+	s := state{token: 4, configVersion: 7, versionOnly: true, failedAt: map[string]time.Duration{}}
+	newer, err := s.accept(0, 0, "a", fleet.WatchAnswer{Token: 4, ConfigVersion: 8, HoldMillis: 1500})
+	if err != nil || !newer {
+		t.Fatalf("newer %v, %v", newer, err)
+	}
+}
--- a/internal/leaderlink/state.go
+++ b/internal/leaderlink/state.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -13,6 +14,8 @@
 	// failedMemory is how long a hint to an address that failed is not
 	// followed: followers name a dead leader until they elect the next.
 	failedMemory = 500 * time.Millisecond
+	// maxCandidates bounds the seeds that are asked at once.
+	maxCandidates = 3
 	// confirmedGrace is how long after an answer of the leader reports of its
 	// failure are taken as late news from before.
 	confirmedGrace = 100 * time.Millisecond
@@ -41,20 +44,28 @@
 	config        *api.Config
 	answeredAt    time.Duration
 	freshUntil    time.Duration
+	// versionOnly: answers come without the content of configurations.
+	versionOnly bool
 }
 
-// target picks the address to ask next and says whether it has answered as
-// leader; one that has not is asked to answer at once.
-func (s *state) target(seeds []string) (address string, confirmed bool) {
+// target is the leader that has answered as such; none while it is not known.
+func (s *state) target() (leader string, confirmed bool) { return s.leader, s.confirmed }
+
+// candidates are addresses to be asked at once who leads: the one that was
+// named, and seeds, each in its turn.
+func (s *state) candidates(seeds []string) []string {
+	var addresses []string
 	if s.leader != "" {
-		return s.leader, s.confirmed
+		addresses = append(addresses, s.leader)
 	}
-	if len(seeds) == 0 {
-		return "", false
+	for range min(len(seeds), maxCandidates) {
+		address := seeds[s.nextSeed%len(seeds)]
+		s.nextSeed++
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
 	}
-	address = seeds[s.nextSeed%len(seeds)]
-	s.nextSeed++
-	return address, false
+	return addresses
 }
 
 // failed notes that the address gave no answer and reports whether the leader
@@ -126,7 +137,7 @@
 		return false, fmt.Errorf("%w: %d after %d", errStaleConfig, answer.ConfigVersion, s.configVersion)
 	}
 	newer = answer.ConfigVersion > s.configVersion
-	if newer && answer.Config == nil {
+	if newer && answer.Config == nil && !s.versionOnly {
 		return false, fmt.Errorf("%w: %d", errMissingConfig, answer.ConfigVersion)
 	}
 	if answer.HoldMillis <= 0 {
--- a/internal/process/agentprocess/process.go
+++ b/internal/process/agentprocess/process.go
@@ -32,9 +32,11 @@
 	linked, err := process.NewLinked(process.LinkedConfig[settings.Agent]{
 		Program: Program,
 		Role:    "agent",
-		Initial: initial,
-		Options: options,
-		Common:  func(s *settings.Agent) *settings.Common { return &s.Common },
+
+		VersionOnly: true,
+		Initial:     initial,
+		Options:     options,
+		Common:      func(s *settings.Agent) *settings.Common { return &s.Common },
 		// Each call is bounded by its context.
 		CallTimeout: initial.RelayTimeout.Std() + time.Second,
 		Apply:       func(changed settings.Agent) { p.zone.Store(&changed.Zone) },
--- a/internal/process/linked.go
+++ b/internal/process/linked.go
@@ -25,6 +25,8 @@
 	// Program is the program's name, Role its role as the leader knows it.
 	Program, Role string
 	Initial       T
+	// VersionOnly: the process does not use the configuration's content.
+	VersionOnly bool
 	// Options are those that Initial was loaded with.
 	Options settings.LoadOptions
 	// Common returns what all settings have in common.
@@ -73,10 +75,12 @@
 	l.Link = leaderlink.New(leaderlink.Config{
 		Process: common.Name,
 		Role:    config.Role,
-		Zone:    common.Zone,
-		Seeds:   func() []string { return *l.seeds.Load() },
-		Client:  l.Client,
-		Logger:  l.Logger,
+
+		VersionOnly: config.VersionOnly,
+		Zone:        common.Zone,
+		Seeds:       func() []string { return *l.seeds.Load() },
+		Client:      l.Client,
+		Logger:      l.Logger,
 	})
 	l.checkHealth()
 	return l, nil
--- a/internal/process/schedulerprocess/process.go
+++ b/internal/process/schedulerprocess/process.go
@@ -135,6 +135,7 @@
 // the process. Leadership is handed over first.
 func (p *Process) Run(ctx context.Context, extra ...daemon.Listener) error {
 	config := process.Daemon(&p.initial.Common, p.logger, p.health)
+	config.Wrap = rpc.Probed
 	config.Handler = p.handler
 	config.Extra = extra
 	config.Background = []func(context.Context) error{p.replica.Run, p.watchSettings, p.watchHealth}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -56,7 +56,7 @@
 		config.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
 	if config.Dialer == nil {
-		config.Dialer = (&net.Dialer{}).DialContext
+		config.Dialer = newDialer().DialContext
 	}
 	transport := &http.Transport{
 		DialContext:            config.Metrics.dialer(config.Dialer),
--- a/internal/rpc/dial.go
+++ b/internal/rpc/dial.go
@@ -14,6 +14,7 @@
 	if err != nil {
 		return nil
 	}
-	dialer := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(address, 0))}
+	dialer := newDialer()
+	dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(address, 0))
 	return dialer.DialContext
 }
--- a/internal/scheduler/watch.go
+++ b/internal/scheduler/watch.go
@@ -78,7 +78,7 @@
 	if leader, known := l.log.Leader(); known {
 		answer.LeaderAddress = leader.Address
 	}
-	if request.ConfigVersion != l.configVersion {
+	if request.ConfigVersion != l.configVersion && !request.VersionOnly {
 		answer.Config = l.config
 	}
 	return answer
