Poll settings by one stat, and log refused requests at debug level

Cause: where file events are missing the settings file was read whole and digested twice a second, and each process warned of it. Each refused request wrote a line at info level, so that a flood of them cost more than its answers.

Change: once a second the poll takes the file's size, time and inode, and reads it only if one of them changed, or if the change is younger than 2 s, since two writes may share a tick of the file's clock. That there are no file events is said once, at info. Requests are logged at debug level, and at warn for failures other than 503; the metrics count them. The test of the log page knows the new pair of levels in place of the old.

--- a/docs/logs_test.go
+++ b/docs/logs_test.go
@@ -13,7 +13,7 @@
 )
 
 // logRow matches a row of docs/LOGS.md, such as "| info | `listening` | ...".
-var logRow = regexp.MustCompile("(?m)^\\| (debug|info|warn|error|debug, info or warn|warn, then debug) \\| `([^`]+)` \\|")
+var logRow = regexp.MustCompile("(?m)^\\| (debug|info|warn|error|debug or warn|warn, then debug) \\| `([^`]+)` \\|")
 
 // messageAt is the place of the message among the arguments of each logging
 // method.
--- a/internal/front/middleware.go
+++ b/internal/front/middleware.go
@@ -69,18 +69,13 @@
 	return request.Method + " " + pattern
 }
 
-// logLevel keeps floods of refused requests out of the log.
+// logLevel keeps floods of refused requests out of the log; the metrics count
+// them.
 func logLevel(status int) slog.Level {
-	switch {
-	case status == http.StatusServiceUnavailable:
-		return slog.LevelInfo
-	case status >= 500:
+	if status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable {
 		return slog.LevelWarn
-	case status < 400 || status == http.StatusTooManyRequests:
-		return slog.LevelDebug
-	default:
-		return slog.LevelInfo
 	}
+	return slog.LevelDebug
 }
 
 // recoverPanic answers 500 for a panic of a handler and logs it.
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -19,7 +19,10 @@
 )
 
 const (
-	defaultPollInterval = 500 * time.Millisecond
+	defaultPollInterval = time.Second
+	// recentChange is the age below which a time of change does not tell that the
+	// file is unchanged: another write may fall into the same tick of its clock.
+	recentChange = 2 * time.Second
 	// settleTime is how long a changed content must stay the same before it is
 	// taken, so that a file half written is not.
 	settleTime = 50 * time.Millisecond
@@ -33,7 +36,7 @@
 	// Initial is in force at the start.
 	Initial T
 	// Interval is the pause between two looks at the file, behind fsnotify.
-	// Default 500ms.
+	// Default 1s. A look costs one stat unless the file changed.
 	Interval time.Duration
 	// Live returns what of the new settings can take effect at once, and the
 	// keys that need a restart. Default: LiveKeys.
@@ -57,6 +60,8 @@
 	current         T
 	seen, candidate [sha256.Size]byte
 	settled         *time.Timer
+	// polled is the file's state at the last look of the poll.
+	polled fileState
 
 	mutex          sync.Mutex
 	pendingRestart []string
@@ -138,8 +143,10 @@
 			w.config.Logger.Warn("file events failed, the poll goes on", slog.Any("error", err))
 		case <-w.settled.C:
 			w.settle()
-		case <-poll.C:
-			w.look()
+		case now := <-poll.C:
+			if w.mayHaveChanged(now) {
+				w.look()
+			}
 		case <-hangups:
 			w.read()
 		case <-w.reload:
@@ -153,7 +160,7 @@
 func (w *Watcher[T]) watchFolder() (files *fsnotify.Watcher, closeFiles func()) {
 	files, err := fsnotify.NewWatcher()
 	if err != nil {
-		w.config.Logger.Warn("no file events, polling only", slog.Any("error", err))
+		w.config.Logger.Info("no file events, polling only", slog.Any("error", err))
 		return &fsnotify.Watcher{}, func() {}
 	}
 	closeFiles = func() { _ = files.Close() } // nothing depends on it any more
@@ -161,7 +168,7 @@
 		return files, closeFiles
 	}
 	if err := files.Add(filepath.Dir(w.path)); err != nil {
-		w.config.Logger.Warn("no file events, polling only", slog.Any("error", err))
+		w.config.Logger.Info("no file events, polling only", slog.Any("error", err))
 	}
 	return files, closeFiles
 }
