Spread the seats of voters over zones

A learner took the seat that was free whatever its zone: with five voters and machines in three zones, three of one zone could vote, and the loss of that zone took the quorum; and on the way from three to five voters four stood with two in one zone.

The leader now weighs all learners that answer and have caught up, not only the one that asked: the seat of a silent voter goes to the one that spreads voters best; growth refuses a seat that lets a zone decide and takes two learners at once where four voters would; a zone that decides all the same gives a seat away. A stopping voter's successor is chosen likewise.

Ruled out: refusing such learners alone, since the one that could take the seat may ask late or never.

--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -200,6 +200,9 @@
 	if err != nil {
 		return err
 	}
+	if step.newcomer.ID != "" {
+		member = step.newcomer
+	}
 	l.logger.Info("membership change proposed", "change", step.change,
 		"newcomer", string(member.ID), "name", member.Name, "replaces", string(step.replaces))
 	return nil
--- a/internal/replica/joinstep.go
+++ b/internal/replica/joinstep.go
@@ -108,22 +108,13 @@
 }
 
 // promotionStep finds the newcomer's place among the voters: that of the
-// earlier replica of its own machine, else that of a voter that is silent, else
-// one more if there are few.
+// earlier replica of its own machine, else whatever seat is free.
 func promotionStep(q joinQuestion) joinStep {
 	member, voters := q.request.Member, q.status.Membership.Voters
 	if same := slices.IndexFunc(voters, func(voter raft.Member) bool { return voter.Name == member.Name }); same >= 0 {
 		return ownPlaceStep(q, voters[same])
 	}
-	if gone, found := longestSilent(q); found {
-		return replaceStep(q.status.Membership, member, gone)
-	}
-	if len(voters) >= q.maxVoters {
-		return joinStep{standby: true}
-	}
-	target := withoutLearner(q.status.Membership, member.ID)
-	target.Voters = append(target.Voters, member)
-	return joinStep{change: changeVoter, target: target}
+	return seatStep(q)
 }
 
 // ownPlaceStep replaces the earlier replica of the same machine. At the same
@@ -144,23 +135,6 @@
 	return joinStep{change: changeVoter, target: target, replaces: gone, newcomer: learner}
 }
 
-// longestSilent is the voter that was not heard for longest, if that is longer
-// than the silence.
-func longestSilent(q joinQuestion) (raft.ReplicaID, bool) {
-	var found raft.ReplicaID
-	var since time.Duration
-	for _, voter := range q.status.Membership.Voters {
-		if !silent(q, voter.ID) {
-			continue
-		}
-		progress, _ := progressOf(q.status, voter.ID)
-		if found == "" || progress.LastSeen < since {
-			found, since = voter.ID, progress.LastSeen
-		}
-	}
-	return found, found != ""
-}
-
 // silent: not heard for the whole silence. A leader notes each voter as heard
 // when its term begins, so it counts from there at the earliest.
 func silent(q joinQuestion, id raft.ReplicaID) bool {
@@ -175,28 +149,31 @@
 }
 
 // nextRetireStep gives the seat of a voter that is about to stop to a learner
-// that stands by, one of the same zone if there is one. Without such a learner
-// the seat stays with the voter, which may well come back.
+// that stands by: the one that spreads the voters best over zones, of those one
+// of the same zone if there is one. Without such a learner the seat stays with
+// the voter, which may well come back.
 func nextRetireStep(leaving raft.ReplicaID, status raft.Status, now, silence time.Duration) joinStep {
 	current := status.Membership
 	place := indexOf(current.Voters, leaving)
 	if place < 0 || len(current.Outgoing) > 0 {
 		return joinStep{}
 	}
-	successor, found := raft.Member{}, false
+	var near, far []raft.Member
 	for _, learner := range current.Learners {
 		progress, known := progressOf(status, learner.ID)
 		if !known || now-progress.LastSeen > silence || !caughtUp(status, learner.ID) {
 			continue
 		}
-		if !found || learner.Zone == current.Voters[place].Zone {
-			successor, found = learner, true
+		if learner.Zone == current.Voters[place].Zone {
+			near = append(near, learner)
+		} else {
+			far = append(far, learner)
 		}
 	}
+	step, found := lightest(replacements(current, append(near, far...), []raft.ReplicaID{leaving}))
 	if !found {
 		return joinStep{}
 	}
-	step := replaceStep(current, successor, leaving)
 	step.change = changeRetire
 	return step
 }
