Let restarted voters vote after the minimum election timeout

The promise that a voter may have forgotten lasts the minimum election timeout only.

Change: the quiet time is the minimum. The test of one that stands by now waits until the joint membership is over on both: it had stopped the second voter while the old majority still counted, and failed once in a run of the package.

--- a/internal/raft/raftsim/machine.go
+++ b/internal/raft/raftsim/machine.go
@@ -112,7 +112,7 @@
 		MaxAppendBytes:     maxAppendBytes,
 		MaxInflightAppends: maxInflightAppends,
 		Seed:               m.simulation.random.Int64(),
-		QuietUntil:         m.clock() + electionTimeoutMax,
+		QuietUntil:         m.clock() + electionTimeoutMin,
 	}
 	weakened := m.simulation.options.weakening == weakenQuietTime || m.simulation.options.weakening == weakenVote
 	if m.brandNew || weakened {
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -156,7 +156,8 @@
 	Seed int64
 	// QuietUntil: a restarted voter grants no vote before this time, since it
 	// may have promised a lease that it forgot. The owner sets it to one
-	// ElectionTimeoutMax after start unless the replica is brand new.
+	// ElectionTimeoutMin after start, the length of such a promise, unless the
+	// replica is brand new.
 	QuietUntil time.Duration
 }
 
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	timing := r.config.Timing
-	quietUntil := r.now() + timing.ElectionTimeoutMax
+	quietUntil := r.now() + timing.ElectionTimeoutMin
 	if brandNew {
 		quietUntil = 0
 	}
--- a/internal/replica/standby_test.go
+++ b/internal/replica/standby_test.go
@@ -36,8 +36,14 @@
 
 	lost := others(seeds, leader)[0]
 	lost.crash()
-	eventually(t, "the fourth votes", func() bool {
-		return isVoter(leader, fourth) && !isVoter(leader, lost) && len(voterIDs(leader)) == 3
+	eventually(t, "the fourth votes, and the change is over", func() bool {
+		for _, m := range []*machine{leader, fourth} {
+			over := len(m.replica.Status().Membership.Outgoing) == 0
+			if !over || !isVoter(m, fourth) || isVoter(m, lost) || len(voterIDs(m)) != 3 {
+				return false
+			}
+		}
+		return true
 	})
 	// A second loss right after: the two that are left are a majority.
 	second := others(seeds, leader, lost)[0]
