Count what a worker reports as failed, also of a run that was to be stopped

Cause: a run that was marked to stop (drained, preempted, stalled, or its group broken) and then failed by itself was not counted, since its worker might have made a failure of the stop.

Change: every reported failure counts, except of a cancelled job.

Checks replaced: TestStoppedRunsAreNoFailures and TestPreemptionsAreCounted wanted a failure after a stop to count for nothing. They now want it counted, a stop reported as such not, and the job failed once its failures are used up. TestLockstepLossAndStopCountNoFailure ended members as failed; it ends them as stopped, and TestLockstepFailureAfterALossCounts, new, has them fail.

Result: the two tests fail without the change; tests of record, scheduler and integration pass.

--- a/internal/record/booking_test.go
+++ b/internal/record/booking_test.go
@@ -63,10 +63,11 @@
 	r.mustPlace(onWorker(task, 2, "w"))
 	r.stop(StopPreempted, task)
 	r.close(task, 2, api.OutcomeFailed)
+	r.now += 1000 // the pause after a failure
 	r.mustPlace(onWorker(task, 3, "w"))
 	r.stop(StopDrained, task)
 	r.close(task, 3, api.OutcomeStopped)
-	expect(t, "failures", r.task(task).Failures, 0)
+	expect(t, "failures", r.task(task).Failures, 1)
 	expect(t, "drained is none", r.task(task).Preemptions, 2)
 	restored(t, snapshotBytes(t, r.machine), r.archive).Read(func(v View) {
 		copied, _ := v.Task(task)
--- a/internal/record/checker_test.go
+++ b/internal/record/checker_test.go
@@ -66,7 +66,10 @@
 		if e.Run.Stop == StopPreempted && e.Outcome != api.OutcomeSucceeded && e.Run.Task.State != TaskSucceeded {
 			c.preempted[e.Run.Task]++
 		}
-		if e.Run.Stop == StopNone && e.Outcome == api.OutcomeFailed && e.Run.Task.State != TaskSucceeded {
+		// The event comes after the change, so that a task whose last failure
+		// is not counted by then would show.
+		cancelled := e.Run.Stop == StopCancelled || e.Run.Task.Step.Job.Cancelled
+		if !cancelled && e.Outcome == api.OutcomeFailed && e.Run.Task.State != TaskSucceeded {
 			c.noteFailedRun(e.Run)
 		}
 	case WindowReleased:
--- a/internal/record/close.go
+++ b/internal/record/close.go
@@ -56,9 +56,10 @@
 }
 
 // stateAfterRun decides what becomes of the task and notes failures and
-// preemptions; one that came too late for a success is none. A run
-// that was to be stopped has not failed, whatever its worker made of the stop.
-// A task that runs until cancelled waits again however its run ended.
+// preemptions; one that came too late for a success is none. A worker that
+// stops a run reports it as stopped, so that a failure which it reports of a run
+// that was to be stopped is the task's own and counts, unless the job was
+// cancelled. A task that runs until cancelled waits again however its run ended.
 func (m *Machine) stateAfterRun(run *Run, end *RunEnd) TaskState {
 	task := run.Task
 	succeeded := end.Outcome == api.OutcomeSucceeded
@@ -73,8 +74,8 @@
 		task.Reason = reasonJobCancelled
 		return TaskCancelled
 	}
-	if end.Outcome == api.OutcomeFailed && run.Stop == StopNone {
-		return m.stateAfterFailure(task, end)
+	if end.Outcome == api.OutcomeFailed {
+		return m.stateAfterFailure(run, end)
 	}
 	if run.Stop == StopGroup && task.Step.Spec.Lockstep {
 		return TaskReady // the reason is why the group was broken
@@ -83,10 +84,10 @@
 	return TaskReady
 }
 
-func (m *Machine) stateAfterFailure(task *Task, end *RunEnd) TaskState {
+func (m *Machine) stateAfterFailure(run *Run, end *RunEnd) TaskState {
+	task := run.Task
 	if task.Step.Spec.Lockstep {
-		task.Reason = failureReason(end.Message)
-		m.countGroupFailure(task.Step)
+		m.countGroupFailure(run, end)
 		return TaskReady
 	}
 	task.Failures++
--- a/internal/record/lockstep.go
+++ b/internal/record/lockstep.go
@@ -146,8 +146,15 @@
 	return false
 }
 
-// countGroupFailure counts a failure of the group and sets when it runs again.
-func (m *Machine) countGroupFailure(step *Step) {
+// countGroupFailure counts the first failure under a run number as one of the
+// group, and sets when it runs again.
+func (m *Machine) countGroupFailure(run *Run, end *RunEnd) {
+	step := run.Task.Step
+	if step.failedRun == run.Number {
+		return
+	}
+	step.failedRun = run.Number
+	run.Task.Reason = failureReason(end.Message)
 	for _, member := range step.Tasks {
 		member.Failures++
 		member.NotBefore = max(member.NotBefore, m.state.clock+m.retryDelay(member.Failures))
--- a/internal/record/lockstep_test.go
+++ b/internal/record/lockstep_test.go
@@ -152,13 +152,42 @@
 			expect(t, "mark to stop", r.task(r.members[member]).Run.Stop, StopGroup)
 		}
 		for _, member := range r.members {
-			r.close(member, number, api.OutcomeFailed)
+			r.close(member, number, api.OutcomeStopped)
 		}
 		r.wantGroup(TaskReady, 0)
 	}
 	expect(t, "preemptions", r.task(r.members[1]).Preemptions, 1)
 }
 
+// TestLockstepFailureAfterALossCounts: the group was broken by a loss, and then
+// members report that they failed by themselves. That is one failure of the
+// group, and a new leader does not count it again.
+func TestLockstepFailureAfterALossCounts(t *testing.T) {
+	r := newLockstepRig(t, 4)
+	r.mustPlace(r.whole(1)...)
+	r.close(r.members[1], 1, api.OutcomeLost)
+	r.close(r.members[0], 1, api.OutcomeFailed)
+	r.wantFailures(1)
+	r.machine = restored(t, snapshotBytes(t, r.machine), r.archive)
+	r.close(r.members[2], 1, api.OutcomeFailed)
+	r.close(r.members[3], 1, api.OutcomeStopped)
+	r.wantGroup(TaskReady, 1)
+	r.now += 100_000
+	r.mustPlace(r.whole(2)...)
+	r.close(r.members[3], 2, api.OutcomeFailed)
+	r.wantFailures(2)
+}
+
+// wantFailures checks the failures of every member.
+func (r *lockstepRig) wantFailures(failures int) {
+	r.t.Helper()
+	for _, member := range r.members {
+		if got := r.task(member).Failures; got != failures {
+			r.t.Fatalf("%s has %d failures, want %d", member, got, failures)
+		}
+	}
+}
+
 func TestLockstepSuccessWinsUntilTheGroupIsPlacedAnew(t *testing.T) {
 	t.Run("with failures in one close", func(t *testing.T) {
 		r := newLockstepRig(t, 3)
--- a/internal/record/machine_test.go
+++ b/internal/record/machine_test.go
@@ -150,20 +150,34 @@
 	})
 }
 
+// TestStoppedRunsAreNoFailures: a stop is none, but what a worker reports as
+// failed has failed, also after the run was to be stopped; so a task out of
+// failures is not started again.
 func TestStoppedRunsAreNoFailures(t *testing.T) {
 	r := newRig(t)
 	r.register(testWorker("w"))
-	r.submit("j", step("a", 1))
+	twice := 2
+	limited := step("a", 1)
+	limited.Tasks[0].AllowedFailures = &twice
+	r.submit("j", limited)
 	task := id("j", "a", 0)
 	r.mustPlace(onWorker(task, 1, "w"))
 	r.stop(StopDrained, task)
 	r.stop(StopPreempted, task)
 	expect(t, "first reason", r.task(task).Run.Stop, StopDrained)
-	r.close(task, 1, api.OutcomeFailed)
+	r.close(task, 1, api.OutcomeStopped)
+	expect(t, "failures after a stop", r.task(task).Failures, 0)
+	expect(t, "state after a stop", r.task(task).State, TaskReady)
+
 	r.mustPlace(onWorker(task, 2, "w"))
-	r.close(task, 2, api.OutcomeStopped)
-	expect(t, "failures", r.task(task).Failures, 0)
-	expect(t, "state", r.task(task).State, TaskReady)
+	r.stop(StopDrained, task)
+	r.close(task, 2, api.OutcomeFailed)
+	expect(t, "failures", r.task(task).Failures, 1)
+	r.now += 100_000
+	r.mustPlace(onWorker(task, 3, "w"))
+	r.stop(StopPreempted, task)
+	r.close(task, 3, api.OutcomeFailed)
+	expect(t, "state of the job", r.status("j").State, api.StateFailed)
 }
 
 func TestLateSuccess(t *testing.T) {
--- a/internal/record/restore.go
+++ b/internal/record/restore.go
@@ -226,6 +226,7 @@
 
 func (r *snapshotReader) restoreStep(step *Step, read *snapshotStep) error {
 	step.WaitsOn = read.WaitsOn
+	step.failedRun = read.FailedRun
 	for i, task := range step.Tasks {
 		if err := r.restoreTask(task, &read.Tasks[i]); err != nil {
 			return err
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -55,6 +55,8 @@
 type snapshotStep struct {
 	WaitsOn int            `cbor:"1,keyasint,omitempty"`
 	Tasks   []snapshotTask `cbor:"2,keyasint"`
+	// FailedRun is absent from snapshots of earlier programs.
+	FailedRun uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 type snapshotTask struct {
@@ -110,6 +112,7 @@
 
 type capturedStep struct {
 	waitsOn   int
+	failedRun uint32
 	firstTask int
 	taskCount int
 }
@@ -175,7 +178,7 @@
 func (c *capture) addJob(job *Job) {
 	c.jobs = append(c.jobs, c.captureJob(job))
 	for _, step := range job.Steps {
-		c.steps = append(c.steps, capturedStep{waitsOn: step.WaitsOn, firstTask: len(c.tasks), taskCount: len(step.Tasks)})
+		c.steps = append(c.steps, capturedStep{waitsOn: step.WaitsOn, failedRun: step.failedRun, firstTask: len(c.tasks), taskCount: len(step.Tasks)})
 		for _, task := range step.Tasks {
 			c.addTask(task)
 		}
@@ -287,8 +290,9 @@
 	for i := range written.Steps {
 		from := c.steps[captured.firstStep+i]
 		written.Steps[i] = snapshotStep{
-			WaitsOn: from.waitsOn,
-			Tasks:   c.tasks[from.firstTask : from.firstTask+from.taskCount],
+			WaitsOn:   from.waitsOn,
+			FailedRun: from.failedRun,
+			Tasks:     c.tasks[from.firstTask : from.firstTask+from.taskCount],
 		}
 	}
 	return written
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -72,6 +72,9 @@
 	// OpenTasks counts tasks that are not final; FailedTasks counts failed.
 	OpenTasks   int
 	FailedTasks int
+	// failedRun is the newest run number of a group in lockstep under which a
+	// failure was counted; 0 if none was.
+	failedRun uint32
 	// succeededTasks counts tasks that succeeded.
 	succeededTasks int
 	occurrence     *occurrence
