--- a/internal/leaderlink/link_test.go
+++ b/internal/leaderlink/link_test.go
@@ -65,6 +65,9 @@
 		Seeds: func() []string { return []string{"a", "b", "c"} },
 	})
 	link.watch = schedulers.watch
+	if link.Fresh() {
+		t.Fatal("fresh before any answer")
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -80,9 +83,6 @@
 		schedulers := &fakeSchedulers{leader: "c", token: 4, version: 7}
 		var adopted []uint64
 		link := startLink(t, schedulers, func(version uint64, _ *api.Config) { adopted = append(adopted, version) })
-		if link.Fresh() {
-			t.Fatal("fresh before any answer")
-		}
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
 		if leader, ok := link.Leader(); leader != "c" || !ok {
--- a/internal/process/common.go
+++ b/internal/process/common.go
@@ -29,5 +29,6 @@
 		Logger:        logger,
 		Stopping:      func() { health.SetReady(stoppingPart, false, "the process is about to stop") },
 		ShutdownDelay: time.Duration(common.ShutdownDelay),
+		StopTimeout:   time.Duration(common.StopTimeout),
 	}
 }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -10,6 +10,7 @@
 type withDefaults interface{ setDefaults() }
 
 func (c *Common) setDefaults() {
+	c.StopTimeout = api.Duration(2 * time.Second)
 	c.Log = defaultLog()
 }
 
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -57,8 +57,9 @@
 	want := Scheduler{
 		Common: Common{
 			Name: "s1", Zone: "z1", Listen: "127.0.0.1:7100",
-			Seeds: []string{"127.0.0.1:1", "127.0.0.2:2"},
-			Log:   Log{Level: "info", Format: "text"},
+			Seeds:       []string{"127.0.0.1:1", "127.0.0.2:2"},
+			StopTimeout: api.Duration(2 * time.Second),
+			Log:         Log{Level: "info", Format: "text"},
 		},
 		DataDir: "d",
 		Timing: SchedulerTiming{
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -32,8 +32,11 @@
 	// stop and no longer calls itself ready, so that callers can go elsewhere
 	// first. Default 0s.
 	ShutdownDelay api.Duration `koanf:"shutdown_delay" validate:"min=0" expected:"a duration, 0 or more, such as \"1s\"" usage:"how long to go on serving after a stop was asked for and readiness is off"`
-	Log           Log          `koanf:"log"`
-	Test          Test         `koanf:"test"`
+	// StopTimeout bounds the rest of a stop, after the shutdown delay: handing
+	// over, finishing requests, ending the background. Default 2s.
+	StopTimeout api.Duration `koanf:"stop_timeout" validate:"gt=0" expected:"a duration over 0, such as \"2s\"" usage:"bound on the rest of a stop, after the shutdown delay"`
+	Log         Log          `koanf:"log"`
+	Test        Test         `koanf:"test"`
 }
 
 // Reach returns the address that others reach the process at.
