Judge the pace of runs only by those seen running before they ended

Cause: a run that ended before any heartbeat listed it was taken as begun when its end was heard, so that it seemed to have taken a few milliseconds. A queue with short tasks thus looked thirty times faster than its estimates, and sound workers with longer tasks counted as slow, up to 160 times, and got work last. Ruled out: workers that are slow (the verdicts came 0.8 s after the start of a calm stretch), and too small a sample alone (the other queue, whose tasks take seconds, was judged soundly).

Change: a pace counts from the order to when the end was first heard, and only of runs that a heartbeat listed as running before.

Result: TestRunsSeenFirstAsEndedSayNothingOfPace failed before (a "takes 40.0 times as long as others" after 400 ms) and passes; all tests of scheduler and workerhealth pass.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -99,13 +99,16 @@
 	}
 }
 
-// notePace takes in the whole time of a run that this leader saw start.
+// notePace takes in the whole time of a run that this leader ordered, from its
+// order until its end was heard. One that was not seen running before its end
+// tells nothing: most of that time may be the wait for a heartbeat.
 func (l *leader) notePace(run *runState, now time.Duration) {
 	estimate := run.spec.Estimate.Std()
-	if run.inherited || !run.listed || estimate <= 0 || run.progress.First > freshStart {
+	seenRunning := run.listed && run.progress.StartedAt < run.endHeardAt
+	if run.sentAt == 0 || !seenRunning || estimate <= 0 || run.progress.First > freshStart {
 		return
 	}
-	ratio := float64(now-run.progress.StartedAt) / float64(estimate)
+	ratio := float64(run.endHeardAt-run.sentAt) / float64(estimate)
 	pace := workerhealth.Pace{Run: run.id, Work: run.queue, Ratio: ratio, Ended: true}
 	l.health.tracker.Paced(run.workerID, pace, now)
 }
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -204,3 +204,39 @@
 		t.Errorf("a was given work though others have room: %+v", answer.Start)
 	}
 }
+
+// TestRunsSeenFirstAsEndedSayNothingOfPace: short tasks end before any heartbeat
+// lists them as running. How long they took is not known, so longer ones of the
+// same queue that go at their estimated pace do not look slow beside them.
+func TestRunsSeenFirstAsEndedSayNothingOfPace(t *testing.T) {
+	h := newHarness(t)
+	workers := h.fleetOf(4)
+	h.log.meanwhile = func() { h.now += 5 * time.Millisecond }
+	for i := range 8 {
+		h.submit(fmt.Sprint("short", i), estimated(4, 200*time.Millisecond))
+		for range 2 {
+			for _, worker := range workers {
+				worker.end(api.OutcomeSucceeded)
+				worker.exchange()
+			}
+		}
+	}
+	const estimate = 4 * time.Second
+	h.submit("long", estimated(8, estimate))
+	for elapsed := time.Duration(0); elapsed < estimate; elapsed += estimate / 20 {
+		for _, worker := range workers {
+			worker.heartbeat.Progress = nil
+			for _, run := range worker.heartbeat.Running {
+				percent := int(100 * elapsed / estimate)
+				worker.heartbeat.Progress = append(worker.heartbeat.Progress, api.RunProgress{RunRef: run, Percent: percent})
+			}
+			worker.exchange()
+		}
+		h.advance(estimate / 20)
+		for _, worker := range workers {
+			if row := h.stateOf(worker.heartbeat.Name); row.Reason != "" {
+				t.Fatalf("after %v: %s %q", elapsed, row.Name, row.Reason)
+			}
+		}
+	}
+}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -116,13 +116,19 @@
 
 // noteDifferences updates the mirror with what the heartbeat showed.
 func (l *leader) noteDifferences(worker *workerEntry, differences *reconciliation) {
+	now := l.now()
 	for _, run := range differences.started {
 		run.listed = true
-		run.progress = workerhealth.Began(l.now())
+		run.progress = workerhealth.Began(now)
 		if run.together {
 			l.groupRunStarted(run)
 		}
 	}
+	for _, end := range differences.ended {
+		if run, open := worker.runs[end.Run]; open && run.endHeardAt == 0 {
+			run.endHeardAt = now
+		}
+	}
 	for _, run := range differences.lost {
 		l.logger.Info("order had no effect", slog.String("run", run.id.Task.String()),
 			slog.Uint64("number", uint64(run.id.Number)), slog.String("worker", worker.info.Name))
@@ -201,6 +207,7 @@
 			continue
 		}
 		run.orderedAt = worker.seq
+		run.sentAt = l.now()
 		orders = append(orders, run.order())
 	}
 	return orders
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -72,6 +72,9 @@
 	// orderedAt is the seq of the answer that carried the order; 0 if this
 	// leader has given none.
 	orderedAt uint64
+	// sentAt is when this leader gave the order, endHeardAt when the run's end was
+	// first heard; 0 if it did not.
+	sentAt, endHeardAt time.Duration
 	// listed is true once a heartbeat listed the run as running or ended.
 	listed bool
 	// progress is how far the run said that it is, from when it was listed.
