Take groups of up to 512 tasks

Cause: the grown deployments hand in steps of up to 240 tasks, and a group of more than 128 was refused as invalid.

Change: the bound is 512. A group is one decision and one log entry, and the planner's cost is measured for groups of 128 only; larger ones are rare.

--- a/api/validate_job.go
+++ b/api/validate_job.go
@@ -13,7 +13,7 @@
 	// MaxAllowedFailures bounds allowed failures of a task.
 	MaxAllowedFailures = 1000
 	// MaxGroupMembers bounds the tasks of a step that start together.
-	MaxGroupMembers = 128
+	MaxGroupMembers = 512
 	// MaxOccurrences bounds the occurrences of a repeating job.
 	MaxOccurrences = 100_000
 	// MaxOpenTasksPerJob bounds the tasks of a repeating job's open occurrences
