--- a/api/validate_test.go
+++ b/api/validate_test.go
@@ -76,7 +76,7 @@
 		{"replicas of two tasks", func(s *JobSpec) { s.Steps[1].Replicas = 2 }, []string{"steps[1].tasks"}},
 		{"replicas of no task", func(s *JobSpec) { s.Steps[1].Replicas = 2; s.Steps[1].Tasks = nil }, []string{"steps[1].tasks"}},
 		{"too many replicas of a group", func(s *JobSpec) { s.Steps[2].Replicas = MaxGroupMembers + 1 }, []string{"steps[2].replicas"}},
-		{"long service", func(s *JobSpec) { task(s).Service = strings.Repeat("s", MaxGroupMembers+1) }, []string{"steps[1].tasks[1].service"}},
+		{"long service", func(s *JobSpec) { task(s).Service = strings.Repeat("s", 129) }, []string{"steps[1].tasks[1].service"}},
 		{"payload", func(s *JobSpec) { task(s).Payload = []byte("{") }, []string{"steps[1].tasks[1].payload"}},
 		{
 			"several", func(s *JobSpec) {
@@ -181,7 +181,7 @@
 func TestValidateJobID(t *testing.T) {
 	for id, valid := range map[string]bool{
 		"a": true, "A:b.c_d-9": true, strings.Repeat("x", 128): true,
-		"": false, "a/b": false, "-a": false, "a\n": false, strings.Repeat("x", MaxGroupMembers+1): false,
+		"": false, "a/b": false, "-a": false, "a\n": false, strings.Repeat("x", 129): false,
 	} {
 		if got := len(ValidateJob(id, validJob(), nil)) == 0; got != valid {
 			t.Errorf("id %q valid: %v, want %v", id, got, valid)
@@ -225,7 +225,7 @@
 		{"queue figures", func(c *Config) {
 			c.Queues[0] = QueueConfig{Name: "q", Priority: 1001, Weight: 1001, MaxRunningTasks: -1, MaxPendingTasks: -1, DefaultAllowedFailures: 1001}
 		}, []string{"queues[0].default_allowed_failures", "queues[0].max_pending_tasks", "queues[0].max_running_tasks", "queues[0].priority", "queues[0].weight"}},
-		{"long service", func(c *Config) { c.Queues[0].Service = strings.Repeat("s", MaxGroupMembers+1) }, []string{"queues[0].service"}},
+		{"long service", func(c *Config) { c.Queues[0].Service = strings.Repeat("s", 129) }, []string{"queues[0].service"}},
 		{
 			"drains", func(c *Config) { c.Drains = DrainConfig{Workers: []string{"w", "w"}, Zones: []string{""}} },
 			[]string{"drains.workers[1]", "drains.zones[0]"},
