Open an archive whose newest meta page a loss of power tore

Cause: the start refused an archive.db in which either meta page does not check. A write of a meta page torn by a loss of power looked the same, so that the replica never started again, though bbolt's other meta page still stands with all its pages. Two more paths led to a refusal: a killed process may leave a transaction in the machine's memory alone, and the next process then writes the other meta page and over pages that are still needed; and an archive.db.new that was half made, beside an empty log, was taken as whole.

A start goes back to the older meta page if that is not older than the one named: the jobs in a newer one are put again when the log is applied. It then writes both meta pages anew. Otherwise it refuses as before. It syncs the archive before bbolt may write, and makes a nameless archive anew while the log is empty.

--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -38,6 +38,23 @@
 	Directory string
 	// Logger may be nil.
 	Logger *slog.Logger
+
+	// files and segmentSize are replaced by tests.
+	files       fileSystem
+	segmentSize int64
+}
+
+func (c DiskConfig) withDefaults() DiskConfig {
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	if c.files == nil {
+		c.files = systemFiles{}
+	}
+	if c.segmentSize == 0 {
+		c.segmentSize = defaultSegmentSize
+	}
+	return c
 }
 
 // Disk is a Store in a folder: the segments of a write-ahead log, snapshot, and
@@ -54,9 +71,7 @@
 // ErrLocked if another process uses it, ErrEarlierFormat if an earlier version
 // made it, and ErrCorrupt if it does not check.
 func OpenDisk(config DiskConfig) (*Disk, error) {
-	if config.Logger == nil {
-		config.Logger = slog.New(slog.DiscardHandler)
-	}
+	config = config.withDefaults()
 	if err := makeFolder(config.Directory); err != nil {
 		return nil, err
 	}
@@ -86,12 +101,12 @@
 }
 
 func openLocked(config DiskConfig) (*Disk, error) {
-	present, err := folderPresent(config.Directory)
+	present, err := folderPresent(config.files, config.Directory)
 	if err != nil {
 		return nil, err
 	}
 	if !present {
-		if err := createFolder(config.Directory); err != nil {
+		if err := createFolder(config); err != nil {
 			return nil, err
 		}
 		config.Logger.Info("data folder created", "directory", config.Directory)
@@ -101,12 +116,12 @@
 
 // folderPresent tells whether the folder was made; the log is the last file to
 // get its name, so all others without it are damage.
-func folderPresent(directory string) (bool, error) {
-	names, err := systemFiles{}.Names(directory)
+func folderPresent(files fileSystem, directory string) (bool, error) {
+	names, err := files.Names(directory)
 	if err != nil {
 		return false, fmt.Errorf("list data folder: %w", err)
 	}
-	numbers, err := segmentNumbers(systemFiles{}, directory)
+	numbers, err := segmentNumbers(files, directory)
 	if err != nil || len(numbers) > 0 {
 		return len(numbers) > 0, err
 	}
@@ -123,15 +138,21 @@
 
 // createFolder makes both files under other names first. archive.db.new gets
 // its name only after the log has, when the folder is opened.
-func createFolder(directory string) error {
-	archivePath := filepath.Join(directory, archiveFile)
-	if err := os.Remove(archivePath + newSuffix); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return fmt.Errorf("remove unfinished file: %w", err)
-	}
-	if err := createFile(archivePath+newSuffix, createArchiveBuckets); err != nil {
+func createFolder(config DiskConfig) error {
+	if err := createArchive(config.files, config.Directory); err != nil {
 		return err
 	}
-	return createLog(systemFiles{}, directory, newReplicaID(), defaultSegmentSize)
+	return createLog(config.files, config.Directory, newReplicaID(), config.segmentSize)
+}
+
+// createArchive makes archive.db.new, in place of one whose making was
+// interrupted.
+func createArchive(files fileSystem, directory string) error {
+	path := filepath.Join(directory, archiveFile+newSuffix)
+	if err := files.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("remove unfinished file: %w", err)
+	}
+	return createFile(path, createArchiveBuckets)
 }
 
 func createFile(path string, fill func(*bbolt.Tx) error) error {
@@ -156,53 +177,53 @@
 }
 
 func openFolder(config DiskConfig) (*Disk, error) {
-	archivePath := filepath.Join(config.Directory, archiveFile)
-	numbers, err := segmentNumbers(systemFiles{}, config.Directory)
+	numbers, err := segmentNumbers(config.files, config.Directory)
 	if err != nil {
 		return nil, err
 	}
-	log, err := openDiskLog(systemFiles{}, config.Directory, config.Logger, defaultSegmentSize, numbers)
+	log, err := openDiskLog(config.files, config.Directory, config.Logger, config.segmentSize, numbers)
 	if err != nil {
 		return nil, err
 	}
-	err = nameArchive(archivePath, log.Empty())
+	err = nameArchive(config.files, config.Directory, log.Empty())
 	var archive *DiskArchive
 	if err == nil {
-		archive, err = openDiskArchive(archivePath)
+		archive, err = openDiskArchive(config, log.wal.state.ArchiveTransaction)
 	}
 	if err != nil {
 		_ = log.wal.file.Close()
 		return nil, err
 	}
+	log.archived = archive.transaction
 	return &Disk{diskLog: log, archive: archive}, nil
 }
 
 // nameArchive finishes a creation that stopped between the two renames. A power
-// loss may have taken either name; while the log is empty, so was the archive.
-func nameArchive(path string, empty bool) error {
-	if _, err := os.Stat(path); err == nil {
+// loss may have taken either name; while the log is empty, so was the archive,
+// and one without its name may be half made.
+func nameArchive(files fileSystem, directory string, empty bool) error {
+	names, err := files.Names(directory)
+	if err != nil {
+		return fmt.Errorf("list data folder: %w", err)
+	}
+	if slices.Contains(names, archiveFile) {
 		return nil
 	}
-	_, err := os.Stat(path + newSuffix)
-	if errors.Is(err, fs.ErrNotExist) {
-		if !empty {
-			return corrupt(path, "missing")
+	path := filepath.Join(directory, archiveFile)
+	if empty {
+		if err := createArchive(files, directory); err != nil {
+			return err
 		}
-		err = createFile(path+newSuffix, createArchiveBuckets)
+	} else if !slices.Contains(names, archiveFile+newSuffix) {
+		return corrupt(path, "missing")
 	}
-	if err == nil {
-		err = os.Rename(path+newSuffix, path)
-	}
-	if err != nil {
+	if err := files.Rename(path+newSuffix, path); err != nil {
 		return fmt.Errorf("name archive: %w", err)
 	}
-	return systemFiles{}.SyncDirectory(filepath.Dir(path))
+	return files.SyncDirectory(directory)
 }
 
 func openBolt(path string, options *bbolt.Options) (db *bbolt.DB, err error) {
-	if err := checkBoltMetas(path); err != nil {
-		return nil, err
-	}
 	err = guard(path, func() error {
 		db, err = bbolt.Open(path, filePermission, options)
 		return err
--- a/internal/storage/diskarchive.go
+++ b/internal/storage/diskarchive.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
+	"path/filepath"
 	"sync"
 
 	"go.etcd.io/bbolt"
@@ -40,8 +42,14 @@
 const archiveGrowth = 1 << 20
 
 // openDiskArchive keeps the free list in the file: reading it anew from a file
-// of some gigabytes would make starts slow.
-func openDiskArchive(path string) (*DiskArchive, error) {
+// of some gigabytes would make starts slow. The file must hold the transaction
+// needed, or a newer one.
+func openDiskArchive(config DiskConfig, needed uint64) (*DiskArchive, error) {
+	path := filepath.Join(config.Directory, archiveFile)
+	torn, err := checkArchiveFile(config, path, needed)
+	if err != nil {
+		return nil, err
+	}
 	db, err := openBolt(path, &bbolt.Options{Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType})
 	if err != nil {
 		return nil, err
@@ -49,6 +57,9 @@
 	a := &DiskArchive{db: db, waiting: make(map[string]record.ArchivedJob)}
 	db.AllocSize = archiveGrowth
 	err = a.view(checkArchiveBuckets(path))
+	if err == nil && torn {
+		err = a.rewriteMetas()
+	}
 	if err == nil {
 		err = a.countPages()
 	}
@@ -59,6 +70,47 @@
 	return a, nil
 }
 
+// checkArchiveFile tells whether a meta page is torn. It also makes durable what is found: a killed process may have
+// left a transaction that only the machine's memory holds, and bbolt writes over
+// the pages that the newest one freed.
+func checkArchiveFile(config DiskConfig, path string, needed uint64) (torn bool, err error) {
+	file, err := config.files.Open(path)
+	if err != nil {
+		return false, fmt.Errorf("open archive: %w", err)
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	damage, err := checkBoltMetas(path, file, needed)
+	if err != nil {
+		return false, err
+	}
+	if damage != nil {
+		config.Logger.Warn("torn transaction of the archive passed over; the log has what was in it", "damage", damage)
+	}
+	return damage != nil, file.Sync()
+}
+
+// transaction is the newest one, which is durable: flush and Expire return only
+// once it is, and hold the lock until then.
+func (a *DiskArchive) transaction() (newest uint64) {
+	a.mutex.RLock()
+	defer a.mutex.RUnlock()
+	_ = a.view(func(tx *bbolt.Tx) error {
+		newest = uint64(tx.ID())
+		return nil
+	})
+	return newest
+}
+
+// rewriteMetas writes both meta pages anew; each transaction writes one.
+func (a *DiskArchive) rewriteMetas() error {
+	for range boltMetaPages {
+		if err := a.update(func(*bbolt.Tx) error { return nil }); err != nil {
+			return fmt.Errorf("rewrite archive meta: %w", err)
+		}
+	}
+	return nil
+}
+
 func createArchiveBuckets(tx *bbolt.Tx) error {
 	for _, name := range [][]byte{jobsBucket, placeBucket, endedBucket} {
 		if _, err := tx.CreateBucket(name); err != nil {
--- a/internal/storage/diskload.go
+++ b/internal/storage/diskload.go
@@ -57,10 +57,14 @@
 func (d *diskLog) finishSnapshot(loaded *Loaded) error {
 	meta := loaded.Snapshot
 	keep := holds(loaded.Entries, meta)
-	note := d.dropNote(meta)
+	archived := d.archived()
+	note := d.dropNote(meta, archived)
 	if keep {
 		state := d.wal.state
-		note = snapshotNote{Index: meta.Index, Term: meta.Term, FirstIndex: state.FirstIndex, FirstSegment: state.FirstSegment}
+		note = snapshotNote{
+			Index: meta.Index, Term: meta.Term, ArchiveTransaction: archived,
+			FirstIndex: state.FirstIndex, FirstSegment: state.FirstSegment,
+		}
 	} else {
 		loaded.Entries = nil
 	}
--- a/internal/storage/disklog.go
+++ b/internal/storage/disklog.go
@@ -22,6 +22,8 @@
 	files     fileSystem
 	directory string
 	logger    *slog.Logger
+	// archived is the newest durable transaction of the archive.
+	archived func() uint64
 
 	// snapshots is held while the snapshot file is replaced.
 	snapshots sync.Mutex
@@ -43,6 +45,7 @@
 		return nil, err
 	}
 	d := &diskLog{files: files, directory: directory, logger: logger, wal: wal, replayed: entries, fresh: true}
+	d.archived = func() uint64 { return wal.state.ArchiveTransaction }
 	d.hardState = wal.state.HardState
 	found, err := d.cleanSnapshots()
 	if err != nil {
@@ -136,6 +139,7 @@
 	if stale, err := d.hasNewerSnapshot(meta); stale || err != nil {
 		return err
 	}
+	archived := d.archived()
 	if err := writeSnapshotFile(d.files, d.directory, meta, write); err != nil {
 		return err
 	}
@@ -147,7 +151,7 @@
 		forget = meta.Index
 		number, _ = d.wal.firstNeeded(forget)
 	}
-	note := snapshotNote{Index: meta.Index, Term: meta.Term, FirstSegment: number}
+	note := snapshotNote{Index: meta.Index, Term: meta.Term, FirstSegment: number, ArchiveTransaction: archived}
 	note.FirstIndex = max(forget+1, d.wal.state.FirstIndex)
 	return d.noteSnapshot(note)
 }
@@ -185,19 +189,20 @@
 		_, err := io.Copy(writer, data)
 		return err
 	}
+	archived := d.archived()
 	if err := writeSnapshotFile(d.files, d.directory, meta, copyData); err != nil {
 		return err
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.noteSnapshot(d.dropNote(meta))
+	return d.noteSnapshot(d.dropNote(meta, archived))
 }
 
 // dropNote leaves the snapshot alone. The newest segment stays, since it holds
 // the note.
-func (d *diskLog) dropNote(meta raft.SnapshotMeta) snapshotNote {
+func (d *diskLog) dropNote(meta raft.SnapshotMeta, archived uint64) snapshotNote {
 	return snapshotNote{
-		Index: meta.Index, Term: meta.Term, DropLog: true,
+		Index: meta.Index, Term: meta.Term, DropLog: true, ArchiveTransaction: archived,
 		FirstIndex: meta.Index + 1, FirstSegment: d.wal.newest().number,
 	}
 }
--- a/internal/storage/doc.go
+++ b/internal/storage/doc.go
@@ -27,6 +27,17 @@
 // removed. Whichever unsynced names a loss of power brings back or takes, a
 // start finds the same log.
 //
+// # Archive
+//
+// bbolt writes a transaction's pages, syncs them, and then writes one of two
+// meta pages, in turn, and syncs that. A loss of power may tear the newest meta
+// page, and the one before it still stands with all its pages. Each note of a
+// snapshot in the log names the archive's newest transaction at that time. So a
+// start goes back to the older meta page if no snapshot needs the newer one: the
+// jobs in it are put again when the log is applied. It refuses an archive that
+// ends before the transaction named. Each start syncs the archive before bbolt
+// may write over pages that a transaction of a killed process freed.
+//
 // Everything read back is checked against a checksum. A folder that does not
 // check is refused with ErrCorrupt, never reset.
 package storage
--- /dev/null
+++ b/internal/storage/powerarchive_test.go
@@ -0,0 +1,186 @@
+package storage
+
+import (
+	"bytes"
+	"errors"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// powerFolder is powerFiles for a whole data folder. bbolt needs a real file, so
+// archive.db is one, and is followed here: what a transaction changed counts as
+// the writes and syncs that bbolt made, in the order of its Tx.Commit: length,
+// sync, data pages in any order, sync, meta page, sync.
+type powerFolder struct {
+	*powerFiles
+	directory string
+	// failAtMeta: the power fails when the next meta page has been written.
+	failAtMeta bool
+}
+
+// powerPage is the size of a page of the archive, in bytes.
+var powerPage = os.Getpagesize()
+
+func isArchive(path string) bool { return strings.HasPrefix(filepath.Base(path), archiveFile) }
+
+// Names first learns of a file that bbolt made.
+func (p *powerFolder) Names(directory string) ([]string, error) {
+	if err := p.follow(); err != nil {
+		return nil, err
+	}
+	return p.powerFiles.Names(directory)
+}
+
+// Rename moves the real file as well.
+func (p *powerFolder) Rename(from, to string) error {
+	if err := p.follow(); err != nil {
+		return err
+	}
+	if err := p.powerFiles.Rename(from, to); err != nil || !isArchive(from) {
+		return err
+	}
+	return os.Rename(from, to)
+}
+
+// Remove removes the real file as well.
+func (p *powerFolder) Remove(path string) error {
+	if err := p.powerFiles.Remove(path); err != nil || !isArchive(path) {
+		return err
+	}
+	if err := os.Remove(path); !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+// SyncDirectory is asked for after a file was made.
+func (p *powerFolder) SyncDirectory(directory string) error {
+	if err := p.follow(); err != nil {
+		return err
+	}
+	return p.powerFiles.SyncDirectory(directory)
+}
+
+// follow takes over what bbolt did to real files since the last call.
+func (p *powerFolder) follow() error {
+	for _, name := range []string{archiveFile, archiveFile + newSuffix} {
+		path := filepath.Join(p.directory, name)
+		content, err := os.ReadFile(path)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if err := p.followFile(path, content); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *powerFolder) followFile(path string, content []byte) error {
+	node := p.names[path]
+	if node == nil {
+		if _, err := p.Create(path); err != nil {
+			return err
+		}
+		node = p.names[path]
+	}
+	if bytes.Equal(node.content, content) {
+		return nil
+	}
+	file := &powerFile{files: p.powerFiles, path: path, node: node}
+	if len(content) != len(node.content) {
+		if err := file.Truncate(int64(len(content))); err != nil {
+			return err
+		}
+		if err := file.Sync(); err != nil {
+			return err
+		}
+	}
+	return p.followCommit(file, content)
+}
+
+// followCommit writes the changed pages, the meta pages last.
+func (p *powerFolder) followCommit(file *powerFile, content []byte) error {
+	var data, metas []int
+	for at := 0; at < len(content); at += powerPage {
+		switch {
+		case bytes.Equal(page(content, at), page(file.node.content, at)):
+		case at < 2*powerPage:
+			metas = append(metas, at)
+		default:
+			data = append(data, at)
+		}
+	}
+	p.random.Shuffle(len(data), func(i, j int) { data[i], data[j] = data[j], data[i] })
+	if err := p.followPages(file, content, data); err != nil {
+		return err
+	}
+	if p.failAtMeta && len(metas) > 0 {
+		p.failAfter, p.failAtMeta = len(metas), false
+	}
+	return p.followPages(file, content, metas)
+}
+
+func (p *powerFolder) followPages(file *powerFile, content []byte, pages []int) error {
+	for _, at := range pages {
+		if _, err := file.WriteAt(page(content, at), int64(at)); err != nil {
+			return err
+		}
+	}
+	return file.Sync()
+}
+
+func page(content []byte, at int) []byte { return content[at:min(at+powerPage, len(content))] }
+
+// restore makes the real files be what a fault left.
+func (p *powerFolder) restore() error {
+	entries, err := os.ReadDir(p.directory)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if path := filepath.Join(p.directory, entry.Name()); isArchive(path) {
+			if err := os.Remove(path); err != nil {
+				return err
+			}
+		}
+	}
+	for path, node := range p.names {
+		if !isArchive(path) {
+			continue
+		}
+		if err := os.WriteFile(path, node.content, filePermission); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tornPages cuts unsynced pages into pieces, which are torn by themselves: at
+// the sectors of a disk, or finer than the meta of bbolt.
+func tornPages(random *rand.Rand, writes []powerWrite) []powerWrite {
+	const sector, fine = 512, 16
+	var pieces []powerWrite
+	for _, write := range writes {
+		if len(write.data) != powerPage || random.IntN(2) == 0 {
+			pieces = append(pieces, write)
+			continue
+		}
+		size := sector
+		if random.IntN(2) == 0 {
+			size = fine
+		}
+		for piece := range slices.Chunk(write.data, size) {
+			pieces = append(pieces, powerWrite{at: write.at, data: piece})
+			write.at += int64(size)
+		}
+	}
+	return pieces
+}
--- /dev/null
+++ b/internal/storage/powerstore_test.go
@@ -0,0 +1,312 @@
+package storage
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"go.etcd.io/bbolt"
+
+	"github.com/decklever/decklever/internal/raft"
+	"github.com/decklever/decklever/internal/record"
+)
+
+const (
+	powerStoreSeeds  = 60
+	powerStoreRounds = 8
+	powerStoreSteps  = 30
+)
+
+// powerStoreRun drives a whole store as a replica does, one ended job an entry,
+// and knows what may never be lost: an entry once it was synced, and, of all
+// that a snapshot leaves out, every job in the archive.
+type powerStoreRun struct {
+	directory string
+	random    *rand.Rand
+	files     *powerFolder
+	store     *Disk
+	faults    map[string]int
+	// last is the newest entry handed over, synced the newest one that is
+	// durable, applied the newest one whose job was put.
+	last, synced, applied uint64
+	// snapshot is the newest one that is durable.
+	snapshot uint64
+	// expired: jobs that ended before may be gone.
+	expired record.Millis
+}
+
+// TestPowerLossOfStore: a store opens after whatever a loss of power left of
+// log, snapshot and archive, and what was acknowledged is in one of them.
+func TestPowerLossOfStore(t *testing.T) {
+	faults := make(map[string]int)
+	failed := 0
+	for seed := range uint64(powerStoreSeeds) {
+		if err := newPowerStoreRun(t.TempDir(), seed, faults).run(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+			failed++
+		}
+	}
+	t.Logf("%d of %d seeds failed; faults: %v", failed, powerStoreSeeds, faults)
+	for _, fault := range []string{"killed", "all lost", "torn", "while opening", "tail cut", "archive torn", "expired", "snapshot", "installed"} {
+		if faults[fault] < 20 {
+			t.Errorf("%q came %d times, want at least 20", fault, faults[fault])
+		}
+	}
+}
+
+func newPowerStoreRun(directory string, seed uint64, faults map[string]int) *powerStoreRun {
+	files := &powerFolder{powerFiles: newPowerFiles(seed), directory: directory}
+	return &powerStoreRun{directory: directory, random: rand.New(rand.NewPCG(seed, 3)), files: files, faults: faults}
+}
+
+func (r *powerStoreRun) run() error {
+	for round := range powerStoreRounds {
+		if err := r.open(); err != nil {
+			return fmt.Errorf("round %d: %w", round, err)
+		}
+		r.files.failAfter = r.random.IntN(4 * powerStoreSteps)
+		r.files.failAtMeta = r.random.IntN(3) == 0
+		for range powerStoreSteps {
+			if r.step() != nil {
+				break
+			}
+		}
+		if err := r.fault(); err != nil {
+			return err
+		}
+	}
+	return r.open()
+}
+
+// fault ends the process, at times with the power.
+func (r *powerStoreRun) fault() error {
+	if r.store != nil {
+		_ = r.store.archive.db.Close()
+		_ = r.store.lock.Close()
+		r.store = nil
+	}
+	switch r.random.IntN(4) {
+	case 0:
+		r.files.killProcess()
+		r.faults["killed"]++
+	case 1:
+		r.files.loseAllUnsynced()
+		r.faults["all lost"]++
+	default:
+		for _, node := range r.files.names {
+			node.unsynced = tornPages(r.random, node.unsynced)
+		}
+		r.files.losePower()
+		r.faults["torn"]++
+	}
+	return r.files.restore()
+}
+
+// open starts anew, at times with faults amid the start, and checks what is
+// found.
+func (r *powerStoreRun) open() error {
+	for r.random.IntN(3) == 0 {
+		r.files.failAtMeta = r.random.IntN(2) == 0
+		r.files.failAfter = r.random.IntN(12)
+		if _, err := r.reopen(); err == nil {
+			break // the start needed fewer steps
+		}
+		r.faults["while opening"]++
+		if err := r.fault(); err != nil {
+			return err
+		}
+	}
+	r.files.failAfter, r.files.failAtMeta = -1, false
+	if r.store != nil {
+		if err := r.fault(); err != nil {
+			return err
+		}
+	}
+	loaded, err := r.reopen()
+	if err != nil {
+		return err
+	}
+	return r.check(loaded)
+}
+
+func (r *powerStoreRun) reopen() (Loaded, error) {
+	logger := slog.New(slog.NewTextHandler(storeFaultCounter(r.faults), nil))
+	store, err := OpenDisk(DiskConfig{Directory: r.directory, Logger: logger, files: r.files, segmentSize: powerSegmentSize})
+	if err != nil {
+		return Loaded{}, err
+	}
+	r.store = store
+	store.archive.db.NoSync = true // the folder counts the syncs, real ones only take time
+	loaded, err := store.Load()
+	if err != nil {
+		return loaded, err
+	}
+	return loaded, r.files.follow()
+}
+
+// storeFaultCounter counts what a start says that it repaired.
+type storeFaultCounter map[string]int
+
+func (c storeFaultCounter) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), "torn transaction of the archive") {
+		c["archive torn"]++
+	}
+	return faultCounter(c).Write(line)
+}
+
+func (r *powerStoreRun) check(loaded Loaded) error {
+	if loaded.last() < r.synced || loaded.Snapshot.Index < r.snapshot {
+		return fmt.Errorf("log ends at %d and snapshot at %d, expected at least %d and %d", loaded.last(), loaded.Snapshot.Index, r.synced, r.snapshot)
+	}
+	if err := r.checkArchive(loaded.Snapshot.Index); err != nil {
+		return err
+	}
+	r.snapshot = loaded.Snapshot.Index
+	r.last, r.synced, r.applied = loaded.last(), loaded.last(), r.snapshot
+	return r.apply(loaded.last())
+}
+
+// checkArchive: each job that the snapshot leaves out is there, by id and by
+// place, and the file is sound.
+func (r *powerStoreRun) checkArchive(snapshot uint64) error {
+	archive := r.store.archive
+	err := archive.view(func(tx *bbolt.Tx) error {
+		for err := range tx.Check() {
+			return err
+		}
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("archive: %w", err)
+	}
+	paged, err := archive.Page(0, "", int(r.last)+100)
+	if err != nil {
+		return err
+	}
+	placed := make(map[string]bool)
+	for _, job := range paged {
+		placed[job.ID] = true
+	}
+	for index := max(uint64(r.expired), 1); index <= snapshot; index++ {
+		id := powerJob(index).ID
+		job, known, err := archive.Get(id)
+		if err != nil || !known || job.Index != index || !placed[id] {
+			return fmt.Errorf("job %s, hidden by the snapshot at %d: known %v, placed %v, %w", id, snapshot, known, placed[id], err)
+		}
+	}
+	return nil
+}
+
+func powerJob(index uint64) record.ArchivedJob {
+	tasks := make([]record.ArchivedTask, index%40)
+	return record.ArchivedJob{
+		ID: fmt.Sprintf("job-%d", index*7919%10007), Index: index, EndedAt: record.Millis(index),
+		Steps: []record.ArchivedStep{{Tasks: tasks}},
+	}
+}
+
+func (r *powerStoreRun) step() error {
+	switch n := r.random.IntN(20); {
+	case n == 0:
+		return r.takeSnapshot()
+	case n == 1:
+		return r.install()
+	case n == 2:
+		return r.expire()
+	case n < 6:
+		return r.syncArchive()
+	default:
+		return r.save()
+	}
+}
+
+// save hands entries over, and applies what is durable.
+func (r *powerStoreRun) save() error {
+	var made []raft.Entry
+	for range 1 + r.random.IntN(4) {
+		r.last++
+		made = append(made, raft.Entry{Index: r.last, Term: 1, Data: bytesOf(r.random, 1+r.random.IntN(200))})
+	}
+	sync := r.random.IntN(4) > 0
+	if err := r.store.Save(nil, made, sync); err != nil {
+		return err
+	}
+	if !sync {
+		return nil
+	}
+	r.synced = r.last
+	return r.apply(r.last)
+}
+
+func bytesOf(random *rand.Rand, length int) []byte {
+	data := make([]byte, length)
+	for i := range data {
+		data[i] = byte(random.Uint32())
+	}
+	return data
+}
+
+// apply puts the jobs that ended up to an index.
+func (r *powerStoreRun) apply(index uint64) error {
+	var jobs []record.ArchivedJob
+	for r.applied < index {
+		r.applied++
+		jobs = append(jobs, powerJob(r.applied))
+	}
+	return r.store.archive.Put(jobs)
+}
+
+func (r *powerStoreRun) syncArchive() error {
+	if err := r.store.archive.Sync(); err != nil {
+		return err
+	}
+	return r.files.follow()
+}
+
+func (r *powerStoreRun) takeSnapshot() error {
+	if err := r.syncArchive(); err != nil {
+		return err
+	}
+	meta := raft.SnapshotMeta{Index: r.applied, Term: 1}
+	if err := r.store.SaveSnapshot(meta, r.random.Uint64N(5), writeText("state")); err != nil {
+		return err
+	}
+	r.snapshot = r.applied
+	r.faults["snapshot"]++
+	return nil
+}
+
+// install copies the archive of another replica and then takes its snapshot.
+func (r *powerStoreRun) install() error {
+	index := r.last + 1 + r.random.Uint64N(9)
+	if err := r.apply(index); err != nil {
+		return err
+	}
+	if err := r.syncArchive(); err != nil {
+		return err
+	}
+	if err := r.store.InstallSnapshot(raft.SnapshotMeta{Index: index, Term: 1}, strings.NewReader("state")); err != nil {
+		return err
+	}
+	r.last, r.synced, r.snapshot = index, index, index
+	r.faults["installed"]++
+	return nil
+}
+
+// expire drops jobs that a durable snapshot hides.
+func (r *powerStoreRun) expire() error {
+	if r.snapshot < 20 {
+		return nil
+	}
+	if err := r.syncArchive(); err != nil {
+		return err
+	}
+	r.expired = max(r.expired, record.Millis(r.snapshot-20))
+	if _, err := r.store.archive.Expire(r.expired, 1+r.random.IntN(50)); err != nil {
+		return err
+	}
+	r.faults["expired"]++
+	return r.files.follow()
+}
--- a/internal/storage/walpayload.go
+++ b/internal/storage/walpayload.go
@@ -38,6 +38,9 @@
 	LastIndex uint64 `cbor:"5,keyasint"`
 	// FirstSegment is the oldest segment that must be there.
 	FirstSegment uint64 `cbor:"6,keyasint"`
+	// ArchiveTransaction is the archive's newest one when that snapshot was
+	// made: it holds the ended jobs that the snapshot leaves out.
+	ArchiveTransaction uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // snapshotNote says that a snapshot is durable, and what it replaces.
@@ -47,12 +50,14 @@
 	FirstIndex   uint64 `cbor:"3,keyasint"`
 	FirstSegment uint64 `cbor:"4,keyasint"`
 	// DropLog: no entry from before this record is left.
-	DropLog bool `cbor:"5,keyasint,omitempty"`
+	DropLog            bool   `cbor:"5,keyasint,omitempty"`
+	ArchiveTransaction uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 func (s *walState) note(note snapshotNote) {
 	s.SnapshotIndex, s.SnapshotTerm = note.Index, note.Term
 	s.FirstIndex, s.FirstSegment = note.FirstIndex, note.FirstSegment
+	s.ArchiveTransaction = note.ArchiveTransaction
 	s.LastIndex = max(s.LastIndex, note.Index)
 	if note.DropLog {
 		s.LastIndex = note.Index
