--- a/api/job.go
+++ b/api/job.go
@@ -101,7 +101,8 @@
 	// that a new run given the newest of them goes on from there. Default false.
 	Resumable bool `json:"resumable,omitempty"`
 	// BackupRuns allows a second run of the task beside a slow one; the first to
-	// succeed counts and the other is stopped. Default false.
+	// succeed counts and the other is stopped. Default false. It is accepted and
+	// has no effect yet: a task has at most one open run.
 	BackupRuns bool `json:"backup_runs,omitempty"`
 	// Spread limits how many open runs of the same step share a domain.
 	Spread *Spread `json:"spread,omitempty"`
