Lose a zone of a cluster of six machines in a test

TestLossOfAnyZoneIsBorne has six machines in three zones, as the grown second site does: five vote, no zone has three of them, and commands go on after the loss of the leader's zone. A machine of the tests may have a zone of its own.

--- a/internal/replica/helper_test.go
+++ b/internal/replica/helper_test.go
@@ -26,6 +26,7 @@
 type machine struct {
 	t       testing.TB
 	name    string
+	zone    string
 	address string
 	seeds   []string
 	store   storage.Store
@@ -57,6 +58,7 @@
 		machines[i] = &machine{
 			t:       t,
 			name:    fmt.Sprintf("control-%d", i+1),
+			zone:    "zone",
 			address: listener.Addr().String(),
 			store:   storage.NewMemory(int64(i + 1)),
 			every:   1_000_000,
@@ -75,7 +77,7 @@
 	m.t.Helper()
 	replica, err := New(Config{
 		Name:          m.name,
-		Zone:          "zone",
+		Zone:          m.zone,
 		Address:       m.address,
 		Seeds:         m.seeds,
 		Store:         m.store,
--- a/internal/replica/standby_test.go
+++ b/internal/replica/standby_test.go
@@ -96,3 +96,38 @@
 		}
 	}
 }
+
+// TestLossOfAnyZoneIsBorne: six machines in three zones, five of which vote. The
+// zone of the leader goes, with two voters or one.
+func TestLossOfAnyZoneIsBorne(t *testing.T) {
+	machines := newMachines(t, 6)
+	for i, m := range machines {
+		m.zone = string(rune('a' + i%3))
+		m.seeds = machines[0].seeds[:3]
+		m.maxVoters = 5
+		m.joinOnly = i >= 3
+	}
+	startAll(machines[:3])
+	leader := leaderOf(t, machines[:3]...)
+	for _, m := range machines[3:] {
+		m.start()
+	}
+	eventually(t, "five vote and one stands by", func() bool {
+		leader = leaderOf(t, machines...)
+		membership := leader.replica.Status().Membership
+		return len(membership.Voters) == 5 && len(membership.Outgoing) == 0 && len(membership.Learners) == 1
+	})
+	if weight := weighZones(leader.replica.Status().Membership.Voters); weight.decides || weight.most != 2 {
+		t.Fatalf("voters are spread as %+v", weight)
+	}
+	register(t, "before", leader)
+	var left []*machine
+	for _, m := range machines {
+		if m.zone == leader.zone {
+			m.crash()
+		} else {
+			left = append(left, m)
+		}
+	}
+	register(t, "after", left...)
+}
