Wake idle processes less: followers at their deadline, readiness twice a second

Cause: each wake-up costs processor time. A follower was woken 20 times a second by its tick, though its next own step is the election deadline, and every process looked ten times a second at whether it is ready.

Change: a node names its election deadline, and the loop of a replica that does not lead sleeps until then or a message. A leader ticks as before. Readiness is looked at every 500 ms. A metric counts what time alone woke.

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -98,6 +98,12 @@
 	}
 }
 
+// ElectionDeadline is the time at which Tick has something to do unless a
+// message comes before; ok is false for a leader, which needs every tick.
+func (n *Node) ElectionDeadline() (deadline time.Duration, ok bool) {
+	return n.electionDeadline, n.role != RoleLeader
+}
+
 // Tick lets time pass: elections, heartbeats and timeouts start from here.
 func (n *Node) Tick(now time.Duration) {
 	n.observe(now)
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -31,6 +31,8 @@
 	node      *raft.Node
 	transport *transport
 	lastTick  time.Duration
+	// everyTick: the ticker of turns runs at the pace of a leader.
+	everyTick bool
 	// failure ends the loop after the present turn.
 	failure error
 	// refusalLogged is when a newcomer was last told of in the log to wait.
@@ -100,6 +102,7 @@
 		return err
 	}
 	for {
+		l.setTicker(ticker)
 		if err := l.turn(ticker.C); err != nil {
 			return err
 		}
@@ -109,12 +112,29 @@
 	}
 }
 
+// setTicker lets the next tick come when the node needs it: as often as
+// configured while it leads, else when its election timeout is over.
+func (l *loop) setTicker(ticker *time.Ticker) {
+	deadline, waits := l.node.ElectionDeadline()
+	if !waits {
+		if !l.everyTick {
+			ticker.Reset(l.config.Timing.Tick)
+		}
+		l.everyTick = true
+		return
+	}
+	l.everyTick = false
+	due := max(deadline, l.lastTick+l.config.Timing.Tick)
+	ticker.Reset(max(due-l.now(), 1))
+}
+
 // turn waits for one thing to do, does it, and handles what follows from it.
 func (l *loop) turn(ticks <-chan time.Time) error {
 	select {
 	case <-l.ctx.Done():
 		return l.ctx.Err()
 	case <-ticks:
+		l.metrics.ticks.Inc()
 	case received := <-l.inbox:
 		l.tick()
 		l.stepAll(received)
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -15,6 +15,7 @@
 	commit      prometheus.Gauge
 	applied     prometheus.Gauge
 	proposals   prometheus.Counter
+	ticks       prometheus.Counter
 	saveSeconds prometheus.Histogram
 }
 
@@ -31,6 +32,10 @@
 			Namespace: "decklever", Subsystem: "replica", Name: "proposals_total",
 			Help: "Commands appended as leader.",
 		}),
+		ticks: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "decklever", Subsystem: "replica", Name: "ticks_total",
+			Help: "Times that time alone woke the replica.",
+		}),
 		saveSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: "decklever", Subsystem: "replica", Name: "save_seconds",
 			Help:    "Time to save to the store with a sync.",
@@ -40,7 +45,7 @@
 	if registerer == nil {
 		return m, nil
 	}
-	for _, collector := range []prometheus.Collector{m.term, m.isLeader, m.commit, m.applied, m.proposals, m.saveSeconds} {
+	for _, collector := range []prometheus.Collector{m.term, m.isLeader, m.commit, m.applied, m.proposals, m.ticks, m.saveSeconds} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
 		}
--- a/internal/telemetry/health.go
+++ b/internal/telemetry/health.go
@@ -55,8 +55,8 @@
 	return status
 }
 
-// checkInterval is the pause between two looks of Watch.
-const checkInterval = 100 * time.Millisecond
+// checkInterval is the pause between two looks of Watch. Each wakes the process.
+const checkInterval = 500 * time.Millisecond
 
 // Watch calls check, which calls SetReady, again and again until the context
 // ends; it returns nil.
