Count a worker's silence from the term at the earliest in the log

The list of workers was right.

Change: both take it from one method.

Result: TestSilenceCountsFromTheTerm failed before (silent=1h0m4s) and passes.

--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -15,7 +15,7 @@
 		worker.lapse()
 		l.logger.Warn("worker lost",
 			slog.String("worker", worker.info.Name), slog.String("worker_id", worker.info.ID),
-			slog.Int("runs", len(worker.runs)), slog.Duration("silent", now-worker.heardAt))
+			slog.Int("runs", len(worker.runs)), slog.Duration("silent", l.silence(worker, now)))
 		for _, run := range worker.runs {
 			l.closeLater(run, "worker silent beyond its hold")
 		}
@@ -28,6 +28,11 @@
 	}
 }
 
+// silence is for how long a worker was not heard in this term.
+func (l *leader) silence(worker *workerEntry, now time.Duration) time.Duration {
+	return now - max(worker.heardAt, l.startedAt)
+}
+
 // refreshUsable tells the planner of workers whose answers stopped arriving,
 // or arrive again.
 func (l *leader) refreshUsable(now time.Duration) {
--- a/internal/scheduler/leader_test.go
+++ b/internal/scheduler/leader_test.go
@@ -1,7 +1,11 @@
 package scheduler
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -338,3 +342,18 @@
 		t.Errorf("a job that has to come back later: %v", err)
 	}
 }
+
+// TestSilenceCountsFromTheTerm: a worker that a new leader never heard was silent
+// since the term began, not since the process did.
+func TestSilenceCountsFromTheTerm(t *testing.T) {
+	h := newHarness(t)
+	var lines bytes.Buffer
+	h.worker("w", "w-1").exchange()
+	h.submit("j", tasks(1))
+	h.newTerm()
+	h.leader.logger = slog.New(slog.NewTextHandler(&lines, nil))
+	h.advance(testHold + time.Second)
+	if want := fmt.Sprintf("silent=%v\n", testHold+time.Second); !strings.Contains(lines.String(), want) {
+		t.Errorf("logged %q, want %q", lines.String(), want)
+	}
+}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -36,7 +36,7 @@
 		Name: worker.info.Name, WorkerID: worker.info.ID, Zone: worker.info.Zone,
 		State: state, Reason: reason,
 		Capacity: worker.info.Capacity, Services: append([]string{}, worker.info.Services...), Labels: worker.info.Labels,
-		Runs: len(worker.runs), SilentMillis: (now - max(worker.heardAt, l.startedAt)).Milliseconds(),
+		Runs: len(worker.runs), SilentMillis: l.silence(worker, now).Milliseconds(),
 	}
 	for _, run := range worker.runs {
 		status.Used = status.Used.Add(run.spec.Resources)
