--- a/internal/front/drain_calls.go
+++ b/internal/front/drain_calls.go
@@ -25,7 +25,7 @@
 
 // Drains lists the zones that are drained by orders.
 func (f *Front) Drains(ctx context.Context) (api.DrainList, *api.Error) {
-	answer, refusal := relay[fleet.Empty, fleet.DrainsAnswer](ctx, f, relayCall[fleet.Empty]{method: fleet.MethodDrains})
+	answer, refusal := read[fleet.DrainsAnswer](ctx, f, fleet.MethodDrains)
 	answer.List.Zones = listOf(answer.List.Zones)
 	return answer.List, refusal
 }
