Judge a worker's pace over several jobs

Cause: estimates are rough, and often wrong for a whole job.

Change: the runs of a job count once, by their median, and three jobs at least are needed, as for failures. The newest 16 runs count instead of 8, so that a step of eight tasks does not fill them.

--- a/internal/workerhealth/pace.go
+++ b/internal/workerhealth/pace.go
@@ -72,18 +72,23 @@
 	w.paces = append(w.paces, seen)
 }
 
-// medianPace returns the median of the worker's newest paces; false if too few are
-// known.
+// medianPace returns the median over jobs of how the worker's newest runs of each
+// went; false if too few jobs are known. One job whose estimates are wrong makes
+// no worker slow.
 func (w *worker) medianPace(now time.Duration) (float64, bool) {
 	w.paces = slices.DeleteFunc(w.paces, func(seen paceSeen) bool { return now-seen.at >= paceLife })
-	if len(w.paces) < pacesNeeded {
+	byJob := make(map[string][]float64)
+	for _, seen := range w.paces {
+		byJob[seen.run.Task.Job] = append(byJob[seen.run.Task.Job], seen.multiple)
+	}
+	if len(w.paces) < pacesNeeded || len(byJob) < jobsNeeded {
 		return 0, false
 	}
-	multiples := make([]float64, 0, len(w.paces))
-	for _, seen := range w.paces {
-		multiples = append(multiples, seen.multiple)
+	jobs := make([]float64, 0, len(byJob))
+	for _, multiples := range byJob {
+		jobs = append(jobs, median(multiples))
 	}
-	return median(multiples), true
+	return median(jobs), true
 }
 
 func median(values []float64) float64 {
--- a/internal/workerhealth/types.go
+++ b/internal/workerhealth/types.go
@@ -86,9 +86,9 @@
 	// one in so many counts as slow.
 	heldBackPart = 4
 
-	// pacesKept is how many of a worker's newest runs count for its pace, and
-	// pacesNeeded how many are enough.
-	pacesKept, pacesNeeded = 8, 4
+	// pacesKept is how many of a worker's newest runs count for its pace, pacesNeeded
+	// how many are enough, and jobsNeeded of how many jobs they must be.
+	pacesKept, pacesNeeded, jobsNeeded = 16, 4, 3
 	// paceLife is for how long a run counts for its worker's pace.
 	paceLife = time.Minute
 	// usualKept is how many runs tell what is usual for a queue's work.
