--- a/internal/storage/powerarchive_test.go
+++ b/internal/storage/powerarchive_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"encoding/binary"
 	"errors"
 	"io/fs"
 	"math/rand/v2"
@@ -122,10 +124,19 @@
 	if err := p.followPages(file, content, data); err != nil {
 		return err
 	}
-	if p.failAtMeta && len(metas) > 0 {
-		p.failAfter, p.failAtMeta = len(metas), false
+	transaction := func(at int) uint64 {
+		return binary.NativeEndian.Uint64(content[at+boltPageHeader+boltTransactionAt:])
 	}
-	return p.followPages(file, content, metas)
+	slices.SortFunc(metas, func(a, b int) int { return cmp.Compare(transaction(a), transaction(b)) })
+	for i := range metas { // each is of a transaction of its own, with its own sync
+		if p.failAtMeta {
+			p.failAfter, p.failAtMeta = 1, false
+		}
+		if err := p.followPages(file, content, metas[i:i+1]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (p *powerFolder) followPages(file *powerFile, content []byte, pages []int) error {
