Call a port that nobody is given in the test of an unreachable front

Cause: in a full run of the checks TestClientSaysWhetherTheOutcomeIsKnown failed: the port of the server that it had closed was given to another test's server, which took the connection and did not answer.

Change: it calls port 1, as other tests do.

Result: tests of api pass.

--- a/api/client_test.go
+++ b/api/client_test.go
@@ -76,9 +76,8 @@
 func TestClientSaysWhetherTheOutcomeIsKnown(t *testing.T) {
 	var calls atomic.Int64
 	client := clientOf(t, endpointOf(t, &calls, dropping))
-	refused := httptest.NewServer(http.NotFoundHandler())
-	refused.Close()
-	unreachable := clientOf(t, refused.URL)
+	// Nothing listens there, and no test beside this one is ever given the port.
+	unreachable := clientOf(t, "http://127.0.0.1:1")
 	// Each call has a time of its own: one that found it used up could not tell
 	// what became of it.
 	short := func() context.Context {
