Let a scheduler without a data folder start as a relay

Cause: the rule on data_dir looks at that key alone and does not see relay beside it, so that a relay ended at its start; the test of the relay had made its settings without loading them.

Result: TestRelayNeedsNoDataFolder fails without the change.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,6 +15,10 @@
 // other. It is asked only if each key is right by itself.
 type withRules interface{ broken() []Problem }
 
+// withNeeds is implemented by pointers to settings of which some keys are
+// required only beside others, which a rule of one key cannot see.
+type withNeeds interface{ missing() []Problem }
+
 // check reports each key that breaks its rule. Keys that have a problem
 // already are left out.
 func check(pointer any, known []Problem) []Problem {
@@ -33,6 +37,13 @@
 			problems = append(problems, Problem{Key: setting.key, Value: show(value), Expected: setting.expected})
 		}
 	}
+	if subject, ok := pointer.(withNeeds); ok {
+		for _, problem := range subject.missing() {
+			if !reported[problem.Key] {
+				problems = append(problems, problem)
+			}
+		}
+	}
 	if subject, ok := pointer.(withRules); ok && len(known)+len(problems) == 0 {
 		problems = subject.broken()
 	}
@@ -91,6 +102,13 @@
 	return []Problem{{Key: "advertise", Value: "", Expected: expected}}
 }
 
+func (s *Scheduler) missing() []Problem {
+	if s.Relay || s.DataDir != "" {
+		return nil
+	}
+	return []Problem{{Key: "data_dir", Value: show(s.DataDir), Expected: "a folder"}}
+}
+
 func (s *Scheduler) broken() []Problem {
 	problems := s.Common.broken()
 	timing := s.Timing
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// TestRelayNeedsNoDataFolder: a scheduler on a machine without a disk.
+func TestRelayNeedsNoDataFolder(t *testing.T) {
+	const common = "name: s\nzone: z\nlisten: 127.0.0.1:7100\nseeds: [127.0.0.1:7100]\n"
+	got, err := Load[Scheduler](LoadOptions{Path: settingsFile(t, common+"relay: true\n")})
+	if err != nil || !got.Relay || got.DataDir != "" {
+		t.Fatalf("relay %v, folder %q, error %v", got.Relay, got.DataDir, err)
+	}
+	_, err = Load[Scheduler](LoadOptions{Path: settingsFile(t, common+"relay: false\n")})
+	wantError(t, err, `data_dir "": expected a folder`)
+}
+
 func TestWrongSchedulerSettings(t *testing.T) {
 	for name, test := range map[string]struct{ content, want string }{
 		"empty": {
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -70,7 +70,7 @@
 	Relay bool `koanf:"relay" expected:"true or false" usage:"keep no record and only pass operators' calls to the leader"`
 	// DataDir is the folder of the replica's log and snapshots. Required, unless
 	// Relay is set.
-	DataDir string `koanf:"data_dir" validate:"required_unless=Relay true" expected:"a folder" usage:"folder of the log, snapshots and archive (required unless relay is set)"`
+	DataDir string `koanf:"data_dir" expected:"a folder" usage:"folder of the log, snapshots and archive (required unless relay is set)"`
 	// MayForm lets this process take part in forming a new cluster with an empty
 	// data folder; without it, it waits for one to join. Default true.
 	MayForm bool `koanf:"may_form" expected:"true or false" usage:"whether an empty data folder may take part in forming a new cluster"`
