Write JSON answers of fronts and agents in one place

Cause: fronts and agents each had their own copy of how a JSON answer, a refusal, wrong fields and a wrong method are written.

Change: package httpjson writes them. A front still adds the time to come back to a 429 or 503 that names none, and an agent still does not. An agent now names the length of its answer in the header, as a front did, instead of leaving it to the server; the bodies are the same.

Result: the new tests hold status, headers and body byte for byte; the tests of internal/agent and internal/front pass unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/httpjson"
 	"github.com/decklever/decklever/internal/leaderlink"
 	"github.com/decklever/decklever/internal/rpc"
 )
@@ -85,22 +86,22 @@
 	heartbeat, refusal := readHeartbeat(http.MaxBytesReader(writer, request.Body, maxHeartbeatBytes))
 	if refusal != nil {
 		a.metrics.count(resultInvalid)
-		writeError(writer, refusal)
+		httpjson.WriteError(writer, refusal)
 		return
 	}
 	answer, refusal := a.relayTurn(request.Context(), heartbeat)
 	if refusal != nil {
-		writeError(writer, refusal)
+		httpjson.WriteError(writer, refusal)
 		return
 	}
-	writeJSON(writer, http.StatusOK, answer)
+	httpjson.Write(writer, http.StatusOK, answer)
 }
 
 // Heartbeat relays one heartbeat of one worker, as HeartbeatPath does.
 func (a *Agent) Heartbeat(ctx context.Context, heartbeat api.Heartbeat) (api.HeartbeatAnswer, *api.Error) {
 	if fields := validateHeartbeat(heartbeat); len(fields) > 0 {
 		a.metrics.count(resultInvalid)
-		return api.HeartbeatAnswer{}, invalid("heartbeat", fields)
+		return api.HeartbeatAnswer{}, httpjson.Invalid("heartbeat", fields)
 	}
 	return a.relayTurn(ctx, heartbeat)
 }
--- a/internal/agent/leave.go
+++ b/internal/agent/leave.go
@@ -11,6 +11,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/httpjson"
 	"github.com/decklever/decklever/internal/rpc"
 )
 
@@ -38,10 +39,10 @@
 		refusal = a.Leave(request.Context(), notice.WorkerID, notice.RemainingMillis)
 	}
 	if refusal != nil {
-		writeError(writer, refusal)
+		httpjson.WriteError(writer, refusal)
 		return
 	}
-	writeJSON(writer, http.StatusOK, api.LeaveAnswer{Leaving: true})
+	httpjson.Write(writer, http.StatusOK, api.LeaveAnswer{Leaving: true})
 }
 
 // Leave relays the notice of a worker that it is about to end; remainingMillis
@@ -50,7 +51,7 @@
 // to come learns of it too.
 func (a *Agent) Leave(ctx context.Context, workerID string, remainingMillis int64) *api.Error {
 	if fields := validateNotice(workerID, remainingMillis); len(fields) > 0 {
-		return invalid("notice", fields)
+		return httpjson.Invalid("notice", fields)
 	}
 	a.departures.note(workerID, remainingMillis, time.Now())
 	ctx, cancel := context.WithTimeout(ctx, a.config.RelayTimeout)
--- a/internal/agent/validate.go
+++ b/internal/agent/validate.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"net/http"
 	"regexp"
 	"strconv"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/httpjson"
 )
 
 const (
@@ -25,20 +25,11 @@
 		return api.Heartbeat{}, refusal
 	}
 	if fields := validateHeartbeat(heartbeat); len(fields) > 0 {
-		return api.Heartbeat{}, invalid("heartbeat", fields)
+		return api.Heartbeat{}, httpjson.Invalid("heartbeat", fields)
 	}
 	return heartbeat, nil
 }
 
-func invalid(what string, fields []api.FieldError) *api.Error {
-	return &api.Error{
-		Status:  http.StatusUnprocessableEntity,
-		Code:    api.CodeInvalid,
-		Message: fmt.Sprintf("the %s has %d wrong fields", what, len(fields)),
-		Fields:  fields,
-	}
-}
-
 // checker collects wrong fields.
 type checker struct{ fields []api.FieldError }
 
--- a/internal/front/booking_calls.go
+++ b/internal/front/booking_calls.go
@@ -10,6 +10,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/httpjson"
 )
 
 const (
@@ -52,7 +53,7 @@
 // ReleaseBooking gives the room of a window back.
 func (f *Front) ReleaseBooking(ctx context.Context, release api.ReleaseRequest) (api.ReleaseAnswer, *api.Error) {
 	if fields := api.ValidateRelease(&release); len(fields) > 0 {
-		return api.ReleaseAnswer{}, invalid("release", fields)
+		return api.ReleaseAnswer{}, httpjson.Invalid("release", fields)
 	}
 	_, refusal := relay[fleet.ReleaseRequest, fleet.Empty](ctx, f, relayCall[fleet.ReleaseRequest]{
 		method:  fleet.MethodRelease,
--- a/internal/front/cancel_calls.go
+++ b/internal/front/cancel_calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/httpjson"
 )
 
 // maxCancelBytes bounds the body of a cancellation; the most ids of the
@@ -25,7 +26,7 @@
 // CancelMany cancels jobs by id or queue.
 func (f *Front) CancelMany(ctx context.Context, cancel api.CancelRequest) (api.CancelAnswer, *api.Error) {
 	if fields := api.ValidateCancel(&cancel); len(fields) > 0 {
-		return api.CancelAnswer{}, invalid("cancellation", fields)
+		return api.CancelAnswer{}, httpjson.Invalid("cancellation", fields)
 	}
 	answer, refusal := relay[fleet.CancelManyRequest, fleet.CancelManyAnswer](ctx, f, relayCall[fleet.CancelManyRequest]{
 		method:  fleet.MethodCancelMany,
--- a/internal/front/config_calls.go
+++ b/internal/front/config_calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/httpjson"
 )
 
 // maxConfigBytes bounds the body of a configuration.
@@ -82,7 +83,7 @@
 // ValidateConfig checks a configuration without taking it.
 func (f *Front) ValidateConfig(ctx context.Context, config api.Config) (api.ValidateAnswer, *api.Error) {
 	if fields := api.ValidateConfig(&config); len(fields) > 0 {
-		return api.ValidateAnswer{}, invalid("configuration", fields)
+		return api.ValidateAnswer{}, httpjson.Invalid("configuration", fields)
 	}
 	_, refusal := relay[fleet.ValidateConfigRequest, fleet.Empty](ctx, f, relayCall[fleet.ValidateConfigRequest]{
 		method:  fleet.MethodValidateConfig,
--- a/internal/front/drain_calls.go
+++ b/internal/front/drain_calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/httpjson"
 )
 
 // SetZoneDrain drains a zone by an order of its own, or takes that back. It
@@ -13,7 +14,7 @@
 func (f *Front) SetZoneDrain(ctx context.Context, zone string, drained bool) *api.Error {
 	drain := api.ZoneDrain{Zone: zone, Drained: drained}
 	if fields := api.ValidateZoneDrain(&drain); len(fields) > 0 {
-		return invalid("drain", fields)
+		return httpjson.Invalid("drain", fields)
 	}
 	_, refusal := relay[fleet.DrainZoneRequest, fleet.Empty](ctx, f, relayCall[fleet.DrainZoneRequest]{
 		method:  fleet.MethodDrainZone,
--- a/internal/front/job_calls.go
+++ b/internal/front/job_calls.go
@@ -12,6 +12,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/httpjson"
 )
 
 // Bounds of a page of GET /v1/jobs.
@@ -40,7 +41,7 @@
 // Submit hands in a job and says whether it is new.
 func (f *Front) Submit(ctx context.Context, id string, spec api.JobSpec) (api.SubmitAnswer, *api.Error) {
 	if fields := f.wrongFields(id, &spec); len(fields) > 0 {
-		return api.SubmitAnswer{}, invalid("job", fields)
+		return api.SubmitAnswer{}, httpjson.Invalid("job", fields)
 	}
 	if refusal := f.admission.submit(f.limits().SubmitsPerSecond); refusal != nil {
 		f.metrics.refused(refusedRate)
@@ -197,4 +198,4 @@
 }
 
 // noJob is the refusal for an id that no job has.
-func noJob(id string) *api.Error { return notFound(fmt.Sprintf("there is no job %q", id)) }
+func noJob(id string) *api.Error { return httpjson.NotFound(fmt.Sprintf("there is no job %q", id)) }
--- a/internal/front/middleware.go
+++ b/internal/front/middleware.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/httpjson"
 )
 
 // requestIDHeader names a request in logs; the caller may choose it.
@@ -93,7 +94,7 @@
 				slog.String("path", request.URL.Path),
 				slog.Any("reason", reason),
 				slog.String("stack", string(debug.Stack())))
-			writeError(writer, internal("the front failed"))
+			writeError(writer, httpjson.Internal("the front failed"))
 		}()
 		next.ServeHTTP(writer, request)
 	})
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/httpjson"
 	"github.com/decklever/decklever/internal/rpc"
 	"github.com/decklever/decklever/internal/wait"
 )
@@ -144,7 +145,7 @@
 func (t *relayTries) failed(ctx context.Context, address string, err error) *api.Error {
 	var failure *rpc.Error
 	if !errors.As(err, &failure) {
-		return internal(err.Error())
+		return httpjson.Internal(err.Error())
 	}
 	t.last = failure.Error()
 	if failure.Code == rpc.CodeRefused {
@@ -164,7 +165,7 @@
 			t.front.link.Failed(address)
 		}
 	default:
-		return internal(failure.Error())
+		return httpjson.Internal(failure.Error())
 	}
 	return nil
 }
@@ -173,7 +174,7 @@
 // call now does not say that an earlier try of it was not taken.
 func (t *relayTries) refused(failure *rpc.Error) *api.Error {
 	if failure.API == nil {
-		return internal(failure.Error())
+		return httpjson.Internal(failure.Error())
 	}
 	notNow := retryable(failure.API.Status) || failure.API.Code == api.CodeImpossible
 	if t.effect && t.maybeDone && notNow {
--- a/internal/front/routes.go
+++ b/internal/front/routes.go
@@ -8,6 +8,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/httpjson"
 )
 
 // endpoint serves one call: it returns the status and the body, or a refusal.
@@ -19,7 +20,7 @@
 	router := chi.NewRouter()
 	router.Use(identify, f.measure, f.recoverPanic)
 	router.NotFound(func(writer http.ResponseWriter, request *http.Request) {
-		writeError(writer, notFound(fmt.Sprintf("there is nothing at %s", request.URL.Path)))
+		writeError(writer, httpjson.NothingAt(request.URL.Path))
 	})
 	router.MethodNotAllowed(func(writer http.ResponseWriter, request *http.Request) {
 		refuseMethod(writer, request, router)
@@ -70,7 +71,7 @@
 			writeError(writer, refusal)
 			return
 		}
-		writeJSON(writer, status, body)
+		httpjson.Write(writer, status, body)
 	}
 }
 
@@ -83,10 +84,7 @@
 			allowed = append(allowed, method)
 		}
 	}
-	writer.Header().Set("Allow", strings.Join(allowed, ", "))
-	writeError(writer, &api.Error{
-		Status:  http.StatusMethodNotAllowed,
-		Code:    api.CodeWrongMethod,
-		Message: fmt.Sprintf("%s has no %s; it has %s", request.URL.Path, request.Method, strings.Join(allowed, ", ")),
-	})
+	list := strings.Join(allowed, ", ")
+	message := fmt.Sprintf("%s has no %s; it has %s", request.URL.Path, request.Method, list)
+	httpjson.RefuseMethod(writer, list, message)
 }
