Keep positions in heaps in one place

Cause: the heap of repeating jobs and the two heaps of waiting tasks each wrote the same Swap, Push and Pop, so that an item knows its position.

Change: package indexheap is that heap, for any item that says which of two comes first. The order of items is as before.

--- /dev/null
+++ b/internal/indexheap/heap.go
@@ -0,0 +1,47 @@
+package indexheap
+
+// None is the position of an item that is in no heap.
+const None = -1
+
+// Item is what a heap holds: a pointer to something that keeps its position.
+type Item[T any] interface {
+	// Before reports whether the item comes out of the heap before other.
+	Before(other T) bool
+	// SetPosition is told the item's index in the heap, or None once it is out.
+	SetPosition(position int)
+}
+
+// Heap implements heap.Interface. The first item is the one to come out next;
+// the zero value is empty. An item must be in one heap at most.
+type Heap[T Item[T]] []T
+
+// Len implements heap.Interface.
+func (h Heap[T]) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h Heap[T]) Less(i, j int) bool { return h[i].Before(h[j]) }
+
+// Swap implements heap.Interface.
+func (h Heap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].SetPosition(i)
+	h[j].SetPosition(j)
+}
+
+// Push implements heap.Interface.
+func (h *Heap[T]) Push(item any) {
+	added := item.(T)
+	added.SetPosition(len(*h))
+	*h = append(*h, added)
+}
+
+// Pop implements heap.Interface.
+func (h *Heap[T]) Pop() any {
+	last := len(*h) - 1
+	item := (*h)[last]
+	var none T
+	(*h)[last] = none
+	*h = (*h)[:last]
+	item.SetPosition(None)
+	return item
+}
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/indexheap"
 )
 
 // groupState is what a lane keeps if it holds the members of a group.
@@ -47,7 +48,7 @@
 func (e *Engine) joinGroup(task *Task) *lane {
 	l, ok := e.groups[task.Group]
 	if !ok {
-		l = &lane{line: e.line(task), group: task.Group, position: notReady}
+		l = &lane{line: e.line(task), group: task.Group, position: indexheap.None}
 		l.line.groups++
 		e.groups[task.Group] = l
 	}
--- a/internal/placement/queues.go
+++ b/internal/placement/queues.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"slices"
 
+	"github.com/decklever/decklever/internal/indexheap"
 	"github.com/decklever/decklever/internal/record"
 )
 
@@ -34,7 +35,7 @@
 	// groups counts the lanes of groups.
 	groups int
 	// ready holds the lanes to look at, lowest Sequence first.
-	ready laneHeap
+	ready indexheap.Heap[*lane]
 }
 
 // lane holds the tasks of one class, or the members of one group, in a line.
@@ -43,8 +44,8 @@
 	// class is nil for a group, group is empty for a class.
 	class *class
 	group string
-	tasks taskHeap
-	// position is the index in line.ready; notReady when it is not there.
+	tasks indexheap.Heap[*waiting]
+	// position is the index in line.ready; indexheap.None when it is not there.
 	position int
 	// hoping is set while the lane is listed in Engine.hopeful; chance lets it
 	// try to preempt in this pass though its class is blocked.
@@ -64,7 +65,17 @@
 	position int
 }
 
-const notReady = -1
+// Before implements indexheap.Item: the lane with the first task first.
+func (l *lane) Before(other *lane) bool { return compareWaiting(l.tasks[0], other.tasks[0]) < 0 }
+
+// SetPosition implements indexheap.Item.
+func (l *lane) SetPosition(position int) { l.position = position }
+
+// Before implements indexheap.Item: the first task first.
+func (w *waiting) Before(other *waiting) bool { return compareWaiting(w, other) < 0 }
+
+// SetPosition implements indexheap.Item.
+func (w *waiting) SetPosition(position int) { w.position = position }
 
 func newQueue(name string) *queue {
 	return &queue{rule: QueueRule{Name: name, Weight: 1}, groups: map[*lane]struct{}{}}
@@ -142,7 +153,7 @@
 	if found, ok := l.lanes[c]; ok {
 		return found
 	}
-	made := &lane{line: l, class: c, position: notReady}
+	made := &lane{line: l, class: c, position: indexheap.None}
 	l.lanes[c] = made
 	c.lanes[made] = struct{}{}
 	return made
@@ -178,7 +189,7 @@
 
 // reorder moves the lane to its place after its first task changed.
 func (l *lane) reorder() {
-	if l.position != notReady {
+	if l.position != indexheap.None {
 		heap.Fix(&l.line.ready, l.position)
 	}
 }
@@ -186,7 +197,7 @@
 // makeReady lets the next pass look at the lane. An incomplete group stays.
 func (l *lane) makeReady() {
 	l.unpark()
-	if l.position == notReady && l.complete() {
+	if l.position == indexheap.None && l.complete() {
 		heap.Push(&l.line.ready, l)
 	}
 }
@@ -194,7 +205,7 @@
 // makeUnready takes the lane out of what passes look at.
 func (l *lane) makeUnready() {
 	l.unpark()
-	if l.position != notReady {
+	if l.position != indexheap.None {
 		heap.Remove(&l.line.ready, l.position)
 	}
 }
@@ -210,56 +221,3 @@
 func compareTask(a, b record.TaskID) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Occurrence, b.Occurrence))
 }
-
-// taskHeap implements heap.Interface, first task first.
-type taskHeap []*waiting
-
-func (h taskHeap) Len() int           { return len(h) }
-func (h taskHeap) Less(i, j int) bool { return compareWaiting(h[i], h[j]) < 0 }
-func (h taskHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position, h[j].position = i, j
-}
-
-// Push implements heap.Interface.
-func (h *taskHeap) Push(item any) {
-	w := item.(*waiting)
-	w.position = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements heap.Interface.
-func (h *taskHeap) Pop() any {
-	last := len(*h) - 1
-	w := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return w
-}
-
-// laneHeap implements heap.Interface, lane with the first task first.
-type laneHeap []*lane
-
-func (h laneHeap) Len() int           { return len(h) }
-func (h laneHeap) Less(i, j int) bool { return compareWaiting(h[i].tasks[0], h[j].tasks[0]) < 0 }
-func (h laneHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position, h[j].position = i, j
-}
-
-// Push implements heap.Interface.
-func (h *laneHeap) Push(item any) {
-	l := item.(*lane)
-	l.position = len(*h)
-	*h = append(*h, l)
-}
-
-// Pop implements heap.Interface.
-func (h *laneHeap) Pop() any {
-	last := len(*h) - 1
-	l := (*h)[last]
-	(*h)[last] = nil
-	l.position = notReady
-	*h = (*h)[:last]
-	return l
-}
--- a/internal/scheduler/repeats.go
+++ b/internal/scheduler/repeats.go
@@ -4,6 +4,7 @@
 	"container/heap"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/indexheap"
 	"github.com/decklever/decklever/internal/record"
 )
 
@@ -29,15 +30,21 @@
 	next int
 	// addAt is when it is to be added, on the cluster clock.
 	addAt record.Millis
-	// position is the job's place in the heap; -1 while it has none because an
-	// expansion of it is being committed.
+	// position is the job's place in the heap; indexheap.None while it has none
+	// because an expansion of it is being committed.
 	position int
 }
 
+// Before implements indexheap.Item: the earliest first.
+func (j *repeatingJob) Before(other *repeatingJob) bool { return j.addAt < other.addAt }
+
+// SetPosition implements indexheap.Item.
+func (j *repeatingJob) SetPosition(position int) { j.position = position }
+
 // repeats are the repeating jobs, first the one to be expanded next.
 type repeats struct {
 	byID map[string]*repeatingJob
-	heap repeatHeap
+	heap indexheap.Heap[*repeatingJob]
 }
 
 func newRepeats() repeats { return repeats{byID: make(map[string]*repeatingJob)} }
@@ -70,7 +77,7 @@
 		return
 	}
 	delete(r.byID, id)
-	if entry.position >= 0 {
+	if entry.position != indexheap.None {
 		heap.Remove(&r.heap, entry.position)
 	}
 }
@@ -98,7 +105,7 @@
 func (r *repeats) proposed(expansions []record.Expansion, now record.Millis) {
 	for _, expansion := range expansions {
 		entry, known := r.byID[expansion.Job]
-		if !known || entry.position >= 0 {
+		if !known || entry.position != indexheap.None {
 			continue
 		}
 		at := entry.nextAddTime()
@@ -153,31 +160,3 @@
 	defer l.mu.Unlock()
 	l.repeats.proposed(expansions, now)
 }
-
-// repeatHeap implements heap.Interface, the earliest first.
-type repeatHeap []*repeatingJob
-
-func (h repeatHeap) Len() int           { return len(h) }
-func (h repeatHeap) Less(i, j int) bool { return h[i].addAt < h[j].addAt }
-
-func (h repeatHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position, h[j].position = i, j
-}
-
-// Push implements heap.Interface.
-func (h *repeatHeap) Push(item any) {
-	entry := item.(*repeatingJob)
-	entry.position = len(*h)
-	*h = append(*h, entry)
-}
-
-// Pop implements heap.Interface.
-func (h *repeatHeap) Pop() any {
-	last := len(*h) - 1
-	entry := (*h)[last]
-	entry.position = -1
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return entry
-}
