Set up all processes from one base

Cause: a scheduler made its logger, health, metrics and watches of settings and readiness by itself, in the same words as fronts, agents and relays.

Change: process.Base is what all four have in common. Linked adds the link to the leader, a scheduler its replica. A relay and a scheduler describe themselves and route their calls in one place.

Result: parts, reasons, log lines and metrics are the same, as is the order in which settings are applied.

--- a/internal/process/agentprocess/process.go
+++ b/internal/process/agentprocess/process.go
@@ -1,4 +1,3 @@
-// Package agentprocess is an agent as a whole process.
 package agentprocess
 
 import (
@@ -30,16 +29,17 @@
 	p := &Process{}
 	p.zone.Store(&initial.Zone)
 	linked, err := process.NewLinked(process.LinkedConfig[settings.Agent]{
-		Program: Program,
-		Role:    "agent",
-
+		BaseConfig: process.BaseConfig[settings.Agent]{
+			Program: Program,
+			Initial: initial,
+			Options: options,
+			Common:  func(s *settings.Agent) *settings.Common { return &s.Common },
+			Apply:   func(changed settings.Agent) { p.zone.Store(&changed.Zone) },
+		},
+		Role:        "agent",
 		VersionOnly: true,
-		Initial:     initial,
-		Options:     options,
-		Common:      func(s *settings.Agent) *settings.Common { return &s.Common },
 		// Each call is bounded by its context.
 		CallTimeout: initial.RelayTimeout.Std() + time.Second,
-		Apply:       func(changed settings.Agent) { p.zone.Store(&changed.Zone) },
 	})
 	if err != nil {
 		return nil, err
--- a/internal/process/frontprocess/process.go
+++ b/internal/process/frontprocess/process.go
@@ -1,4 +1,3 @@
-// Package frontprocess is a front as a whole process.
 package frontprocess
 
 import (
@@ -26,14 +25,16 @@
 func New(initial settings.Front, options settings.LoadOptions) (*Process, error) {
 	p := &Process{}
 	linked, err := process.NewLinked(process.LinkedConfig[settings.Front]{
-		Program: Program,
-		Role:    "front",
-		Initial: initial,
-		Options: options,
-		Common:  func(s *settings.Front) *settings.Common { return &s.Common },
+		BaseConfig: process.BaseConfig[settings.Front]{
+			Program: Program,
+			Initial: initial,
+			Options: options,
+			Common:  func(s *settings.Front) *settings.Common { return &s.Common },
+			Apply:   func(changed settings.Front) { p.Front.Apply(liveSettings(changed)) },
+		},
+		Role: "front",
 		// The front bounds each try by its context.
 		CallTimeout: front.MaxTry + time.Second,
-		Apply:       func(changed settings.Front) { p.Front.Apply(liveSettings(changed)) },
 	})
 	if err != nil {
 		return nil, err
--- a/internal/process/schedulerprocess/gateway.go
+++ b/internal/process/schedulerprocess/gateway.go
@@ -15,7 +15,7 @@
 // the one that acts. It uses the process's connections, which Run closes.
 func (p *Process) NewGateway() (*front.Front, error) {
 	client := rpc.NewClient(rpc.ClientConfig{Timeout: front.MaxTry + time.Second, Dialer: rpc.DialFrom(p.initial.Source)})
-	gateway, err := front.New(front.Config{Link: replicaLink{p.replica}, Client: client, Logger: p.logger})
+	gateway, err := front.New(front.Config{Link: replicaLink{p.replica}, Client: client, Logger: p.base.Logger})
 	if err != nil {
 		client.Close()
 		return nil, fmt.Errorf("make the gateway: %w", err)
--- a/internal/process/schedulerprocess/process.go
+++ b/internal/process/schedulerprocess/process.go
@@ -1,17 +1,13 @@
-// Package schedulerprocess is a scheduler as a whole process.
 package schedulerprocess
 
 import (
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/decklever/decklever/internal/daemon"
 	"github.com/decklever/decklever/internal/placement"
 	"github.com/decklever/decklever/internal/process"
@@ -21,7 +17,6 @@
 	"github.com/decklever/decklever/internal/scheduler"
 	"github.com/decklever/decklever/internal/settings"
 	"github.com/decklever/decklever/internal/storage"
-	"github.com/decklever/decklever/internal/telemetry"
 )
 
 const (
@@ -34,10 +29,7 @@
 // Process is one scheduler with all its parts.
 type Process struct {
 	initial settings.Scheduler
-	options settings.LoadOptions
-	level   *slog.LevelVar
-	logger  *slog.Logger
-	health  *telemetry.Health
+	base    *process.Base[settings.Scheduler]
 	// wallOffset is added to the wall clock, for trials.
 	wallOffset atomic.Int64
 	store      *storage.Disk
@@ -50,10 +42,16 @@
 
 // New opens the data folder and makes the parts; none is at work yet.
 func New(initial settings.Scheduler, options settings.LoadOptions) (*Process, error) {
-	p := &Process{initial: initial, options: options, level: new(slog.LevelVar), health: telemetry.NewHealth()}
-	p.logger = process.NewLogger(Program, &p.initial.Common, p.level)
-	p.apply(initial)
-	store, err := storage.OpenDisk(storage.DiskConfig{Directory: initial.DataDir, Logger: p.logger})
+	p := &Process{initial: initial}
+	config := baseConfig(initial, options)
+	config.Apply = p.apply
+	base, err := process.NewBase(config)
+	if err != nil {
+		return nil, err
+	}
+	p.base = base
+	p.setWallOffset(initial)
+	store, err := storage.OpenDisk(storage.DiskConfig{Directory: initial.DataDir, Logger: base.Logger})
 	if err != nil {
 		return nil, fmt.Errorf("open the data folder: %w", err)
 	}
@@ -64,39 +62,49 @@
 	return p, nil
 }
 
+// baseConfig describes what a scheduler has in common with other processes.
+func baseConfig(initial settings.Scheduler, options settings.LoadOptions) process.BaseConfig[settings.Scheduler] {
+	return process.BaseConfig[settings.Scheduler]{
+		Program: Program,
+		Initial: initial,
+		Options: options,
+		Common:  func(s *settings.Scheduler) *settings.Common { return &s.Common },
+	}
+}
+
 // assemble connects the record, the replica and the acting scheduler.
 func (p *Process) assemble() error {
-	registry := telemetry.NewRegistry()
-	counted, err := rpc.NewMetrics(registry)
-	if err != nil {
-		return err
-	}
-	p.client = rpc.NewClient(rpc.ClientConfig{Dialer: rpc.DialFrom(p.initial.Source), Metrics: counted})
+	p.client = rpc.NewClient(rpc.ClientConfig{Dialer: rpc.DialFrom(p.initial.Source), Metrics: p.base.Calls})
 	service := scheduler.NewService(scheduler.Config{
 		Archive:      p.store.Archive(),
 		ArchiveBytes: p.initial.ArchiveMaxBytes,
 		NewPlanner:   func() scheduler.Planner { return placement.New(placement.Config{}) },
-		Logger:       p.logger,
-		Registerer:   registry,
+		Logger:       p.base.Logger,
+		Registerer:   p.base.Registry,
 	})
-	made, err := replica.New(p.replicaConfig(registry, service.Lead))
+	made, err := replica.New(p.replicaConfig(service.Lead))
 	if err != nil {
 		return fmt.Errorf("make the replica: %w", err)
 	}
 	p.replica = made
 	service.SetLog(made)
-	server := rpc.NewServer(rpc.ServerConfig{Logger: p.logger, Metrics: counted})
+	server := rpc.NewServer(rpc.ServerConfig{Logger: p.base.Logger, Metrics: p.base.Calls})
 	made.Register(server)
 	service.Register(server)
-	mux := http.NewServeMux()
-	mux.Handle("/rpc/", server)
-	mux.Handle("/", telemetry.Handler(registry, p.health))
-	p.handler = mux
-	p.checkHealth()
+	p.handler = routes(server, p.base.Status())
+	p.base.CheckHealth(p.readiness())
 	return nil
 }
 
-func (p *Process) replicaConfig(registerer prometheus.Registerer, lead func(replica.Leadership)) replica.Config {
+// routes serves the calls between processes beside health and metrics.
+func routes(calls, status http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/rpc/", calls)
+	mux.Handle("/", status)
+	return mux
+}
+
+func (p *Process) replicaConfig(lead func(replica.Leadership)) replica.Config {
 	timing := p.initial.Timing
 	return replica.Config{
 		Name:    p.initial.Name,
@@ -118,8 +126,8 @@
 		SnapshotEvery: p.initial.SnapshotEvery,
 		JoinOnly:      !p.initial.MayForm,
 		MaxVoters:     2*p.initial.Tolerate + 1,
-		Logger:        p.logger,
-		Registerer:    registerer,
+		Logger:        p.base.Logger,
+		Registerer:    p.base.Registry,
 		Lead:          lead,
 	}
 }
@@ -134,11 +142,10 @@
 // Run serves, on extra listeners too, until the context ends or a signal stops
 // the process. Leadership is handed over first.
 func (p *Process) Run(ctx context.Context, extra ...daemon.Listener) error {
-	config := process.Daemon(&p.initial.Common, p.logger, p.health)
+	config := p.base.Daemon(p.readiness(), p.replica.Run)
 	config.Wrap = rpc.Probed
 	config.Handler = p.handler
 	config.Extra = extra
-	config.Background = []func(context.Context) error{p.replica.Run, p.watchSettings, p.watchHealth}
 	config.BeforeStop = p.replica.HandOver
 	err := daemon.Run(ctx, config)
 	for _, client := range append(p.gatewayClients, p.client) {
@@ -147,36 +154,25 @@
 	return errors.Join(err, p.store.Close())
 }
 
-// watchSettings puts changes of the settings file in force.
-func (p *Process) watchSettings(ctx context.Context) error {
-	return settings.Watch(ctx, settings.WatchConfig[settings.Scheduler]{
-		Options: p.options,
-		Initial: p.initial,
-		Apply:   p.apply,
-		Logger:  p.logger,
-	})
-}
-
 // apply puts in force what can change while the process runs.
 func (p *Process) apply(changed settings.Scheduler) {
-	telemetry.SetLevel(p.level, changed.Log.Level)
-	p.wallOffset.Store(int64(changed.Test.WallClockOffset.Std()))
-	if p.replica != nil {
-		p.replica.SetSeeds(changed.Seeds)
-		p.replica.SetZone(changed.Zone)
-	}
+	p.setWallOffset(changed)
+	p.replica.SetSeeds(changed.Seeds)
+	p.replica.SetZone(changed.Zone)
 }
 
-// watchHealth keeps /readyz in step with the log.
-func (p *Process) watchHealth(ctx context.Context) error {
-	return p.health.Watch(ctx, p.checkHealth)
+func (p *Process) setWallOffset(changed settings.Scheduler) {
+	p.wallOffset.Store(int64(changed.Test.WallClockOffset.Std()))
 }
 
-// checkHealth: a scheduler is ready while it knows a leader.
-func (p *Process) checkHealth() {
-	if _, known := p.replica.Leader(); known {
-		p.health.SetReady(logPart, true, "")
-		return
+// readiness: a scheduler is ready while it knows a leader.
+func (p *Process) readiness() process.Readiness {
+	return process.Readiness{
+		Part:    logPart,
+		Unready: "no leader is known",
+		Ready: func() bool {
+			_, known := p.replica.Leader()
+			return known
+		},
 	}
-	p.health.SetReady(logPart, false, "no leader is known")
 }
--- a/internal/process/schedulerprocess/relay.go
+++ b/internal/process/schedulerprocess/relay.go
@@ -30,11 +30,8 @@
 func NewRelay(initial settings.Scheduler, options settings.LoadOptions) (*Relay, error) {
 	r := &Relay{}
 	linked, err := process.NewLinked(process.LinkedConfig[settings.Scheduler]{
-		Program: Program,
-		Role:    relayRole,
-		Initial: initial,
-		Options: options,
-		Common:  func(s *settings.Scheduler) *settings.Common { return &s.Common },
+		BaseConfig: baseConfig(initial, options),
+		Role:       relayRole,
 		// The gateway bounds each try by its context.
 		CallTimeout: front.MaxTry + time.Second,
 	})
@@ -51,10 +48,7 @@
 		address, _ := r.Link.Leader()
 		return fleet.IdentityAnswer{Relay: true, LeaderAddress: address}, nil
 	})
-	mux := http.NewServeMux()
-	mux.Handle("/rpc/", server)
-	mux.Handle("/", r.Status())
-	r.handler = mux
+	r.handler = routes(server, r.Status())
 	return r, nil
 }
 
