Name what is wrong with a task's name in the lab's journals

Cause: a name with an occurrence, JOB/STEP/INDEX/OCCURRENCE, was refused in the same words as nonsense, and empty parts and negative indexes were taken.

Change: each has an error of its own; a rightful occurrence is ErrOccurrence, since the lab hands in no repeating jobs and its checks would mix them up.

Result: the test names each wrong form and its text; all forms that it refused before are still refused.

--- a/lab/journal/journal_test.go
+++ b/lab/journal/journal_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"testing"
@@ -74,9 +75,27 @@
 	if err != nil || name != (TaskName{Job: "job-1", Step: "step", Index: 12}) || name.String() != "job-1/step/12" {
 		t.Fatalf("got %+v, %v", name, err)
 	}
-	for _, wrong := range []string{"", "a/b", "a/b/c", "a/b/1/2"} {
-		if _, err := ParseTask(wrong); err == nil {
-			t.Errorf("%q was taken", wrong)
+	for wrong, reason := range map[string]string{
+		"":           `task is "", expected JOB/STEP/INDEX`,
+		"a/b":        `task is "a/b", expected JOB/STEP/INDEX`,
+		"a/b/1/2/3":  `task is "a/b/1/2/3", expected JOB/STEP/INDEX`,
+		"/b/1":       `task is "/b/1", expected the names of a job and a step`,
+		"a//1":       `task is "a//1", expected the names of a job and a step`,
+		"a/b/c":      `task is "a/b/c", expected an index from 0 as its third part`,
+		"a/b/-1":     `task is "a/b/-1", expected an index from 0 as its third part`,
+		"a/b/c/2":    `task is "a/b/c/2", expected an index from 0 as its third part`,
+		"a/b/1/0":    `task is "a/b/1/0", expected an occurrence from 1 as its fourth part`,
+		"a/b/1/last": `task is "a/b/1/last", expected an occurrence from 1 as its fourth part`,
+		"a/b/1/2":    `task is "a/b/1/2" of occurrence 2: tasks of repeating jobs are not judged`,
+	} {
+		if _, err := ParseTask(wrong); err == nil || err.Error() != reason {
+			t.Errorf("%q: %v, want %s", wrong, err, reason)
 		}
 	}
+	if _, err := ParseTask("a/b/1/2"); !errors.Is(err, ErrOccurrence) {
+		t.Errorf("a later occurrence: %v", err)
+	}
+	if _, err := ParseTask("a/b/1/0"); errors.Is(err, ErrOccurrence) {
+		t.Errorf("a wrong occurrence: %v", err)
+	}
 }
--- a/lab/journal/line.go
+++ b/lab/journal/line.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -43,19 +44,40 @@
 	Index int
 }
 
-// ParseTask splits a task's full name.
+// ErrOccurrence means that a task belongs to a later occurrence of a repeating
+// job. The lab hands in no such job, and its checks would mix up occurrences.
+var ErrOccurrence = errors.New("tasks of repeating jobs are not judged")
+
+// ParseTask splits a task's full name. A name JOB/STEP/INDEX/OCCURRENCE is an
+// ErrOccurrence.
 func ParseTask(task string) (TaskName, error) {
 	parts := strings.Split(task, "/")
-	if len(parts) != 3 {
+	if len(parts) != 3 && len(parts) != 4 {
 		return TaskName{}, fmt.Errorf("task is %q, expected JOB/STEP/INDEX", task)
 	}
+	if parts[0] == "" || parts[1] == "" {
+		return TaskName{}, fmt.Errorf("task is %q, expected the names of a job and a step", task)
+	}
 	index, err := strconv.Atoi(parts[2])
-	if err != nil {
-		return TaskName{}, fmt.Errorf("task is %q, expected a number as its last part", task)
+	if err != nil || index < 0 {
+		return TaskName{}, fmt.Errorf("task is %q, expected an index from 0 as its third part", task)
+	}
+	if len(parts) == 4 {
+		return TaskName{}, occurrenceError(task, parts[3])
 	}
 	return TaskName{Job: parts[0], Step: parts[1], Index: index}, nil
 }
 
+// occurrenceError says what is wrong with a name of four parts. Occurrence 0 has
+// none.
+func occurrenceError(task, text string) error {
+	occurrence, err := strconv.Atoi(text)
+	if err != nil || occurrence < 1 {
+		return fmt.Errorf("task is %q, expected an occurrence from 1 as its fourth part", task)
+	}
+	return fmt.Errorf("task is %q of occurrence %d: %w", task, occurrence, ErrOccurrence)
+}
+
 // String returns the full name.
 func (n TaskName) String() string { return fmt.Sprintf("%s/%s/%d", n.Job, n.Step, n.Index) }
 
