Split the tests of the checker by subject

Change: the fixture, and the breaches of jobs, tasks, configurations and faults, each have a file; the table is no longer a global.

--- /dev/null
+++ b/lab/check/broken_faults_test.go
@@ -0,0 +1,169 @@
+package check
+
+import (
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/lab/ledger"
+)
+
+// brokenFaults are the breaches of faults: service, groups, silence, freezes and stale tokens.
+func brokenFaults() []breach {
+	return []breach{
+		{
+			"no service after a majority was back", P10,
+			func(f *fixture) { gap(f, 7900) },
+			func(f *fixture) { gap(f, 8100) },
+		},
+		{
+			"a run of a cut-off worker that starts elsewhere too late", P11,
+			func(f *fixture) { cutWorker(f, 3200, 6500) },
+			func(f *fixture) { cutWorker(f, 3200, 6100) },
+		},
+		{
+			"a run of a cut-off worker that starts elsewhere too early", P11,
+			func(f *fixture) { cutWorker(f, 2300, 2600) },
+			func(f *fixture) { cutWorker(f, 2300, 2800) },
+		},
+		{
+			"a run of a cut-off worker that does not stop", P1,
+			func(f *fixture) { cutWorker(f, 3600, 3500) },
+			func(f *fixture) { cutWorker(f, 3400, 3500) },
+		},
+		{
+			"a run of a killed worker that starts elsewhere too early", P11,
+			func(f *fixture) { exitAndRestart(f, 2700) },
+			func(f *fixture) { exitAndRestart(f, 2900) },
+		},
+		{
+			"a run that is not started elsewhere once a majority is back", P11,
+			func(f *fixture) { lostWithLeader(f, 21_100) },
+			func(f *fixture) { lostWithLeader(f, 20_900) },
+		},
+		{
+			"a frozen worker that goes on when it wakes", P1,
+			func(f *fixture) { frozenWorker(f, api.OutcomeStopped, 11_500) },
+			func(f *fixture) { frozenWorker(f, api.OutcomeStopped, 10_900) },
+		},
+		{
+			"a frozen worker that ends its task when it wakes", P1,
+			func(f *fixture) { frozenWorker(f, api.OutcomeSucceeded, 10_300) },
+			func(f *fixture) { frozenWorker(f, api.OutcomeStopped, 10_300) },
+		},
+		{
+			"a woken scheduler's order", P12,
+			func(f *fixture) { woken(f, 19_000, 20_200) },
+			func(f *fixture) { woken(f, 19_000, 20_050) },
+		},
+		{
+			"a group member alone", P9,
+			func(f *fixture) { group(f, 6000) },
+			func(f *fixture) { group(f, 4000) },
+		},
+		{
+			"no service", P10,
+			func(f *fixture) { f.LoadTo = at(12_100) },
+			func(f *fixture) { f.LoadTo = at(11_900) },
+		},
+		{
+			"a lost run that is not started elsewhere", P11,
+			func(f *fixture) { lostRun(f, 6500) },
+			func(f *fixture) { lostRun(f, 6100) },
+		},
+		{
+			"a run stopped behind a silent agent that is not started elsewhere", P11,
+			func(f *fixture) { silentAgent(f, 6500) },
+			func(f *fixture) { silentAgent(f, 6100) },
+		},
+		{
+			"an order under a stale token", P12,
+			func(f *fixture) { staleToken(f, 3700) },
+			func(f *fixture) { staleToken(f, 3000) },
+		},
+	}
+}
+
+// gap is a load of 20 s with its only accepted submit at its start.
+func gap(f *fixture, majorityBack int64) {
+	f.LoadTo = at(20_000)
+	f.twoDown(500, majorityBack)
+	f.submit("j", 10, task())
+	f.succeed("j/s/0", "one", 1, 150, 200)
+	f.poll("j", 300, api.StateSucceeded)
+}
+
+// cutWorker has a worker cut off its agent, and its run stopped at the end of
+// its hold or cut off with it.
+func cutWorker(f *fixture, stopped, again int64) {
+	f.submit("j", 10, task())
+	f.run("j/s/0", "one", 1, 100, stopped, api.OutcomeStopped)
+	f.link("agent-1", "one", 200, ledger.ActionCut)
+	f.link("agent-1", "one", 12_000, ledger.ActionHeal)
+	f.succeed("j/s/0", "two", 2, again, again+100)
+	f.poll("j", 9000, api.StateSucceeded)
+}
+
+// frozenWorker has a run's worker frozen for 10 s while the task runs elsewhere.
+func frozenWorker(f *fixture, outcome api.Outcome, ended int64) {
+	f.submit("j", 10, task())
+	f.run("j/s/0", "one", 1, 100, ended, outcome)
+	f.fault("one", 200, ledger.ActionFreeze)
+	f.fault("one", 10_200, ledger.ActionResume)
+	f.succeed("j/s/0", "two", 2, 4000, 11_800)
+	f.poll("j", 12_000, api.StateSucceeded)
+}
+
+func exitAndRestart(f *fixture, again int64) {
+	f.submit("j", 10, task())
+	f.start("j/s/0", "one", 1, 100)
+	f.fault("one", 300, ledger.ActionExit)
+	f.succeed("j/s/0", "two", 2, again, again+100)
+	f.poll("j", again+500, api.StateSucceeded)
+}
+
+// lostWithLeader has a worker and two schedulers fall silent.
+func lostWithLeader(f *fixture, again int64) {
+	f.twoDown(300, 9000)
+	exitAndRestart(f, again)
+}
+
+// woken has a scheduler frozen for 20 s while token 2 comes into use.
+func woken(f *fixture, firstUse, start int64) {
+	f.Schedulers = []string{"s1", "s2", "s3"}
+	f.submit("j", 10, task(), task())
+	f.fault("s1", 100, ledger.ActionFreeze)
+	f.fault("s1", 20_100, ledger.ActionResume)
+	f.succeed("j/s/0", "one", 1, firstUse, firstUse+100)
+	f.Lines[0].Token, f.Lines[1].Token = 2, 2
+	f.succeed("j/s/1", "two", 1, start, start+100)
+	f.poll("j", 22_000, api.StateSucceeded)
+}
+
+func group(f *fixture, second int64) {
+	f.submit("j", 10, task(), task()).Steps[0].Together = true
+	f.succeed("j/s/0", "one", 1, 100, 7000)
+	f.succeed("j/s/1", "two", 1, second, 7000)
+	f.poll("j", 8000, api.StateSucceeded)
+}
+
+func lostRun(f *fixture, again int64) {
+	f.submit("j", 10, task())
+	f.start("j/s/0", "one", 1, 100)
+	f.fault("one", 200, ledger.ActionExit)
+	f.succeed("j/s/0", "two", 2, again, again+100)
+	f.poll("j", 8000, api.StateSucceeded)
+}
+
+func silentAgent(f *fixture, again int64) {
+	f.submit("j", 10, task())
+	f.run("j/s/0", "one", 1, 100, 3200, api.OutcomeStopped)
+	f.fault("agent-1", 200, ledger.ActionExit)
+	f.succeed("j/s/0", "two", 2, again, again+100)
+	f.poll("j", 8000, api.StateSucceeded)
+}
+
+func staleToken(f *fixture, start int64) {
+	f.submit("j", 10, task(), task())
+	f.succeed("j/s/0", "one", 1, 100, 200)
+	f.Lines[0].Token, f.Lines[1].Token = 2, 2
+	f.succeed("j/s/1", "two", 1, start, start+100)
+	f.poll("j", 8000, api.StateSucceeded)
+}
