--- a/internal/placement/engine_test.go
+++ b/internal/placement/engine_test.go
@@ -2,76 +2,12 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/record"
 )
 
-func cpu(millis int64) api.Resources { return api.Resources{CPUMillis: millis} }
-
-// testWorker is a usable worker that offers "s"; its id is the name plus "-1".
-func testWorker(name string, capacity api.Resources) Worker {
-	return Worker{ID: name + "-1", Name: name, Zone: "z1", Capacity: capacity, Services: []string{"s"}, Usable: true}
-}
-
-// testTask is task JOB/a/SEQUENCE of queue "q".
-func testTask(job string, sequence int, need int64) Task {
-	return Task{
-		ID: record.TaskID{Job: job, Step: "a", Index: sequence}, Queue: "q", Sequence: uint64(sequence), Wishes: &Wishes{},
-		Spec: &api.TaskSpec{Service: "s", Resources: cpu(need)},
-	}
-}
-
-func groupOf(job string, needs ...int64) []Task {
-	var tasks []Task
-	for i, need := range needs {
-		task := testTask(job, i, need)
-		task.Group, task.GroupSize = job+"/a", len(needs)
-		tasks = append(tasks, task)
-	}
-	return tasks
-}
-
-func spreadTask(sequence int, by string, most int) Task {
-	task := testTask("spread", sequence, 1)
-	task.Spec.Spread = &api.Spread{By: by, MaxPerDomain: most}
-	return task
-}
-
-func newEngine(workers ...Worker) *Engine {
-	e := New(Config{})
-	for _, w := range workers {
-		e.SetWorker(w)
-	}
-	return e
-}
-
-func addAll(e *Engine, tasks ...Task) {
-	for _, task := range tasks {
-		e.Add(task)
-	}
-}
-
-// placed plans and returns "TASK@WORKER" in the order of decisions.
-func placed(e *Engine, limit int) string {
-	var texts []string
-	for _, d := range e.Plan(limit) {
-		texts = append(texts, d.Task.String()+"@"+d.Worker)
-	}
-	return strings.Join(texts, " ")
-}
-
-func expect[T any](t *testing.T, what string, got, want T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Fatalf("%s (-want +got):\n%s", what, diff)
-	}
-}
-
 func TestFilters(t *testing.T) {
 	w := testWorker("w", api.Resources{CPUMillis: 10, MemoryMB: 10})
 	w.Labels = map[string]string{"disk": "ssd", "rack": ""}
@@ -232,84 +168,6 @@
 	expect(t, "room on another worker of the zone", placed(e, 10), "spread/a/1@b")
 }
 
-func TestGroupWaitsForMembersAndIsPlacedWhole(t *testing.T) {
-	e := newEngine(testWorker("a", cpu(4)), testWorker("b", cpu(5)))
-	members := groupOf("g", 1, 4, 4, 1)
-	addAll(e, members[:3]...)
-	expect(t, "incomplete", placed(e, 10), "")
-	expect(t, "reason", e.Reason(members[0].ID), "group has 3 of 4 members")
-	e.Add(members[3])
-	before := trace(e)
-	expect(t, "no room for all", placed(e, 10), "")
-	expect(t, "trace of the trial", trace(e), before)
-	expect(t, "reason", e.Reason(members[0].ID), "group needs 4 places, 3 free now")
-	e.Add(testTask("behind", 9, 1))
-	expect(t, "does not block", placed(e, 10), "behind/a/9@a")
-	e.Release(testTask("behind", 9, 1).ID)
-	e.SetWorker(testWorker("c", cpu(1)))
-	expect(t, "whole, beyond the limit", placed(e, 1), "g/a/1@a g/a/2@b g/a/0@b g/a/3@c")
-}
-
-func TestGroupLimits(t *testing.T) {
-	e := newEngine(testWorker("a", cpu(9)))
-	e.Add(testTask("alone", 0, 1))
-	group := groupOf("g", 1, 1)
-	for i := range group {
-		group[i].Sequence = 1
-	}
-	addAll(e, group...)
-	e.Add(testTask("later", 2, 1))
-	expect(t, "stops before the group", placed(e, 2), "alone/a/0@a")
-	expect(t, "group is first", placed(e, 2), "g/a/0@a g/a/1@a")
-	one := groupOf("one", 1)[0]
-	e.Add(one)
-	expect(t, "member alone", e.Plan(1), []Decision{{Task: one.ID, WorkerID: "a-1", Worker: "a", Group: "one/a"}})
-}
-
-func TestGroupMemberLeavesAndComesBack(t *testing.T) {
-	e := newEngine(testWorker("a", cpu(9)))
-	members := groupOf("g", 5, 5)
-	addAll(e, members...)
-	expect(t, "no room", placed(e, 10), "")
-	e.Remove(members[1].ID)
-	for _, p := range e.workers.pools {
-		expect(t, "parked", len(p.blocked), 0)
-	}
-	e.SetWorker(testWorker("a", cpu(10)))
-	expect(t, "incomplete", placed(e, 10), "")
-	e.Add(members[1])
-	expect(t, "complete", placed(e, 10), "g/a/0@a g/a/1@a")
-}
-
-func TestLargeGroupShortage(t *testing.T) {
-	e := newEngine(testWorker("a", cpu(90)))
-	needs := make([]int64, 16)
-	for i := range needs {
-		needs[i] = 10
-	}
-	addAll(e, groupOf("g", needs...)...)
-	expect(t, "none", placed(e, 100), "")
-	expect(t, "reason", e.Reason(record.TaskID{Job: "g", Step: "a"}), "group needs 16 places, 9 free now")
-	e.SetWorker(testWorker("b", cpu(70)))
-	expect(t, "all", len(e.Plan(100)), 16)
-}
-
-// trace is all that a trial may not leave behind.
-func trace(e *Engine) string {
-	var text strings.Builder
-	for _, id := range []string{"a-1", "b-1"} {
-		w := e.workers.byID[id]
-		fmt.Fprintln(&text, id, w.used, w.free, w.room, len(w.runs))
-	}
-	for _, p := range e.workers.pools {
-		for _, w := range p.workers {
-			fmt.Fprintln(&text, w.ID)
-		}
-	}
-	fmt.Fprintln(&text, e.queue("q").running, len(e.steps), len(e.runs), e.Waiting())
-	return text.String()
-}
-
 func TestIdempotence(t *testing.T) {
 	e := newEngine(testWorker("w", cpu(10)))
 	task := testTask("j", 0, 4)
