--- a/lab/operator/operator.go
+++ b/lab/operator/operator.go
@@ -11,7 +11,7 @@
 	"github.com/decklever/decklever/lab/monoclock"
 )
 
-// Operator is one operator's desk.
+// Operator makes the calls of an operator and notes each in the ledger.
 type Operator struct {
 	client *api.Client
 	ledger *ledger.Ledger
--- a/lab/report/doc.go
+++ b/lab/report/doc.go
@@ -1,3 +1,5 @@
-// Package report turns what a run observed into one summary, for programs as
-// JSON and for people as text.
+// Package report turns what a run observed, which is the callers' ledger and
+// the workers' journals, into one summary: counts, delays and gaps in service,
+// for programs as JSON and for people as text. It judges nothing; package check
+// does.
 package report
