Name the lanes that are to try to preempt later

Cause: the planner's code spoke of lanes that hope and of their chance, which says nothing of what they wait for.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -46,9 +46,9 @@
 	noWishes Wishes
 	// victims counts by priority the runs that may be preempted.
 	victims map[int]int
-	// hopeful are blocked lanes, in the order in which they get another trial
-	// to preempt; unfinished are those that the last pass had no time for.
-	hopeful, unfinished []*lane
+	// preemptLater are blocked lanes, in the order in which they get another
+	// trial to preempt; unfinished are those that the last pass had no time for.
+	preemptLater, unfinished []*lane
 	// gathering is the group for which room is put aside, or nil.
 	gathering *gathering
 }
@@ -279,7 +279,7 @@
 	l := e.line(&w.Task).lane(w.class)
 	l.push(w)
 	if w.class.blocked {
-		e.hope(l)
+		e.addPreemptLater(l)
 		return
 	}
 	l.makeReady()
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -170,7 +170,7 @@
 		l.parkAtLimit(len(l.tasks))
 		return true
 	}
-	l.chance = false
+	l.preemptNow = false
 	if p.engine.isGathering(l) {
 		l.makeUnready()
 		return true
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -56,8 +56,8 @@
 	if l.class == nil {
 		return p.placeGroup(l)
 	}
-	if l.class.blocked && !l.chance {
-		p.engine.hope(l)
+	if l.class.blocked && !l.preemptNow {
+		p.engine.addPreemptLater(l)
 		l.makeUnready()
 		return true
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -102,10 +102,10 @@
 		return
 	}
 	if !found.possible() {
-		l.chance = false
+		l.preemptNow = false
 		l.class.block()
 		l.makeUnready()
-		p.engine.hope(l)
+		p.engine.addPreemptLater(l)
 		return
 	}
 	p.allowance.spend(&found)
--- a/internal/placement/preempt_group.go
+++ b/internal/placement/preempt_group.go
@@ -16,7 +16,7 @@
 func (p *pass) preemptForGroup(l *lane) bool {
 	e := p.engine
 	priority := l.line.level.priority
-	e.hope(l)
+	e.addPreemptLater(l)
 	if !e.hasVictims(priority) && !l.mayUseSlices() {
 		return true
 	}
--- a/internal/placement/queues.go
+++ b/internal/placement/queues.go
@@ -47,9 +47,9 @@
 	tasks indexheap.Heap[*waiting]
 	// position is the index in line.ready; indexheap.None when it is not there.
 	position int
-	// hoping is set while the lane is listed in Engine.hopeful; chance lets it
-	// try to preempt in this pass though its class is blocked.
-	hoping, chance bool
+	// listedLater is set while the lane is listed in Engine.preemptLater;
+	// preemptNow lets it try to preempt in this pass though its class is blocked.
+	listedLater, preemptNow bool
 	// groupState is used for groups only.
 	groupState
 }
