Bound connections by the descriptors of the process

Cause: the bound on open connections was a constant, 4,096, while a process on the users' platform has some 3,900 descriptors; and a front or agent opens a second connection for each request that it relays.

What happens on a machine that runs out of descriptors was not tried.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,9 +23,8 @@
 	defaultReadTimeout       = 30 * time.Second
 	// defaultWriteTimeout is longer than a read of the body and the longest
 	// held request together.
-	defaultWriteTimeout   = 120 * time.Second
-	defaultIdleTimeout    = 120 * time.Second
-	defaultMaxConnections = 4096
+	defaultWriteTimeout = 120 * time.Second
+	defaultIdleTimeout  = 120 * time.Second
 )
 
 // maxHeaderBytes bounds the header of a request.
@@ -72,19 +71,21 @@
 	// IdleTimeout bounds the wait for the next request on a connection.
 	// Default 2m.
 	IdleTimeout time.Duration
-	// MaxConnections bounds the open connections. Beyond it a new one takes the
-	// place of the one that is idle for longest, or is closed if none is idle.
-	// Default 4096.
+	// MaxConnections bounds the open connections of all listeners together.
+	// Beyond it a new one takes the place of the one that is idle for longest, or
+	// is closed if none is idle. It is lowered to what the process's descriptors
+	// allow. Default: that, up to 4096.
 	MaxConnections int
+	// DescriptorsPerConnection is how many descriptors a request under way can
+	// take, its own connection included. Default 1.
+	DescriptorsPerConnection int
 }
 
 func (c Config) withDefaults() Config {
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
-	if c.MaxConnections <= 0 {
-		c.MaxConnections = defaultMaxConnections
-	}
+	c.DescriptorsPerConnection = max(c.DescriptorsPerConnection, 1)
 	for _, setting := range []struct {
 		value    *time.Duration
 		fallback time.Duration
@@ -126,7 +127,7 @@
 // end and their answers are finished; then the background. It returns nil after
 // a clean stop, else the part's error or that StopTimeout was not enough.
 func Run(ctx context.Context, config Config) error {
-	config = config.withDefaults()
+	config = config.withDefaults().boundConnections(openFileLimit())
 	ctx, stopSignals := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stopSignals()
 	listening, err := listenOnAll(ctx, config)
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -99,6 +99,8 @@
 		Stopping:      func() { b.Health.SetReady(stoppingPart, false, "the process is about to stop") },
 		ShutdownDelay: time.Duration(common.ShutdownDelay),
 		StopTimeout:   time.Duration(common.StopTimeout),
+
+		MaxConnections: common.MaxConnections,
 	}
 }
 
--- a/internal/process/base_test.go
+++ b/internal/process/base_test.go
@@ -13,6 +13,8 @@
 func testSettings() settings.Front {
 	return settings.Front{Common: settings.Common{
 		Name: "front-1", Zone: "z1", Listen: "127.0.0.1:7200",
+		MaxConnections: 70,
+
 		ShutdownDelay: api.Duration(time.Second), StopTimeout: api.Duration(2 * time.Second),
 		Log: settings.Log{Level: "error", Format: "text"},
 	}}
@@ -38,6 +40,9 @@
 	if config.Listen != "127.0.0.1:7200" || config.ShutdownDelay != time.Second || config.StopTimeout != 2*time.Second {
 		t.Errorf("listens on %s, stops after %v within %v", config.Listen, config.ShutdownDelay, config.StopTimeout)
 	}
+	if config.MaxConnections != 70 {
+		t.Errorf("bound to %d connections", config.MaxConnections)
+	}
 	if len(config.Background) != 3 {
 		t.Errorf("%d parts in the background, want the one given and two watches", len(config.Background))
 	}
--- a/internal/process/linked.go
+++ b/internal/process/linked.go
@@ -14,6 +14,10 @@
 // leaderPart names the link to the leader in /readyz.
 const leaderPart = "leader"
 
+// descriptorsPerRelay is what a request under way takes: the connection that it
+// came by, and one to the leader.
+const descriptorsPerRelay = 2
+
 // LinkedConfig describes a process that is linked to the leader; T is its
 // settings. Role and CallTimeout are required.
 type LinkedConfig[T any] struct {
@@ -74,6 +78,7 @@
 	config := l.Daemon(l.readiness(), l.Link.Run)
 	config.Handler = handler
 	config.Extra = extra
+	config.DescriptorsPerConnection = descriptorsPerRelay
 	return daemon.Run(ctx, config)
 }
 
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -149,6 +149,7 @@
 		"duration 0":         {goodScheduler + "timing: {tick: 0s}\n", `timing.tick "0s": expected a duration over 0, such as "50ms"`},
 		"not a truth value":  {goodScheduler + "may_form: perhaps\n", `may_form "perhaps": expected true or false`},
 		"negative number":    {goodScheduler + "snapshot_every: -1\n", `snapshot_every "-1": expected a whole number, 0 or more`},
+		"fewer than none":    {goodScheduler + "max_connections: -1\n", `max_connections "-1": expected a whole number, 0 or more`},
 		"tick":               {goodScheduler + "timing: {tick: 400ms}\n", `timing.tick "400ms": expected less than timing.lease, which is 400ms`},
 		"lease":              {goodScheduler + "timing: {lease: 500ms}\n", `timing.lease "500ms": expected less than timing.election_timeout_min, which is 500ms`},
 		"election":           {goodScheduler + "timing: {election_timeout_max: 499ms}\n", `timing.election_timeout_min "500ms": expected at most timing.election_timeout_max, which is 499ms`},
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -35,8 +35,13 @@
 	// StopTimeout bounds the rest of a stop, after the shutdown delay: handing
 	// over, finishing requests, ending the background. Default 2s.
 	StopTimeout api.Duration `koanf:"stop_timeout" validate:"gt=0" expected:"a duration over 0, such as \"2s\"" usage:"bound on the rest of a stop, after the shutdown delay"`
-	Log         Log          `koanf:"log"`
-	Test        Test         `koanf:"test"`
+	// MaxConnections bounds the open connections that came in, on all addresses
+	// together. Beyond it a new one takes the place of the one that is idle for
+	// longest. It is lowered to what the process's descriptors allow. Default 0:
+	// that alone, up to 4096.
+	MaxConnections int  `koanf:"max_connections" validate:"min=0" expected:"a whole number, 0 or more" usage:"bound on open connections that came in, never above what the process's descriptors allow (0: only that, up to 4096)"`
+	Log            Log  `koanf:"log"`
+	Test           Test `koanf:"test"`
 }
 
 // Reach returns the address that others reach the process at.
