Give each test that needs an address one that nobody else takes

Cause: TestRetiringVoterHandsItsSeatOver failed in a run of the checks with "listen tcp 127.0.0.1:46479: bind: address already in use".

Ruled out: keeping the listener open, since these tests stop and start their servers at the same address, or give the address to a whole process; port 0, since seeds name the addresses before anything listens.

Change: package testaddress gives each test a loopback address in 127.254.0.0/16 with a fixed port below those that the system gives out. Another port of that address is listened on until the test ends, which keeps every other test and process from it. Outgoing connections leave from 127.0.0.1.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"github.com/decklever/decklever/internal/testaddress"
 )
 
 func TestMain(m *testing.M) {
@@ -234,12 +236,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = taken.Close() }()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := free.Addr().String()
-	_ = free.Close()
+	address := testaddress.New(t)
 	err = Run(t.Context(), Config{
 		Listen: address, Handler: http.NotFoundHandler(),
 		Extra: []Listener{{Address: taken.Addr().String(), Handler: http.NotFoundHandler()}},
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -11,6 +10,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/testaddress"
 )
 
 const shortDeadline = 250 * time.Millisecond
@@ -61,7 +61,7 @@
 		{"config unanswered", silent.address, "PUT", "/v1/config", goodConfig, api.CodeOutcomeUnknown},
 		{"read unanswered", silent.address, "GET", "/v1/jobs/a", "", api.CodeUnavailable},
 		{"submit not taken", refusing.address, "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
-		{"no connection", closedAddress(t), "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
+		{"no connection", testaddress.New(t), "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
 		{"no leader known", "", "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
 	}
 	for _, c := range cases {
@@ -80,16 +80,6 @@
 	})
 }
 
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func TestUnknownOutcomeIsRetriedAtTheNextLeader(t *testing.T) {
 	old, leader := newLeader(t), newLeader(t)
 	link := &fakeLink{leader: old.address}
--- a/internal/integration/node_test.go
+++ b/internal/integration/node_test.go
@@ -22,6 +22,7 @@
 	"github.com/decklever/decklever/internal/rpc"
 	"github.com/decklever/decklever/internal/scheduler"
 	"github.com/decklever/decklever/internal/storage"
+	"github.com/decklever/decklever/internal/testaddress"
 )
 
 // patience bounds waits for a condition; none takes nearly as long.
@@ -70,7 +71,7 @@
 		nodes[i] = &node{
 			t:             t,
 			name:          fmt.Sprintf("control-%d", i+1),
-			address:       freeAddress(t),
+			address:       testaddress.New(t),
 			store:         storage.NewMemory(int64(i + 1)),
 			snapshotEvery: 100,
 		}
@@ -82,16 +83,6 @@
 	return nodes
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // start runs the node's parts as the program does, until stop or a failure.
 func (n *node) start() {
 	n.t.Helper()
--- a/internal/integration/programs_test.go
+++ b/internal/integration/programs_test.go
@@ -16,6 +16,7 @@
 	"github.com/decklever/decklever/internal/front"
 	"github.com/decklever/decklever/internal/leaderlink"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/testaddress"
 )
 
 const (
@@ -105,7 +106,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := freeAddress(t)
+	address := testaddress.New(t)
 	serve(t, "front-1", address, served, link, client.Close)
 	jobs := 0
 	return target{
@@ -130,7 +131,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := freeAddress(t)
+	address := testaddress.New(t)
 	serve(t, "agent-1", address, served, link, client.Close)
 	heartbeat := api.Heartbeat{ // a worker that could hold the jobs, but takes none
 		WorkerID: "incarnation-1", Name: "worker-1", Services: []string{"s"}, Capacity: api.Resources{CPUMillis: 1000}, Draining: true,
--- a/internal/process/schedulerprocess/process_test.go
+++ b/internal/process/schedulerprocess/process_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/decklever/decklever/internal/daemon"
 	"github.com/decklever/decklever/internal/settings"
 	"github.com/decklever/decklever/internal/storage"
+	"github.com/decklever/decklever/internal/testaddress"
 )
 
 // patience bounds waits for a condition; none takes nearly as long.
@@ -24,12 +24,7 @@
 // schedulerOn returns the settings of a cluster of one on a data folder.
 func schedulerOn(t *testing.T, directory string) settings.Scheduler {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	_ = listener.Close()
+	address := testaddress.New(t)
 	content := "name: control-1\nzone: z1\nlisten: " + address + "\nseeds: [" + address + "]\n" +
 		"data_dir: " + directory + "\nsnapshot_every: 5\nlog: {level: error}\n"
 	path := filepath.Join(t.TempDir(), "settings.yaml")
--- a/internal/replica/helper_test.go
+++ b/internal/replica/helper_test.go
@@ -16,6 +16,7 @@
 	"github.com/decklever/decklever/internal/record"
 	"github.com/decklever/decklever/internal/rpc"
 	"github.com/decklever/decklever/internal/storage"
+	"github.com/decklever/decklever/internal/testaddress"
 )
 
 // patience bounds waits for a condition; none takes nearly as long.
@@ -51,19 +52,14 @@
 	machines := make([]*machine, count)
 	var seeds []string
 	for i := range machines {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
 		machines[i] = &machine{
 			t:       t,
 			name:    fmt.Sprintf("control-%d", i+1),
 			zone:    "zone",
-			address: listener.Addr().String(),
+			address: testaddress.New(t),
 			store:   storage.NewMemory(int64(i + 1)),
 			every:   1_000_000,
 		}
-		_ = listener.Close()
 		seeds = append(seeds, machines[i].address)
 	}
 	for _, m := range machines {
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/testaddress"
 )
 
 const methodTest fleet.Method = "test"
@@ -235,12 +236,7 @@
 func TestTransportErrors(t *testing.T) {
 	client := NewClient(ClientConfig{})
 	defer client.Close()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	refusing := listener.Addr().String()
-	_ = listener.Close()
+	refusing := testaddress.New(t)
 	if failure := wantFailure(t, refusing, client); failure.Code != CodeTransport || !failure.Unsent {
 		t.Errorf("refused connection: %+v", failure)
 	}
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/decklever/decklever/internal/settings"
+	"github.com/decklever/decklever/internal/testaddress"
 	"github.com/decklever/decklever/lab/deployment"
 	"github.com/decklever/decklever/lab/ledger"
 )
@@ -50,7 +51,7 @@
 }
 
 func TestStartRefusesAnAddressInUse(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", testaddress.New(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/relay/relay_test.go
+++ b/lab/relay/relay_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"github.com/decklever/decklever/internal/testaddress"
 )
 
 // patience bounds waits that end much sooner if all is well.
@@ -41,21 +43,10 @@
 	return listener.Addr().String()
 }
 
-// free returns an address that nothing listens on.
-func free(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // network relays to an echo named "b"; 127.5.0.1 is "a" and 127.5.0.2 is "c".
 func network(t *testing.T) (*Network, string) {
 	t.Helper()
-	address := free(t)
+	address := testaddress.New(t)
 	n, err := New(Config{
 		Routes:  []Route{{Name: "b", Listen: address, Target: echo(t)}},
 		Sources: map[string]string{"127.5.0.1": "a", "127.5.0.2": "c"},
@@ -207,8 +198,8 @@
 }
 
 func TestATargetThatIsAwayIsAReset(t *testing.T) {
-	address := free(t)
-	n, err := New(Config{Routes: []Route{{Name: "b", Listen: address, Target: free(t)}}})
+	address := testaddress.New(t)
+	n, err := New(Config{Routes: []Route{{Name: "b", Listen: address, Target: testaddress.New(t)}}})
 	if err != nil {
 		t.Fatal(err)
 	}
