Take the ends of runs from refused heartbeats as well

Cause: a leader whose lease had lapsed for a moment refused a heartbeat before it looked at it, and one whose proposal failed (no room, or the worker's new data could not be registered first) dropped the ends that it had heard. The worker repeats them, but if it is gone or unheard until its hold lapses, a task ran again although the report of its success had reached the scheduler.

Ruled out: the agent and the platform's adapter answer a refusal with 503 and count nothing as accepted, and the worker keeps an end until it is acknowledged; nothing is lost there. A scheduler that leads no more cannot write; what it hears the worker must tell the next leader.

Change: the ends of a refused heartbeat, or of one whose commit failed, are queued with the leader's own commands and proposed until committed or the term is over, each once, however often the worker repeats it. No lease is needed, since a proposal takes effect only if this leads still. The caller is refused at once, as before, and nothing else follows from such a heartbeat. A run withdrawn for a late success is closed also if the worker's registration failed.

--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -29,17 +29,16 @@
 //
 // What a heartbeat tells is true whether or not its caller still waits, so the
 // caller's context bounds nothing here. It only keeps orders from an answer that
-// nobody takes.
+// nobody takes. The ends that it lists are taken also when it is refused.
 func (l *leader) heartbeat(ctx context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
 	if !l.log.HoldsLease(l.token) {
+		l.takeEnds(request)
 		return fleet.HeartbeatAnswer{}, l.notLeader()
 	}
 	observed := l.observe(request)
-	if err := l.register(observed); err != nil {
-		return fleet.HeartbeatAnswer{}, err
-	}
-	acknowledged, err := l.commitReports(observed)
+	acknowledged, err := l.commit(observed)
 	if err != nil {
+		l.endLater(observed.reports)
 		return fleet.HeartbeatAnswer{}, err
 	}
 	if observed.late {
@@ -136,6 +135,15 @@
 	}
 }
 
+// commit puts what the heartbeat tells into the record, and returns the reports
+// that may be acknowledged.
+func (l *leader) commit(observed *observation) ([]api.RunRef, error) {
+	if err := l.register(observed); err != nil {
+		return nil, err
+	}
+	return l.commitReports(observed)
+}
+
 // register commits what the record must know of the worker. A worker that
 // cannot be registered yet is answered all the same, without orders.
 func (l *leader) register(observed *observation) error {
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -76,7 +76,9 @@
 	// pendingCloses and pendingStops are the leader's own commands that wait
 	// to be proposed.
 	pendingCloses []record.RunEnd
-	pendingStops  map[record.StopReason][]record.RunID
+	// pendingEnds are the ends among pendingCloses that a worker reported.
+	pendingEnds  map[record.RunID]bool
+	pendingStops map[record.StopReason][]record.RunID
 	// repeats are jobs with occurrences to come; pendingExpansions those that
 	// wait to be proposed.
 	repeats           repeats
@@ -134,6 +136,7 @@
 		repeats:       newRepeats(),
 		jobWaiters:    make(map[string]chan struct{}),
 		processes:     make(map[string]*processEntry),
+		pendingEnds:   make(map[record.RunID]bool),
 		pendingStops:  make(map[record.StopReason][]record.RunID),
 		startedAt:     config.Now(),
 	}
@@ -281,7 +284,7 @@
 	signal(l.wakeProposer)
 }
 
-// proposeLoop commits what closeLater and stopLater have queued.
+// proposeLoop commits what closeLater, endLater and stopLater have queued.
 func (l *leader) proposeLoop() {
 	for {
 		select {
@@ -300,6 +303,7 @@
 	expansions := l.pendingExpansions
 	l.pendingExpansions = nil
 	l.pendingCloses = nil
+	l.pendingEnds = make(map[record.RunID]bool)
 	l.pendingStops = make(map[record.StopReason][]record.RunID)
 	l.mu.Unlock()
 	if len(closes) > 0 {
--- /dev/null
+++ b/internal/scheduler/refusedends_test.go
@@ -0,0 +1,129 @@
+package scheduler
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/record"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// refuse sends the worker's next heartbeat while the leader cannot answer, and
+// lets nothing else happen: what is queued waits until the harness settles.
+func (w *fakeWorker) refuse() error {
+	w.harness.t.Helper()
+	w.heartbeat.Seq++
+	request := fleet.HeartbeatRequest{Agent: "a", Zone: w.zone, Heartbeat: w.heartbeat}
+	answer, err := w.harness.leader.heartbeat(w.harness.t.Context(), request)
+	if err == nil {
+		w.harness.t.Fatalf("answered with %+v, want a refusal", answer)
+	}
+	return err
+}
+
+// TestEndIsTakenAlthoughTheLeaseHasLapsed: the heartbeat gets no answer, but the
+// end that it lists has reached the leader. Its worker is heard no more.
+func TestEndIsTakenAlthoughTheLeaseHasLapsed(t *testing.T) {
+	h := newHarness(t)
+	worker := h.runningOne()
+	worker.end(api.OutcomeSucceeded)
+	h.log.lease = false
+	if err := worker.refuse(); !errors.Is(err, &rpc.Error{Code: rpc.CodeNotLeader}) {
+		t.Errorf("refused with %v, want not_leader", err)
+	}
+	h.log.lease = true
+	h.settle()
+	h.wantState("j", api.StateSucceeded)
+	other := h.worker("other", "o-1")
+	other.exchange()
+	h.advance(testHold + testMargin + time.Millisecond)
+	for range 3 {
+		if answer := other.exchange(); len(answer.Start) != 0 {
+			t.Errorf("started again: %+v", answer.Start)
+		}
+	}
+}
+
+// TestEndIsTakenAlthoughItCouldNotBeCommitted: a proposal that is refused for
+// want of room is made again, whether or not the worker repeats its report.
+func TestEndIsTakenAlthoughItCouldNotBeCommitted(t *testing.T) {
+	h := newHarness(t)
+	worker := h.runningOne()
+	worker.end(api.OutcomeSucceeded)
+	h.log.overloaded = true
+	_ = worker.refuse() // how it is refused is of no matter here
+	h.log.overloaded = false
+	h.settle()
+	h.wantState("j", api.StateSucceeded)
+}
+
+// TestEndIsTakenAlthoughItsWorkerCouldNotBeRegistered: a worker that also says
+// something new of itself has that committed first.
+func TestEndIsTakenAlthoughItsWorkerCouldNotBeRegistered(t *testing.T) {
+	h := newHarness(t)
+	worker := h.runningOne()
+	worker.end(api.OutcomeSucceeded)
+	worker.heartbeat.Labels = map[string]string{"zone": "z1", "disk": "ssd"}
+	h.log.overloaded = true
+	_ = worker.refuse()
+	h.log.overloaded = false
+	h.settle()
+	h.wantState("j", api.StateSucceeded)
+}
+
+// TestLateSuccessIsTakenFromARefusedHeartbeat: its run was closed as lost before,
+// and the next one, which was not ordered, is withdrawn.
+func TestLateSuccessIsTakenFromARefusedHeartbeat(t *testing.T) {
+	h := newHarness(t)
+	silent, other := h.lapsedOne()
+	h.log.lease = false
+	_ = silent.refuse()
+	h.log.lease = true
+	h.settle()
+	h.wantState("j", api.StateSucceeded)
+	if answer := other.exchange(); len(answer.Start) != 0 {
+		t.Errorf("started again: %+v", answer.Start)
+	}
+}
+
+// TestRefusedHeartbeatBringsItsEndsAndNothingElse: it is as if not heard, and is
+// not acknowledged, so that the worker repeats the report.
+func TestRefusedHeartbeatBringsItsEndsAndNothingElse(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	for _, job := range []string{"ends", "goes-on"} {
+		h.submit(job, tasks(1))
+		worker.exchange()
+	}
+	worker.exchange()
+	listed := worker.heartbeat
+	seq := h.leader.workers["w-1"].seq
+	worker.heartbeat.Running = nil // "goes-on" is in neither list
+	worker.heartbeat.Ended = []api.EndedRun{{RunRef: listed.Running[0], Outcome: api.OutcomeSucceeded}}
+	worker.heartbeat.Draining = true
+	h.log.lease = false
+	for range 3 {
+		_ = worker.refuse()
+	}
+	h.log.lease = true
+	if queued := len(h.leader.pendingCloses); queued != 1 {
+		t.Errorf("%d ends wait to be committed, want the one", queued)
+	}
+	h.settle()
+	entry := h.leader.workers["w-1"]
+	if entry.draining || entry.seq != seq {
+		t.Errorf("conclusions from a refused heartbeat: draining %t, seq %d", entry.draining, entry.seq)
+	}
+	run := record.RunID{Task: record.TaskID{Job: "goes-on", Step: "s"}, Number: 1}
+	if open := entry.runs[run]; open == nil || open.closing || open.droppedAt != 0 || len(entry.runs) != 1 {
+		t.Errorf("runs %+v, want the other one untouched", entry.runs)
+	}
+	worker.heartbeat.Draining, worker.heartbeat.Running = false, listed.Running[1:]
+	if answer := worker.exchange(); len(answer.Acknowledged) != 1 || len(answer.Stop) != 0 {
+		t.Errorf("acknowledged %+v, stopped %+v", answer.Acknowledged, answer.Stop)
+	}
+}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/record"
 )
 
@@ -61,22 +62,44 @@
 		return reported.unreadable, nil
 	}
 	if _, err := l.proposeOwn(record.Command{Close: &record.Close{Runs: closes}}); err != nil {
-		l.closeWithdrawn(reported.withdrawn)
 		return nil, l.proposalError(err)
 	}
 	return l.acknowledge(reported), nil
 }
 
-// closeWithdrawn closes runs whose withdrawal may have failed; that they are
-// marked as closing keeps them from being ordered.
-func (l *leader) closeWithdrawn(withdrawn []record.RunEnd) {
-	if len(withdrawn) == 0 {
-		return
+// takeEnds takes the ends from a heartbeat that is refused for want of the lease,
+// and draws no other conclusion: its worker may be gone before it can report them
+// again. No lease is needed for it. What is proposed takes effect only if this
+// leads still, and else the worker tells the next leader.
+func (l *leader) takeEnds(request fleet.HeartbeatRequest) {
+	l.endLater(l.observeEnds(request))
+}
+
+func (l *leader) observeEnds(request fleet.HeartbeatRequest) reports {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	worker, known := l.workers[request.Heartbeat.WorkerID]
+	if !known {
+		worker = newWorkerEntry(workerInfo(request, 0))
 	}
+	differences := reconcileLate(worker.runs, request.Heartbeat)
+	l.setAsideContradictions(worker, &differences)
+	l.noteDifferences(worker, &differences)
+	return l.sortReports(&differences)
+}
+
+// endLater queues ends that are not in the record yet, though they were heard.
+// The worker repeats them, so each is queued once.
+func (l *leader) endLater(reported reports) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pendingCloses = append(l.pendingCloses, withdrawn...)
-	signal(l.wakeProposer)
+	for _, end := range reported.closes() {
+		if !l.pendingEnds[end.Run] {
+			l.pendingEnds[end.Run] = true
+			l.pendingCloses = append(l.pendingCloses, end)
+			signal(l.wakeProposer)
+		}
+	}
 }
 
 // acknowledge lists the reports that the worker need not repeat. A success of
