Begin no further save once a replica stops

Cause: TestDamagedFilesAreRefused failed at a load of 52, since a process had not stopped within its 2 s ("background: not stopped within the stop timeout"). In 183 further plays of its first part at a load of 47 to 101, stacks were written where that came again, 3 times: the goroutine of the replica was in a sync of the disk each time, twice while it founded a cluster, once in the save of its vote, which it had begun after it was told to stop. Syncs of up to 7 s were seen on this machine.

Ruled out: all else that Run waits for; no stack showed any of it.

Change: the loop leaves what the node has ready once its context has ended, as a crash would at the same place, so that a stop waits for the one sync under way. A sync that takes longer than the time to stop still fails that stop.

The tests of replica, storage and process pass.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -195,7 +195,8 @@
 }
 
 // handleReady persists, sends and applies until nothing is left to do. What
-// others must not believe any longer is published before a message goes out.
+// others must not believe any longer is published before a message goes out. When
+// the replica stops it leaves the rest, as a crash would: each save may take long.
 func (l *loop) handleReady() error {
 	if err := l.handleAll(); err != nil {
 		return err
@@ -213,6 +214,9 @@
 func (l *loop) handleAll() error {
 	l.publish(l.node.Status())
 	for l.node.HasReady() {
+		if l.ctx.Err() != nil {
+			return l.ctx.Err()
+		}
 		if err := l.handleOne(l.node.Ready()); err != nil {
 			return err
 		}
