Find out a leader that is gone without a word by the calls to it

Cause: a front or agent learned that its leader was gone without a word (no power, frozen, cut off) only when a call to it timed out, after 0.5 to 1 s, and then waited 300 ms in each round of asking for the machine that is silent. The others elect within 0.3 to 0.6 s.

Change: a call to the leader without an answer for 200 ms has all candidates asked who leads. A slow leader says so itself and is kept. Once another leads, the call ends: fronts try again there, agents answer 503 so that the worker's next heartbeat goes there. A round of asking no longer waits for candidates that are silent; their calls go on beside later rounds, one for each address. What was sent before a leader answered is old news when it fails. A hint that is no news no longer makes the next round follow without a pause.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -51,8 +51,10 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := time.Now()
+	attended, end := a.config.Link.Attend(ctx, leader.address)
+	defer end()
 	reply, err := rpc.Call[fleet.HeartbeatRequest, fleet.HeartbeatAnswer](
-		ctx, a.config.Client, leader.address, fleet.MethodHeartbeat, a.request(heartbeat))
+		attended, a.config.Client, leader.address, fleet.MethodHeartbeat, a.request(heartbeat))
 	took := time.Since(sentAt)
 	a.metrics.relaySeconds.Observe(took.Seconds())
 	if err != nil {
--- /dev/null
+++ b/internal/agent/relay_silent_test.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/leaderlink"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// watchedScheduler answers heartbeats and says whether it leads.
+type watchedScheduler struct {
+	address string
+	token   uint64
+	leads   atomic.Bool
+	silent  atomic.Bool
+}
+
+func startWatchedScheduler(t *testing.T, token uint64) *watchedScheduler {
+	t.Helper()
+	s := &watchedScheduler{token: token}
+	beats := &fakeScheduler{token: token}
+	server := rpc.NewServer(rpc.ServerConfig{})
+	rpc.Handle(server, fleet.MethodHeartbeat, func(ctx context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
+		if s.silent.Load() {
+			<-ctx.Done()
+		}
+		return beats.heartbeat(ctx, request)
+	})
+	rpc.Handle(server, fleet.MethodWatch, func(ctx context.Context, _ fleet.WatchRequest) (fleet.WatchAnswer, error) {
+		if s.silent.Load() {
+			<-ctx.Done()
+		}
+		if !s.leads.Load() {
+			return fleet.WatchAnswer{}, &rpc.Error{Code: rpc.CodeNotLeader}
+		}
+		return fleet.WatchAnswer{Token: token, HoldMillis: 1500}, nil
+	})
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	s.address = strings.TrimPrefix(listener.URL, "http://")
+	return s
+}
+
+// TestHeartbeatToASilentLeaderEndsOnceAnotherLeads: a worker whose leader is gone
+// without a word must not wait for the time of its call before it is heard by the
+// next one.
+func TestHeartbeatToASilentLeaderEndsOnceAnotherLeads(t *testing.T) {
+	const patient = 5 * time.Second
+	old, next := startWatchedScheduler(t, 1), startWatchedScheduler(t, 2)
+	old.leads.Store(true)
+	agent := startAgent(t, old.address, patient)
+	agent.follow(t, old.address, next.address)
+	wantStatus(t, agent.post(heartbeatBody(t, "id", 1)), http.StatusOK)
+	old.silent.Store(true)
+	next.leads.Store(true)
+	began := time.Now()
+	wantStatus(t, agent.post(heartbeatBody(t, "id", 2)), http.StatusServiceUnavailable)
+	wantStatus(t, agent.post(heartbeatBody(t, "id", 3)), http.StatusOK)
+	if took := time.Since(began); took > patient/2 {
+		t.Errorf("the next leader heard of the worker after %v", took)
+	}
+}
+
+// follow runs the agent's link on these seeds.
+func (a *testAgent) follow(t *testing.T, seeds ...string) {
+	t.Helper()
+	client := rpc.NewClient(rpc.ClientConfig{})
+	link := leaderlink.New(leaderlink.Config{Process: "agent-1", Role: "agent", Zone: "z1", VersionOnly: true, Client: client, Seeds: func() []string { return seeds }})
+	a.link, a.config.Link = link, link
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = link.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		client.Close()
+	})
+	for {
+		if _, known := link.Leader(); known {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -31,6 +31,8 @@
 	config *api.Config
 	stale  bool
 	failed []string
+	// attended ends the newest attended call, as if another leader were known.
+	attended context.CancelFunc
 }
 
 func (l *fakeLink) Leader() (string, bool) {
@@ -51,6 +53,22 @@
 	l.failed = append(l.failed, address)
 }
 
+func (l *fakeLink) Attend(ctx context.Context, _ string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.attended = cancel
+	return ctx, cancel
+}
+
+// moveTo has another leader be known.
+func (l *fakeLink) moveTo(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.leader = address
+	l.attended()
+}
+
 func (l *fakeLink) Config() *api.Config {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -30,6 +31,9 @@
 	Hint(address string)
 	// Failed reports that a call to the address had no answer.
 	Failed(address string)
+	// Attend watches over a call to the leader at the address: the returned
+	// context ends once another one leads. The function ends the watching.
+	Attend(ctx context.Context, address string) (context.Context, context.CancelFunc)
 	// Config is the configuration in force here, nil before the first.
 	Config() *api.Config
 	// Fresh reports whether Config can be relied on at present.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -102,6 +102,10 @@
 	defer cancel()
 	if call.held > 0 {
 		defer cancelWhenStale(ctx, f.link, cancel)()
+	} else {
+		attended, end := f.link.Attend(ctx, address)
+		defer end()
+		ctx = attended
 	}
 	return rpc.Call[Request, Answer](ctx, f.client, address, call.method, call.request)
 }
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -97,6 +97,28 @@
 	}
 }
 
+// TestCallToASilentLeaderGoesToTheNext: once another leader is known, the call is
+// not left to the old one until its time is over.
+func TestCallToASilentLeaderGoesToTheNext(t *testing.T) {
+	old, leader := newLeader(t), newLeader(t)
+	link := &fakeLink{leader: old.address}
+	on(old, fleet.MethodSubmit, func(ctx context.Context, _ fleet.SubmitRequest, _ int) (fleet.SubmitAnswer, error) {
+		link.moveTo(leader.address)
+		<-ctx.Done()
+		return fleet.SubmitAnswer{}, &rpc.Error{Code: rpc.CodeUnknownOutcome}
+	})
+	on(leader, fleet.MethodSubmit, created)
+	front := newFront(t, link, Settings{})
+	began := time.Now()
+	wantOK[api.SubmitAnswer](t, ask(t, front, "PUT", "/v1/jobs/a", goodJob), 201)
+	if took := time.Since(began); took >= tryTimeout {
+		t.Errorf("answered after %v", took)
+	}
+	if old.count() != 1 || leader.count() != 1 {
+		t.Fatalf("%d and %d calls", old.count(), leader.count())
+	}
+}
+
 // TestRefusalAfterUnknownOutcome: "not now" to a resend says nothing about
 // the first try; a conflict does.
 func TestRefusalAfterUnknownOutcome(t *testing.T) {
--- a/internal/leaderlink/link.go
+++ b/internal/leaderlink/link.go
@@ -20,8 +20,6 @@
 	watchWait = 500 * time.Millisecond
 	// watchTimeout bounds a held watch call.
 	watchTimeout = watchWait + 500*time.Millisecond
-	// probeTimeout bounds a call that only asks who leads.
-	probeTimeout = 300 * time.Millisecond
 	// roundPause is the least time between two calls.
 	roundPause = 10 * time.Millisecond
 	// firstRetryPause and longestRetryPause bound the jittered pause after a failure.
@@ -42,8 +40,9 @@
 	VersionOnly bool
 	Client      *rpc.Client
 	Logger      *slog.Logger
-	// OnConfig is called from Run with each newer configuration, before it is
-	// confirmed to the leader. Optional; it must not block for long.
+	// OnConfig is called with each newer configuration, before it is confirmed
+	// to the leader; one call at a time, while Run does. Optional; it must not
+	// block for long.
 	OnConfig func(version uint64, config *api.Config)
 }
 
@@ -60,6 +59,14 @@
 	state     state
 	redirects int                // since the last accepted answer
 	interrupt context.CancelFunc // ends the round under way; nil between rounds
+	// doubted are calls to a leader that have been without an answer for long.
+	doubted map[*attendedCall]struct{}
+
+	// taking orders the outcomes of calls.
+	taking sync.Mutex
+	// probes are the calls that ask who leads, one at a time for each address.
+	probes  sync.WaitGroup
+	probing map[string]bool
 }
 
 // New makes a link that knows nothing until Run has had an answer.
@@ -69,6 +76,8 @@
 		started: time.Now(),
 		zone:    config.Zone,
 		state:   state{failedAt: make(map[string]time.Duration), versionOnly: config.VersionOnly},
+		doubted: make(map[*attendedCall]struct{}),
+		probing: make(map[string]bool),
 	}
 	if link.config.Logger == nil {
 		link.config.Logger = slog.New(slog.DiscardHandler)
@@ -81,6 +90,7 @@
 
 // Run watches until ctx ends; it returns nil.
 func (l *Link) Run(ctx context.Context) error {
+	defer l.probes.Wait()
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = firstRetryPause
 	pause.MaxInterval = longestRetryPause
@@ -91,10 +101,10 @@
 	return nil
 }
 
-// round makes one call and, if it failed, pauses. Hint, Failed and
-// ObserveToken cut both short.
-func (l *Link) round(ctx context.Context, pause *backoff.ExponentialBackOff) {
-	ctx, cancel := context.WithCancel(ctx)
+// round makes one call and, if it failed, pauses. Hint, Failed, ObserveToken
+// and a call in doubt cut both short.
+func (l *Link) round(running context.Context, pause *backoff.ExponentialBackOff) {
+	ctx, cancel := context.WithCancel(running)
 	defer cancel()
 	l.mutex.Lock()
 	l.interrupt = cancel
@@ -106,7 +116,7 @@
 	l.mutex.Unlock()
 	defer l.endRound()
 
-	if confirmed && l.askLeader(ctx, address) || !confirmed && l.askCandidates(ctx, candidates) {
+	if confirmed && l.askLeader(ctx, address) || !confirmed && l.askCandidates(running, ctx, candidates) {
 		pause.Reset()
 		return
 	}
@@ -136,28 +146,6 @@
 	return again
 }
 
-// askCandidates asks all candidates at once until one answers as leader, since
-// any of them may be gone without a word. It reports whether it is worth asking
-// again at once.
-func (l *Link) askCandidates(ctx context.Context, candidates []string) (again bool) {
-	calling, cancel := context.WithTimeout(ctx, probeTimeout)
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	defer cancel()
-	outcomes := make(chan outcome, len(candidates))
-	for _, address := range candidates {
-		calls.Go(func() { outcomes <- l.call(calling, address, false) })
-	}
-	for range candidates {
-		accepted, hinted := l.take(ctx, <-outcomes)
-		if accepted {
-			return true
-		}
-		again = again || hinted
-	}
-	return again
-}
-
 func (l *Link) call(ctx context.Context, address string, held bool) outcome {
 	sentAt := l.now()
 	answer, err := l.watch(ctx, address, l.request(held))
@@ -167,8 +155,10 @@
 // take takes the outcome of a call in. It reports whether the answer was
 // accepted, and whether the next call may follow at once.
 func (l *Link) take(ctx context.Context, got outcome) (accepted, again bool) {
+	l.taking.Lock()
+	defer l.taking.Unlock()
 	if got.err != nil {
-		return false, l.refused(ctx, got.address, got.err)
+		return false, l.refused(ctx, got)
 	}
 	if err := l.accept(got.sentAt, got.address, got.answer); err != nil {
 		l.config.Logger.Warn("watch answer refused", slog.String("address", got.address), slog.Any("error", err))
@@ -197,15 +187,16 @@
 
 // refused handles a call without an answer and reports whether a hint makes
 // it worth asking again at once.
-func (l *Link) refused(ctx context.Context, address string, err error) bool {
-	if ctx.Err() != nil {
+func (l *Link) refused(ctx context.Context, got outcome) bool {
+	if ctx.Err() != nil || l.isOldNews(got) {
 		return false
 	}
+	address := got.address
 	var refusal *rpc.Error
-	if errors.As(err, &refusal) && refusal.Code == rpc.CodeNotLeader {
+	if errors.As(got.err, &refusal) && refusal.Code == rpc.CodeNotLeader {
 		return l.redirected(address, refusal.LeaderAddress)
 	}
-	l.config.Logger.Debug("watch failed", slog.String("address", address), slog.Any("error", err))
+	l.config.Logger.Debug("watch failed", slog.String("address", address), slog.Any("error", got.err))
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if refusal == nil || refusal.Code == rpc.CodeTransport {
@@ -218,7 +209,15 @@
 	return false
 }
 
-// redirected takes the hint of a scheduler that does not lead.
+// isOldNews reports whether a leader has answered since the call was sent.
+func (l *Link) isOldNews(got outcome) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state.confirmed && got.sentAt < l.state.confirmedAt
+}
+
+// redirected takes the hint of a scheduler that does not lead. A hint that is no
+// news is no reason to ask again at once.
 func (l *Link) redirected(address, hint string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -228,10 +227,11 @@
 	if hint == "" || hint == address {
 		return false
 	}
-	if l.state.hint(l.now(), hint) {
-		// Schedulers may point at each other while they elect.
-		l.redirects++
+	if !l.state.hint(l.now(), hint) {
+		return false
 	}
+	// Schedulers may point at each other while they elect.
+	l.redirects++
 	return l.state.leader != "" && l.redirects <= maxRedirects
 }
 
@@ -248,6 +248,7 @@
 	leader := l.state.leader
 	if err == nil {
 		l.redirects = 0
+		l.giveUpDoubted(leader)
 	}
 	l.mutex.Unlock()
 	if err != nil {
--- a/internal/leaderlink/link_test.go
+++ b/internal/leaderlink/link_test.go
@@ -237,7 +237,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		found := time.Since(elected)
-		if longest := probeTimeout + longestRetryPause*3/2 + roundPause; found > longest {
+		if longest := probePatience + longestRetryPause*3/2 + roundPause; found > longest {
 			t.Fatalf("found after %v, want at most %v", found, longest)
 		}
 	})
--- a/internal/leaderlink/state.go
+++ b/internal/leaderlink/state.go
@@ -77,6 +77,17 @@
 	return s.reject(now, address)
 }
 
+// doubt notes that the leader at the address may be gone without a word. It
+// reports whether all candidates are to be asked who leads. The one in doubt
+// remains named until another answers as leader or it fails to answer itself.
+func (s *state) doubt(now time.Duration, address string) bool {
+	if !s.confirmed || address != s.leader || now-s.confirmedAt < doubtAfter {
+		return false
+	}
+	s.confirmed = false
+	return true
+}
+
 // reject bars the address for a while and reports whether the leader was
 // forgotten for it.
 func (s *state) reject(now time.Duration, address string) bool {
--- a/internal/process/schedulerprocess/gateway.go
+++ b/internal/process/schedulerprocess/gateway.go
@@ -1,6 +1,7 @@
 package schedulerprocess
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -37,6 +38,11 @@
 func (replicaLink) Hint(string)   {}
 func (replicaLink) Failed(string) {}
 
+// Attend implements front.Link: a call goes on until its own time is over.
+func (replicaLink) Attend(ctx context.Context, _ string) (context.Context, context.CancelFunc) {
+	return context.WithCancel(ctx)
+}
+
 // Config implements front.Link: none, as a gateway's limits are the defaults.
 func (replicaLink) Config() *api.Config { return nil }
 
