Give up the runs of a worker that another one has replaced in its place

Cause: when all machines lose power, all workers come back as new incarnations, and the tasks of the old ones waited for the whole hold of the new term.

Ruled out: a shorter hold, measured before without a clear gain; taking the newest registration as the later incarnation, since a heartbeat of an ended one may arrive late.

An incarnation that accepted an answer given after another one in its place was known is the later of the two: the other has ended. If that one is silent for two heartbeat intervals as well, its runs are closed as lost. No clock of another machine has a part in it. The place is in the record, so that a new leader knows it of workers it never heard.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -54,6 +54,12 @@
 	AcceptedSeq uint64 `json:"accepted_seq"`
 	// Capacity is the whole room of the worker.
 	Capacity Resources `json:"capacity"`
+	// Place names what only one living process on the agent's machine can have,
+	// such as the address on which it listens. Once a later process with the same
+	// place has accepted an answer, an earlier one that is silent has surely
+	// ended, and its runs need not wait for its hold. Default "": the hold alone
+	// says when a silent worker has ended.
+	Place string `json:"place,omitempty"`
 	// Services are the handlers offered.
 	Services []string `json:"services"`
 	// Labels describe the worker; the agent adds "zone".
--- a/internal/agent/validate.go
+++ b/internal/agent/validate.go
@@ -12,6 +12,7 @@
 
 const (
 	maxWorkerIDBytes = 128
+	maxPlaceBytes    = 128
 	maxMessageBytes  = 1024
 	maxPercent       = 100
 )
@@ -52,6 +53,7 @@
 	c.check(namePattern.MatchString(heartbeat.Name), "name", heartbeat.Name, "1 to 64 of a-z, A-Z, 0-9, '-', '_' or '.'")
 	c.check(heartbeat.Seq > 0, "seq", "0", "a number from 1")
 	c.check(heartbeat.AcceptedSeq < max(heartbeat.Seq, 1), "accepted_seq", strconv.FormatUint(heartbeat.AcceptedSeq, 10), "a number lower than seq")
+	c.check(len(heartbeat.Place) <= maxPlaceBytes, "place", heartbeat.Place, "up to 128 bytes that no other living process here can have")
 	c.capacity(heartbeat.Capacity)
 	for i, service := range heartbeat.Services {
 		c.check(service != "", fmt.Sprintf("services[%d]", i), service, "a name")
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -157,6 +157,9 @@
 	Labels   map[string]string `cbor:"6,keyasint"`
 	// RegisteredAt is when this incarnation was first seen.
 	RegisteredAt Millis `cbor:"7,keyasint"`
+	// Place is shared with other incarnations only if they never live at once;
+	// empty if that is not known.
+	Place string `cbor:"8,keyasint,omitempty"`
 }
 
 // Command is one entry of the log. Exactly one of the pointers is set.
--- a/internal/record/workers.go
+++ b/internal/record/workers.go
@@ -44,7 +44,7 @@
 // Same compares what a worker says of itself: all but name, id and the time of
 // registration.
 func (w *Worker) Same(other *Worker) bool {
-	return w.Zone == other.Zone &&
+	return w.Zone == other.Zone && w.Place == other.Place &&
 		w.Capacity == other.Capacity &&
 		slices.Equal(w.Services, other.Services) &&
 		maps.Equal(w.Labels, other.Labels)
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -163,12 +163,13 @@
 type fakeWorker struct {
 	harness     *harness
 	heartbeat   api.Heartbeat
+	agent       string
 	zone        string
 	acknowledge []api.RunRef
 }
 
 func (h *harness) worker(name, incarnation string) *fakeWorker {
-	return &fakeWorker{harness: h, zone: "z1", heartbeat: api.Heartbeat{
+	return &fakeWorker{harness: h, agent: "a", zone: "z1", heartbeat: api.Heartbeat{
 		WorkerID: incarnation, Name: name, Services: []string{"s"},
 		Capacity: api.Resources{CPUMillis: 4000, MemoryMB: 4000}, Labels: map[string]string{"zone": "z1"},
 	}}
@@ -177,7 +178,7 @@
 // send sends the next heartbeat and returns the answer without accepting it.
 func (w *fakeWorker) send() (api.HeartbeatAnswer, error) {
 	w.heartbeat.Seq++
-	request := fleet.HeartbeatRequest{Agent: "a", Zone: w.zone, Heartbeat: w.heartbeat}
+	request := fleet.HeartbeatRequest{Agent: w.agent, Zone: w.zone, Heartbeat: w.heartbeat}
 	answer, err := w.harness.leader.heartbeat(w.harness.t.Context(), request)
 	w.harness.settle()
 	return answer.Answer, err
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -70,11 +70,12 @@
 	now := l.now()
 	worker, known := l.workers[heartbeat.WorkerID]
 	if !known {
-		worker = newWorkerEntry(workerInfo(request, l.log.Now()))
+		worker = newWorkerEntry(workerInfo(request, l.log.Now()), now)
 		l.workers[heartbeat.WorkerID] = worker
 	}
 	observed := &observation{request: request, worker: worker, lapses: worker.lapses}
 	if worker.hear(heartbeat, now) {
+		l.occupy(worker)
 		worker.noteCheckpoints(heartbeat.Progress)
 		observed.mustRegister = l.mustRegister(worker, workerInfo(request, 0), now)
 		observed.differences = reconcile(worker.runs, heartbeat)
@@ -97,6 +98,7 @@
 	return record.Worker{
 		Name: heartbeat.Name, ID: heartbeat.WorkerID, Zone: request.Zone, Capacity: heartbeat.Capacity,
 		Services: heartbeat.Services, Labels: heartbeat.Labels, RegisteredAt: now,
+		Place: placeOf(request),
 	}
 }
 
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -6,10 +6,11 @@
 )
 
 // lapseHolds gives up the runs of workers whose hold has surely lapsed: the
-// worker has stopped them by itself before now (P11).
+// worker has stopped them by itself before now (P11). The same goes for workers
+// whose place another one has taken: they have ended, and their runs with them.
 func (l *leader) lapseHolds(now time.Duration) {
 	for _, worker := range l.workers {
-		if !worker.mustLapse(now) {
+		if !worker.mustLapse(now) && !l.replaced(worker, now) {
 			continue
 		}
 		worker.lapse()
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -56,6 +56,8 @@
 	// workers are incarnations by worker id; byName the registered ones.
 	workers map[string]*workerEntry
 	byName  map[string]*workerEntry
+	// occupants are, by place, the incarnations that were last proven to live.
+	occupants map[string]*workerEntry
 	// registered is the list of byName for admission; nil after a change.
 	registered []placement.Worker
 	runs       map[record.RunID]*runState
@@ -124,6 +126,7 @@
 		configChanged: make(chan struct{}),
 		workers:       make(map[string]*workerEntry),
 		byName:        make(map[string]*workerEntry),
+		occupants:     make(map[string]*workerEntry),
 		runs:          make(map[record.RunID]*runState),
 		openByTask:    make(map[record.TaskID]*runState),
 		preemptOnOpen: make(map[record.TaskID]bool),
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -185,7 +185,7 @@
 	if worker == nil {
 		// The record accepts placements on registered incarnations only, so
 		// this is an older one that the record has replaced since.
-		worker = newWorkerEntry(record.Worker{ID: open.WorkerID, Name: open.Worker})
+		worker = newWorkerEntry(record.Worker{ID: open.WorkerID, Name: open.Worker}, l.now())
 		worker.holdUntil(l.startedAt + l.hold() + l.driftMargin())
 		l.workers[open.WorkerID] = worker
 	}
@@ -267,12 +267,11 @@
 	if earlier, known := l.byName[info.Name]; known && earlier.info.ID != info.ID {
 		earlier.registered = false
 		l.dropFromPlanner(earlier)
-		delete(l.workers, earlier.info.ID)
-		l.health.tracker.Forget(earlier.info.ID)
+		l.forgetEntry(earlier)
 	}
 	worker, known := l.workers[info.ID]
 	if !known {
-		worker = newWorkerEntry(*info)
+		worker = newWorkerEntry(*info, l.now())
 		l.workers[info.ID] = worker
 	}
 	worker.info = *info
@@ -291,8 +290,14 @@
 	l.dropFromPlanner(worker)
 	delete(l.byName, info.Name)
 	l.registered = nil
-	delete(l.workers, info.ID)
-	l.health.tracker.Forget(info.ID)
+	l.forgetEntry(worker)
+}
+
+// forgetEntry drops what was observed of an incarnation.
+func (l *leader) forgetEntry(worker *workerEntry) {
+	delete(l.workers, worker.info.ID)
+	l.health.tracker.Forget(worker.info.ID)
+	l.vacate(worker)
 }
 
 // tellPlanner brings the planner's picture of a worker up to date.
--- /dev/null
+++ b/internal/scheduler/places.go
@@ -0,0 +1,67 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+// Places: of two incarnations that can never live at once, one that lived when
+// the other was known already is the later one, so that the other has ended. That
+// a worker lived at some moment is proven by an answer that was given then and
+// that it has accepted; a heartbeat alone may have been on its way for long.
+// Clocks of other machines have no part in it.
+
+// beatsOfDoubt is for how many heartbeat intervals an incarnation must have been
+// silent before it counts as replaced, whatever is proven of another one.
+const beatsOfDoubt = 2
+
+// placeOf names a worker's place in the whole fleet; empty if it has none.
+func placeOf(request fleet.HeartbeatRequest) string {
+	if request.Heartbeat.Place == "" {
+		return ""
+	}
+	return request.Agent + "/" + request.Heartbeat.Place
+}
+
+// occupy notes a worker that may have proven that it lives.
+func (l *leader) occupy(worker *workerEntry) {
+	place := worker.info.Place
+	if place == "" || worker.provenAt == 0 {
+		return
+	}
+	if other := l.occupants[place]; other == nil || other.provenAt <= worker.provenAt {
+		l.occupants[place] = worker
+	}
+}
+
+// vacate forgets a worker that is not known any more.
+func (l *leader) vacate(worker *workerEntry) {
+	if l.occupants[worker.info.Place] == worker {
+		delete(l.occupants, worker.info.Place)
+	}
+}
+
+// replaced tells that a worker has ended although its hold still stands, as a
+// later incarnation lives in its place, and that this must be acted on.
+func (l *leader) replaced(worker *workerEntry, now time.Duration) bool {
+	if worker.info.Place == "" || worker.lapsed && !worker.hasOpenRuns() {
+		return false
+	}
+	occupant := l.occupants[worker.info.Place]
+	if occupant == nil || occupant == worker || occupant.provenAt < worker.knownAt {
+		return false
+	}
+	silentSince := max(worker.heardAt, worker.knownAt)
+	return occupant.provenAt > worker.provenAt && now-silentSince > beatsOfDoubt*l.interval(false)
+}
+
+// hasOpenRuns tells whether a run is open here that is not being closed.
+func (w *workerEntry) hasOpenRuns() bool {
+	for _, run := range w.runs {
+		if !run.closing {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -80,7 +80,7 @@
 	defer l.mu.Unlock()
 	worker, known := l.workers[request.Heartbeat.WorkerID]
 	if !known {
-		worker = newWorkerEntry(workerInfo(request, 0))
+		worker = newWorkerEntry(workerInfo(request, 0), l.now())
 	}
 	differences := reconcileLate(worker.runs, request.Heartbeat)
 	l.setAsideContradictions(worker, &differences)
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -29,6 +29,11 @@
 	answeredAt  time.Duration
 	// acceptedAt is when the newest answer known to be accepted was given.
 	acceptedAt time.Duration
+	// knownAt is when this leader first knew of the incarnation, which was then
+	// alive or had ended. provenAt is a moment at which it surely lived still:
+	// when the newest answer was given that it is known to have accepted; 0 if
+	// none is.
+	knownAt, provenAt time.Duration
 	// holdsUntil: until then the worker may be running whatever it was given.
 	holdsUntil time.Duration
 	// lapses counts how often holdsUntil has passed; a heartbeat that was in
@@ -116,8 +121,8 @@
 	return fmt.Sprintf("%s/%s/%d", k.job, k.step, k.occurrence)
 }
 
-func newWorkerEntry(info record.Worker) *workerEntry {
-	return &workerEntry{info: info, runs: make(map[record.RunID]*runState)}
+func newWorkerEntry(info record.Worker, now time.Duration) *workerEntry {
+	return &workerEntry{info: info, knownAt: now, runs: make(map[record.RunID]*runState)}
 }
 
 // answered reports whether the worker was answered in this term: the ready
@@ -161,6 +166,7 @@
 	w.lapsed = false
 	if w.answered() && heartbeat.AcceptedSeq >= w.answeredSeq {
 		w.acceptedAt = w.answeredAt
+		w.provenAt = w.answeredAt
 	}
 	return true
 }
@@ -197,12 +203,7 @@
 	if w.lapsedHold != w.holdsUntil {
 		return true
 	}
-	for _, run := range w.runs {
-		if !run.closing {
-			return true
-		}
-	}
-	return false
+	return w.hasOpenRuns()
 }
 
 // planned is the worker as the planner sees it.
