Let heartbeats wait for a leader, and prompt a worker's second one

The first heartbeat that a leader hears opens the ready gate and only the second brings orders, up to 200 ms later.

Ruled out: sending a heartbeat again that may have been heard; it never is, as before.

Change: a heartbeat waits in the agent for a leader within the relay's time, also after a call that surely was not heard. The answer to the first heartbeat of a term asks for the next one after 20 ms.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -10,6 +10,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/wait"
 )
 
 // zoneLabel is the worker label that the agent sets.
@@ -19,6 +20,9 @@
 // next leader is asked soon enough for the worker's hold.
 const doubtfulTimeout = 300 * time.Millisecond
 
+// leaderPoll is how often a heartbeat that waits looks for a leader.
+const leaderPoll = 10 * time.Millisecond
+
 // target is the scheduler that a heartbeat goes to.
 type target struct {
 	address string
@@ -36,14 +40,39 @@
 	return target{address: address, doubtful: true}, known
 }
 
-// relay makes the one call that a heartbeat ever gets.
+// relay carries a heartbeat to the leader. While none is known, and after a call
+// that surely was not heard, it waits for one, within the relay's time. A heartbeat
+// that may have been heard is never sent again.
 func (a *Agent) relay(ctx context.Context, heartbeat api.Heartbeat) (api.HeartbeatAnswer, *api.Error) {
-	var none api.HeartbeatAnswer
-	leader, known := a.target()
-	if !known {
-		a.metrics.count(resultNoLeader)
-		return none, unavailable("the leading scheduler is not known")
+	for {
+		leader, known := a.target()
+		if !known && !a.awaitLeader(ctx) {
+			a.metrics.count(resultNoLeader)
+			return api.HeartbeatAnswer{}, unavailable("the leading scheduler is not known")
+		}
+		if !known {
+			continue
+		}
+		answer, unsent, refusal := a.try(ctx, leader, heartbeat)
+		if !unsent || !a.awaitLeader(ctx) {
+			return answer, refusal
+		}
+	}
+}
+
+// awaitLeader waits until a leader is known, and reports whether one is.
+func (a *Agent) awaitLeader(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if _, known := a.config.Link.Leader(); known {
+			return true
+		}
+		wait.For(ctx, leaderPoll)
 	}
+	return false
+}
+
+// try makes one call. unsent tells that the heartbeat surely was not heard.
+func (a *Agent) try(ctx context.Context, leader target, heartbeat api.Heartbeat) (answer api.HeartbeatAnswer, unsent bool, refusal *api.Error) {
 	timeout := a.config.RelayTimeout
 	if leader.doubtful {
 		timeout = min(timeout, doubtfulTimeout)
@@ -58,14 +87,17 @@
 	took := time.Since(sentAt)
 	a.metrics.relaySeconds.Observe(took.Seconds())
 	if err != nil {
-		return none, a.relayFailed(ctx, leader, heartbeat, err)
+		var failure *rpc.Error
+		unsent = errors.As(err, &failure) && failure.Unsent
+		return answer, unsent, a.relayFailed(ctx, leader, heartbeat, err)
 	}
 	// An agent that was frozen finds answers that came long ago.
 	if took >= a.config.RelayTimeout {
 		a.metrics.count(resultLate)
-		return none, unavailable("the leading scheduler answered too late")
+		return answer, false, unavailable("the leading scheduler answered too late")
 	}
-	return a.check(heartbeat, reply.Answer)
+	answer, refusal = a.check(heartbeat, reply.Answer)
+	return answer, false, refusal
 }
 
 // request adds what the agent knows about the worker's place.
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// promptInterval is told to a worker whose reports were just taken: the
-	// room that they freed is likely to be given out within it.
+	// promptInterval is told to a worker whose reports were just taken, or that
+	// was just heard for the first time: the room that it has is likely to be
+	// given out within it.
 	promptInterval = 20 * time.Millisecond
 	// workersPerBaseInterval: beyond this many workers the heartbeat interval
 	// grows with their number, so that the leader's load does not.
@@ -174,6 +175,7 @@
 		l.metrics.heartbeats.WithLabelValues("overtaken").Inc()
 		return fleet.HeartbeatAnswer{}, &rpc.Error{Code: rpc.CodeUnavailable, Message: "heartbeat was overtaken"}
 	}
+	prompt := len(acknowledged) > 0 || !worker.answered()
 	worker.answer(l.now(), l.hold(), l.driftMargin())
 	if worker.usable != worker.canTakeWork(l.now(), l.hold()) {
 		l.tellPlanner(worker)
@@ -183,7 +185,7 @@
 		Seq:            worker.seq,
 		Token:          l.token,
 		HoldMillis:     l.hold().Milliseconds(),
-		IntervalMillis: l.interval(len(acknowledged) > 0).Milliseconds(),
+		IntervalMillis: l.interval(prompt).Milliseconds(),
 		Start:          l.startOrders(ctx, worker),
 		Stop:           l.stopOrders(worker, observed.differences),
 		Acknowledged:   acknowledged,
--- a/internal/scheduler/leader_test.go
+++ b/internal/scheduler/leader_test.go
@@ -145,6 +145,22 @@
 	}
 }
 
+// TestSecondHeartbeatFollowsTheFirstSoon: only the second one brings orders, since
+// the first opens the ready gate.
+func TestSecondHeartbeatFollowsTheFirstSoon(t *testing.T) {
+	h := newHarness(t)
+	worker := h.worker("a", "a-1")
+	for term := range 2 {
+		if first := worker.exchange(); first.IntervalMillis != promptInterval.Milliseconds() {
+			t.Errorf("term %d: the second heartbeat is to come after %d ms", term, first.IntervalMillis)
+		}
+		if second := worker.exchange(); second.IntervalMillis != 200 {
+			t.Errorf("term %d: the third heartbeat is to come after %d ms", term, second.IntervalMillis)
+		}
+		h.newTerm()
+	}
+}
+
 func TestNewIncarnationWaitsForTheOldHold(t *testing.T) {
 	h := newHarness(t)
 	earlier := h.worker("w", "w-1")
