--- a/api/config.go
+++ b/api/config.go
@@ -44,11 +44,6 @@
 	// open run; a job beyond it is answered 429. Default 0: the limit
 	// Limits.MaxPendingTasks alone.
 	MaxPendingTasks int `json:"max_pending_tasks,omitempty"`
-	// HeadroomPercent is the share of each worker, in hundredths, that tasks of
-	// the queue leave free, so that more urgent work finds room at once. Groups,
-	// and tasks too large to leave it on an empty worker, are not held back by it.
-	// Default 0, up to MaxHeadroomPercent.
-	HeadroomPercent int `json:"headroom_percent,omitempty"`
 	// DefaultAllowedFailures applies to tasks that name none. Default 3.
 	DefaultAllowedFailures int `json:"default_allowed_failures,omitempty"`
 	// Team names the team whose bounds the queue shares. Default none.
--- a/api/validate_config.go
+++ b/api/validate_config.go
@@ -15,8 +15,6 @@
 	MaxAnnotationBytes = 1 << 20
 	// MaxStretch bounds the factor of an objective.
 	MaxStretch = 1000.0
-	// MaxHeadroomPercent bounds what a queue leaves free of each worker.
-	MaxHeadroomPercent = 90
 	// MaxQueueWeight bounds a queue's weight.
 	MaxQueueWeight = 1000
 	// MinHeartbeatInterval is the shortest pause between heartbeats.
@@ -93,7 +91,6 @@
 	checkRange(errors, path+".weight", queue.Weight, 0, MaxQueueWeight)
 	checkAtLeast(errors, path+".max_running_tasks", queue.MaxRunningTasks, 0)
 	checkAtLeast(errors, path+".max_pending_tasks", queue.MaxPendingTasks, 0)
-	checkRange(errors, path+".headroom_percent", queue.HeadroomPercent, 0, MaxHeadroomPercent)
 	checkRange(errors, path+".default_allowed_failures", queue.DefaultAllowedFailures, 0, MaxAllowedFailures)
 }
 
--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -21,8 +21,6 @@
 	preemptible bool
 	// mayTry allows workers on probation.
 	mayTry bool
-	// headroom is the share of a worker that is to stay free, in hundredths.
-	headroom int
 	// duration bounds a run; 0 is no bound.
 	duration     record.Millis
 	spreadBy     string
@@ -85,13 +83,8 @@
 		key.duration = durationOf(spec)
 		key.selector.firm = key.duration == 0
 	}
-	if q, known := e.queues[task.Queue]; known {
-		if q.booked {
-			key.queue = task.Queue
-		}
-		if task.GroupSize <= 1 {
-			key.headroom = q.rule.Headroom
-		}
+	if q, known := e.queues[task.Queue]; known && q.booked {
+		key.queue = task.Queue
 	}
 	if spec.Spread != nil {
 		key.spreadBy = spec.Spread.By
@@ -178,7 +171,7 @@
 // fitsOn reports whether the class fits on a worker of its pool now, outside
 // of slices.
 func (c *class) fitsOn(w *worker) bool {
-	if !fits(c.key.need, w.free) || !c.leavesHeadroom(w) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
+	if !fits(c.key.need, w.free) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
 		return false
 	}
 	return withinSpread(c.spread, &w.Worker) && c.admits(w)
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -108,7 +108,6 @@
 // SetQueues implements Planner. A queue that is not named has weight 1 and no
 // bound.
 func (e *Engine) SetQueues(rules []QueueRule) {
-	before := e.headrooms()
 	for name, q := range e.queues {
 		q.rule = QueueRule{Name: name, Weight: 1}
 	}
@@ -123,9 +122,6 @@
 	for _, t := range e.teams {
 		t.wake()
 	}
-	if after := e.headrooms(); !maps.Equal(before, after) {
-		e.reclassify(func(task *Task) bool { return before[task.Queue] != after[task.Queue] })
-	}
 }
 
 // SetWorker implements Planner.
