Let answers to heartbeats stand in for the watches of agents

Cause: an agent asked the leader twice a second what it learns from every answer to a heartbeat: token, version and that the leader lives.

Ruled out: no watch at all. A held one tells a change of leader, or the end of its process, before the next heartbeat fails. Ruled out as well: waking the planner only if a task waits.

Change: a heartbeat names the version in force in the agent, and the leader notes it for the roll-out as it does for a watch. While answers to heartbeats come, the leader may hold the agent's watch for 5 s; news end it at once. If an answer is 500 ms overdue, the agent gives the watch up and asks the leader and the seeds anew, so that a leader that went without a word is found in the same time as before. A watch that was answered after its own hold is taken only while the process is fresh by other answers. Fronts and relays watch as they did.

Tests: fakeScheduler of the agent answers a version, and its link is one that needs versions only, as that of an agent is.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -23,22 +23,25 @@
 // fakeScheduler counts the heartbeats that reach it.
 type fakeScheduler struct {
 	address string
+	server  *rpc.Server
 
 	mutex sync.Mutex
 	calls []fleet.HeartbeatRequest
 	token uint64
 	err   error
-	seq   uint64        // answered instead of the right one, if not 0
-	hold  chan struct{} // calls wait for it, if not nil
-	begun chan uint64   // told the seq of each call, if not nil
+	// configVersion is answered.
+	configVersion uint64
+	seq           uint64        // answered instead of the right one, if not 0
+	hold          chan struct{} // calls wait for it, if not nil
+	begun         chan uint64   // told the seq of each call, if not nil
 	// allowed is what the newest call had left of its deadline.
 	allowed time.Duration
 }
 
 func startScheduler(t *testing.T) *fakeScheduler {
 	t.Helper()
-	f := &fakeScheduler{token: 1}
 	server := rpc.NewServer(rpc.ServerConfig{})
+	f := &fakeScheduler{server: server, token: 1}
 	rpc.Handle(server, fleet.MethodHeartbeat, f.heartbeat)
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
@@ -53,7 +56,9 @@
 		f.allowed = time.Until(deadline)
 	}
 	err, hold, begun := f.err, f.hold, f.begun
-	answer := api.HeartbeatAnswer{Seq: request.Heartbeat.Seq, Token: f.token, HoldMillis: 3000, IntervalMillis: 200}
+	answer := api.HeartbeatAnswer{
+		Seq: request.Heartbeat.Seq, Token: f.token, HoldMillis: 3000, IntervalMillis: 200, ConfigVersion: f.configVersion,
+	}
 	if f.seq != 0 {
 		answer.Seq = f.seq
 	}
@@ -85,7 +90,9 @@
 	t.Helper()
 	client := rpc.NewClient(rpc.ClientConfig{})
 	t.Cleanup(client.Close)
-	link := leaderlink.New(leaderlink.Config{Process: "agent-1", Role: "agent", Zone: "z1", Client: client, Seeds: func() []string { return nil }})
+	link := leaderlink.New(leaderlink.Config{
+		Process: "agent-1", Role: "agent", Zone: "z1", VersionOnly: true, Client: client, Seeds: func() []string { return nil },
+	})
 	link.Hint(leader)
 	agent, err := New(Config{
 		Name: "agent-1", Zone: func() string { return "z1" }, RelayTimeout: timeout,
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/leaderlink"
 	"github.com/decklever/decklever/internal/rpc"
 	"github.com/decklever/decklever/internal/wait"
 )
@@ -97,6 +98,12 @@
 		return answer, false, unavailable("the leading scheduler answered too late")
 	}
 	answer, refusal = a.check(heartbeat, reply.Answer)
+	if refusal == nil {
+		a.config.Link.Beaten(leader.address, sentAt, leaderlink.Beat{
+			Token: answer.Token, ConfigVersion: answer.ConfigVersion,
+			Interval: time.Duration(answer.IntervalMillis) * time.Millisecond,
+		})
+	}
 	return answer, false, refusal
 }
 
@@ -107,7 +114,9 @@
 	maps.Copy(labels, heartbeat.Labels)
 	labels[zoneLabel] = zone
 	heartbeat.Labels = labels
-	return fleet.HeartbeatRequest{Agent: a.config.Name, Zone: zone, Heartbeat: heartbeat}
+	return fleet.HeartbeatRequest{
+		Agent: a.config.Name, Zone: zone, Heartbeat: heartbeat, ConfigVersion: a.config.Link.ConfigVersion(),
+	}
 }
 
 // check drops an answer that the worker must not get.
--- a/internal/agent/relay_leader_test.go
+++ b/internal/agent/relay_leader_test.go
@@ -1,10 +1,14 @@
 package agent
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/leaderlink"
 	"github.com/decklever/decklever/internal/rpc"
 )
 
@@ -64,6 +68,47 @@
 	}
 }
 
+// Heartbeats confirm what is in force in the agent, as its watches do.
+func TestHeartbeatsNameTheConfigurationInForce(t *testing.T) {
+	scheduler := startScheduler(t)
+	agent := startAgent(t, scheduler.address, time.Second)
+	wantStatus(t, agent.post(heartbeatBody(t, "id", 1)), http.StatusOK)
+	if version := scheduler.calls[0].ConfigVersion; version != 0 {
+		t.Errorf("version %d named before any was learned", version)
+	}
+	scheduler.watched(t, agent.link)
+	wantStatus(t, agent.post(heartbeatBody(t, "id", 2)), http.StatusOK)
+	if version := scheduler.calls[1].ConfigVersion; version != watchedVersion {
+		t.Errorf("version %d named, want %d", version, watchedVersion)
+	}
+	scheduler.configVersion = watchedVersion + 1
+	wantStatus(t, agent.post(heartbeatBody(t, "id", 3)), http.StatusOK)
+	if version := agent.link.ConfigVersion(); version != watchedVersion+1 {
+		t.Errorf("version %d in force after a heartbeat that named %d", version, watchedVersion+1)
+	}
+}
+
+// watchedVersion is the version that a watch of the agent has learned.
+const watchedVersion = 7
+
+// watched has the link make a watch call that the scheduler answers.
+func (f *fakeScheduler) watched(t *testing.T, link *leaderlink.Link) {
+	t.Helper()
+	rpc.Handle(f.server, fleet.MethodWatch, func(ctx context.Context, request fleet.WatchRequest) (fleet.WatchAnswer, error) {
+		if request.MaxWaitMillis > 0 {
+			<-ctx.Done()
+		}
+		return fleet.WatchAnswer{Token: f.token, LeaderAddress: f.address, ConfigVersion: watchedVersion, HoldMillis: time.Minute.Milliseconds()}, nil
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = link.Run(ctx) }) // it returns nil
+	t.Cleanup(func() { cancel(); running.Wait() })
+	for !link.Fresh() || link.ConfigVersion() != watchedVersion {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // forgetLeader has the agent's link lose its leader for want of an answer.
 func (a testAgent) forgetLeader(t *testing.T) {
 	t.Helper()
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -163,6 +163,8 @@
 	Agent     string        `cbor:"1,keyasint"`
 	Zone      string        `cbor:"2,keyasint"`
 	Heartbeat api.Heartbeat `cbor:"3,keyasint"`
+	// ConfigVersion is in force in the agent; it confirms it as a watch does.
+	ConfigVersion uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // HeartbeatAnswer wraps the answer for the worker.
--- a/internal/leaderlink/link.go
+++ b/internal/leaderlink/link.go
@@ -19,7 +19,7 @@
 	// watchWait is how long the leader may hold a watch call.
 	watchWait = 500 * time.Millisecond
 	// watchTimeout bounds a held watch call.
-	watchTimeout = watchWait + 500*time.Millisecond
+	watchTimeout = watchWait + answerPatience
 	// roundPause is the least time between two calls.
 	roundPause = 10 * time.Millisecond
 	// firstRetryPause and longestRetryPause bound the jittered pause after a failure.
@@ -140,13 +140,17 @@
 // askLeader makes one held watch call and reports whether the next may follow
 // at once.
 func (l *Link) askLeader(ctx context.Context, address string) bool {
-	calling, cancel := context.WithTimeout(ctx, watchTimeout)
+	held := l.watchWait()
+	calling, cancel := context.WithTimeout(ctx, held+answerPatience)
 	defer cancel()
-	_, again := l.take(ctx, l.call(calling, address, true))
+	if held > watchWait {
+		return l.askWhileBeaten(ctx, calling, cancel, address, held)
+	}
+	_, again := l.take(ctx, l.call(calling, address, held))
 	return again
 }
 
-func (l *Link) call(ctx context.Context, address string, held bool) outcome {
+func (l *Link) call(ctx context.Context, address string, held time.Duration) outcome {
 	sentAt := l.now()
 	answer, err := l.watch(ctx, address, l.request(held))
 	return outcome{address: address, sentAt: sentAt, answer: answer, err: err}
@@ -168,21 +172,18 @@
 	return true, true
 }
 
-func (l *Link) request(held bool) fleet.WatchRequest {
+func (l *Link) request(held time.Duration) fleet.WatchRequest {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	request := fleet.WatchRequest{
+	return fleet.WatchRequest{
 		Process:       l.config.Process,
 		Role:          l.config.Role,
 		Zone:          l.zone,
 		ConfigVersion: l.state.configVersion,
 		Token:         l.state.token,
+		MaxWaitMillis: held.Milliseconds(),
 		VersionOnly:   l.config.VersionOnly,
 	}
-	if held {
-		request.MaxWaitMillis = watchWait.Milliseconds()
-	}
-	return request
 }
 
 // refused handles a call without an answer and reports whether a hint makes
@@ -266,7 +267,7 @@
 	l.mutex.Lock()
 	l.state.adopt(answer.ConfigVersion, answer.Config)
 	l.mutex.Unlock()
-	l.config.Logger.Info("configuration in force", slog.Uint64("config_version", answer.ConfigVersion))
+	l.logInForce(answer.ConfigVersion)
 	return nil
 }
 
@@ -285,6 +286,10 @@
 	return l.state.last, l.state.last != ""
 }
 
+func (l *Link) logInForce(version uint64) {
+	l.config.Logger.Info("configuration in force", slog.Uint64("config_version", version))
+}
+
 // Hint takes the leader's address from a refusal with rpc.CodeNotLeader. An
 // empty address means that the leader is unknown.
 func (l *Link) Hint(address string) {
--- a/internal/leaderlink/probe.go
+++ b/internal/leaderlink/probe.go
@@ -52,7 +52,7 @@
 	defer l.endProbe(address)
 	ctx, cancel := context.WithTimeout(running, probeTimeout)
 	defer cancel()
-	accepted, again := l.take(running, l.call(ctx, address, false))
+	accepted, again := l.take(running, l.call(ctx, address, 0))
 	return probed{accepted, again}
 }
 
--- a/internal/leaderlink/state.go
+++ b/internal/leaderlink/state.go
@@ -44,6 +44,10 @@
 	config        *api.Config
 	answeredAt    time.Duration
 	freshUntil    time.Duration
+	// granted is the hold of the last watch answer.
+	granted time.Duration
+	// beatenUntil: until then answers to heartbeats stand in for the watch.
+	beatenUntil time.Duration
 	// versionOnly: answers come without the content of configurations.
 	versionOnly bool
 }
@@ -125,6 +129,7 @@
 	}
 	s.leader = ""
 	s.confirmed = false
+	s.beatenUntil = 0
 }
 
 // observe raises the highest token; it reports whether the token is not lower
@@ -155,7 +160,8 @@
 		return false, errNoHold
 	}
 	until := sentAt + time.Duration(answer.HoldMillis)*time.Millisecond
-	if now >= until {
+	// A watch that was held while heartbeats stood in for it comes late by right.
+	if now >= until && !s.fresh(now) {
 		return false, errHoldLapsed
 	}
 	s.token = answer.Token
@@ -166,7 +172,8 @@
 	s.confirmed = true
 	s.confirmedAt = now
 	s.answeredAt = now
-	s.freshUntil = until
+	s.freshUntil = max(s.freshUntil, until)
+	s.granted = until - sentAt
 	clear(s.failedAt)
 	return newer, nil
 }
--- /dev/null
+++ b/internal/rpc/bench_test.go
@@ -0,0 +1,63 @@
+package rpc
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+// BenchmarkHeartbeatCall is a whole call over a connection, both sides: a
+// heartbeat that lists 7 runs, and its answer.
+func BenchmarkHeartbeatCall(b *testing.B) {
+	server := NewServer(ServerConfig{})
+	Handle(server, fleet.MethodHeartbeat, func(_ context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
+		return fleet.HeartbeatAnswer{Answer: api.HeartbeatAnswer{Seq: request.Heartbeat.Seq, Token: 1, HoldMillis: 3000, IntervalMillis: 200}}, nil
+	})
+	listener := httptest.NewServer(server)
+	b.Cleanup(listener.Close)
+	client := NewClient(ClientConfig{})
+	b.Cleanup(client.Close)
+	address := strings.TrimPrefix(listener.URL, "http://")
+	request := benchHeartbeat()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Call[fleet.HeartbeatRequest, fleet.HeartbeatAnswer](b.Context(), client, address, fleet.MethodHeartbeat, request); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkHeartbeatCodec encodes and decodes the same heartbeat.
+func BenchmarkHeartbeatCodec(b *testing.B) {
+	c, request := newCodec(), benchHeartbeat()
+	b.ReportAllocs()
+	for b.Loop() {
+		body, err := c.encode(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var read fleet.HeartbeatRequest
+		if err := c.decode(body, &read); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func benchHeartbeat() fleet.HeartbeatRequest {
+	const runs = 7
+	heartbeat := api.Heartbeat{
+		WorkerID: "i-7f3a91c2", Name: "i-7f3a91c2", Seq: 900, AcceptedSeq: 899, Services: []string{"huvo11a"},
+		Capacity: api.Resources{CPUMillis: 64000, MemoryMB: 262144}, Labels: map[string]string{"zone": "taras", "a": "yes", "rack": "r1-3"},
+	}
+	for index := range runs {
+		reference := api.RunRef{Task: fmt.Sprintf("5c0e7a21d94b36f8/1/%d/0", index), Run: 1}
+		heartbeat.Running = append(heartbeat.Running, reference)
+		heartbeat.Progress = append(heartbeat.Progress, api.RunProgress{RunRef: reference, Percent: 40, Checkpoint: "00000bb87a21d94b"})
+	}
+	return fleet.HeartbeatRequest{Agent: "agent-side-taras-1", Zone: "taras", Heartbeat: heartbeat}
+}
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -69,6 +69,7 @@
 	defer l.mu.Unlock()
 	heartbeat := request.Heartbeat
 	now := l.now()
+	l.confirmAgent(request, now)
 	worker, known := l.workers[heartbeat.WorkerID]
 	if !known {
 		worker = newWorkerEntry(workerInfo(request, l.log.Now()), now)
--- a/internal/scheduler/watch.go
+++ b/internal/scheduler/watch.go
@@ -15,9 +15,12 @@
 	// newer answer. P8 allows 2 s from the acknowledgement of a configuration
 	// until no live process is without it.
 	watchHold = 1500 * time.Millisecond
-	// maxWatchWait bounds how long a watch is held, so that a process renews
-	// its hold in time even if one call is lost.
-	maxWatchWait = 500 * time.Millisecond
+	// maxWatchWait bounds how long a watch is held. Processes ask for less than a
+	// third of watchHold, so that they renew it in time even if one call is lost;
+	// agents for more while their workers' heartbeats renew it.
+	maxWatchWait = 5 * time.Second
+	// agentRole is the role of the processes that relay heartbeats.
+	agentRole = "agent"
 	// forgetProcessAfter drops a process that was not heard from the roll-out.
 	forgetProcessAfter = 30 * time.Second
 )
@@ -59,9 +62,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if request.ConfigVersion > 0 || l.configVersion == 0 {
-		l.processes[request.Process] = &processEntry{
+		l.confirm(request.Process, processEntry{
 			role: request.Role, zone: request.Zone, version: request.ConfigVersion, heardAt: l.now(),
-		}
+		})
 	} else {
 		delete(l.processes, request.Process)
 	}
@@ -71,6 +74,23 @@
 	return l.configChanged
 }
 
+// confirm notes what a process has in force.
+func (l *leader) confirm(process string, said processEntry) {
+	known, exists := l.processes[process]
+	if !exists {
+		known = &processEntry{}
+		l.processes[process] = known
+	}
+	*known = said
+}
+
+// confirmAgent notes what the agent that relays a heartbeat has in force.
+func (l *leader) confirmAgent(request fleet.HeartbeatRequest, now time.Duration) {
+	if request.ConfigVersion > 0 {
+		l.confirm(request.Agent, processEntry{role: agentRole, zone: request.Zone, version: request.ConfigVersion, heardAt: now})
+	}
+}
+
 func (l *leader) watchAnswer(request fleet.WatchRequest) fleet.WatchAnswer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/scheduler/watch_test.go
+++ b/internal/scheduler/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -48,3 +49,71 @@
 		}
 	}
 }
+
+// TestHeartbeatsConfirmTheConfiguration of the agent that relays them, so that
+// it need not watch as often for that.
+func TestHeartbeatsConfirmTheConfiguration(t *testing.T) {
+	h := newHarness(t)
+	rollout := func() api.Rollout {
+		t.Helper()
+		answer, err := h.leader.rollout(t.Context(), fleet.Empty{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return answer.Rollout
+	}
+	relay := func(worker *fakeWorker, version uint64) {
+		t.Helper()
+		worker.heartbeat.Seq++
+		request := fleet.HeartbeatRequest{Agent: "agent-1", Zone: "z1", Heartbeat: worker.heartbeat, ConfigVersion: version}
+		if _, err := h.leader.heartbeat(t.Context(), request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	worker := h.worker("w", "w-1")
+	relay(worker, 0)
+	if processes := rollout().Processes; len(processes) != 0 {
+		t.Fatalf("an agent that has nothing in force is listed: %+v", processes)
+	}
+	h.putConfig(api.Config{Queues: []api.QueueConfig{{Name: "q"}, {Name: "r"}}})
+	for _, step := range []struct {
+		version  uint64
+		complete bool
+	}{{1, false}, {2, true}} {
+		h.advance(time.Minute)
+		relay(worker, step.version)
+		got := rollout()
+		want := api.ProcessRollout{Process: "agent-1", Role: agentRole, Zone: "z1", Version: step.version}
+		if got.Complete != step.complete || len(got.Processes) != 1 || got.Processes[0] != want {
+			t.Errorf("roll-out %+v, want %+v, complete %v", got, want, step.complete)
+		}
+	}
+	h.advance(watchHold + time.Millisecond)
+	if age := rollout().Processes[0].AgeMillis; age != watchHold.Milliseconds()+1 {
+		t.Errorf("a silent agent was heard %d ms ago", age)
+	}
+}
+
+// TestWatchIsHeldAsLongAsAskedFor at most maxWatchWait.
+func TestWatchIsHeldAsLongAsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		for _, c := range []struct{ asked, held time.Duration }{
+			{0, 0},
+			{500 * time.Millisecond, 500 * time.Millisecond},
+			{maxWatchWait, maxWatchWait},
+			{time.Hour, maxWatchWait},
+		} {
+			request := fleet.WatchRequest{
+				Process: "p", ConfigVersion: 1, Token: h.token, VersionOnly: true, MaxWaitMillis: c.asked.Milliseconds(),
+			}
+			began := time.Now()
+			if _, err := h.leader.watch(t.Context(), request); err != nil {
+				t.Fatal(err)
+			}
+			if held := time.Since(began); held != c.held {
+				t.Errorf("asked for %v, held for %v, want %v", c.asked, held, c.held)
+			}
+		}
+	})
+}
--- a/lab/hollow/node.go
+++ b/lab/hollow/node.go
@@ -61,9 +61,11 @@
 	if n.agent != nil {
 		return fmt.Errorf("start agent %s: %w", n.spec.Agent, errRunning)
 	}
-	client := rpc.NewClient(rpc.ClientConfig{Timeout: relayTimeout + time.Second, Metrics: n.shared.metrics})
+	client := rpc.NewClient(rpc.ClientConfig{
+		Timeout: max(relayTimeout, leaderlink.LongestCall) + time.Second, Metrics: n.shared.metrics,
+	})
 	link := leaderlink.New(leaderlink.Config{
-		Process: n.spec.Agent, Role: "agent", Zone: n.spec.Zone,
+		Process: n.spec.Agent, Role: "agent", Zone: n.spec.Zone, VersionOnly: true,
 		Seeds: func() []string { return n.shared.spec.Seeds }, Client: client,
 	})
 	served, err := agent.New(agent.Config{
