Take heartbeats for a watch only once they came in time for a while

Answers were late, so that each long watch was given up after 0.7 s, and the leader and the seeds were asked anew each time: more calls for a leader that was slow already.

Change: heartbeats stand in for the watch once they were answered in time for 3 s without a gap. Whoever finds the leader slow watches as before.

--- a/internal/leaderlink/beaten.go
+++ b/internal/leaderlink/beaten.go
@@ -19,6 +19,10 @@
 	// longestBeat is the longest pause between heartbeats that stand in for the
 	// watch: the leader must be doubted before the hold of a watch is over.
 	longestBeat = 900 * time.Millisecond
+	// steadyTime is how long heartbeats must have been answered in time before
+	// they stand in for the watch, so that a slow leader is not doubted again and
+	// again.
+	steadyTime = 3 * time.Second
 	// LongestCall bounds every call of a link.
 	LongestCall = quietWatchWait + answerPatience
 )
@@ -42,12 +46,24 @@
 	}
 	s.answeredAt = now
 	s.freshUntil = max(s.freshUntil, until)
+	if now >= s.beatenUntil {
+		s.steadyFrom = now + steadyTime
+	}
 	if beat.Interval <= longestBeat {
 		s.beatenUntil = now + beat.Interval + answerPatience
 	}
 	return beat.ConfigVersion > s.configVersion
 }
 
+// beatenFor is for how long heartbeats still stand in for the watch; 0 or less if
+// they do not.
+func (s *state) beatenFor(now time.Duration) time.Duration {
+	if now < s.steadyFrom {
+		return 0
+	}
+	return s.beatenUntil - now
+}
+
 // unconfirm makes the leader answer anew before it is watched.
 func (s *state) unconfirm() {
 	s.confirmed = false
@@ -107,7 +123,7 @@
 func (l *Link) beatenFor() time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.state.beatenUntil - l.now()
+	return l.state.beatenFor(l.now())
 }
 
 // unconfirm has the leader asked anew, beside the seeds, unless another is known.
--- a/internal/leaderlink/state.go
+++ b/internal/leaderlink/state.go
@@ -46,8 +46,9 @@
 	freshUntil    time.Duration
 	// granted is the hold of the last watch answer.
 	granted time.Duration
-	// beatenUntil: until then answers to heartbeats stand in for the watch.
-	beatenUntil time.Duration
+	// beatenUntil: until then the next answer to a heartbeat is not overdue.
+	// steadyFrom: from then on none was for long enough.
+	beatenUntil, steadyFrom time.Duration
 	// versionOnly: answers come without the content of configurations.
 	versionOnly bool
 }
