--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -59,7 +59,7 @@
 // watchAge is -1 until the first answer.
 func watchAge(link *leaderlink.Link) prometheus.Collector {
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "decklever_agent_watch_age_seconds", Help: "Time since the leader last answered the watch; -1 if never.",
+		Name: "decklever_agent_watch_age_seconds", Help: "Time since the leader last answered the watch or a heartbeat; -1 if never.",
 	}, func() float64 {
 		age, known := link.Age()
 		if !known {
