Carry less of a configuration over the narrow links of relays

For each order the whole present configuration came over that link only for its number, and each new one came a second time, for the relay's watch, which uses none of it.

A relay watches for versions only, as agents do. An older leader answers with the whole, which serves as well.

--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -244,6 +244,12 @@
 	List api.JobList `cbor:"1,keyasint"`
 }
 
+// ConfigRequest asks for the configuration.
+type ConfigRequest struct {
+	// Annotation, if given, is all of the content that is asked for.
+	Annotation string `cbor:"1,keyasint,omitempty"`
+}
+
 // ConfigAnswer carries a version and its content.
 type ConfigAnswer struct {
 	Status api.ConfigStatus `cbor:"1,keyasint"`
--- a/internal/front/config_calls.go
+++ b/internal/front/config_calls.go
@@ -41,6 +41,15 @@
 	return answer.Status, refusal
 }
 
+// ConfigAnnotation reads one annotation of the configuration, and the version.
+// The rest stays with the leader: it may be large, and the way to it narrow.
+func (f *Front) ConfigAnnotation(ctx context.Context, name string) (version uint64, value string, refusal *api.Error) {
+	answer, refusal := relay[fleet.ConfigRequest, fleet.ConfigAnswer](ctx, f, relayCall[fleet.ConfigRequest]{
+		method: fleet.MethodGetConfig, request: fleet.ConfigRequest{Annotation: name},
+	})
+	return answer.Status.Version, answer.Status.Config.Annotations[name], refusal
+}
+
 // putConfig serves PUT /v1/config.
 func (f *Front) putConfig(writer http.ResponseWriter, request *http.Request) (int, any, *api.Error) {
 	base, orderID, refusal := orderOf(request.Header)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -124,8 +124,9 @@
 
 func TestReadsAndConfiguration(t *testing.T) {
 	leader := newLeader(t)
-	on(leader, fleet.MethodGetConfig, func(context.Context, fleet.Empty, int) (fleet.ConfigAnswer, error) {
-		return fleet.ConfigAnswer{Status: api.ConfigStatus{Version: 7}}, nil
+	on(leader, fleet.MethodGetConfig, func(_ context.Context, request fleet.ConfigRequest, _ int) (fleet.ConfigAnswer, error) {
+		config := api.Config{Annotations: map[string]string{request.Annotation: "said"}}
+		return fleet.ConfigAnswer{Status: api.ConfigStatus{Version: 7, Config: config}}, nil
 	})
 	on(leader, fleet.MethodPutConfig, func(_ context.Context, request fleet.PutConfigRequest, _ int) (fleet.PutConfigAnswer, error) {
 		if request.Base != 7 {
@@ -152,6 +153,9 @@
 	if body := wantOK[api.ConfigStatus](t, answer, 200); body.Version != 7 || answer.Header().Get("ETag") != `"7"` {
 		t.Fatalf("version %d, ETag %q", body.Version, answer.Header().Get("ETag"))
 	}
+	if version, said, refusal := front.ConfigAnnotation(t.Context(), "note"); version != 7 || said != "said" || refusal != nil {
+		t.Fatalf("annotation %q of version %d, %v", said, version, refusal)
+	}
 	for _, base := range []string{`"7"`, "7"} {
 		answer = ask(t, front, "PUT", "/v1/config", goodConfig, "If-Match", base, "Idempotency-Key", "order-1")
 		if body := wantOK[api.ConfigStatus](t, answer, 200); body.Version != 8 || answer.Header().Get("ETag") != `"8"` {
--- a/internal/process/schedulerprocess/relay.go
+++ b/internal/process/schedulerprocess/relay.go
@@ -32,6 +32,8 @@
 	linked, err := process.NewLinked(process.LinkedConfig[settings.Scheduler]{
 		BaseConfig: baseConfig(initial, options),
 		Role:       relayRole,
+		// As in every gateway, the limits are the defaults.
+		VersionOnly: true,
 		// The gateway bounds each try by its context.
 		CallTimeout: front.MaxTry + time.Second,
 	})
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -47,12 +47,16 @@
 }
 
 // getConfig answers with the configuration as it was given, so that reading it,
-// changing one thing and putting it back changes that one thing.
-func (l *leader) getConfig(context.Context, fleet.Empty) (fleet.ConfigAnswer, error) {
+// changing one thing and putting it back changes that one thing. A caller that
+// needs one annotation gets no more than that.
+func (l *leader) getConfig(_ context.Context, request fleet.ConfigRequest) (fleet.ConfigAnswer, error) {
 	var answer fleet.ConfigAnswer
 	l.log.Record().Read(func(view record.View) {
 		version, config := view.AcceptedConfig()
 		answer.Status = api.ConfigStatus{Version: version, Config: *config}
+		if name := request.Annotation; name != "" {
+			answer.Status.Config = api.Config{Annotations: map[string]string{name: config.Annotations[name]}}
+		}
 	})
 	if !l.log.HoldsLease(l.token) {
 		return fleet.ConfigAnswer{}, l.notLeader()
