--- a/internal/leaderlink/beaten_test.go
+++ b/internal/leaderlink/beaten_test.go
@@ -203,3 +203,22 @@
 		}
 	}
 }
+
+// TestCallInDoubtEndsALongWatch: a heartbeat without an answer finds the next
+// leader as soon as it does with short watches.
+func TestCallInDoubtEndsALongWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		schedulers := &fakeSchedulers{leader: "a", token: 4, version: 7, dead: map[string]bool{}}
+		link := startVersionLink(t, schedulers)
+		time.Sleep(2 * watchWait)
+		beatFor(link, 2*steadyTime, beatInterval, Beat{Token: 4, ConfigVersion: 7})
+		schedulers.set(func() { schedulers.dead["a"], schedulers.leader, schedulers.token = true, "b", 5 })
+		began := time.Now()
+		ctx, end := link.Attend(t.Context(), "a")
+		defer end()
+		<-ctx.Done()
+		if took := time.Since(began); took > doubtAfter+3*roundPause {
+			t.Errorf("given up after %v", took)
+		}
+	})
+}
