--- a/internal/leaderlink/beaten_test.go
+++ b/internal/leaderlink/beaten_test.go
@@ -213,12 +213,6 @@
 		time.Sleep(2 * watchWait)
 		beatFor(link, 2*steadyTime, beatInterval, Beat{Token: 4, ConfigVersion: 7})
 		schedulers.set(func() { schedulers.dead["a"], schedulers.leader, schedulers.token = true, "b", 5 })
-		began := time.Now()
-		ctx, end := link.Attend(t.Context(), "a")
-		defer end()
-		<-ctx.Done()
-		if took := time.Since(began); took > doubtAfter+3*roundPause {
-			t.Errorf("given up after %v", took)
-		}
+		wantGivenUpSoon(t, link)
 	})
 }
--- a/internal/leaderlink/doubt_test.go
+++ b/internal/leaderlink/doubt_test.go
@@ -18,13 +18,7 @@
 		link := startLink(t, schedulers, nil)
 		time.Sleep(time.Second)
 		schedulers.set(func() { schedulers.dead["a"], schedulers.leader, schedulers.token = true, "b", 5 })
-		began := time.Now()
-		ctx, end := link.Attend(t.Context(), "a")
-		defer end()
-		<-ctx.Done()
-		if took := time.Since(began); took > doubtAfter+3*roundPause {
-			t.Errorf("given up after %v", took)
-		}
+		wantGivenUpSoon(t, link)
 		if leader, _ := link.Leader(); leader != "b" || !link.Fresh() {
 			t.Errorf("leader %q, fresh %v", leader, link.Fresh())
 		}
@@ -38,6 +32,18 @@
 	})
 }
 
+// wantGivenUpSoon has a call to "a", which is gone, end since another one leads.
+func wantGivenUpSoon(t *testing.T, link *Link) {
+	t.Helper()
+	began := time.Now()
+	ctx, end := link.Attend(t.Context(), "a")
+	defer end()
+	<-ctx.Done()
+	if took := time.Since(began); took > doubtAfter+3*roundPause {
+		t.Errorf("given up after %v", took)
+	}
+}
+
 // TestSlowLeaderIsKept: a leader that answers when it is asked is kept, however
 // long a call to it takes, also while others still name another one.
 func TestSlowLeaderIsKept(t *testing.T) {
