Play the faults of the log on a grown cluster too

The simulator played clusters of 3 and 5 machines with one more at times; a grown deployment has eight, of which five vote. Options.Spares adds machines that stand by.

--- a/internal/raft/raftsim/options.go
+++ b/internal/raft/raftsim/options.go
@@ -13,6 +13,9 @@
 	// Machines is 3 or 5; zero lets the seed choose. One spare joins them in
 	// some runs.
 	Machines int
+	// Spares is how many machines join beside those and stand by; zero lets the
+	// seed choose none or one.
+	Spares int
 	// FaultTime is how long faults go on, in virtual time. Default 15s.
 	FaultTime time.Duration
 	// Trace, if not nil, gets a line for each event.
--- a/internal/raft/raftsim/raftsim_test.go
+++ b/internal/raft/raftsim/raftsim_test.go
@@ -18,6 +18,8 @@
 	// rule shows.
 	seedsWeakened = 400
 	batchSize     = 50
+	// seedsGrown are of eight machines, of which five vote.
+	seedsGrown = 150
 )
 
 // TestSeeds plays many seeds; RAFTSIM_SEED=n plays one and prints its trace.
@@ -30,6 +32,29 @@
 	if testing.Short() {
 		count = seedsShort
 	}
+	playSeeds(t, count, Options{})
+}
+
+// grown is a cluster of a grown deployment: five vote and three stand by.
+func grown() Options { return Options{Machines: 5, Spares: 3} }
+
+func grownWith(weakened weakening) Options {
+	options := grown()
+	options.weakening = weakened
+	return options
+}
+
+// TestSeedsOfAGrownCluster plays the same faults on eight machines.
+func TestSeedsOfAGrownCluster(t *testing.T) {
+	count := seedsGrown
+	if testing.Short() {
+		count = seedsShort
+	}
+	playSeeds(t, count, grown())
+}
+
+// playSeeds plays seeds from zero on and wants no promise broken.
+func playSeeds(t *testing.T, count int, options Options) {
 	var mutex sync.Mutex
 	var total Report
 	t.Run("batches", func(t *testing.T) {
@@ -37,7 +62,9 @@
 			t.Run(fmt.Sprint(first), func(t *testing.T) {
 				t.Parallel()
 				for seed := first; seed < first+batchSize; seed++ {
-					report, err := Run(Options{Seed: int64(seed)})
+					one := options
+					one.Seed = int64(seed)
+					report, err := Run(one)
 					if err != nil {
 						t.Error(err)
 					}
@@ -120,6 +147,8 @@
 		{"stickiness", Options{weakening: weakenStickiness}, twoLeases},
 		{"sync", Options{weakening: weakenSync}, "applies"},
 		{"replica id", Options{weakening: weakenReplicaID}, "applies"},
+		{"sync, grown", grownWith(weakenSync), "applies"},
+		{"lease, grown", grownWith(weakenLease), twoLeases},
 		{"reads", Options{weakening: weakenReads}, "was acknowledged before"},
 	}
 	for _, weakened := range cases {
--- a/internal/raft/raftsim/simulation.go
+++ b/internal/raft/raftsim/simulation.go
@@ -94,8 +94,8 @@
 }
 
 func (s *simulation) addMachines() {
-	count := s.founders
-	if s.chance(0.3) {
+	count := s.founders + s.options.Spares
+	if s.options.Spares == 0 && s.chance(0.3) {
 		count++
 	}
 	founding := raft.SnapshotMeta{Index: 1, Term: 1}
