--- a/lab/check/runs.go
+++ b/lab/check/runs.go
@@ -205,6 +205,9 @@
 	for index := range step.TaskCount() {
 		earlier := journal.TaskName{Job: job.id, Step: before, Index: index}.String()
 		success := firstSuccess[earlier]
+		if step.Lockstep {
+			success = f.groupSuccess(job.id, step)
+		}
 		if success == 0 || success > one.Mono {
 			return &Violation{P4, one.Task, "started before " + earlier + " had succeeded", []monoclock.Nanos{one.Mono, success}}
 		}
