--- /dev/null
+++ b/lab/model/days_test.go
@@ -0,0 +1,187 @@
+package model
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/decklever/decklever/internal/wait"
+)
+
+// day is one bad day.
+type day struct {
+	load load
+	// lostAnswers is the share of answers to operators that are lost.
+	lostAnswers float64
+	allowed     allowance
+	// happen causes what makes the day bad, beside the load.
+	happen func(context.Context, *stage)
+}
+
+// stage is a day under way.
+type stage struct {
+	*fleet
+	office *office
+	events sync.WaitGroup
+	// struck are the places that a fault was drawn for.
+	struck map[*place]bool
+}
+
+// at has something happen at a time after the load's beginning.
+func (s *stage) at(ctx context.Context, when time.Duration, what func(context.Context)) {
+	s.events.Go(func() {
+		if wait.For(ctx, when) {
+			what(ctx)
+		}
+	})
+}
+
+// settleTime lets stops take effect after the last job.
+const settleTime = time.Second
+
+// seedsVariable is the number of seeds of each day, for longer runs. The seeds
+// count from one; odd ones play the first grown shape, even ones the second.
+const seedsVariable = "DECKLEVER_MODEL_SEEDS"
+
+// playGrown plays a day with one seed, or with all up to the number asked for.
+func playGrown(t *testing.T, seed uint64, one day) {
+	seeds := []uint64{seed}
+	if text := os.Getenv(seedsVariable); text != "" {
+		count, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			t.Fatalf("%s is %q: %v", seedsVariable, text, err)
+		}
+		seeds = seeds[:0]
+		for next := range count {
+			seeds = append(seeds, next+1)
+		}
+	}
+	for _, seed := range seeds {
+		size := grownCartago()
+		if seed%2 == 1 {
+			size = grownRestrepo()
+		}
+		t.Run(fmt.Sprintf("%s-%d", size.name, seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, size, seed, one)
+		})
+	}
+}
+
+// play plays a day on the virtual clock and judges it.
+func play(t *testing.T, size shape, seed uint64, one day) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, size, seed)
+		defer f.close()
+		s := &stage{fleet: f, office: f.newOffice(one.lostAnswers), struck: map[*place]bool{}}
+		f.hire()
+		from := f.now()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f.abandon = cancel
+		one.happen(ctx, s)
+		f.handIn(ctx, one.load)
+		to := from.Add(one.load.over)
+		s.events.Wait()
+		wait.For(ctx, settleTime)
+		s.office.read(ctx)
+		f.judge(from, to, one.allowed)
+	})
+}
+
+// TestWorkersFail: workers crash and come back, go down and up by turns, turn
+// slow, stand still, or fail whatever they start while their heartbeats go on.
+func TestWorkersFail(t *testing.T) {
+	t.Parallel()
+	playGrown(t, 1, day{
+		load: load{over: 14 * time.Second, jobs: 110, resent: 0.1, cancelled: 0.05}, allowed: allowance{minJobs: 80, learned: 4 * time.Second, maxFailed: 30},
+		happen: func(ctx context.Context, s *stage) {
+			s.at(ctx, time.Second, func(ctx context.Context) { s.misbehave(ctx, s.some(8), behaviour{failing: 1}, 10*time.Second) })
+			s.at(ctx, time.Second, func(ctx context.Context) { s.misbehave(ctx, s.some(4), behaviour{stalling: 1}, 8*time.Second) })
+			s.at(ctx, 2*time.Second, func(ctx context.Context) { s.misbehave(ctx, s.some(6), behaviour{slower: 2}, 8*time.Second) })
+			s.at(ctx, 3*time.Second, func(ctx context.Context) { s.crashAndReturn(ctx, s.some(6), time.Second, 1) })
+			s.at(ctx, 4*time.Second, func(ctx context.Context) { s.crashAndReturn(ctx, s.some(3), 1100*time.Millisecond, 3) })
+		},
+	})
+}
+
+// TestWorkersLeave: workers drain and leave, are cut off and run on, and a zone
+// is emptied and taken back.
+func TestWorkersLeave(t *testing.T) {
+	t.Parallel()
+	playGrown(t, 2, day{
+		load: load{over: 16 * time.Second, jobs: 110, resent: 0.1, cancelled: 0.05}, allowed: allowance{alone: true, minJobs: 80},
+		happen: func(ctx context.Context, s *stage) {
+			s.at(ctx, time.Second, func(ctx context.Context) { s.leaveAndReturn(ctx, s.some(6), time.Second) })
+			s.at(ctx, 2*time.Second, func(ctx context.Context) { s.cutOff(ctx, s.some(12), 7*time.Second) })
+			s.at(ctx, 6*time.Second, func(ctx context.Context) { s.office.drainZone(ctx, s.shape.zones[0], 7*time.Second) })
+			s.at(ctx, 12*time.Second, func(ctx context.Context) { s.cutOff(ctx, s.some(8), 1500*time.Millisecond) })
+		},
+	})
+}
+
+// TestControlFails: the leader is killed, is cut off from the other schedulers
+// for 22 s while agents still reach it, a zone is cut off, all schedulers are
+// restarted in turn, clocks jump, and answers come late and cross.
+func TestControlFails(t *testing.T) {
+	t.Parallel()
+	playGrown(t, 1, day{
+		load: load{over: 34 * time.Second, jobs: 160, resent: 0.1, cancelled: 0.05}, allowed: allowance{alone: true, minJobs: 110},
+		happen: func(ctx context.Context, s *stage) {
+			s.at(ctx, time.Second, func(ctx context.Context) { s.isolateLeader(ctx, 22*time.Second) })
+			s.at(ctx, 4*time.Second, func(ctx context.Context) { s.jump(ctx, 4*time.Second) })
+			s.at(ctx, 6*time.Second, func(context.Context) { s.killLeader(ctx, time.Second) })
+			s.at(ctx, 8*time.Second, func(ctx context.Context) { s.crossAnswers(ctx, 0.2, 1500*time.Millisecond, 4*time.Second) })
+			s.at(ctx, 14*time.Second, func(ctx context.Context) { s.cutZone(ctx, 4*time.Second) })
+			s.at(ctx, 25*time.Second, func(ctx context.Context) { s.restartInTurn(ctx) })
+		},
+	})
+}
+
+// TestPowerAndDisksAreLost: right after an acknowledgement all schedulers lose
+// their power, then the leader its disk, and right after that was repaired a
+// second voter its own; leaders are lost while workers tell of ends; and a
+// scheduler comes back after hundreds of changes, to lead.
+func TestPowerAndDisksAreLost(t *testing.T) {
+	t.Parallel()
+	playGrown(t, 2, day{
+		load: load{over: 30 * time.Second, jobs: 160, resent: 0.1, cancelled: 0.05}, allowed: allowance{alone: true, minJobs: 110},
+		happen: func(ctx context.Context, s *stage) {
+			s.at(ctx, 2*time.Second, func(ctx context.Context) {
+				s.losePowerAfterAcknowledging(ctx, s.schedulers, time.Second)
+				wait.For(ctx, 3*time.Second)
+				s.loseLeadersWhileWorkEnds(ctx, 3)
+				wait.For(ctx, 3*time.Second)
+				s.loseDisksInTurn(ctx, 2)
+				wait.For(ctx, time.Second)
+				s.missManyChanges(ctx, 200)
+			})
+		},
+	})
+}
+
+// TestOperatorsRaceInAFlood: operators race on one version, lose answers and
+// send orders again, while impossible jobs, mass cancels and a burst come.
+func TestOperatorsRaceInAFlood(t *testing.T) {
+	t.Parallel()
+	playGrown(t, 1, day{
+		load: load{over: 14 * time.Second, jobs: 90, resent: 0.3, cancelled: 0.05}, lostAnswers: 0.3, allowed: allowance{minJobs: 60},
+		happen: func(ctx context.Context, s *stage) {
+			s.at(ctx, time.Second, func(ctx context.Context) {
+				s.office.race(ctx, 12, 4)
+				s.office.refuseInvalid(ctx)
+				s.office.change(ctx, 5, 200*time.Millisecond)
+				s.killLeader(ctx, time.Second)
+				s.office.resendAll(ctx)
+			})
+			s.at(ctx, 2*time.Second, func(ctx context.Context) { s.floodImpossible(ctx, 600) })
+			s.at(ctx, 3*time.Second, func(ctx context.Context) { s.floodCancelled(ctx, 80) })
+			s.at(ctx, 5*time.Second, func(ctx context.Context) { s.burst(ctx, 30) })
+		},
+	})
+}
--- /dev/null
+++ b/lab/model/linked_test.go
@@ -0,0 +1,121 @@
+package model
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/decklever/decklever/internal/agent"
+	"github.com/decklever/decklever/internal/front"
+	"github.com/decklever/decklever/internal/leaderlink"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// relayTimeout bounds the relay of a heartbeat, as agents' settings do.
+const relayTimeout = time.Second
+
+// linked is a process that follows the leader.
+type linked struct {
+	client *rpc.Client
+	link   *leaderlink.Link
+	stop   func()
+}
+
+func (f *fleet) newLinked(name, role, zone string, versionOnly bool) linked {
+	f.network.mutex.Lock()
+	f.network.zones[name] = zone
+	f.network.mutex.Unlock()
+	client := rpc.NewClient(rpc.ClientConfig{Timeout: front.MaxTry + time.Second, Dialer: f.network.dialer(name)})
+	made := leaderlink.New(leaderlink.Config{
+		Process: name, Role: role, Zone: zone, VersionOnly: versionOnly, Client: client,
+		Seeds: func() []string { return f.seeds }, Logger: slog.New(f.logs).With(role, name),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = made.Run(ctx) })
+	return linked{client: client, link: made, stop: func() {
+		cancel()
+		f.network.reset(name)
+		running.Wait()
+		client.Close()
+	}}
+}
+
+// frontMachine is a front.
+type frontMachine struct {
+	linked
+	front *front.Front
+}
+
+func (f *fleet) addFront(number int) {
+	name := fmt.Sprintf("front-%d", number+1)
+	made := &frontMachine{linked: f.newLinked(name, "front", f.zone(number), false)}
+	var err error
+	made.front, err = front.New(front.Config{Link: made.link, Client: made.client, Registerer: prometheus.NewRegistry()})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.fronts[name] = made
+}
+
+// agentMachine is an agent; processes on it come and go.
+type agentMachine struct {
+	linked
+	agent atomic.Pointer[agent.Agent]
+}
+
+func (f *fleet) newAgent(name, zone string) *agentMachine {
+	made := &agentMachine{linked: f.newLinked(name, "agent", zone, true)}
+	running, err := agent.New(agent.Config{
+		Name: name, Zone: func() string { return zone }, RelayTimeout: relayTimeout, Link: made.link, Client: made.client,
+		Logger: slog.New(f.logs).With("agent", name), Registerer: prometheus.NewRegistry(),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	made.agent.Store(running)
+	return made
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// direct carries requests to a handler in this process.
+type direct struct {
+	// handler returns who serves a request; nil if it has no answer.
+	handler func(*http.Request) http.Handler
+	// loses draws whether an answer is lost. Optional.
+	loses func() bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (d direct) RoundTrip(request *http.Request) (*http.Response, error) {
+	handler := d.handler(request)
+	if handler == nil {
+		return nil, errNoAnswer
+	}
+	inside := request.Clone(request.Context())
+	if inside.Body == nil {
+		inside.Body = http.NoBody
+	}
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, inside)
+	if err := request.Context().Err(); err != nil {
+		return nil, err
+	}
+	if d.handler(request) == nil || d.loses != nil && d.loses() {
+		return nil, errNoAnswer
+	}
+	response := answer.Result()
+	response.Body = io.NopCloser(bytes.NewReader(answer.Body.Bytes()))
+	return response, nil
+}
--- /dev/null
+++ b/lab/model/network_test.go
@@ -0,0 +1,291 @@
+package model
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// zoneDelay is how long data takes from one zone to another, one way, and
+	// hopDelay within a zone.
+	zoneDelay = 1400 * time.Microsecond
+	hopDelay  = 100 * time.Microsecond
+	// dialTimeout ends attempts to reach a process that is cut off.
+	dialTimeout = 1500 * time.Millisecond
+	// pipeChunks and pipeChunkBytes bound what is on its way on a connection.
+	pipeChunks     = 256
+	pipeChunkBytes = 32 << 10
+)
+
+var (
+	errRefused = errors.New("connection refused")
+	errCutOff  = errors.New("no answer to the attempt to connect")
+)
+
+// link is one direction between two processes.
+type link struct{ from, to string }
+
+// network carries data between the processes of a fleet. What is sent on a
+// link that is cut is lost, and the connection hangs, as it does when packets
+// are dropped.
+type network struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	// zones are those of the processes by name.
+	zones     map[string]string
+	listeners map[string]*listener
+	cuts      map[link]int
+	// crossed is the share of what goes from schedulers to agents that comes
+	// late by crossedBy.
+	crossed   float64
+	crossedBy time.Duration
+	isCrossed func(link) bool
+	open      map[*connection]struct{}
+	pumps     sync.WaitGroup
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		random:    rand.New(rand.NewPCG(seed, 0x6e6574)),
+		zones:     map[string]string{},
+		listeners: map[string]*listener{},
+		cuts:      map[link]int{},
+		open:      map[*connection]struct{}{},
+	}
+}
+
+// listener is where a process takes connections.
+type listener struct {
+	network  *network
+	process  string
+	address  string
+	incoming chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (n *network) listen(process, address string) *listener {
+	l := &listener{network: n, process: process, address: address, incoming: make(chan net.Conn), closed: make(chan struct{})}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.listeners[address] = l
+	return l
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case one := <-l.incoming:
+		return one, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mutex.Lock()
+		defer l.network.mutex.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dialer connects a process to others.
+func (n *network) dialer(from string) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		n.mutex.Lock()
+		target := n.listeners[address]
+		cut := target != nil && (n.cuts[link{from, target.process}] > 0 || n.cuts[link{target.process, from}] > 0)
+		n.mutex.Unlock()
+		if target == nil {
+			return nil, errRefused
+		}
+		if cut {
+			<-ctx.Done()
+			return nil, errCutOff
+		}
+		return n.connect(ctx, from, target)
+	}
+}
+
+func (n *network) connect(ctx context.Context, from string, target *listener) (net.Conn, error) {
+	near, nearInside := net.Pipe()
+	farInside, far := net.Pipe()
+	c := &connection{network: n, out: link{from, target.process}, back: link{target.process, from}, near: nearInside, far: farInside}
+	n.mutex.Lock()
+	n.open[c] = struct{}{}
+	n.mutex.Unlock()
+	n.pumps.Go(func() { c.pump(nearInside, farInside, c.out) })
+	n.pumps.Go(func() { c.pump(farInside, nearInside, c.back) })
+	select {
+	case target.incoming <- far:
+		return near, nil
+	case <-target.closed:
+	case <-ctx.Done():
+	}
+	c.close()
+	return nil, errRefused
+}
+
+// connection carries data both ways between two pipes.
+type connection struct {
+	network   *network
+	out, back link
+	near, far net.Conn
+}
+
+func (c *connection) close() {
+	_ = c.near.Close()
+	_ = c.far.Close()
+	c.network.mutex.Lock()
+	defer c.network.mutex.Unlock()
+	delete(c.network.open, c)
+}
+
+// chunk is data on its way.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// pump carries data one way, late by the way's length, until an end closes.
+func (c *connection) pump(from, to net.Conn, way link) {
+	chunks := make(chan chunk, pipeChunks)
+	var reading sync.WaitGroup
+	defer reading.Wait()
+	defer c.close()
+	reading.Go(func() {
+		defer close(chunks)
+		buffer := make([]byte, pipeChunkBytes)
+		for {
+			count, err := from.Read(buffer)
+			if count > 0 {
+				chunks <- chunk{append([]byte(nil), buffer[:count]...), time.Now().Add(c.network.delay(way))}
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+	broken := false
+	for one := range chunks {
+		time.Sleep(time.Until(one.due))
+		broken = broken || c.network.isCut(way)
+		if broken {
+			continue
+		}
+		if _, err := to.Write(one.data); err != nil {
+			_ = from.Close()
+			broken = true
+		}
+	}
+}
+
+func (n *network) isCut(way link) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.cuts[way] > 0
+}
+
+func (n *network) delay(way link) time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delay := hopDelay
+	if n.zones[way.from] != n.zones[way.to] {
+		delay = zoneDelay
+	}
+	if n.crossed > 0 && n.isCrossed(way) && n.random.Float64() < n.crossed {
+		delay += n.crossedBy
+	}
+	return delay + time.Duration(n.random.Int64N(int64(hopDelay)))
+}
+
+// cut stops what passes on links until heal is called; connections on them are
+// reset then.
+func (n *network) cut(links ...link) (heal func()) {
+	n.change(links, 1)
+	return func() {
+		n.change(links, -1)
+		for _, one := range n.connectionsOn(links) {
+			one.close()
+		}
+	}
+}
+
+func (n *network) change(links []link, by int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, one := range links {
+		n.cuts[one] += by
+	}
+}
+
+func (n *network) connectionsOn(links []link) []*connection {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var found []*connection
+	for c := range n.open {
+		for _, one := range links {
+			if c.out == one || c.back == one {
+				found = append(found, c)
+				break
+			}
+		}
+	}
+	return found
+}
+
+// reset closes all connections of a process, as its end does.
+func (n *network) reset(process string) {
+	n.mutex.Lock()
+	var found []*connection
+	for c := range n.open {
+		if c.out.from == process || c.out.to == process {
+			found = append(found, c)
+		}
+	}
+	n.mutex.Unlock()
+	for _, one := range found {
+		one.close()
+	}
+}
+
+// cross holds up a share of what passes on links until the end is called.
+func (n *network) cross(share float64, by time.Duration, on func(link) bool) (end func()) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.crossed, n.crossedBy, n.isCrossed = share, by, on
+	return func() {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		n.crossed = 0
+	}
+}
+
+// close ends all connections and waits for that.
+func (n *network) close() {
+	n.mutex.Lock()
+	var found []*connection
+	for c := range n.open {
+		found = append(found, c)
+	}
+	n.mutex.Unlock()
+	for _, one := range found {
+		one.close()
+	}
+	n.pumps.Wait()
+}
--- /dev/null
+++ b/lab/model/operators_test.go
@@ -0,0 +1,181 @@
+package model
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/wait"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/lab/operator"
+)
+
+// office is the operators, who state configurations.
+type office struct {
+	fleet  *fleet
+	client *api.Client
+
+	mutex sync.Mutex
+	// version is the newest acknowledged one and config what it says.
+	version uint64
+	config  api.Config
+	serial  int
+	// kept are orders that were acknowledged, to be sent again later.
+	kept []sentOrder
+}
+
+type sentOrder struct {
+	id      string
+	base    uint64
+	config  api.Config
+	version uint64
+}
+
+// firstConfig is in force when a day begins.
+func firstConfig() api.Config {
+	return api.Config{Queues: []api.QueueConfig{{Name: queueName, DefaultAllowedFailures: 6}}}
+}
+
+// newOffice puts the first configuration in force. Of the answers to operators
+// a share is lost.
+func (f *fleet) newOffice(lost float64) *office {
+	random := rand.New(rand.NewPCG(f.seed, 0x6f7073))
+	var mutex sync.Mutex
+	o := &office{fleet: f, client: f.newClient(func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return random.Float64() < lost
+	})}
+	o.put(f.t.Context(), o.next(firstConfig()))
+	return o
+}
+
+// next makes an order on the newest version.
+func (o *office) next(config api.Config) sentOrder {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.serial++
+	return sentOrder{id: fmt.Sprintf("order-%d", o.serial), base: o.version, config: config}
+}
+
+// changed is the newest configuration with another mark, by which it can be
+// told from all others.
+func (o *office) changed(change func(*api.Config)) sentOrder {
+	o.mutex.Lock()
+	config := o.config
+	mark := fmt.Sprint("change ", o.serial)
+	o.mutex.Unlock()
+	config.Annotations = map[string]string{"mark": mark}
+	if change != nil {
+		change(&config)
+	}
+	return o.next(config)
+}
+
+// put sends an order until there is a plain answer, and reports whether it was
+// taken.
+func (o *office) put(ctx context.Context, order sentOrder) bool {
+	ctx, cancel := context.WithTimeout(ctx, formTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		entry := ledger.Entry{Kind: ledger.KindConfigPut, Sent: o.fleet.now(), OrderID: order.id, Base: order.base, Config: &order.config}
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		version, err := o.client.PutConfig(limited, order.base, order.id, order.config)
+		cancel()
+		entry.Answered, entry.Version = o.fleet.now(), version
+		entry.Code, entry.Error = operator.Refusal(err)
+		o.fleet.ledger.Add(entry)
+		var refusal *api.Error
+		if err == nil {
+			o.acknowledged(order, version)
+			return true
+		}
+		if errors.As(err, &refusal) && refusal.Status != http.StatusServiceUnavailable {
+			return false
+		}
+		wait.For(ctx, pollPause)
+	}
+	o.fleet.fail("%s had no plain answer", order.id)
+	return false
+}
+
+func (o *office) acknowledged(order sentOrder, version uint64) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	order.version = version
+	o.kept = append(o.kept, order)
+	if version > o.version {
+		o.version, o.config = version, order.config
+	}
+}
+
+// read reads the configuration in force.
+func (o *office) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry := ledger.Entry{Kind: ledger.KindConfigRead, Sent: o.fleet.now()}
+	status, err := o.client.Config(ctx)
+	entry.Answered, entry.Version, entry.Config = o.fleet.now(), status.Version, &status.Config
+	entry.Code, entry.Error = operator.Refusal(err)
+	o.fleet.ledger.Add(entry)
+}
+
+// change makes changes one after another.
+func (o *office) change(ctx context.Context, times int, pause time.Duration) {
+	for range times {
+		o.put(ctx, o.changed(nil))
+		wait.For(ctx, pause)
+		o.read(ctx)
+	}
+}
+
+// race has operators change one base at once; exactly one may win.
+func (o *office) race(ctx context.Context, times, racers int) {
+	for range times {
+		var orders []sentOrder
+		for range racers {
+			orders = append(orders, o.changed(nil))
+		}
+		var racing sync.WaitGroup
+		var mutex sync.Mutex
+		taken := 0
+		for _, order := range orders {
+			racing.Go(func() {
+				if o.put(ctx, order) {
+					mutex.Lock()
+					defer mutex.Unlock()
+					taken++
+				}
+			})
+		}
+		racing.Wait()
+		if taken != 1 {
+			o.fleet.t.Errorf("%d of %d orders on version %d were taken, want 1", taken, racers, orders[0].base)
+		}
+	}
+}
+
+// resendAll sends every order that was taken once more: each is acknowledged
+// again, with its version.
+func (o *office) resendAll(ctx context.Context) {
+	o.mutex.Lock()
+	kept := append([]sentOrder(nil), o.kept...)
+	o.mutex.Unlock()
+	for _, order := range kept {
+		if !o.put(ctx, order) {
+			o.fleet.t.Errorf("%s, taken as version %d, was refused when it came again", order.id, order.version)
+		}
+	}
+}
+
+// drainZone empties a zone by the configuration, and takes that back.
+func (o *office) drainZone(ctx context.Context, zone string, length time.Duration) {
+	o.put(ctx, o.changed(func(config *api.Config) { config.Drains.Zones = []string{zone} }))
+	wait.For(ctx, length)
+	o.put(ctx, o.changed(func(config *api.Config) { config.Drains.Zones = nil }))
+}
--- /dev/null
+++ b/lab/model/worker_test.go
@@ -0,0 +1,253 @@
+package model
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/wait"
+	"github.com/decklever/decklever/lab/check"
+	"github.com/decklever/decklever/lab/journal"
+	"github.com/decklever/decklever/lab/ledger"
+	"github.com/decklever/decklever/worker"
+)
+
+const (
+	serviceName = "work"
+	// progressPause is how often a run says how far it is.
+	progressPause = 100 * time.Millisecond
+	// clockSlow is by how much every other worker's clock runs slow, in percent.
+	clockSlow = 2
+	wholePart = 100 // percent
+)
+
+// room is that of each worker.
+func room() api.Resources { return api.Resources{CPUMillis: 4000, MemoryMB: 8000} }
+
+// behaviour is how a worker treats what it runs.
+type behaviour struct {
+	// failing is the share of runs that fail soon, stalling of those that never
+	// end; the worker's heartbeats go on.
+	failing, stalling float64
+	// slower stretches each run.
+	slower int
+}
+
+var errUnsound = errors.New("the worker is unsound")
+
+// place is where a worker stands; incarnations come and go.
+type place struct {
+	fleet  *fleet
+	number int
+	name   string
+	zone   string
+	agent  *agentMachine
+
+	mutex   sync.Mutex
+	random  *rand.Rand
+	present *incarnation
+	lives   []*incarnation
+	behaves behaviour
+}
+
+// incarnation is one life of a worker's process.
+type incarnation struct {
+	worker *worker.Worker
+	// dead is closed at a crash, leave ends it in order, and over is closed once
+	// it has ended.
+	dead  chan struct{}
+	leave context.CancelFunc
+	over  chan struct{}
+}
+
+func (i *incarnation) isDead() bool {
+	select {
+	case <-i.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+// hire brings up a worker in each place.
+func (f *fleet) hire() {
+	for number := range f.shape.workers {
+		agentName := fmt.Sprintf("agent-%d", number+1)
+		one := &place{
+			fleet: f, number: number, name: fmt.Sprintf("worker-%d", number+1), zone: f.zone(number),
+			agent: f.newAgent(agentName, f.zone(number)), random: rand.New(rand.NewPCG(f.seed, uint64(1000+number))),
+		}
+		f.places = append(f.places, one)
+		one.start()
+	}
+}
+
+// described is what the judge knows of the worker.
+func (p *place) described() check.Worker {
+	return check.Worker{
+		Name: p.name, Zone: p.zone, Capacity: room(), Services: []string{serviceName}, Labels: p.labels(),
+		Agent: fmt.Sprintf("agent-%d", p.number+1),
+	}
+}
+
+func (p *place) labels() map[string]string {
+	return map[string]string{"kind": kindOf(p.number), "rack": fmt.Sprint("rack-", p.number/p.fleet.shape.rack)}
+}
+
+func kindOf(number int) string { return []string{"a", "b"}[number%2] }
+
+// start brings a new incarnation up.
+func (p *place) start() {
+	life := &incarnation{dead: make(chan struct{}), over: make(chan struct{})}
+	began := time.Now()
+	clock := func() time.Duration {
+		passed := time.Since(began)
+		return passed - passed*time.Duration(clockSlow*(p.number%2))/wholePart
+	}
+	made, err := worker.New(worker.Config{
+		Name: p.name, AgentURL: "http://agent", Capacity: room(), Labels: p.labels(), Clock: clock,
+		Logger: slog.New(p.fleet.logs).With("worker", p.name),
+		HTTPClient: &http.Client{Transport: direct{handler: func(*http.Request) http.Handler {
+			if life.isDead() {
+				return nil
+			}
+			return p.agent.agent.Load()
+		}}},
+		OnStart: func(event worker.Event) { p.note(life, event, journal.EventStart) },
+		OnEnd:   func(event worker.Event) { p.note(life, event, journal.EventEnd) },
+	})
+	if err != nil {
+		p.fleet.t.Error(err)
+		return
+	}
+	life.worker = made
+	made.Handle(serviceName, func(ctx context.Context, task worker.Task) error { return p.work(ctx, life, task) })
+	ctx, cancel := context.WithCancel(context.Background())
+	life.leave = cancel
+	p.mutex.Lock()
+	p.present = life
+	p.lives = append(p.lives, life)
+	p.mutex.Unlock()
+	p.fleet.fault(ledger.Entry{Process: p.name, Action: ledger.ActionStart})
+	go func() {
+		defer close(life.over)
+		_ = made.Run(ctx) // reports handlers that go on, as those of the dead do
+	}()
+}
+
+// note journals what an incarnation that lives does.
+func (p *place) note(life *incarnation, event worker.Event, kind journal.Event) {
+	if life.isDead() {
+		return
+	}
+	p.fleet.mutex.Lock()
+	defer p.fleet.mutex.Unlock()
+	p.fleet.lines = append(p.fleet.lines, journal.Line{
+		Mono: p.fleet.now(), Event: kind, Task: event.Task, Run: event.Run, WorkerID: event.WorkerID,
+		Worker: event.Worker, Token: event.Token, Outcome: event.Outcome,
+	})
+}
+
+// crash ends the incarnation, and all it runs, at once.
+func (p *place) crash() {
+	p.mutex.Lock()
+	life := p.present
+	p.mutex.Unlock()
+	if life == nil || life.isDead() {
+		return
+	}
+	p.fleet.fault(ledger.Entry{Process: p.name, Action: ledger.ActionExit, Expected: true})
+	close(life.dead)
+	life.leave()
+}
+
+// drain has the incarnation end in order, and waits for that.
+func (p *place) drain() {
+	p.mutex.Lock()
+	life := p.present
+	p.mutex.Unlock()
+	life.leave()
+	<-life.over
+	p.fleet.fault(ledger.Entry{Process: p.name, Action: ledger.ActionExit, Expected: true})
+}
+
+// behave changes how the worker treats what it starts from now on.
+func (p *place) behave(behaves behaviour) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.behaves = behaves
+}
+
+// drawn is what becomes of one run.
+type drawn struct {
+	fails, stalls bool
+	slower        int
+}
+
+func (p *place) draw() drawn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	chance := p.random.Float64()
+	fails := chance < p.behaves.failing
+	return drawn{fails: fails, stalls: !fails && chance < p.behaves.failing+p.behaves.stalling, slower: max(1, p.behaves.slower)}
+}
+
+// payload says what a task does.
+type payload struct {
+	WorkMillis int64 `json:"work_ms"`
+	// Gang is the number of tasks that can work only together; 0 if the task
+	// needs no other.
+	Gang int `json:"gang,omitempty"`
+	// Endless tasks go on until they are stopped.
+	Endless bool `json:"endless,omitempty"`
+}
+
+// work does what a task says, as the worker behaves.
+func (p *place) work(ctx context.Context, life *incarnation, task worker.Task) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-life.dead:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	var todo payload
+	if err := task.Decode(&todo); err != nil {
+		return err
+	}
+	fate := p.draw()
+	if fate.fails {
+		wait.For(ctx, progressPause)
+		return errUnsound
+	}
+	if todo.Gang > 0 {
+		leave, err := p.fleet.gangs.join(ctx, task.RunRef, todo.Gang)
+		if err != nil {
+			return err
+		}
+		defer leave()
+	}
+	if fate.stalls || todo.Endless {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return p.workOff(ctx, task, time.Duration(todo.WorkMillis)*time.Millisecond*time.Duration(fate.slower))
+}
+
+func (p *place) workOff(ctx context.Context, task worker.Task, work time.Duration) error {
+	for done := time.Duration(0); done < work; done += progressPause {
+		if !wait.For(ctx, min(progressPause, work-done)) {
+			return ctx.Err()
+		}
+		_ = task.Report(int(wholePart*min(done+progressPause, work)/work), "")
+	}
+	return nil
+}
