Let an overloaded queue yield to those of its priority

Cause: queues with objectives go by slack alone. In a burst of one, its older tasks stand before those of the others for as long as its objective.

Ruled out: weights between all of them (urgent work of a light queue would wait though all could be met); ranking what cannot be met as late (what came first in the burst still goes first).

Change: a queue that is named overloaded goes after the others while it has more than its weight's share of the open runs of those with something to place. HasRoom tells whether a task has room now.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -104,10 +104,10 @@
 
 // nextLine returns the line whose queue has the lowest share, then the one
 // with the lowest Sequence; nil if none may place. Queues with BySlack share
-// together, and of these the lowest Sequence goes first.
+// together; which of these goes first, mostUrgent says.
 func nextLine(lines []*line) *line {
-	var best, urgent *line
-	running, weight := 0, 0
+	var best *line
+	var sharing sharers
 	for _, l := range lines {
 		if !l.mayPlace() {
 			continue
@@ -118,19 +118,16 @@
 			}
 			continue
 		}
-		running += l.queue.running
-		weight += l.queue.rule.Weight
-		if urgent == nil || l.first(urgent) {
-			urgent = l
-		}
+		sharing.add(l.queue)
 	}
+	urgent := sharing.mostUrgent(lines)
 	switch {
 	case urgent == nil:
 		return best
 	case best == nil:
 		return urgent
 	}
-	byShare := cmp.Compare(running*best.queue.rule.Weight, best.queue.running*weight)
+	byShare := cmp.Compare(sharing.running*best.queue.rule.Weight, best.queue.running*sharing.weight)
 	if byShare < 0 || byShare == 0 && urgent.first(best) {
 		return urgent
 	}
--- a/internal/placement/queues.go
+++ b/internal/placement/queues.go
@@ -17,6 +17,8 @@
 	team *team
 	// booked is set while a window of the queue is kept.
 	booked bool
+	// overloaded is set while the queue can't serve all it has in time.
+	overloaded bool
 	// groups are those parked until a run of the queue ends or its rule changes.
 	groups map[*lane]struct{}
 }
--- a/internal/placement/slack_test.go
+++ b/internal/placement/slack_test.go
@@ -28,16 +28,22 @@
 		t.Run(c.name, func(t *testing.T) {
 			e := newEngine(testWorker("w", cpu(1000)))
 			e.SetQueues(c.rules)
-			for i, queue := range c.queues {
-				task := testTask(queue, i, 1)
-				task.Queue = queue
-				e.Add(task)
-			}
-			var order []string
-			for _, d := range e.Plan(100) {
-				order = append(order, d.Task.Job)
-			}
-			expect(t, "order", strings.Join(order, " "), c.want)
+			expect(t, "order", queueOrder(e, c.queues), c.want)
 		})
 	}
 }
+
+// queueOrder adds a task of each queue with Sequence 0, 1, ... and returns the
+// queues in the order in which all are placed.
+func queueOrder(e *Engine, queues []string) string {
+	for i, queue := range queues {
+		task := testTask(queue, i, 1)
+		task.Queue = queue
+		e.Add(task)
+	}
+	var order []string
+	for _, d := range e.Plan(100) {
+		order = append(order, d.Task.Job)
+	}
+	return strings.Join(order, " ")
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -167,6 +167,14 @@
 	// Possible tells whether any of the given workers, all empty, could hold
 	// the task; if not, why.
 	Possible(spec *api.TaskSpec, workers []Worker) (bool, string)
+	// SetOverloaded names the queues that cannot serve all they have within their
+	// objectives. Of queues with BySlack, one that is named and has more than its
+	// weight's share of the open runs, of those with something to place, goes after
+	// the others whatever its Sequence, so that its burst does them no harm.
+	SetOverloaded(queues []string)
+	// HasRoom tells whether some worker has room for the task now, outside of what
+	// is kept for bookings. Spread is not looked at.
+	HasRoom(spec *api.TaskSpec) bool
 	// Waiting is the number of tasks that wait.
 	Waiting() int
 }
