Admit jobs by queue, by caller, and by the wait that they face

Cause: one queue could fill the bound on all waiting tasks, one caller a queue, and submissions the leader's log; refusals named one second whatever the wait; a resend of a job that was being committed could be refused by a limit that its first copy was counted in; a full log was tried again until the deadline.

Ruled out: refusing by the expected wait by default, since late work goes behind all that can be met and is still worth something when it is done.

Change: bounds of the fleet and of teams are shared by queue, and of a queue by the job's new field caller (caller_share of the queue, default 1); 1024 submissions are committed at once, shared by queue. The leader follows how fast each queue's tasks begin to run: an overloaded queue yields, refusals say when to come back, GET /v1/queues and queue show tell the wait, and refuse_beyond of an objective (default 0, off) refuses what would end too late while no worker has room for it. A full log is 503 with a time at once. New metric decklever_scheduler_refusals_total.

--- a/api/config.go
+++ b/api/config.go
@@ -44,6 +44,11 @@
 	// open run; a job beyond it is answered 429. Default 0: the limit
 	// Limits.MaxPendingTasks alone.
 	MaxPendingTasks int `json:"max_pending_tasks,omitempty"`
+	// CallerShare bounds the waiting tasks of one caller (JobSpec.Caller) by what
+	// is left free: a caller never has more than so many times the number of tasks
+	// waiting that could still be taken, unless it had none waiting; a job beyond
+	// that is answered 429. Default 1, from MinCallerShare to MaxCallerShare.
+	CallerShare float64 `json:"caller_share,omitempty"`
 	// DefaultAllowedFailures applies to tasks that name none. Default 3.
 	DefaultAllowedFailures int `json:"default_allowed_failures,omitempty"`
 	// Team names the team whose bounds the queue shares. Default none.
@@ -60,6 +65,11 @@
 	Target Duration `json:"target,omitempty"`
 	// Stretch multiplies the estimates; 0 to MaxStretch. Default 0.
 	Stretch float64 `json:"stretch,omitempty"`
+	// RefuseBeyond refuses, with 429 and the time to come back, a job that by the
+	// measured rate of starts will take longer than so many times its objective,
+	// while no worker has room for it. 1 to MaxRefuseBeyond. Default 0: no job is
+	// refused for that.
+	RefuseBeyond float64 `json:"refuse_beyond,omitempty"`
 }
 
 // TeamConfig bounds the queues that name the team, taken together.
--- a/api/defaults.go
+++ b/api/defaults.go
@@ -9,6 +9,7 @@
 const (
 	DefaultQueueWeight       = 1
 	DefaultAllowedFailures   = 3
+	DefaultCallerShare       = 1.0
 	DefaultMaxJobBytes       = int64(1 << 20)
 	DefaultMaxTasksPerJob    = 1000
 	DefaultMaxPendingTasks   = 200_000
@@ -32,6 +33,7 @@
 		queue := &c.Queues[index]
 		setDefault(&queue.Weight, DefaultQueueWeight)
 		setDefault(&queue.DefaultAllowedFailures, DefaultAllowedFailures)
+		setDefault(&queue.CallerShare, DefaultCallerShare)
 		queue.Bookings = slices.Clone(queue.Bookings)
 		for number := range queue.Bookings {
 			queue.Bookings[number] = queue.Bookings[number].WithDefaults()
--- a/api/job.go
+++ b/api/job.go
@@ -12,6 +12,10 @@
 	// Priority orders work within the whole fleet; higher first. Default 0,
 	// from -1000 to 1000.
 	Priority int `json:"priority,omitempty"`
+	// Caller names who hands the job in, for the share of each caller in a queue
+	// (QueueConfig.CallerShare): 1 to 64 of a-z, 0-9, '-', '_' or '.'. Default
+	// none: jobs without one count as one caller's.
+	Caller string `json:"caller,omitempty"`
 	// Payload is handed to each task that has none of its own. Default null.
 	Payload json.RawMessage `json:"payload,omitempty"`
 	// Repeat makes the steps run again and again, each time for itself.
--- a/api/status.go
+++ b/api/status.go
@@ -93,6 +93,12 @@
 	Jobs    int    `json:"jobs"`
 	Pending int    `json:"pending_tasks"`
 	Running int    `json:"running_tasks"`
+	// ExpectedWaitMillis is how long a task that comes now would wait for its
+	// start, by the measured rate of starts; absent while that is not known.
+	ExpectedWaitMillis int64 `json:"expected_wait_ms,omitempty"`
+	// Overloaded: the queue has an objective, and a job that comes now would wait
+	// for longer than that leaves.
+	Overloaded bool `json:"overloaded,omitempty"`
 }
 
 // QueueList is the answer of GET /v1/queues.
--- a/api/validate_config.go
+++ b/api/validate_config.go
@@ -15,6 +15,12 @@
 	MaxAnnotationBytes = 1 << 20
 	// MaxStretch bounds the factor of an objective.
 	MaxStretch = 1000.0
+	// MinCallerShare and MaxCallerShare bound a queue's CallerShare.
+	MinCallerShare = 0.01
+	MaxCallerShare = 1000.0
+	// MaxRefuseBeyond bounds the multiple of an objective beyond which jobs are
+	// refused.
+	MaxRefuseBeyond = 1000.0
 	// MaxQueueWeight bounds a queue's weight.
 	MaxQueueWeight = 1000
 	// MinHeartbeatInterval is the shortest pause between heartbeats.
@@ -91,6 +97,7 @@
 	checkRange(errors, path+".weight", queue.Weight, 0, MaxQueueWeight)
 	checkAtLeast(errors, path+".max_running_tasks", queue.MaxRunningTasks, 0)
 	checkAtLeast(errors, path+".max_pending_tasks", queue.MaxPendingTasks, 0)
+	checkFactor(errors, path+".caller_share", queue.CallerShare, MinCallerShare, MaxCallerShare)
 	checkRange(errors, path+".default_allowed_failures", queue.DefaultAllowedFailures, 0, MaxAllowedFailures)
 }
 
--- a/api/validate_fields_test.go
+++ b/api/validate_fields_test.go
@@ -85,6 +85,17 @@
 		},
 		{"high objective", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Stretch: MaxStretch + 0.1} }, []string{"queues[0].objective.stretch"}},
 		{"no number", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Stretch: math.NaN()} }, []string{"queues[0].objective.stretch"}},
+		{"refuses beyond the least", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Target: 1, RefuseBeyond: 1} }, nil},
+		{"refuses beyond the most", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Target: 1, RefuseBeyond: MaxRefuseBeyond} }, nil},
+		{"refuses what can be met", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{Target: 1, RefuseBeyond: 0.9} }, []string{"queues[0].objective.refuse_beyond"}},
+		{"refuses beyond too much", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{RefuseBeyond: MaxRefuseBeyond + 1} }, []string{"queues[0].objective.refuse_beyond"}},
+		{"refuses beyond no number", func(c *Config) { c.Queues[0].Objective = &ObjectiveConfig{RefuseBeyond: math.NaN()} }, []string{"queues[0].objective.refuse_beyond"}},
+		{"least caller share", func(c *Config) { c.Queues[0].CallerShare = MinCallerShare }, nil},
+		{"most caller share", func(c *Config) { c.Queues[0].CallerShare = MaxCallerShare }, nil},
+		{"low caller share", func(c *Config) { c.Queues[0].CallerShare = MinCallerShare / 2 }, []string{"queues[0].caller_share"}},
+		{"high caller share", func(c *Config) { c.Queues[0].CallerShare = MaxCallerShare + 1 }, []string{"queues[0].caller_share"}},
+		{"negative caller share", func(c *Config) { c.Queues[0].CallerShare = -1 }, []string{"queues[0].caller_share"}},
+		{"caller share of no number", func(c *Config) { c.Queues[0].CallerShare = math.NaN() }, []string{"queues[0].caller_share"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/api/validate_job.go
+++ b/api/validate_job.go
@@ -65,6 +65,9 @@
 		c.errors.add("queue", c.spec.Queue, "a queue of the configuration in force")
 	}
 	checkRange(&c.errors, "priority", c.spec.Priority, MinPriority, MaxPriority)
+	if c.spec.Caller != "" {
+		checkShortName(&c.errors, "caller", c.spec.Caller)
+	}
 	c.payload("payload", c.spec.Payload)
 	if len(c.spec.Steps) == 0 {
 		c.errors.add("steps", "[]", "at least one step")
--- a/internal/cli/booking_test.go
+++ b/internal/cli/booking_test.go
@@ -102,6 +102,23 @@
 	}
 }
 
+func TestQueueShowSaysHowLongNewcomersWait(t *testing.T) {
+	show := func(status api.QueueStatus) string {
+		replies := fleetReplies()
+		replies["GET /v1/queues"] = []reply{ok(api.QueueList{Queues: []api.QueueStatus{status}})}
+		got := decklever(t, newFakeFront(t, replies), "", "queue", "show", "q", "--jobs", "0")
+		_, rest, _ := strings.Cut(got.out, "\n\n")
+		wait, _, _ := strings.Cut(rest, "\n\n")
+		return wait
+	}
+	wantText(t, "known", show(api.QueueStatus{Name: "q", ExpectedWaitMillis: 1234}), "a task that comes now waits 1.2s for its start")
+	wantText(t, "overloaded", show(api.QueueStatus{Name: "q", ExpectedWaitMillis: 61000, Overloaded: true}),
+		"a task that comes now waits 1m1s for its start\nthe queue is overloaded: that is longer than its objective leaves")
+	if got := show(api.QueueStatus{Name: "q"}); strings.Contains(got, "waits") {
+		t.Errorf("not known: %q", got)
+	}
+}
+
 func TestWrongConfigurationNamesQueuesAndBookings(t *testing.T) {
 	const file = "queues:\n  - name: q\n  - name: r\n    bookings:\n      - {name: b, duration: 1h, slots: 9, slice: {cpu_millis: 1}}\n"
 	fields := []api.FieldError{
--- a/internal/cli/files_test.go
+++ b/internal/cli/files_test.go
@@ -40,7 +40,7 @@
 		{"job.yaml", "queue: !!binary aGk=", ": line 1: values of type !!binary have no JSON form"},
 		{"job.yaml", "queue: .nan", ": line 1: .nan has no JSON form"},
 		{"job.yaml", "a: &a [*a]", ": line 1: too deep or, with its aliases, too large"},
-		{"job.yaml", "queue: q\nstepz: []\npriority: high\n", ": the body has unknown fields or wrong types\n  stepz is \"[]\", expected no such field; known are queue, priority, payload, repeat, steps\n  priority is \"\\\"high\\\"\", expected a whole number"},
+		{"job.yaml", "queue: q\nstepz: []\npriority: high\n", ": the body has unknown fields or wrong types\n  stepz is \"[]\", expected no such field; known are queue, priority, caller, payload, repeat, steps\n  priority is \"\\\"high\\\"\", expected a whole number"},
 		{"job.json", `{"queue":"q"} {}`, ": there is more behind the JSON object of the body"},
 	}
 	for _, c := range cases {
--- a/internal/cli/queue_show.go
+++ b/internal/cli/queue_show.go
@@ -191,6 +191,7 @@
 	queue.add(details.Status.Name, config.Team, config.Priority, config.Weight, config.DefaultAllowedFailures, details.Status.Jobs,
 		bounded(details.Status.Pending, config.MaxPendingTasks), bounded(details.Status.Running, config.MaxRunningTasks))
 	queue.render(writer)
+	renderExpectedWait(writer, details.Status)
 	if details.Config == nil {
 		_, _ = fmt.Fprintln(writer, "\nthe configuration in force does not have this queue")
 	}
@@ -204,6 +205,18 @@
 	}
 }
 
+// renderExpectedWait says how long newcomers wait, if that is known.
+func renderExpectedWait(writer io.Writer, status api.QueueStatus) {
+	if status.ExpectedWaitMillis <= 0 {
+		return
+	}
+	wait := time.Duration(status.ExpectedWaitMillis) * time.Millisecond
+	_, _ = fmt.Fprintf(writer, "\na task that comes now waits %v for its start\n", wait.Round(100*time.Millisecond))
+	if status.Overloaded {
+		_, _ = fmt.Fprintln(writer, "the queue is overloaded: that is longer than its objective leaves")
+	}
+}
+
 // waitingGrid is the table of waiting jobs.
 func (a *app) waitingGrid(jobs []waitingJob) *grid {
 	waiting := newGrid("waiting job", "submitted", "reasons (tasks)")
--- a/internal/objective/objective.go
+++ b/internal/objective/objective.go
@@ -102,6 +102,13 @@
 	}, true
 }
 
+// Allowance is how long a job may wait for its start and still end within a
+// multiple of its objective; 0 at least. whole is its longest chain.
+func Allowance(rule *api.ObjectiveConfig, whole time.Duration, multiple float64) time.Duration {
+	span := float64(rule.Target.Std()) + rule.Stretch*float64(whole)
+	return max(time.Duration(multiple*span)-whole, 0)
+}
+
 func millis(span time.Duration) record.Millis { return record.Millis(span.Milliseconds()) }
 
 // Tier comes before order: all of a lower tier go first.
--- a/internal/record/counts.go
+++ b/internal/record/counts.go
@@ -4,14 +4,30 @@
 // sum over the queues that name it in the configuration in force, so they are
 // added up anew when that changes.
 
-// count adds a change to a queue and to its team; what is zero is dropped.
-func (s *state) count(queue string, change QueueCounts) {
+// callerKey is one caller in one queue.
+type callerKey struct{ queue, caller string }
+
+// count adds a change of a job to its queue, to the queue's team and to the job's
+// caller; what is zero is dropped.
+func (s *state) count(job *Job, change QueueCounts) {
+	queue := job.Spec.Queue
 	addCounts(s.queues, queue, change)
+	s.countCaller(callerKey{queue, job.Spec.Caller}, change.PendingTasks)
 	if team := s.settings.queues[queue].Team; team != "" {
 		addCounts(s.teams, team, change)
 	}
 }
 
+func (s *state) countCaller(key callerKey, change int) {
+	if change == 0 {
+		return
+	}
+	s.callers[key] += change
+	if s.callers[key] == 0 {
+		delete(s.callers, key)
+	}
+}
+
 func addCounts(all map[string]*QueueCounts, name string, change QueueCounts) {
 	counts := all[name]
 	if counts == nil {
--- a/internal/record/state.go
+++ b/internal/record/state.go
@@ -34,6 +34,8 @@
 	// queues and teams hold counts that are not zero, by name.
 	queues map[string]*QueueCounts
 	teams  map[string]*QueueCounts
+	// callers hold the waiting tasks of each caller of a queue that has some.
+	callers map[callerKey]int
 	// released holds windows given back that have not ended, by end. What lies
 	// in the slice is never changed, so that a capture may share it.
 	released []ReleaseWindow
@@ -58,6 +60,7 @@
 		loads:       make(map[string]*load),
 		queues:      make(map[string]*QueueCounts),
 		teams:       make(map[string]*QueueCounts),
+		callers:     make(map[callerKey]int),
 	}
 }
 
@@ -71,7 +74,7 @@
 
 // indexJob counts a job's tasks and runs.
 func (s *state) indexJob(job *Job) {
-	s.count(job.Spec.Queue, QueueCounts{Jobs: 1})
+	s.count(job, QueueCounts{Jobs: 1})
 	s.indexSteps(job, job.Steps)
 }
 
@@ -80,7 +83,7 @@
 	for _, step := range steps {
 		s.taskTotal += len(step.Tasks)
 		for _, task := range step.Tasks {
-			s.count(job.Spec.Queue, countOf(task))
+			s.count(job, countOf(task))
 			if task.Run != nil {
 				s.addRun(task.Run)
 			}
@@ -92,7 +95,7 @@
 func (s *state) removeJob(job *Job) {
 	delete(s.jobs, job.ID)
 	s.removeSteps(job.Steps)
-	s.count(job.Spec.Queue, QueueCounts{Jobs: -1})
+	s.count(job, QueueCounts{Jobs: -1})
 }
 
 // removeSteps takes out steps whose tasks are all final.
@@ -158,7 +161,7 @@
 	before := countOf(task)
 	task.State = next
 	task.Run = run
-	s.count(task.Step.Job.Spec.Queue, countOf(task).minus(before))
+	s.count(task.Step.Job, countOf(task).minus(before))
 }
 
 func (s *state) addRun(run *Run) {
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -374,6 +374,8 @@
 	// TeamCounts returns what the queues of a team hold together, by the
 	// configuration in force.
 	TeamCounts(team string) QueueCounts
+	// CallerPending counts the waiting tasks of a caller's jobs in a queue.
+	CallerPending(queue, caller string) int
 	// Status builds the answer to a caller, live or archived. reason gives
 	// the text for a task that waits; it may be nil.
 	Status(id string, reason func(*Task) string) (api.JobStatus, bool, error)
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -113,6 +113,11 @@
 	return countsIn(v.machine.state.teams, team)
 }
 
+// CallerPending implements View.
+func (v view) CallerPending(queue, caller string) int {
+	return v.machine.state.callers[callerKey{queue, caller}]
+}
+
 func countsIn(all map[string]*QueueCounts, name string) QueueCounts {
 	if counts := all[name]; counts != nil {
 		return *counts
--- /dev/null
+++ b/internal/scheduler/admit.go
@@ -0,0 +1,239 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/admission"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/objective"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// Reasons under which refused jobs are counted.
+const (
+	refusedQueue      = "queue_limit"
+	refusedTeam       = "team_limit"
+	refusedFleet      = "fleet_limit"
+	refusedCaller     = "caller_share"
+	refusedHopeless   = "too_late"
+	refusedCommitting = "committing"
+)
+
+const (
+	// leastRetry and mostRetry bound the time to come back that is told with a
+	// refusal.
+	leastRetry = overLimitRetryMillis * time.Millisecond
+	mostRetry  = 30 * time.Second
+)
+
+// admit refuses what can be seen to be wrong, over a limit, impossible or hopeless.
+// A job that is known, or being committed, is let through whatever the limits say:
+// the record says that it is the same job.
+func (l *leader) admit(request fleet.SubmitRequest) error {
+	var known bool
+	var refusal error
+	spec := request.Spec
+	l.log.Record().Read(func(view record.View) {
+		known = isKnown(view, request.ID)
+		if known {
+			return
+		}
+		_, config := view.Config()
+		if fields := api.ValidateJob(request.ID, &request.Spec, config); len(fields) > 0 {
+			refusal = invalid("job", fields)
+			return
+		}
+		queue := queueOf(config, spec.Queue)
+		spec = spec.WithService(queue.Service)
+		if !l.isSubmitting(request.ID) {
+			refusal = l.notNow(view, config, queue, &spec)
+		}
+	})
+	if known || refusal != nil {
+		return refusal
+	}
+	return l.impossible(&spec)
+}
+
+// notNow refuses a job that may come back later.
+func (l *leader) notNow(view record.View, config *api.Config, queue *api.QueueConfig, spec *api.JobSpec) error {
+	if err := l.overLimit(view, config, queue, spec); err != nil {
+		return err
+	}
+	return l.tooLate(queue, spec)
+}
+
+// queueOf finds a queue that is in the configuration.
+func queueOf(config *api.Config, name string) *api.QueueConfig {
+	index := slices.IndexFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
+	return &config.Queues[index]
+}
+
+func isKnown(view record.View, id string) bool {
+	if _, live := view.Job(id); live {
+		return true
+	}
+	_, known, err := view.BriefStatus(id)
+	return known && err == nil
+}
+
+// bound is a bound on waiting tasks that queues share.
+type bound struct {
+	reason string
+	// of says whose bound it is, in messages.
+	of   string
+	most int
+	// own is the place of the job's queue in queues; waiting is what they hold.
+	own     int
+	queues  []admission.Part
+	waiting int
+}
+
+func (b *bound) add(queue *api.QueueConfig, own bool, waiting int) {
+	if own {
+		b.own = len(b.queues)
+	}
+	b.queues = append(b.queues, admission.Part{Weight: max(queue.Weight, 1), Used: waiting})
+	b.waiting += waiting
+}
+
+func (b *bound) free() int { return admission.Free(b.most, b.own, b.queues) }
+
+// refusal says why a number of tasks is too many.
+func (b *bound) refusal(tasks int) string {
+	if b.waiting+tasks > b.most {
+		return fmt.Sprintf("%s %d waiting tasks of at most %d", b.of, b.waiting, b.most)
+	}
+	return fmt.Sprintf("%s %d waiting tasks of at most %d, and keeps places for other queues than this one, which has %d",
+		b.of, b.waiting, b.most, b.queues[b.own].Used)
+}
+
+// boundsOn returns the bounds on a queue's waiting tasks: its own, its team's and
+// that of all queues.
+func boundsOn(view record.View, config *api.Config, queue *api.QueueConfig) []*bound {
+	own := &bound{reason: refusedQueue, of: "queue " + queue.Name + " has", most: queue.MaxPendingTasks}
+	team := &bound{reason: refusedTeam, of: "team " + queue.Team + " has"}
+	all := &bound{reason: refusedFleet, of: "the fleet has", most: config.Limits.MaxPendingTasks}
+	for _, one := range config.Teams {
+		if one.Name == queue.Team {
+			team.most = one.MaxPendingTasks
+		}
+	}
+	for index := range config.Queues {
+		other := &config.Queues[index]
+		pending := view.QueueCounts(other.Name).PendingTasks
+		same := other.Name == queue.Name
+		all.add(other, same, pending)
+		if other.Team == queue.Team {
+			team.add(other, same, pending)
+		}
+		if same {
+			own.add(other, same, pending)
+		}
+	}
+	return slices.DeleteFunc([]*bound{own, team, all}, func(one *bound) bool { return one.most == 0 })
+}
+
+// overLimit checks the bounds on waiting tasks, and the caller's share of what they
+// leave.
+func (l *leader) overLimit(view record.View, config *api.Config, queue *api.QueueConfig, spec *api.JobSpec) error {
+	tasks := spec.TaskCount()
+	bounds := boundsOn(view, config, queue)
+	for _, one := range bounds {
+		if tasks > one.most && one.reason != refusedFleet {
+			return tooManyTasks(tasks, one.most, one.reason, queue)
+		}
+	}
+	free := bounds[0].free()
+	for _, one := range bounds {
+		if room := one.free(); tasks > room {
+			return l.refuse(queue, one.reason, one.refusal(tasks), tasks-room)
+		}
+		free = min(free, one.free())
+	}
+	return l.overShare(view, queue, spec, free)
+}
+
+// overShare checks a caller's share. Where nobody names a caller there is none.
+func (l *leader) overShare(view record.View, queue *api.QueueConfig, spec *api.JobSpec, free int) error {
+	held := view.CallerPending(queue.Name, spec.Caller)
+	if spec.Caller == "" && held == view.QueueCounts(queue.Name).PendingTasks {
+		return nil
+	}
+	tasks := spec.TaskCount()
+	share := admission.CallerFree(free, held, queue.CallerShare)
+	if tasks <= share {
+		return nil
+	}
+	message := fmt.Sprintf("caller %q has %d waiting tasks in queue %s, where %d places are free and some are kept for other callers", spec.Caller, held, queue.Name, free)
+	return l.refuse(queue, refusedCaller, message, tasks-share)
+}
+
+// tooManyTasks refuses a job that would not be taken even if nothing waited.
+func tooManyTasks(tasks, most int, reason string, queue *api.QueueConfig) error {
+	of := "queue " + queue.Name
+	if reason == refusedTeam {
+		of = "team " + queue.Team
+	}
+	field := api.FieldError{Field: "steps", Value: fmt.Sprintf("%d tasks", tasks), Expected: fmt.Sprintf("at most %d, the most that may wait in %s", most, of)}
+	return invalid("job", []api.FieldError{field})
+}
+
+// refuse is the answer to a job over a limit that has to come back once a number of
+// waiting tasks more has begun to run.
+func (l *leader) refuse(queue *api.QueueConfig, reason, message string, tooMany int) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.intake.queue(queue.Name)
+	earliest, _ := known.flow.TimeFor(l.now(), tooMany)
+	return l.refuseFor(queue.Name, reason, message, known.comeBack(l.now(), earliest, tooMany))
+}
+
+func (l *leader) refuseFor(queue, reason, message string, pause time.Duration) error {
+	l.metrics.refusals.WithLabelValues(queue, reason).Inc()
+	refusal := overLimitError(message)
+	refusal.RetryAfterMillis = max(pause, leastRetry).Milliseconds()
+	return refusal
+}
+
+// tooLate refuses a job that by the measured rate will end beyond the multiple of
+// its objective that the queue allows, while no worker has room for its beginning.
+// What goes before others by its priority, or later by its own time, is let in.
+func (l *leader) tooLate(queue *api.QueueConfig, spec *api.JobSpec) error {
+	rule := queue.Objective
+	if rule == nil || rule.RefuseBeyond == 0 || spec.Priority > 0 || isTimed(spec) {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.intake.queue(queue.Name)
+	wait, measured := known.flow.ExpectedWait(l.now())
+	allowed := objective.Allowance(rule, objective.ChainsOf(spec.Steps).Whole, rule.RefuseBeyond)
+	if !measured || !known.hopeless.Closed() || wait <= allowed || l.hasRoom(spec) {
+		return nil
+	}
+	message := fmt.Sprintf("a job that comes now waits %v in queue %s, and ends later than %v times its objective",
+		wait.Round(time.Millisecond), queue.Name, rule.RefuseBeyond)
+	pause := known.comeBack(l.now(), wait-admission.Reopen(allowed), spec.TaskCount())
+	return l.refuseFor(queue.Name, refusedHopeless, message, pause)
+}
+
+// isTimed reports whether a job has work that waits for its time, or that has no
+// end.
+func isTimed(spec *api.JobSpec) bool {
+	return spec.Repeat != nil || slices.ContainsFunc(spec.Steps, func(step api.StepSpec) bool {
+		return step.NotBefore != nil ||
+			slices.ContainsFunc(step.Tasks, func(task api.TaskSpec) bool { return task.UntilCancelled })
+	})
+}
+
+// hasRoom reports whether the first task of some first step has room on a worker
+// now.
+func (l *leader) hasRoom(spec *api.JobSpec) bool {
+	return slices.ContainsFunc(spec.Steps, func(step api.StepSpec) bool {
+		return len(step.After) == 0 && l.planner.HasRoom(&step.Tasks[0])
+	})
+}
--- /dev/null
+++ b/internal/scheduler/admit_test.go
@@ -0,0 +1,237 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/replica"
+)
+
+func asRefusal(t *testing.T, err error) *api.Error {
+	t.Helper()
+	var refusal *api.Error
+	if !errors.As(err, &refusal) {
+		t.Fatalf("not a refusal: %v", err)
+	}
+	return refusal
+}
+
+// handIn hands a job of some tasks in and returns the refusal, if there is one.
+func (h *harness) handIn(id, queue, caller string, count int) *api.Error {
+	h.t.Helper()
+	spec := api.JobSpec{Queue: queue, Caller: caller, Steps: []api.StepSpec{tasks(count)}}
+	_, err := h.leader.submit(h.t.Context(), fleet.SubmitRequest{ID: id, Spec: spec})
+	if err == nil {
+		return nil
+	}
+	refusal := asRefusal(h.t, err)
+	if refusal.Status != 429 || refusal.RetryAfterMillis < leastRetry.Milliseconds() || refusal.RetryAfterMillis > mostRetry.Milliseconds() {
+		h.t.Fatalf("%s: %+v", id, refusal)
+	}
+	return refusal
+}
+
+// flood hands jobs of 10 tasks in until one is refused, and returns the tasks that
+// were taken.
+func (h *harness) flood(queue, caller string) int {
+	h.t.Helper()
+	for number := range 1000 {
+		if h.handIn(fmt.Sprintf("%s-%s-%d", queue, caller, number), queue, caller, 10) != nil {
+			return number * 10
+		}
+	}
+	h.t.Fatal("the flood is not refused")
+	return 0
+}
+
+// TestAFloodOfOneQueueLeavesPlacesToOthers: of 1200 waiting tasks of all queues,
+// 600 are guaranteed by weight.
+func TestAFloodOfOneQueueLeavesPlacesToOthers(t *testing.T) {
+	h := newHarness(t)
+	h.putConfig(api.Config{
+		Queues: []api.QueueConfig{{Name: "a"}, {Name: "b"}, {Name: "c", Weight: 4}},
+		Limits: api.LimitConfig{MaxPendingTasks: 1200},
+	})
+	if got := h.flood("a", ""); got != 1200-100-400 {
+		t.Errorf("a got %d", got)
+	}
+	if got := h.flood("c", ""); got != 400 {
+		t.Errorf("c got %d", got)
+	}
+	if got := h.flood("b", ""); got != 100 {
+		t.Errorf("b got %d", got)
+	}
+}
+
+func TestAFloodOfOneQueueLeavesPlacesInItsTeam(t *testing.T) {
+	h := newHarness(t)
+	h.putConfig(api.Config{
+		Queues: []api.QueueConfig{{Name: "a", Team: "t"}, {Name: "b", Team: "t"}, {Name: "c"}},
+		Teams:  []api.TeamConfig{{Name: "t", MaxPendingTasks: 400}},
+	})
+	if got := h.flood("a", ""); got != 300 {
+		t.Errorf("a got %d", got)
+	}
+	if got := h.flood("b", ""); got != 100 {
+		t.Errorf("b got %d", got)
+	}
+	if refusal := h.handIn("c-0", "c", "", 10); refusal != nil {
+		t.Errorf("a queue of no team: %v", refusal)
+	}
+}
+
+// TestAFloodOfOneCallerLeavesPlacesToOthers: no worker is there, so all waits.
+func TestAFloodOfOneCallerLeavesPlacesToOthers(t *testing.T) {
+	h := newHarness(t)
+	h.putConfig(api.Config{Queues: []api.QueueConfig{{Name: "q", MaxPendingTasks: 1200}}})
+	if got := h.flood("q", "loud"); got != 600 {
+		t.Fatalf("loud got %d", got)
+	}
+	if got := h.flood("q", "second"); got != 300 {
+		t.Errorf("second got %d", got)
+	}
+	if refusal := h.handIn("quiet", "q", "quiet", 10); refusal != nil {
+		t.Errorf("quiet: %v", refusal)
+	}
+	if refusal := h.handIn("loud-again", "q", "loud", 1); refusal == nil {
+		t.Error("loud got more")
+	}
+	if refusal := h.handIn("q-loud-0", "q", "loud", 10); refusal != nil {
+		t.Errorf("a resend: %v", refusal)
+	}
+	// Once its tasks run, it gets in again.
+	worker := h.worker("w", "w-1")
+	worker.heartbeat.Capacity.CPUMillis = 700_000
+	worker.exchange()
+	worker.exchange()
+	if refusal := h.handIn("loud-again", "q", "loud", 1); refusal != nil {
+		t.Errorf("loud, later: %v", refusal)
+	}
+}
+
+// TestCallersThatAreNotNamed: where nobody names a caller, the queue's bound holds
+// alone; beside one that does, those that do not are one caller.
+func TestCallersThatAreNotNamed(t *testing.T) {
+	h := newHarness(t)
+	h.putConfig(api.Config{Queues: []api.QueueConfig{{Name: "q", MaxPendingTasks: 100}, {Name: "other", MaxPendingTasks: 100, CallerShare: 3}}})
+	if got := h.flood("q", ""); got != 100 {
+		t.Errorf("nobody is named: %d", got)
+	}
+	if refusal := h.handIn("named", "other", "named", 10); refusal != nil {
+		t.Fatal(refusal)
+	}
+	// 60 <= 3 x (100 - 70)
+	if got := h.flood("other", ""); got != 60 {
+		t.Errorf("beside one that is named: %d", got)
+	}
+}
+
+// TestTimeToComeBack: what has to wait for 60 tasks to start, at 20 a second, is
+// told so.
+func TestTimeToComeBack(t *testing.T) {
+	f := newBurstFleet(t, api.QueueConfig{Name: "a", MaxPendingTasks: 400}, api.QueueConfig{Name: "b"})
+	if refusal := f.handIn("a-first", "a", "", 400); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if refusal := f.handIn("a-soon", "a", "", 100); refusal == nil || refusal.RetryAfterMillis != leastRetry.Milliseconds() {
+		t.Errorf("before a rate is known: %+v", refusal)
+	}
+	for range 60 {
+		f.advance(burstStep)
+		for _, worker := range f.workers {
+			f.end(worker)
+		}
+	}
+	waiting := f.leader.intake.queue("a").flow.Waiting()
+	refusal := f.handIn("a-later", "a", "", 400-waiting+80)
+	if refusal == nil || refusal.RetryAfterMillis < 1500 || refusal.RetryAfterMillis > 2600 {
+		t.Errorf("80 too many at 40 a second: %+v", refusal)
+	}
+}
+
+// end ends the runs that are over, of jobs of any number of tasks.
+func (f *burstFleet) end(worker *fakeWorker) {
+	running := worker.heartbeat.Running
+	worker.heartbeat.Running = nil
+	for _, run := range running {
+		if f.now < f.due[run] {
+			worker.heartbeat.Running = append(worker.heartbeat.Running, run)
+			continue
+		}
+		worker.heartbeat.Ended = append(worker.heartbeat.Ended, api.EndedRun{RunRef: run, Outcome: api.OutcomeSucceeded})
+	}
+	for range 2 {
+		for _, order := range worker.exchange().Start {
+			f.due[order.RunRef] = f.now + burstWork
+		}
+	}
+}
+
+// TestSubmissionsBeingCommittedAreShared: "a" fills all places but those that are
+// guaranteed; a resend of what is being committed gets in all the same.
+func TestSubmissionsBeingCommittedAreShared(t *testing.T) {
+	h := newHarness(t)
+	h.putConfig(api.Config{Queues: []api.QueueConfig{{Name: "a"}, {Name: "b"}}})
+	var ends []func()
+	begin := func(queue, id string) bool {
+		end, err := h.leader.beginSubmit(&fleet.SubmitRequest{ID: id, Spec: api.JobSpec{Queue: queue}})
+		if err != nil {
+			asRefusal(t, err)
+			return false
+		}
+		ends = append(ends, end)
+		return true
+	}
+	taken := 0
+	for begin("a", fmt.Sprintf("a-%d", taken)) {
+		taken++
+	}
+	if taken != maxSubmitting*3/4 {
+		t.Errorf("a took %d places", taken)
+	}
+	if !begin("b", "b-0") || !begin("a", "a-0") || begin("a", "a-new") {
+		t.Error("the places are not kept for b and for resends")
+	}
+	for _, end := range ends {
+		end()
+	}
+	if left := len(h.leader.submitting.byJob) + len(h.leader.submitting.byQueue); left > 0 {
+		t.Errorf("%d counts are left", left)
+	}
+}
+
+// TestAResendOfWhatIsBeingCommittedIsNoNewJob: while the first submission is on its
+// way into the log, the queue becomes full; the resend is the same job.
+func TestAResendOfWhatIsBeingCommittedIsNoNewJob(t *testing.T) {
+	h := newHarness(t)
+	h.putConfig(api.Config{Queues: []api.QueueConfig{{Name: "q", MaxPendingTasks: 10}}})
+	h.log.meanwhile = func() {
+		h.log.meanwhile = nil
+		if refusal := h.handIn("other", "q", "", 8); refusal != nil {
+			t.Errorf("another: %v", refusal)
+		}
+		if refusal := h.handIn("job", "q", "", 8); refusal != nil {
+			t.Errorf("the resend: %v", refusal)
+		}
+	}
+	if refusal := h.handIn("job", "q", "", 8); refusal != nil {
+		t.Fatal(refusal)
+	}
+}
+
+// TestAFullLogIsToldAtOnce: the front does not try such a call again.
+func TestAFullLogIsToldAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.log.overloaded = true
+	spec := api.JobSpec{Queue: "q", Steps: []api.StepSpec{tasks(1)}}
+	_, err := h.leader.submit(t.Context(), fleet.SubmitRequest{ID: "j", Spec: spec})
+	if refusal := asRefusal(t, err); refusal.Status != 503 || refusal.Code != api.CodeUnavailable || refusal.RetryAfterMillis <= 0 {
+		t.Errorf("%+v", refusal)
+	}
+	if err := h.leader.submitError(replica.ErrOutcomeUnknown); errors.As(err, new(*api.Error)) {
+		t.Errorf("an outcome that is not known: %v", err)
+	}
+}
--- a/internal/scheduler/errors.go
+++ b/internal/scheduler/errors.go
@@ -46,3 +46,7 @@
 func invalid(what string, fields []api.FieldError) *api.Error {
 	return &api.Error{Status: http.StatusUnprocessableEntity, Code: api.CodeInvalid, Message: what + " is invalid", Fields: fields}
 }
+
+func overLimitError(message string) *api.Error {
+	return &api.Error{Status: http.StatusTooManyRequests, Code: api.CodeOverLimit, Message: message, RetryAfterMillis: overLimitRetryMillis}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -20,10 +20,15 @@
 	if err := l.admit(request); err != nil {
 		return fleet.SubmitAnswer{}, err
 	}
+	end, err := l.beginSubmit(&request)
+	if err != nil {
+		return fleet.SubmitAnswer{}, err
+	}
+	defer end()
 	command := record.Command{Submit: &record.Submit{ID: request.ID, Spec: request.Spec, Digest: digest}}
 	result, err := l.propose(ctx, command)
 	if err != nil {
-		return fleet.SubmitAnswer{}, l.proposalError(err)
+		return fleet.SubmitAnswer{}, l.submitError(err)
 	}
 	switch result.Submit.Outcome {
 	case record.SubmitAccepted:
@@ -44,99 +49,6 @@
 	return &api.Error{Status: http.StatusConflict, Code: api.CodeConflict, Message: "job " + id + " is known with other content"}
 }
 
-// admit refuses what can be seen to be wrong, over a limit or impossible.
-func (l *leader) admit(request fleet.SubmitRequest) error {
-	var known bool
-	var refusal error
-	spec := request.Spec
-	l.log.Record().Read(func(view record.View) {
-		known = isKnown(view, request.ID)
-		if known {
-			return
-		}
-		_, config := view.Config()
-		if fields := api.ValidateJob(request.ID, &request.Spec, config); len(fields) > 0 {
-			refusal = invalid("job", fields)
-			return
-		}
-		spec = spec.WithService(queueService(config, spec.Queue))
-		refusal = overLimit(view, config, &spec)
-	})
-	if known || refusal != nil {
-		return refusal
-	}
-	return l.impossible(&spec)
-}
-
-// queueService is the service of a queue's tasks that name none.
-func queueService(config *api.Config, name string) string {
-	for index := range config.Queues {
-		if config.Queues[index].Name == name {
-			return config.Queues[index].Service
-		}
-	}
-	return ""
-}
-
-func isKnown(view record.View, id string) bool {
-	if _, live := view.Job(id); live {
-		return true
-	}
-	_, known, err := view.BriefStatus(id)
-	return known && err == nil
-}
-
-// overLimit checks the bounds on waiting tasks, of the queue, its team and all.
-func overLimit(view record.View, config *api.Config, spec *api.JobSpec) error {
-	tasks := spec.TaskCount()
-	total := 0
-	team := ""
-	for _, queue := range config.Queues {
-		pending := view.QueueCounts(queue.Name).PendingTasks
-		total += pending
-		if queue.Name != spec.Queue {
-			continue
-		}
-		team = queue.Team
-		if queue.MaxPendingTasks > 0 && tasks > queue.MaxPendingTasks {
-			return tooManyTasks(tasks, queue.MaxPendingTasks, "queue "+queue.Name)
-		}
-		if queue.MaxPendingTasks > 0 && pending+tasks > queue.MaxPendingTasks {
-			return overLimitError(fmt.Sprintf("queue %s has %d waiting tasks of at most %d", queue.Name, pending, queue.MaxPendingTasks))
-		}
-	}
-	if err := teamOverLimit(view, config, team, tasks); err != nil {
-		return err
-	}
-	if total+tasks > config.Limits.MaxPendingTasks {
-		return overLimitError(fmt.Sprintf("%d tasks wait of at most %d", total, config.Limits.MaxPendingTasks))
-	}
-	return nil
-}
-
-func teamOverLimit(view record.View, config *api.Config, name string, tasks int) error {
-	for _, team := range config.Teams {
-		pending := view.TeamCounts(team.Name).PendingTasks
-		if team.Name == name && team.MaxPendingTasks > 0 && tasks > team.MaxPendingTasks {
-			return tooManyTasks(tasks, team.MaxPendingTasks, "team "+name)
-		}
-		if team.Name == name && team.MaxPendingTasks > 0 && pending+tasks > team.MaxPendingTasks {
-			return overLimitError(fmt.Sprintf("team %s has %d waiting tasks of at most %d", name, pending, team.MaxPendingTasks))
-		}
-	}
-	return nil
-}
-
-// tooManyTasks refuses a job that would not be taken even if nothing waited.
-func tooManyTasks(tasks, most int, of string) *api.Error {
-	field := api.FieldError{Field: "steps", Value: fmt.Sprintf("%d tasks", tasks), Expected: fmt.Sprintf("at most %d, the most that may wait in %s", most, of)}
-	return invalid("job", []api.FieldError{field})
-}
-
-func overLimitError(message string) *api.Error {
-	return &api.Error{Status: http.StatusTooManyRequests, Code: api.CodeOverLimit, Message: message, RetryAfterMillis: overLimitRetryMillis}
-}
-
 // impossible refuses tasks that no known worker could hold even when empty.
 // While no worker is known nothing can be said, and all is let in. Tasks in a
 // row that ask for the same are looked at once.
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -75,6 +75,9 @@
 	// starting are the groups in lockstep not all of whose members have started.
 	starting map[stepKey]*groupState
 	health   health
+	intake   intake
+	// submitting are the submissions being committed.
+	submitting submissions
 	// pendingCloses and pendingStops are the leader's own commands that wait
 	// to be proposed.
 	pendingCloses []record.RunEnd
@@ -133,6 +136,8 @@
 		calendar:      calendar{released: make(map[string]time.Time)},
 		waiting:       make(map[record.TaskID]*waitingTask),
 		health:        newHealth(),
+		intake:        newIntake(),
+		submitting:    newSubmissions(),
 		chains:        make(map[string]objective.Chains),
 		groups:        make(map[stepKey]*groupState),
 		starting:      make(map[stepKey]*groupState),
@@ -183,6 +188,7 @@
 	}
 	for job := range view.Jobs("") {
 		l.repeats.add(job)
+		l.noteJob(job)
 		for _, step := range job.Steps {
 			l.loadStep(step)
 		}
@@ -256,6 +262,7 @@
 	l.breakLateGroups(now)
 	l.stopAllDeparting(now)
 	l.reviewHealth(now)
+	l.reviewIntake(now)
 	l.planner.SetTime(clusterNow)
 	l.refreshReservations(clusterNow)
 	l.refreshRanks(clusterNow)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -12,6 +12,8 @@
 	planSeconds prometheus.Histogram
 
 	runsStalled, workersHeldBack prometheus.Counter
+	// refusals counts jobs not taken for now.
+	refusals *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -43,7 +45,10 @@
 	m.workersHeldBack = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "workers_held_back_total", Help: "Times that a worker was held back since work failed or stood still there.",
 	})
-	registerer.MustRegister(m.runsStalled, m.workersHeldBack)
+	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "refusals_total", Help: "Jobs not taken for now, by queue and reason.",
+	}, []string{"queue", "reason"})
+	registerer.MustRegister(m.runsStalled, m.workersHeldBack, m.refusals)
 	registerer.MustRegister(m.proposals, m.placements, m.orders, m.heartbeats, m.runsClosed, m.planSeconds)
 	return m
 }
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -24,6 +24,8 @@
 	due bool
 	// placing is true while a placement of the task is being committed.
 	placing bool
+	// counted is true while the task counts for how long newcomers will wait.
+	counted bool
 }
 
 // onEvent keeps the mirror true to the record. The record calls it under its
@@ -44,6 +46,7 @@
 		l.closeRun(change.Run, change.Outcome)
 	case record.JobAdded:
 		l.repeats.add(change.Job)
+		l.noteJob(change.Job)
 	case record.OccurrenceAdded:
 		l.repeats.added(change.Job)
 	case record.OccurrenceEnded:
@@ -101,6 +104,7 @@
 	entry.urgency.apply(objectiveOf(l.config, job.Spec.Queue))
 	l.rank(entry, l.log.Now())
 	l.waiting[task.ID] = entry
+	l.countWaiting(entry)
 	if task.Step.Grouped() {
 		l.joinGroup(entry, task.Step)
 	}
@@ -132,6 +136,7 @@
 			continue
 		}
 		entry.due = true
+		l.countWaiting(entry)
 		l.offer(entry)
 	}
 	if len(due) > 0 {
@@ -144,6 +149,7 @@
 	if !waits {
 		return
 	}
+	l.countOut(entry)
 	delete(l.waiting, task.ID)
 	delete(l.preemptOnOpen, task.ID)
 	l.planner.Remove(task.ID)
@@ -172,7 +178,7 @@
 
 		checkpoint: task.NewestCheckpoint(),
 	}
-	delete(l.waiting, task.ID)
+	l.startWaiting(task.ID)
 	l.planner.Remove(task.ID)
 	job := task.Step.Job
 	l.planner.Hold(placement.Task{
@@ -339,6 +345,7 @@
 	}
 	l.planner.SetTeams(teams)
 	l.planner.SetQueues(rules)
+	l.forgetIntake()
 	l.planner.SetMaxPreemptions(config.Timings.MaxPreemptions)
 	l.resetCalendar()
 	if orderChanged {
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -85,7 +85,7 @@
 	l.log.Record().Read(func(view record.View) {
 		_, config := view.Config()
 		known = slices.ContainsFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == request.Name })
-		answer.Status = queueStatus(view, request.Name)
+		answer.Status = l.queueStatus(view, request.Name)
 	})
 	if !l.log.HoldsLease(l.token) {
 		return fleet.QueueAnswer{}, l.notLeader()
@@ -96,9 +96,13 @@
 	return answer, nil
 }
 
-func queueStatus(view record.View, name string) api.QueueStatus {
+func (l *leader) queueStatus(view record.View, name string) api.QueueStatus {
 	counts := view.QueueCounts(name)
-	return api.QueueStatus{Name: name, Jobs: counts.Jobs, Pending: counts.PendingTasks, Running: counts.RunningTasks}
+	wait, overloaded := l.expectedWait(name)
+	return api.QueueStatus{
+		Name: name, Jobs: counts.Jobs, Pending: counts.PendingTasks, Running: counts.RunningTasks,
+		ExpectedWaitMillis: wait.Milliseconds(), Overloaded: overloaded,
+	}
 }
 
 // listQueues counts what each queue holds.
@@ -107,7 +111,7 @@
 	l.log.Record().Read(func(view record.View) {
 		_, config := view.Config()
 		for _, queue := range config.Queues {
-			list.Queues = append(list.Queues, queueStatus(view, queue.Name))
+			list.Queues = append(list.Queues, l.queueStatus(view, queue.Name))
 		}
 	})
 	if !l.log.HoldsLease(l.token) {
--- /dev/null
+++ b/internal/scheduler/submitting.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/admission"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/replica"
+)
+
+// maxSubmitting bounds the submissions that are being committed at once, shared by
+// the queues: the log takes some more commands than that, so that the ends of runs
+// always find a place beside a flood of jobs.
+const maxSubmitting = 1024
+
+// submissions are those being committed.
+type submissions struct {
+	// byJob counts them by job: the same may come several times.
+	byJob   map[string]int
+	byQueue map[string]int
+}
+
+func newSubmissions() submissions {
+	return submissions{byJob: make(map[string]int), byQueue: make(map[string]int)}
+}
+
+func (s *submissions) add(job, queue string, change int) {
+	addTo(s.byJob, job, change)
+	addTo(s.byQueue, queue, change)
+}
+
+func addTo(counts map[string]int, key string, change int) {
+	counts[key] += change
+	if counts[key] == 0 {
+		delete(counts, key)
+	}
+}
+
+// free is how many more submissions of a queue may be committed at once.
+func (s *submissions) free(config *api.Config, name string) int {
+	parts := make([]admission.Part, 0, len(config.Queues))
+	own := 0
+	for index := range config.Queues {
+		queue := &config.Queues[index]
+		if queue.Name == name {
+			own = index
+		}
+		parts = append(parts, admission.Part{Weight: max(queue.Weight, 1), Used: s.byQueue[queue.Name]})
+	}
+	if len(parts) == 0 {
+		return 0
+	}
+	return admission.Free(maxSubmitting, own, parts)
+}
+
+// beginSubmit counts a submission in that is to be committed; end counts it out.
+func (l *leader) beginSubmit(request *fleet.SubmitRequest) (end func(), refusal error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	queue := request.Spec.Queue
+	if l.submitting.byJob[request.ID] == 0 && l.submitting.free(l.config, queue) == 0 {
+		message := fmt.Sprintf("%d submissions of queue %s are being committed", l.submitting.byQueue[queue], queue)
+		return nil, l.refuseFor(queue, refusedCommitting, message, 0)
+	}
+	l.submitting.add(request.ID, queue, 1)
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.submitting.add(request.ID, queue, -1)
+	}, nil
+}
+
+func (l *leader) isSubmitting(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.submitting.byJob[id] > 0
+}
+
+// submitError is proposalError for a job. One that surely was not taken, since the
+// log has more to do than it can, is refused at once: to try again from the front
+// would only add to that.
+func (l *leader) submitError(err error) error {
+	if !errors.Is(err, replica.ErrOverloaded) {
+		return l.proposalError(err)
+	}
+	return &api.Error{
+		Status: http.StatusServiceUnavailable, Code: api.CodeUnavailable,
+		Message: "more changes wait to be committed than may; nothing was done", RetryAfterMillis: leastRetry.Milliseconds(),
+	}
+}
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -33,6 +33,8 @@
 	// times are set while the task has an objective.
 	times  objective.Times
 	timely bool
+	// lost: the job can no longer end within three times its objective.
+	lost bool
 }
 
 // urgencyOf gathers it for a task that begins to wait.
@@ -66,10 +68,12 @@
 
 // sequence is the task's place at a moment, and until when it holds; 0 for ever.
 func (u *urgency) sequence(now record.Millis) (sequence uint64, until record.Millis) {
+	u.lost = false
 	if !u.timely {
 		return uint64(u.fellDue)*placesPerJob + u.place, 0
 	}
 	rank := u.times.RankAt(now)
+	u.lost = rank.Tier == objective.Lost
 	moment := uint64(rank.Tier)<<momentBits + uint64(max(rank.Key, 0))
 	return moment*placesPerJob + u.place, rank.Until
 }
@@ -91,6 +95,7 @@
 	for _, id := range l.ranks.takeDue(now) {
 		entry, waits := l.waiting[id]
 		if waits && l.rank(entry, now) && entry.due {
+			l.countWaiting(entry)
 			moved = append(moved, entry)
 		}
 	}
@@ -146,6 +151,7 @@
 		entry.task.Priority = entry.jobPriority + l.queuePriority(entry.task.Queue)
 		entry.urgency.apply(objectiveOf(l.config, entry.task.Queue))
 		l.rank(entry, now)
+		l.countWaiting(entry)
 		if entry.due {
 			due = append(due, entry)
 		}
