Share a front's submissions by queue

Cause: submits_per_second and max_inflight were one pool each, so that a flood of one queue took the rate and all places of a front; calls from inside the same process were not bounded in number at all.

Change: half of both is guaranteed to the queues by weight, and a part of the places to what is no submission. One queue alone has all, as before.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,8 +46,9 @@
 	// time that a read is held. Default 3s.
 	Deadline time.Duration
 	// MaxInflight bounds the held reads served at once and, separately, all
-	// other requests, so that held reads never keep a submission out. Default
-	// 1024.
+	// other requests, so that held reads never keep a submission out. Half of it is
+	// guaranteed to the submissions of each queue, by weight, and to what is no
+	// submission. Default 1024.
 	MaxInflight int
 }
 
@@ -68,13 +69,13 @@
 
 // Front serves the HTTP interface.
 type Front struct {
-	link      Link
-	client    *rpc.Client
-	logger    *slog.Logger
-	settings  atomic.Pointer[Settings]
-	admission *admission
-	metrics   *metrics
-	handler   http.Handler
+	link     Link
+	client   *rpc.Client
+	logger   *slog.Logger
+	settings atomic.Pointer[Settings]
+	intake   *intake
+	metrics  *metrics
+	handler  http.Handler
 }
 
 // New makes a front; it starts no goroutine.
@@ -82,11 +83,11 @@
 	if config.Link == nil || config.Client == nil {
 		return nil, errors.New("a front needs a link to the leader and an rpc client")
 	}
-	front := &Front{link: config.Link, client: config.Client, logger: config.Logger, admission: newAdmission()}
+	front := &Front{link: config.Link, client: config.Client, logger: config.Logger, intake: newIntake()}
 	if front.logger == nil {
 		front.logger = slog.New(slog.DiscardHandler)
 	}
-	measured, err := newMetrics(config.Registerer, front.admission)
+	measured, err := newMetrics(config.Registerer, front.intake)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/job_calls.go
+++ b/internal/front/job_calls.go
@@ -43,21 +43,41 @@
 	if fields := f.wrongFields(id, &spec); len(fields) > 0 {
 		return api.SubmitAnswer{}, httpjson.Invalid("job", fields)
 	}
-	if refusal := f.admission.submit(f.limits().SubmitsPerSecond); refusal != nil {
-		f.metrics.refused(refusedRate)
+	leave, refusal := f.admit(spec.Queue)
+	if refusal != nil {
 		return api.SubmitAnswer{}, refusal
 	}
+	defer leave()
 	answer, refusal := relay[fleet.SubmitRequest, fleet.SubmitAnswer](ctx, f, relayCall[fleet.SubmitRequest]{
 		method:  fleet.MethodSubmit,
 		request: fleet.SubmitRequest{ID: id, Spec: spec},
 		effect:  true,
 	})
 	if refusal != nil && refusal.Status < http.StatusInternalServerError {
-		f.admission.giveBack()
+		f.intake.giveBack()
 	}
 	return api.SubmitAnswer{ID: id, Created: answer.Created}, refusal
 }
 
+// admit lets a submission in if this front's limits have a place for its queue;
+// leave gives the place back.
+func (f *Front) admit(queue string) (leave func(), refusal *api.Error) {
+	weights := queueWeights(f.link.Config())
+	if _, known := weights[queue]; !known {
+		queue = ""
+	}
+	if refusal := f.intake.enterQueue(f.settings.Load().MaxInflight, queue, weights); refusal != nil {
+		f.metrics.refused(refusedQueueInflight)
+		return nil, refusal
+	}
+	if refusal := f.intake.takeToken(f.limits().SubmitsPerSecond, queue, weights); refusal != nil {
+		f.intake.leaveQueue(queue)
+		f.metrics.refused(refusedRate)
+		return nil, refusal
+	}
+	return func() { f.intake.leaveQueue(queue) }, nil
+}
+
 // wrongFields checks what is wrong under any configuration: a newer one than
 // this front knows may have the queue. Only if something is wrong anyway does
 // the list tell what the configuration known here adds.
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -12,8 +12,9 @@
 
 // Reasons under which refusals by admission are counted.
 const (
-	refusedInflight = "inflight"
-	refusedRate     = "submit_rate"
+	refusedInflight      = "inflight"
+	refusedQueueInflight = "queue_inflight"
+	refusedRate          = "submit_rate"
 )
 
 // metrics are the front's own figures.
@@ -25,7 +26,7 @@
 }
 
 // newMetrics makes the metrics and registers them, if there is a registerer.
-func newMetrics(registerer prometheus.Registerer, limits *admission) (*metrics, error) {
+func newMetrics(registerer prometheus.Registerer, limits *intake) (*metrics, error) {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "decklever_front_requests_total", Help: "Requests answered, by route and status.",
--- a/internal/front/middleware.go
+++ b/internal/front/middleware.go
@@ -103,9 +103,9 @@
 // bound refuses at once what is beyond the number of requests in flight.
 func (f *Front) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		class := &f.admission.others
+		class := &f.intake.others
 		if isHeldRead(request) {
-			class = &f.admission.heldReads
+			class = &f.intake.heldReads
 		}
 		most := f.settings.Load().MaxInflight
 		if !class.enter(most) {
