--- a/internal/admission/tokens.go
+++ b/internal/admission/tokens.go
@@ -33,7 +33,7 @@
 }
 
 // tolerance is the part of a token below which amounts count as equal.
-const tolerance = 1e-9
+const tolerance = 1e-6
 
 // GiveBack puts a token back.
 func (t *Tokens) GiveBack() { t.left = min(t.left+1, t.rate) }
