Let a withdrawn submission be tried at another leader

Cause: a submission that was withdrawn from the log's queue when the time of its try was over counted as a full log, and was refused at once.

Ruled out: refusing nothing at once; a full log is told as before.

Change: only a log whose queue is full refuses at once. A test names both ways of being withdrawn.

--- a/internal/scheduler/admit_test.go
+++ b/internal/scheduler/admit_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -233,7 +234,13 @@
 	if refusal := asRefusal(t, err); refusal.Status != 503 || refusal.Code != api.CodeUnavailable || refusal.RetryAfterMillis <= 0 {
 		t.Errorf("%+v", refusal)
 	}
-	if err := h.leader.submitError(replica.ErrOutcomeUnknown); errors.As(err, new(*api.Error)) {
-		t.Errorf("an outcome that is not known: %v", err)
+	for name, err := range map[string]error{
+		"an outcome that is not known":                                             replica.ErrOutcomeUnknown,
+		"withdrawn when the time of a try was over, as another leader may take it": fmt.Errorf("%w: %w", replica.ErrOverloaded, context.DeadlineExceeded),
+		"withdrawn when the caller had gone":                                       fmt.Errorf("%w: %w", replica.ErrOverloaded, context.Canceled),
+	} {
+		if refusal := h.leader.submitError(err); errors.As(refusal, new(*api.Error)) {
+			t.Errorf("%s: %v", name, refusal)
+		}
 	}
 }
--- a/internal/scheduler/submitting.go
+++ b/internal/scheduler/submitting.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -81,9 +82,11 @@
 
 // submitError is proposalError for a job. One that surely was not taken, since the
 // log has more to do than it can, is refused at once: to try again from the front
-// would only add to that.
+// would only add to that. One that was withdrawn when its caller's time was over is
+// not: this leader may have been cut off, and another one may take the job.
 func (l *leader) submitError(err error) error {
-	if !errors.Is(err, replica.ErrOverloaded) {
+	withdrawn := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	if !errors.Is(err, replica.ErrOverloaded) || withdrawn {
 		return l.proposalError(err)
 	}
 	return &api.Error{
