Let queues leave headroom for urgent work where their service is crowded

Cause: short urgent tasks wait 0.3 to 2 s for room after a burst, an evacuation or a loss of power, since tasks of the lower queues, which take seconds, have filled the fleet.

Ruled out: an end after a time of waiting, which under a burst is reached by all that headroom is meant to hold back.

Change: work of a queue with headroom_percent takes room that leaves the share wherever there is such room. Where there is none it waits only while its service is crowded, with over 60 percent of processors and of memory taken. Work held back is looked at again once that is over, wherever room came free. Groups, tasks with spread and tasks too large never wait for it.

--- a/api/config.go
+++ b/api/config.go
@@ -44,6 +44,13 @@
 	// open run; a job beyond it is answered 429. Default 0: the limit
 	// Limits.MaxPendingTasks alone.
 	MaxPendingTasks int `json:"max_pending_tasks,omitempty"`
+	// HeadroomPercent is the share of each worker, in hundredths, that tasks of
+	// the queue leave free, so that more urgent work finds room at once: wherever
+	// there is such room, and by waiting while over 60 percent of the room of their
+	// service is taken. Groups, tasks with a rule of spread, and tasks too large to
+	// leave it on an empty worker never wait for it.
+	// Default 0, up to MaxHeadroomPercent.
+	HeadroomPercent int `json:"headroom_percent,omitempty"`
 	// CallerShare bounds the waiting tasks of one caller (JobSpec.Caller) by what
 	// is left free: a caller never has more than so many times the number of tasks
 	// waiting that could still be taken, unless it had none waiting; a job beyond
--- a/api/validate_config.go
+++ b/api/validate_config.go
@@ -15,6 +15,8 @@
 	MaxAnnotationBytes = 1 << 20
 	// MaxStretch bounds the factor of an objective.
 	MaxStretch = 1000.0
+	// MaxHeadroomPercent bounds what a queue leaves free of each worker.
+	MaxHeadroomPercent = 90
 	// MinCallerShare and MaxCallerShare bound a queue's CallerShare.
 	MinCallerShare = 0.01
 	MaxCallerShare = 1000.0
@@ -97,6 +99,7 @@
 	checkRange(errors, path+".weight", queue.Weight, 0, MaxQueueWeight)
 	checkAtLeast(errors, path+".max_running_tasks", queue.MaxRunningTasks, 0)
 	checkAtLeast(errors, path+".max_pending_tasks", queue.MaxPendingTasks, 0)
+	checkRange(errors, path+".headroom_percent", queue.HeadroomPercent, 0, MaxHeadroomPercent)
 	checkFactor(errors, path+".caller_share", queue.CallerShare, MinCallerShare, MaxCallerShare)
 	checkRange(errors, path+".default_allowed_failures", queue.DefaultAllowedFailures, 0, MaxAllowedFailures)
 }
--- a/api/validate_test.go
+++ b/api/validate_test.go
@@ -226,8 +226,8 @@
 		{"queue name", func(c *Config) { c.Queues[0].Name = "Big" }, []string{"queues[0].name"}},
 		{"doubled queue", func(c *Config) { c.Queues = append(c.Queues, c.Queues[0]) }, []string{"queues[1].name"}},
 		{"queue figures", func(c *Config) {
-			c.Queues[0] = QueueConfig{Name: "q", Priority: 1001, Weight: 1001, MaxRunningTasks: -1, MaxPendingTasks: -1, DefaultAllowedFailures: 1001}
-		}, []string{"queues[0].default_allowed_failures", "queues[0].max_pending_tasks", "queues[0].max_running_tasks", "queues[0].priority", "queues[0].weight"}},
+			c.Queues[0] = QueueConfig{Name: "q", Priority: 1001, Weight: 1001, MaxRunningTasks: -1, MaxPendingTasks: -1, DefaultAllowedFailures: 1001, HeadroomPercent: 91}
+		}, []string{"queues[0].default_allowed_failures", "queues[0].headroom_percent", "queues[0].max_pending_tasks", "queues[0].max_running_tasks", "queues[0].priority", "queues[0].weight"}},
 		{"long service", func(c *Config) { c.Queues[0].Service = strings.Repeat("s", 129) }, []string{"queues[0].service"}},
 		{
 			"drains", func(c *Config) { c.Drains = DrainConfig{Workers: []string{"w", "w"}, Zones: []string{""}} },
--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -21,6 +21,8 @@
 	preemptible bool
 	// mayTry allows workers on probation.
 	mayTry bool
+	// headroom is the share of a worker that is to stay free, in hundredths.
+	headroom int
 	// duration bounds a run; 0 is no bound.
 	duration     record.Millis
 	spreadBy     string
@@ -41,6 +43,11 @@
 	// blocked is set when a pass found no room; it stays until a worker of the
 	// pool changed and could hold the class, or a run of its step ended.
 	blocked bool
+	// heldBack is set if it may have found none only since it has to leave
+	// headroom.
+	heldBack bool
+	// anyRoom is set during a search that need not leave headroom.
+	anyRoom bool
 	// groups are those parked until this class may find room, with the value
 	// of freed at which it may; wakeAt is the least of these.
 	groups map[*lane]uint64
@@ -54,6 +61,8 @@
 	bookings []*reservation
 	// now points to the engine's time.
 	now *record.Millis
+	// crowding points to the engine's.
+	crowding *crowding
 }
 
 // canonicalLabels is the same text for equal labels. Lengths keep apart what
@@ -83,8 +92,11 @@
 		key.duration = durationOf(spec)
 		key.selector.firm = key.duration == 0
 	}
-	if q, known := e.queues[task.Queue]; known && q.booked {
-		key.queue = task.Queue
+	if q, known := e.queues[task.Queue]; known {
+		if q.booked {
+			key.queue = task.Queue
+		}
+		key.headroom = headroomOf(task, &q.rule)
 	}
 	if spec.Spread != nil {
 		key.spreadBy = spec.Spread.By
@@ -124,6 +136,8 @@
 		groups: map[*lane]uint64{},
 		wakeAt: math.MaxUint64,
 		now:    &e.now,
+
+		crowding: e.crowding,
 	}
 	c.bookings = e.bookingsOf(c)
 	if spec.Spread != nil {
@@ -171,7 +185,7 @@
 // fitsOn reports whether the class fits on a worker of its pool now, outside
 // of slices.
 func (c *class) fitsOn(w *worker) bool {
-	if !fits(c.key.need, w.free) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
+	if !fits(c.key.need, w.free) || !c.leavesHeadroom(w) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
 		return false
 	}
 	return withinSpread(c.spread, &w.Worker) && c.admits(w)
@@ -180,12 +194,16 @@
 // mayUse reports whether the class may find room on a worker that changed: a
 // slice counts even if a preemptible run has its room.
 func (c *class) mayUse(w *worker) bool {
-	return c.fitsOn(w) || c.openSlots(w.slices) > 0
+	if c.fitsOn(w) || c.openSlots(w.slices) > 0 {
+		return true
+	}
+	return withoutHeadroom(c, func() bool { return c.fitsOn(w) })
 }
 
 // block marks that a pass found no room.
 func (c *class) block() {
 	c.blocked = true
+	c.heldBack = c.waitsForHeadroom()
 	c.pool.blocked[c] = struct{}{}
 }
 
@@ -198,7 +216,7 @@
 }
 
 func (c *class) wakeLanes() {
-	c.blocked = false
+	c.blocked, c.heldBack = false, false
 	c.leaveBlocked()
 	for l := range c.lanes {
 		l.makeReady()
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -49,6 +49,10 @@
 	// preemptLater are blocked lanes, in the order in which they get another
 	// trial to preempt; unfinished are those that the last pass had no time for.
 	preemptLater, unfinished []*lane
+	// anyHeadroom is set while a queue leaves headroom.
+	anyHeadroom bool
+	// crowding is as of the start of the pass, and what it has placed since.
+	crowding *crowding
 	// gathering is the group for which room is put aside, or nil.
 	gathering *gathering
 }
@@ -101,6 +105,7 @@
 		teams:   map[string]*team{},
 		victims: map[int]int{},
 
+		crowding:       newCrowding(),
 		maxPreemptions: defaultMaxPreemptions,
 	}
 }
@@ -108,6 +113,7 @@
 // SetQueues implements Planner. A queue that is not named has weight 1 and no
 // bound.
 func (e *Engine) SetQueues(rules []QueueRule) {
+	before := e.headrooms()
 	for name, q := range e.queues {
 		q.rule = QueueRule{Name: name, Weight: 1}
 	}
@@ -122,6 +128,11 @@
 	for _, t := range e.teams {
 		t.wake()
 	}
+	after := e.headrooms()
+	e.anyHeadroom = len(after) > 0
+	if !maps.Equal(before, after) {
+		e.reclassify(func(task *Task) bool { return before[task.Queue] != after[task.Queue] })
+	}
 }
 
 // SetWorker implements Planner.
--- /dev/null
+++ b/internal/placement/headroom.go
@@ -0,0 +1,139 @@
+package placement
+
+import "github.com/decklever/decklever/api"
+
+// Headroom: work of a queue that has it takes room that leaves its share of a
+// worker free, wherever there is such room. Where there is none it waits if its
+// service is crowded, and takes any room if not, as nothing urgent can be short of
+// room then.
+
+// crowdedFrom is the share of a service's room, in hundredths, from which it is
+// crowded.
+const crowdedFrom = 60
+
+// crowding tells which services are crowded.
+type crowding struct {
+	// rooms are by service; that of "" is the room of all workers.
+	rooms map[string]*serviceRoom
+}
+
+// serviceRoom is the room of all workers of a service, whether or not they take
+// work, and what open runs take of it.
+type serviceRoom struct {
+	capacity, used api.Resources
+}
+
+func newCrowding() *crowding { return &crowding{rooms: map[string]*serviceRoom{}} }
+
+// recount works all rooms out anew.
+func (c *crowding) recount(workers map[string]*worker) {
+	clear(c.rooms)
+	for _, w := range workers {
+		if !w.known {
+			continue
+		}
+		c.count("", w)
+		for _, service := range w.Services {
+			c.count(service, w)
+		}
+	}
+}
+
+func (c *crowding) count(service string, w *worker) {
+	room, ok := c.rooms[service]
+	if !ok {
+		room = &serviceRoom{}
+		c.rooms[service] = room
+	}
+	room.capacity = room.capacity.Add(w.Capacity)
+	room.used = room.used.Add(w.used)
+}
+
+// take counts a run that a pass has placed on the worker.
+func (c *crowding) take(w *worker, need api.Resources) {
+	for _, service := range append([]string{""}, w.Services...) {
+		if room, ok := c.rooms[service]; ok {
+			room.used = room.used.Add(need)
+		}
+	}
+}
+
+// crowded reports whether the service is short of processors and of memory.
+func (c *crowding) crowded(service string) bool {
+	room, ok := c.rooms[service]
+	if !ok {
+		return false
+	}
+	least := shareOfRoom(room.capacity, crowdedFrom)
+	return exceeds(room.used.CPUMillis, least.CPUMillis) && exceeds(room.used.MemoryMB, least.MemoryMB)
+}
+
+// exceeds holds for a room that no worker has as well.
+func exceeds(used, least int64) bool { return used > least || least == 0 }
+
+// waitsForHeadroom reports whether tasks of the class wait if no room leaves
+// headroom.
+func (c *class) waitsForHeadroom() bool {
+	return c.key.headroom != 0 && c.crowding.crowded(c.key.selector.service)
+}
+
+// withoutHeadroom has find look for room that need not leave headroom, if the class
+// need not wait for such room.
+func withoutHeadroom[T any](c *class, find func() T) T {
+	if c.key.headroom == 0 || c.waitsForHeadroom() {
+		var none T
+		return none
+	}
+	c.anyRoom = true
+	defer func() { c.anyRoom = false }()
+	return find()
+}
+
+// leavesHeadroom reports whether the class leaves on a worker what its queue is to
+// keep free for others. What could not leave it even on an empty worker is not held
+// back: it would never run.
+func (c *class) leavesHeadroom(w *worker) bool {
+	if c.key.headroom == 0 || c.anyRoom {
+		return true
+	}
+	wanted := c.key.need.Add(shareOfRoom(w.Capacity, c.key.headroom))
+	return fits(wanted, w.free) || !fits(wanted, w.Capacity)
+}
+
+// headroomOf is what a task leaves free of a worker, in hundredths. Groups and
+// tasks with a rule of spread need many places, and could wait for the same few
+// workers for ever.
+func headroomOf(task *Task, rule *QueueRule) int {
+	if task.GroupSize > 1 || task.Spec.Spread != nil {
+		return 0
+	}
+	return rule.Headroom
+}
+
+// wakeHeldBack looks again at classes that had to leave headroom when they were
+// blocked, and need not any more.
+func (e *Engine) wakeHeldBack() {
+	for _, c := range e.classes {
+		if c.heldBack && !c.waitsForHeadroom() {
+			c.wakeLanes()
+		}
+	}
+}
+
+// shareOfRoom is a share of a room, in hundredths.
+func shareOfRoom(room api.Resources, percent int) api.Resources {
+	const whole = 100
+	part := func(amount int64) int64 { return amount * int64(percent) / whole }
+	return api.Resources{CPUMillis: part(room.CPUMillis), MemoryMB: part(room.MemoryMB), Accelerators: part(room.Accelerators)}
+}
+
+// headrooms are those of the queues that have one.
+func (e *Engine) headrooms() map[string]int {
+	headrooms := map[string]int{}
+	for name, q := range e.queues {
+		if q.rule.Headroom != 0 {
+			headrooms[name] = q.rule.Headroom
+		}
+	}
+	return headrooms
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -19,6 +19,10 @@
 func (e *Engine) Plan(limit int) []Decision {
 	e.passes++
 	e.workers.refresh()
+	if e.anyHeadroom {
+		e.crowding.recount(e.workers.byID)
+		e.wakeHeldBack()
+	}
 	p := &pass{engine: e, limit: limit, allowance: newAllowance()}
 	e.assignSlices(e.workers.changed)
 	p.placeNominated()
@@ -75,6 +79,7 @@
 // decide notes the decision and takes the task out of what waits.
 func (p *pass) decide(placed *waiting, opened *run) {
 	on := opened.worker
+	p.engine.crowding.take(on, opened.need)
 	p.decisions = append(p.decisions, Decision{
 		Task:     placed.ID,
 		WorkerID: on.ID,
--- a/internal/placement/seats.go
+++ b/internal/placement/seats.go
@@ -14,10 +14,11 @@
 	if s := e.roomySlice(w.class); s != nil {
 		return seat{worker: s.worker, slice: s}, true
 	}
-	if on := e.fullest(w); on != nil {
-		return seat{worker: on}, true
+	on := e.fullest(w)
+	if on == nil {
+		on = withoutHeadroom(w.class, func() *worker { return e.fullest(w) })
 	}
-	return seat{}, false
+	return seat{worker: on}, on != nil
 }
 
 // roomySlice returns the open slice on the fullest worker that has its room
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -136,6 +136,9 @@
 	BySlack bool
 	// Team is the queue's team, or empty.
 	Team string
+	// Headroom is the share of each worker that tasks of the queue leave free, in
+	// hundredths; groups do not.
+	Headroom int
 }
 
 // Planner lists the calls of Engine.
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -336,7 +336,7 @@
 	for _, queue := range config.Queues {
 		rules = append(rules, placement.QueueRule{
 			Name: queue.Name, MaxRunning: queue.MaxRunningTasks, Weight: queue.Weight, Team: queue.Team,
-			BySlack: queue.Objective != nil,
+			BySlack: queue.Objective != nil, Headroom: queue.HeadroomPercent,
 		})
 	}
 	teams := make([]placement.TeamRule, 0, len(config.Teams))
