Pause before a heartbeat that could not be sent is tried again

Cause: since a heartbeat waits for a leader after a call that surely was not heard, relay tries again as soon as the link names a leader. For 100 ms after an answer to its watch the link goes on naming the same one, whatever calls to it say, so a refused connection was tried again without any pause.

Change: at least leaderPoll, 10 ms, passes between two tries.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -42,8 +42,9 @@
 }
 
 // relay carries a heartbeat to the leader. While none is known, and after a call
-// that surely was not heard, it waits for one, within the relay's time. A heartbeat
-// that may have been heard is never sent again.
+// that surely was not heard, it waits for one, within the relay's time; in the
+// second case for a pause at least, as that leader may still be the known one. A
+// heartbeat that may have been heard is never sent again.
 func (a *Agent) relay(ctx context.Context, heartbeat api.Heartbeat) (api.HeartbeatAnswer, *api.Error) {
 	for {
 		leader, known := a.target()
@@ -55,7 +56,7 @@
 			continue
 		}
 		answer, unsent, refusal := a.try(ctx, leader, heartbeat)
-		if !unsent || !a.awaitLeader(ctx) {
+		if !unsent || !wait.For(ctx, leaderPoll) || !a.awaitLeader(ctx) {
 			return answer, refusal
 		}
 	}
--- /dev/null
+++ b/internal/agent/relay_pause_test.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/leaderlink"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+// TestRefusedRelayPausesBeforeTheNextTry: a leader that has just answered the
+// watch stays the one known for a while, though calls to it are refused at once.
+// Without a pause a heartbeat would try as often as it can.
+func TestRefusedRelayPausesBeforeTheNextTry(t *testing.T) {
+	const relayTime = 300 * time.Millisecond
+	scheduler := startScheduler(t)
+	watched := make(chan struct{})
+	var once sync.Once
+	rpc.Handle(scheduler.server, fleet.MethodWatch, func(context.Context, fleet.WatchRequest) (fleet.WatchAnswer, error) {
+		once.Do(func() { close(watched) })
+		return fleet.WatchAnswer{Token: 1, HoldMillis: 1500}, nil
+	})
+	watching := rpc.NewClient(rpc.ClientConfig{})
+	var dials atomic.Int64
+	relaying := rpc.NewClient(rpc.ClientConfig{Dialer: func(context.Context, string, string) (net.Conn, error) {
+		dials.Add(1)
+		return nil, errors.New("refused")
+	}})
+	link := leaderlink.New(leaderlink.Config{
+		Process: "agent-1", Role: "agent", Zone: "z1", Client: watching, Seeds: func() []string { return []string{scheduler.address} },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = link.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		watching.Close()
+		relaying.Close()
+	})
+	agent, err := New(Config{
+		Name: "agent-1", Zone: func() string { return "z1" }, RelayTimeout: relayTime,
+		Link: link, Client: relaying, Registerer: prometheus.NewRegistry(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-watched
+	wantStatus(t, testAgent{Agent: agent, link: link}.post(heartbeatBody(t, "id", 1)), http.StatusServiceUnavailable)
+	if most := int64(relayTime/leaderPoll) + 1; dials.Load() > most {
+		t.Errorf("dialled %d times in %v, want %d at most", dials.Load(), relayTime, most)
+	}
+}
