Test the deadline of a call on a clock that load cannot move

Cause: TestDeadlineReachesTheHandlerAndBoundsTheCall hung for 600 s once. It waits for what the handler says, and if the 20 or 50 ms pass before the request is sent, the handler is never entered.

Ruled out: a slow server. 80 ms before the handler, once the request is sent, did no harm; 80 ms before the send hung the old test (trial, 8 s bound).

Change: the test runs in a bubble of testing/synctest over pipes, for which there is internal/testnetwork. It now wants the exact time in the handler, the exact length of the call and the end of the handler's context.

--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -21,6 +22,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/testaddress"
+	"github.com/decklever/decklever/internal/testnetwork"
 )
 
 const methodTest fleet.Method = "test"
@@ -189,26 +191,51 @@
 	http.DefaultClient.CloseIdleConnections()
 }
 
+// TestDeadlineReachesTheHandlerAndBoundsTheCall: the nearer of the client's and
+// the context's deadline does. In the bubble no time passes on the way.
 func TestDeadlineReachesTheHandlerAndBoundsTheCall(t *testing.T) {
-	left := make(chan time.Duration, 2)
+	for name, test := range map[string]struct{ client, context, want time.Duration }{
+		"the client's":  {client: 50 * time.Millisecond, context: time.Hour, want: 50 * time.Millisecond},
+		"the context's": {client: 50 * time.Millisecond, context: 20 * time.Millisecond, want: 20 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { wantDeadline(t, test.client, test.context, test.want) })
+		})
+	}
+}
+
+// wantDeadline makes a call that only its deadline ends, in a bubble.
+func wantDeadline(t *testing.T, clients, contexts, want time.Duration) {
+	left, ended := make(chan time.Duration, 1), make(chan error, 1)
 	server := NewServer(ServerConfig{})
 	Handle(server, methodTest, func(ctx context.Context, _ fleet.Empty) (fleet.Empty, error) {
 		deadline, _ := ctx.Deadline()
 		left <- time.Until(deadline)
 		<-ctx.Done()
+		ended <- ctx.Err()
 		return fleet.Empty{}, ctx.Err()
 	})
-	address, client := serve(t, server, ClientConfig{Timeout: 50 * time.Millisecond})
-	for name, timeout := range map[string]time.Duration{"the client's": time.Hour, "the context's": 20 * time.Millisecond} {
-		ctx, cancel := context.WithTimeout(t.Context(), timeout)
-		_, err := Call[fleet.Empty, fleet.Empty](ctx, client, address, methodTest, fleet.Empty{})
-		cancel()
-		if err == nil {
-			t.Fatalf("%s deadline did not end the call", name)
-		}
-		if got := <-left; got > min(timeout, 51*time.Millisecond) {
-			t.Errorf("%s deadline: the handler had %v", name, got)
-		}
+	network := testnetwork.New()
+	httpServer := &http.Server{Handler: server, ReadHeaderTimeout: time.Second}
+	listener := network.Listen(t, "127.0.0.1:1")
+	go func() { _ = httpServer.Serve(listener) }()
+	defer func() { _ = httpServer.Close() }()
+	client := NewClient(ClientConfig{Timeout: clients, Dialer: network.DialContext})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), contexts)
+	defer cancel()
+	began := time.Now()
+	if _, err := Call[fleet.Empty, fleet.Empty](ctx, client, "127.0.0.1:1", methodTest, fleet.Empty{}); err == nil {
+		t.Fatal("the deadline did not end the call")
+	}
+	if took := time.Since(began); took != want {
+		t.Errorf("the call took %v, want %v", took, want)
+	}
+	if got := <-left; got != want {
+		t.Errorf("the handler had %v, want %v", got, want)
+	}
+	if err := <-ended; err == nil {
+		t.Error("the handler's context did not end")
 	}
 }
 
