Count the followers' ticks on a clock that load cannot move

Cause: TestFollowersSleepUntilTheirDeadline failed at a load of 50 ("not within 1m0s: 40 ticks of the leader"): a late heartbeat moves the lead, and the test went on counting the ticks of a replica that led no longer.

Ruled out: pauses of up to 0.4 s in each save or send did not fail the old test (trial, 1 run).

Change: the test runs in a bubble of testing/synctest, its replicas connected by internal/testnetwork, so that no heartbeat is late.

--- a/internal/replica/helper_test.go
+++ b/internal/replica/helper_test.go
@@ -17,6 +17,7 @@
 	"github.com/decklever/decklever/internal/rpc"
 	"github.com/decklever/decklever/internal/storage"
 	"github.com/decklever/decklever/internal/testaddress"
+	"github.com/decklever/decklever/internal/testnetwork"
 )
 
 // patience bounds waits for a condition; none takes nearly as long.
@@ -35,6 +36,8 @@
 	// maxVoters and joinOnly go into the replica's Config.
 	maxVoters int
 	joinOnly  bool
+	// network connects the machines; nil means loopback.
+	network *testnetwork.Network
 	// hangs makes every call to the replica wait until its caller gives up.
 	hangs atomic.Bool
 
@@ -49,21 +52,38 @@
 // newMachines reserves addresses; every machine has all of them as seeds.
 func newMachines(t testing.TB, count int) []*machine {
 	t.Helper()
-	machines := make([]*machine, count)
-	var seeds []string
+	var addresses []string
+	for range count {
+		addresses = append(addresses, testaddress.New(t))
+	}
+	return machinesAt(t, nil, addresses...)
+}
+
+// newBubbleMachines is newMachines for a bubble of testing/synctest: time passes
+// only while every replica waits, so that a busy machine delays none of them.
+func newBubbleMachines(t testing.TB, count int) []*machine {
+	t.Helper()
+	var addresses []string
+	for i := range count {
+		addresses = append(addresses, fmt.Sprintf("127.0.0.1:%d", i+1))
+	}
+	return machinesAt(t, testnetwork.New(), addresses...)
+}
+
+func machinesAt(t testing.TB, network *testnetwork.Network, addresses ...string) []*machine {
+	t.Helper()
+	machines := make([]*machine, len(addresses))
 	for i := range machines {
 		machines[i] = &machine{
 			t:       t,
 			name:    fmt.Sprintf("control-%d", i+1),
 			zone:    "zone",
-			address: testaddress.New(t),
+			address: addresses[i],
+			seeds:   addresses,
 			store:   storage.NewMemory(int64(i + 1)),
 			every:   1_000_000,
+			network: network,
 		}
-		seeds = append(seeds, machines[i].address)
-	}
-	for _, m := range machines {
-		m.seeds = seeds
 	}
 	return machines
 }
@@ -95,14 +115,11 @@
 // start runs a replica on the machine's store.
 func (m *machine) start() {
 	m.t.Helper()
-	client := rpc.NewClient(rpc.ClientConfig{})
+	listener, config := m.connect()
+	client := rpc.NewClient(config)
 	replica := m.make(client)
 	server := rpc.NewServer(rpc.ServerConfig{})
 	replica.Register(server)
-	listener, err := net.Listen("tcp", m.address)
-	if err != nil {
-		m.t.Fatal(err)
-	}
 	httpServer := &http.Server{Handler: m.hanging(server), ReadHeaderTimeout: time.Second}
 	var running sync.WaitGroup
 	running.Go(func() { _ = httpServer.Serve(listener) })
@@ -122,6 +139,19 @@
 	m.t.Cleanup(m.stop)
 }
 
+// connect returns what the machine is reached by, and how it reaches others.
+func (m *machine) connect() (net.Listener, rpc.ClientConfig) {
+	m.t.Helper()
+	if m.network != nil {
+		return m.network.Listen(m.t, m.address), rpc.ClientConfig{Dialer: m.network.DialContext}
+	}
+	listener, err := net.Listen("tcp", m.address)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return listener, rpc.ClientConfig{}
+}
+
 func (m *machine) hanging(server http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if m.hangs.Load() {
