Leave the tests of damaged files the time of a busy disk

Cause: TestDamagedFilesAreRefused failed with "background: not stopped within the stop timeout": a stop waits for the sync under way, and on a busy disk one sync outlasts the default of 2 s.

Ruled out: that a test of this package is about the stop's time; none is. internal/daemon tests the bound, internal/settings its default of 2 s, and TestStopBeginsNoFurtherSave, by events, that a stop waits for one save only.

The exit codes, lines and files wanted are the same.

--- a/internal/process/schedulerprocess/process_test.go
+++ b/internal/process/schedulerprocess/process_test.go
@@ -21,12 +21,14 @@
 // patience bounds waits for a condition; none takes nearly as long.
 const patience = 60 * time.Second
 
-// schedulerOn returns the settings of a cluster of one on a data folder.
+// schedulerOn returns the settings of a cluster of one on a data folder. A stop
+// waits for the sync under way, which may take seconds on a busy disk, and no
+// test here is about how long it takes.
 func schedulerOn(t *testing.T, directory string) settings.Scheduler {
 	t.Helper()
 	address := testaddress.New(t)
 	content := "name: control-1\nzone: z1\nlisten: " + address + "\nseeds: [" + address + "]\n" +
-		"data_dir: " + directory + "\nsnapshot_every: 5\nlog: {level: error}\n"
+		"data_dir: " + directory + "\nsnapshot_every: 5\nlog: {level: error}\nstop_timeout: 1m\n"
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
