Count rooms for headroom only while a queue has it

Cause: each placement made a list of its worker's services and looked their rooms up, also where no queue leaves headroom; and a pass counted rooms in one loop at its start and in another for what it places.

Change: one function counts in every room of a worker, and placements are counted only while a queue leaves headroom, as the rooms are.

Result: the decisions are the same; the tests of placement pass unchanged.

--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -32,30 +32,29 @@
 		if !w.known {
 			continue
 		}
-		c.count("", w)
-		for _, service := range w.Services {
-			c.count(service, w)
-		}
+		c.add(w, w.Capacity, w.used)
+	}
+}
+
+// take counts a run that a pass has placed on the worker.
+func (c *crowding) take(w *worker, need api.Resources) { c.add(w, api.Resources{}, need) }
+
+// add counts in every room that the worker belongs to.
+func (c *crowding) add(w *worker, capacity, used api.Resources) {
+	c.addTo("", capacity, used)
+	for _, service := range w.Services {
+		c.addTo(service, capacity, used)
 	}
 }
 
-func (c *crowding) count(service string, w *worker) {
+func (c *crowding) addTo(service string, capacity, used api.Resources) {
 	room, ok := c.rooms[service]
 	if !ok {
 		room = &serviceRoom{}
 		c.rooms[service] = room
 	}
-	room.capacity = room.capacity.Add(w.Capacity)
-	room.used = room.used.Add(w.used)
-}
-
-// take counts a run that a pass has placed on the worker.
-func (c *crowding) take(w *worker, need api.Resources) {
-	for _, service := range append([]string{""}, w.Services...) {
-		if room, ok := c.rooms[service]; ok {
-			room.used = room.used.Add(need)
-		}
-	}
+	room.capacity = room.capacity.Add(capacity)
+	room.used = room.used.Add(used)
 }
 
 // crowded reports whether the service is short of processors and of memory.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -79,7 +79,9 @@
 // decide notes the decision and takes the task out of what waits.
 func (p *pass) decide(placed *waiting, opened *run) {
 	on := opened.worker
-	p.engine.crowding.take(on, opened.need)
+	if p.engine.anyHeadroom {
+		p.engine.crowding.take(on, opened.need)
+	}
 	p.decisions = append(p.decisions, Decision{
 		Task:     placed.ID,
 		WorkerID: on.ID,
