Find a queue of the configuration in one place of the scheduler

Cause: admission, the order of waiting tasks, preemption, the state of queues and the measured rates each looked a queue up by its name in the same lines, and two bounds made a queue's part with a default weight written as a number.

Change: queueOf and partOf, in queues.go.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -66,12 +66,6 @@
 	return l.tooLate(queue, spec)
 }
 
-// queueOf finds a queue that is in the configuration.
-func queueOf(config *api.Config, name string) *api.QueueConfig {
-	index := slices.IndexFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
-	return &config.Queues[index]
-}
-
 func isKnown(view record.View, id string) bool {
 	if _, live := view.Job(id); live {
 		return true
@@ -96,7 +90,7 @@
 	if own {
 		b.own = len(b.queues)
 	}
-	b.queues = append(b.queues, admission.Part{Weight: max(queue.Weight, 1), Used: waiting})
+	b.queues = append(b.queues, partOf(queue, waiting))
 	b.waiting += waiting
 }
 
--- a/internal/scheduler/intake.go
+++ b/internal/scheduler/intake.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/admission"
 	"github.com/decklever/decklever/internal/objective"
 	"github.com/decklever/decklever/internal/record"
@@ -137,8 +136,7 @@
 // forgetIntake drops what is known of queues that are gone and empty.
 func (l *leader) forgetIntake() {
 	maps.DeleteFunc(l.intake.queues, func(name string, queue *queueIntake) bool {
-		gone := !slices.ContainsFunc(l.config.Queues, func(config api.QueueConfig) bool { return config.Name == name })
-		return gone && queue.flow.Waiting() == 0
+		return queueOf(l.config, name) == nil && queue.flow.Waiting() == 0
 	})
 }
 
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"slices"
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/placement"
@@ -355,9 +354,9 @@
 }
 
 func (l *leader) queuePriority(name string) int {
-	index := slices.IndexFunc(l.config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
-	if index < 0 {
+	queue := queueOf(l.config, name)
+	if queue == nil {
 		return 0
 	}
-	return l.config.Queues[index].Priority
+	return queue.Priority
 }
--- /dev/null
+++ b/internal/scheduler/queues.go
@@ -0,0 +1,22 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/admission"
+)
+
+// queueOf finds a queue of the configuration; nil if it has none of that name.
+func queueOf(config *api.Config, name string) *api.QueueConfig {
+	index := slices.IndexFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
+	if index < 0 {
+		return nil
+	}
+	return &config.Queues[index]
+}
+
+// partOf is what a queue that uses some of a shared bound counts for there.
+func partOf(queue *api.QueueConfig, used int) admission.Part {
+	return admission.Part{Weight: max(queue.Weight, api.DefaultQueueWeight), Used: used}
+}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -84,7 +84,7 @@
 	var known bool
 	l.log.Record().Read(func(view record.View) {
 		_, config := view.Config()
-		known = slices.ContainsFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == request.Name })
+		known = queueOf(config, request.Name) != nil
 		answer.Status = l.queueStatus(view, request.Name)
 	})
 	if !l.log.HoldsLease(l.token) {
--- a/internal/scheduler/submitting.go
+++ b/internal/scheduler/submitting.go
@@ -49,7 +49,7 @@
 		if queue.Name == name {
 			own = index
 		}
-		parts = append(parts, admission.Part{Weight: max(queue.Weight, 1), Used: s.byQueue[queue.Name]})
+		parts = append(parts, partOf(queue, s.byQueue[queue.Name]))
 	}
 	if len(parts) == 0 {
 		return 0
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -118,11 +118,11 @@
 
 // objectiveOf returns a queue's objective, or nil.
 func objectiveOf(config *api.Config, name string) *api.ObjectiveConfig {
-	index := slices.IndexFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
-	if index < 0 {
+	queue := queueOf(config, name)
+	if queue == nil {
 		return nil
 	}
-	return config.Queues[index].Objective
+	return queue.Objective
 }
 
 // sameOrder reports whether two configurations order waiting tasks alike.
