Count the jobs of a queue of which no task has begun

A queue's status now has waiting_jobs. The leader takes a job out once a heartbeat lists a run of it as running, succeeded or failed: a placement begins nothing, and a run that is only known to be stopped may have been refused. A new leader counts a job that has open runs and nothing else until a heartbeat tells, so it may count too many for a moment, never too few. Weighed: a flag in the record, set when a run is placed; it would count a job as begun whose order was lost.

The tests of the list of queues have the new column, with figures that differ from each other.

--- a/internal/cli/booking_test.go
+++ b/internal/cli/booking_test.go
@@ -89,7 +89,7 @@
 	front := newFakeFront(t, replies)
 	got := decklever(t, front, "", "queue", "show", "q", "--hours", "3")
 	out, rest, _ := strings.Cut(got.out, "\n\n")
-	wantText(t, "queue", out, "QUEUE  TEAM  PRIORITY  WEIGHT  DEFAULT ALLOWED FAILURES  JOBS  PENDING TASKS  RUNNING TASKS\nq      a     0         2       3                         1     2              3/9")
+	wantText(t, "queue", out, "QUEUE  TEAM  PRIORITY  WEIGHT  DEFAULT ALLOWED FAILURES  JOBS  PENDING TASKS  RUNNING TASKS\nq      a     0         2       3                         4     2              3/9")
 	bookings, waiting, _ := strings.Cut(rest, "\n\n")
 	if strings.Count(bookings, "\nq/") != 3 || strings.Contains(bookings, "r/nightly") {
 		t.Errorf("bookings:\n%s", bookings)
--- a/internal/cli/commands_test.go
+++ b/internal/cli/commands_test.go
@@ -31,13 +31,13 @@
 		"GET /v1/members":         {ok(api.MemberList{Token: 3, CommitIndex: 9, Members: []api.MemberStatus{{ReplicaID: "ff", Name: "s1", Zone: "z1", Address: "127.1.0.1:1", Leader: true, Voter: true, Matched: 9}}})},
 		"GET /v1/bookings":        {ok(sampleBookings())},
 		"GET /v1/drains":          {ok(api.DrainList{Zones: []api.ZoneDrain{{Zone: "z3", Drained: true}}})},
-		"GET /v1/queues":          {ok(api.QueueList{Queues: []api.QueueStatus{{Name: "q", Jobs: 1, Pending: 2, Running: 3}}})},
+		"GET /v1/queues":          {ok(api.QueueList{Queues: []api.QueueStatus{{Name: "q", Jobs: 4, WaitingJobs: 1, Pending: 2, Running: 3}}})},
 	}
 }
 
 func TestReadingCommandsPrintTables(t *testing.T) {
 	const members = "NAME  ZONE  ADDRESS      REPLICA  LEADER  VOTER  MATCHED  SILENT\ns1    z1    127.1.0.1:1  ff       yes     yes    9        0s\n"
-	const queues = "QUEUE  JOBS  PENDING TASKS  RUNNING TASKS\nq      1     2              3\n"
+	const queues = "QUEUE  JOBS  WAITING JOBS  PENDING TASKS  RUNNING TASKS\nq      4     1             2              3\n"
 	const jobs = "ID  QUEUE  STATE    TASKS ENDED  SUBMITTED\nj   q      running  1/2          2026-01-31T14:00:00Z\n"
 	cases := []struct {
 		arguments string
@@ -87,7 +87,7 @@
 		wantText(t, arguments, got.out+got.err, jsonOf(want))
 	}
 	got := decklever(t, newFakeFront(t, fleetReplies()), "", "queue", "list", "-o", "yaml")
-	wantText(t, "yaml", got.out, "queues:\n  - name: q\n    jobs: 1\n    pending_tasks: 2\n    running_tasks: 3\n")
+	wantText(t, "yaml", got.out, "queues:\n  - name: q\n    jobs: 4\n    waiting_jobs: 1\n    pending_tasks: 2\n    running_tasks: 3\n")
 	var whole map[string]json.RawMessage
 	got = decklever(t, newFakeFront(t, fleetReplies()), "", "status", "-o", "json")
 	if err := json.Unmarshal([]byte(got.out), &whole); err != nil || len(whole) != 4 {
--- a/internal/cli/queue.go
+++ b/internal/cli/queue.go
@@ -35,9 +35,9 @@
 }
 
 func queueGrid(list api.QueueList) *grid {
-	queues := newGrid("queue", "jobs", "pending tasks", "running tasks")
+	queues := newGrid("queue", "jobs", "waiting jobs", "pending tasks", "running tasks")
 	for _, queue := range list.Queues {
-		queues.add(queue.Name, queue.Jobs, queue.Pending, queue.Running)
+		queues.add(queue.Name, queue.Jobs, queue.WaitingJobs, queue.Pending, queue.Running)
 	}
 	return queues
 }
--- a/internal/scheduler/brief_test.go
+++ b/internal/scheduler/brief_test.go
@@ -52,7 +52,7 @@
 	worker.exchange()
 	h.submit("j", tasks(6)) // 4 fit
 	answer, err := h.leader.readQueue(t.Context(), fleet.QueueRequest{Name: "q"})
-	if want := (api.QueueStatus{Name: "q", Jobs: 1, Pending: 2, Running: 4}); err != nil || answer.Status != want {
+	if want := (api.QueueStatus{Name: "q", Jobs: 1, WaitingJobs: 1, Pending: 2, Running: 4}); err != nil || answer.Status != want {
 		t.Errorf("queue %+v, %v, want %+v", answer.Status, err, want)
 	}
 	var refusal *api.Error
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -127,6 +127,9 @@
 			l.groupRunStarted(run)
 		}
 	}
+	for _, task := range differences.begun {
+		l.notBegun.remove(task.Job)
+	}
 	for _, end := range differences.ended {
 		if run, open := worker.runs[end.Run]; open && run.endHeardAt == 0 {
 			run.endHeardAt = now
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -76,6 +76,8 @@
 	starting map[stepKey]*groupState
 	health   health
 	intake   intake
+	// notBegun are the jobs of which nothing was seen to have begun.
+	notBegun notBegun
 	// submitting are the submissions being committed.
 	submitting submissions
 	// pendingCloses and pendingStops are the leader's own commands that wait
@@ -137,6 +139,7 @@
 		waiting:       make(map[record.TaskID]*waitingTask),
 		health:        newHealth(),
 		intake:        newIntake(),
+		notBegun:      newNotBegun(),
 		submitting:    newSubmissions(),
 		chains:        make(map[string]objective.Chains),
 		groups:        make(map[stepKey]*groupState),
@@ -189,6 +192,9 @@
 	for job := range view.Jobs("") {
 		l.repeats.add(job)
 		l.noteJob(job)
+		if !mayHaveBegun(job) {
+			l.notBegun.add(job)
+		}
 		for _, step := range job.Steps {
 			l.loadStep(step)
 		}
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -46,6 +46,7 @@
 	case record.JobAdded:
 		l.repeats.add(change.Job)
 		l.noteJob(change.Job)
+		l.notBegun.add(change.Job)
 	case record.OccurrenceAdded:
 		l.repeats.added(change.Job)
 	case record.OccurrenceEnded:
@@ -255,6 +256,7 @@
 	}
 	l.repeats.remove(job.ID)
 	delete(l.chains, job.ID)
+	l.notBegun.remove(job.ID)
 	l.endSteps(job.Steps)
 }
 
--- /dev/null
+++ b/internal/scheduler/notbegun.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import "github.com/decklever/decklever/internal/record"
+
+// notBegun are the live jobs of which no task was seen to have begun on a worker,
+// with their queues. A placement alone does not begin a task: its order may wait
+// for a heartbeat, or have no effect.
+type notBegun struct {
+	queueOf map[string]string
+	byQueue map[string]int
+}
+
+func newNotBegun() notBegun {
+	return notBegun{queueOf: make(map[string]string), byQueue: make(map[string]int)}
+}
+
+// add takes a job in that was just submitted, or found at the start of a term.
+func (n *notBegun) add(job *record.Job) {
+	if _, known := n.queueOf[job.ID]; known {
+		return
+	}
+	n.queueOf[job.ID] = job.Spec.Queue
+	n.byQueue[job.Spec.Queue]++
+}
+
+// remove takes a job out that has begun or ended.
+func (n *notBegun) remove(id string) {
+	queue, known := n.queueOf[id]
+	if !known {
+		return
+	}
+	delete(n.queueOf, id)
+	n.byQueue[queue]--
+	if n.byQueue[queue] == 0 {
+		delete(n.byQueue, queue)
+	}
+}
+
+// mayHaveBegun tells by the record alone, at the start of a term, whether a task of
+// the job has begun. A job that has open runs and nothing else counts as not begun
+// until a heartbeat lists one of them.
+func mayHaveBegun(job *record.Job) bool {
+	if job.Repetition != nil && job.Repetition.Succeeded+job.Repetition.Failed > 0 {
+		return true
+	}
+	for _, step := range job.Steps {
+		for _, task := range step.Tasks {
+			if task.Failures > 0 || task.State == record.TaskSucceeded || task.State == record.TaskFailed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// waitingJobs counts the jobs of a queue of which no task has begun.
+func (l *leader) waitingJobs(queue string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.notBegun.byQueue[queue]
+}
--- /dev/null
+++ b/internal/scheduler/notbegun_test.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+)
+
+// wantWaitingJobs checks the count of jobs of queue q of which nothing has begun.
+func (h *harness) wantWaitingJobs(when string, want int) {
+	h.t.Helper()
+	answer, err := h.leader.readQueue(context.Background(), fleet.QueueRequest{Name: "q"})
+	if err != nil {
+		h.t.Fatalf("%s: %v", when, err)
+	}
+	if answer.Status.WaitingJobs != want {
+		h.t.Errorf("%s: %d jobs wait, want %d", when, answer.Status.WaitingJobs, want)
+	}
+}
+
+// TestJobsWaitUntilATaskBegins counts jobs, not tasks, and those placed only too.
+func TestJobsWaitUntilATaskBegins(t *testing.T) {
+	h := newHarness(t)
+	h.submit("many", tasks(3))
+	h.submit("one", tasks(1))
+	h.wantWaitingJobs("without workers", 2)
+
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	worker.exchange() // brings the orders
+	h.wantWaitingJobs("once ordered", 2)
+	worker.exchange()
+	h.wantWaitingJobs("once listed as running", 0)
+
+	h.submit("third", tasks(2))
+	h.wantWaitingJobs("after another came", 1)
+}
+
+// TestJobWaitsAfterAnOrderWithoutEffect: a run that was refused or never arrived
+// has not begun.
+func TestJobWaitsAfterAnOrderWithoutEffect(t *testing.T) {
+	h := newHarness(t)
+	h.submit("j", tasks(1))
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	if _, err := worker.send(); err != nil { // its answer, with the order, is lost
+		t.Fatal(err)
+	}
+	worker.exchange()
+	h.wantWaitingJobs("after the order was lost", 1)
+
+	worker.end(api.OutcomeStopped)
+	worker.exchange()
+	h.wantWaitingJobs("after the order was refused", 1)
+}
+
+// TestJobThatEndedBetweenHeartbeatsHasBegun: its runs were never listed as running.
+func TestJobThatEndedBetweenHeartbeatsHasBegun(t *testing.T) {
+	h := newHarness(t)
+	h.submit("j", tasks(2))
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	worker.exchange()
+	worker.end(api.OutcomeFailed)
+	worker.exchange()
+	h.wantWaitingJobs("after its runs failed", 0)
+}
+
+// TestWaitingJobsOverTerms: a new leader counts what may not have begun until
+// a heartbeat tells, and nothing that has.
+func TestWaitingJobsOverTerms(t *testing.T) {
+	h := newHarness(t)
+	h.submit("runs", tasks(1))
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	worker.exchange()
+	worker.exchange()
+	h.submit("waits", api.StepSpec{Name: "s", Tasks: []api.TaskSpec{{Service: "s", Resources: api.Resources{CPUMillis: 4000}}}})
+	h.wantWaitingJobs("in the first term", 1)
+
+	h.newTerm()
+	h.wantWaitingJobs("before a heartbeat", 2)
+	h.advance(100 * time.Millisecond)
+	worker.exchange()
+	h.wantWaitingJobs("after a heartbeat", 1)
+	worker.end(api.OutcomeSucceeded)
+	worker.exchange()
+	h.newTerm()
+	h.wantWaitingJobs("in the third term", 1)
+}
+
+// TestCancelledJobsDoNotWait: they have ended.
+func TestCancelledJobsDoNotWait(t *testing.T) {
+	h := newHarness(t)
+	h.submit("j", tasks(2))
+	h.wantWaitingJobs("before", 1)
+	if _, err := h.leader.cancel(t.Context(), fleet.CancelRequest{ID: "j"}); err != nil {
+		t.Fatal(err)
+	}
+	h.wantWaitingJobs("after", 0)
+}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -10,6 +10,9 @@
 type reconciliation struct {
 	// started are runs seen for the first time.
 	started []*runState
+	// begun are tasks of which a run has surely begun, seen for the first time or
+	// told of again.
+	begun []record.TaskID
 	// lost are runs whose order can no longer take effect, or that the worker
 	// surely does not run any more.
 	lost []*runState
@@ -73,6 +76,7 @@
 	}
 	if !run.listed {
 		r.started = append(r.started, run)
+		r.begun = append(r.begun, id.Task)
 	}
 }
 
@@ -84,6 +88,9 @@
 	}
 	listed[id] = true
 	end := record.RunEnd{Run: id, Outcome: report.Outcome, Message: report.Message, Checkpoint: report.Checkpoint}
+	if hasBegun(report.Outcome) {
+		r.begun = append(r.begun, id.Task)
+	}
 	run, open := runs[id]
 	if !open {
 		r.late = append(r.late, end)
@@ -131,3 +138,9 @@
 func runRef(id record.RunID) api.RunRef {
 	return api.RunRef{Task: id.Task.String(), Run: id.Number}
 }
+
+// hasBegun tells whether a run that ended so has surely begun: one that was stopped
+// may have been refused at once.
+func hasBegun(outcome api.Outcome) bool {
+	return outcome == api.OutcomeSucceeded || outcome == api.OutcomeFailed
+}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -100,7 +100,8 @@
 	counts := view.QueueCounts(name)
 	wait, overloaded := l.expectedWait(name)
 	return api.QueueStatus{
-		Name: name, Jobs: counts.Jobs, Pending: counts.PendingTasks, Running: counts.RunningTasks,
+		Name: name, Jobs: counts.Jobs, WaitingJobs: l.waitingJobs(name),
+		Pending: counts.PendingTasks, Running: counts.RunningTasks,
 		ExpectedWaitMillis: wait.Milliseconds(), Overloaded: overloaded,
 	}
 }
