Name what stands in for a watch after heartbeats

Beat, Beaten and beaten were words of an earlier time: the type is what the answer to a heartbeat tells a link, and the link counts answered heartbeats for as long as they stand in for a watch. Names and a file only; the tests keep their assertions.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -100,7 +100,7 @@
 	}
 	answer, refusal = a.check(heartbeat, reply.Answer)
 	if refusal == nil {
-		a.config.Link.Beaten(leader.address, sentAt, leaderlink.Beat{
+		a.config.Link.HeartbeatAnswered(leader.address, sentAt, leaderlink.HeartbeatNews{
 			Token: answer.Token, ConfigVersion: answer.ConfigVersion,
 			Interval: time.Duration(answer.IntervalMillis) * time.Millisecond,
 		})
--- a/internal/agent/relay_silent_test.go
+++ b/internal/agent/relay_silent_test.go
@@ -25,13 +25,13 @@
 func startWatchedScheduler(t *testing.T, token uint64) *watchedScheduler {
 	t.Helper()
 	s := &watchedScheduler{token: token}
-	beats := &fakeScheduler{token: token}
+	heartbeats := &fakeScheduler{token: token}
 	server := rpc.NewServer(rpc.ServerConfig{})
 	rpc.Handle(server, fleet.MethodHeartbeat, func(ctx context.Context, request fleet.HeartbeatRequest) (fleet.HeartbeatAnswer, error) {
 		if s.silent.Load() {
 			<-ctx.Done()
 		}
-		return beats.heartbeat(ctx, request)
+		return heartbeats.heartbeat(ctx, request)
 	})
 	rpc.Handle(server, fleet.MethodWatch, func(ctx context.Context, _ fleet.WatchRequest) (fleet.WatchAnswer, error) {
 		if s.silent.Load() {
--- a/internal/leaderlink/beaten.go
+++ b/internal/leaderlink/heartbeats.go
@@ -16,9 +16,9 @@
 	// answerPatience is how much later than it was due an answer may come before
 	// the leader is doubted.
 	answerPatience = 500 * time.Millisecond
-	// longestBeat is the longest pause between heartbeats that stand in for the
+	// longestInterval is the longest pause between heartbeats that stand in for the
 	// watch: the leader must be doubted before the hold of a watch is over.
-	longestBeat = 900 * time.Millisecond
+	longestInterval = 900 * time.Millisecond
 	// steadyTime is how long heartbeats must have been answered in time before
 	// they stand in for the watch, so that a slow leader is not doubted again and
 	// again.
@@ -27,75 +27,75 @@
 	LongestCall = quietWatchWait + answerPatience
 )
 
-// Beat is what the answer to a heartbeat says beside the worker's orders.
-type Beat struct {
+// HeartbeatNews is what the answer to a heartbeat says beside the worker's orders.
+type HeartbeatNews struct {
 	// Token and ConfigVersion are the leader's.
 	Token, ConfigVersion uint64
 	// Interval is the pause until the next heartbeat.
 	Interval time.Duration
 }
 
-// beaten takes the answer to a heartbeat as one to a watch, if it is of the
+// heartbeatAnswered takes the answer to a heartbeat as one to a watch, if it is of the
 // leader that answers watches, and reports whether it names a newer
 // configuration. It is for processes that need no content of it.
-func (s *state) beaten(now, sentAt time.Duration, address string, beat Beat) (newer bool) {
+func (s *state) heartbeatAnswered(now, sentAt time.Duration, address string, news HeartbeatNews) (newer bool) {
 	until := sentAt + s.granted
-	known := s.confirmed && address == s.leader && beat.Token == s.token
-	if !s.versionOnly || !known || beat.ConfigVersion < s.configVersion || now >= until {
+	known := s.confirmed && address == s.leader && news.Token == s.token
+	if !s.versionOnly || !known || news.ConfigVersion < s.configVersion || now >= until {
 		return false
 	}
 	s.answeredAt = now
 	s.freshUntil = max(s.freshUntil, until)
-	if now >= s.beatenUntil {
+	if now >= s.standInUntil {
 		s.steadyFrom = now + steadyTime
 	}
-	if beat.Interval <= longestBeat {
-		s.beatenUntil = now + beat.Interval + answerPatience
+	if news.Interval <= longestInterval {
+		s.standInUntil = now + news.Interval + answerPatience
 	}
-	return beat.ConfigVersion > s.configVersion
+	return news.ConfigVersion > s.configVersion
 }
 
-// beatenFor is for how long heartbeats still stand in for the watch; 0 or less if
+// standInFor is for how long heartbeats still stand in for the watch; 0 or less if
 // they do not.
-func (s *state) beatenFor(now time.Duration) time.Duration {
+func (s *state) standInFor(now time.Duration) time.Duration {
 	if now < s.steadyFrom {
 		return 0
 	}
-	return s.beatenUntil - now
+	return s.standInUntil - now
 }
 
 // unconfirm makes the leader answer anew before it is watched.
 func (s *state) unconfirm() {
 	s.confirmed = false
-	s.beatenUntil = 0
+	s.standInUntil = 0
 }
 
-// Beaten takes the leader's answer to a heartbeat that was sent at some time as
+// HeartbeatAnswered takes the leader's answer to a heartbeat that was sent at some time as
 // one to a watch: it says the same to a process that needs only the version of
 // the configuration.
-func (l *Link) Beaten(address string, sentAt time.Time, beat Beat) {
+func (l *Link) HeartbeatAnswered(address string, sentAt time.Time, news HeartbeatNews) {
 	l.mutex.Lock()
-	newer := l.state.beaten(l.now(), sentAt.Sub(l.started), address, beat)
+	newer := l.state.heartbeatAnswered(l.now(), sentAt.Sub(l.started), address, news)
 	if newer {
-		l.state.adopt(beat.ConfigVersion, nil)
+		l.state.adopt(news.ConfigVersion, nil)
 	}
 	l.mutex.Unlock()
 	if newer {
-		l.logInForce(beat.ConfigVersion)
+		l.logInForce(news.ConfigVersion)
 	}
 }
 
-// askWhileBeaten makes one watch call that is held for long, and gives it up
+// askWhileHeartbeatsStandIn makes one watch call that is held for long, and gives it up
 // once heartbeats do not stand in for it any more: the leader is then asked
 // anew, and so are the seeds.
-func (l *Link) askWhileBeaten(ctx, calling context.Context, cancel context.CancelFunc, address string, held time.Duration) bool {
+func (l *Link) askWhileHeartbeatsStandIn(ctx, calling context.Context, cancel context.CancelFunc, address string, held time.Duration) bool {
 	var doubts atomic.Bool
 	var watching sync.WaitGroup
 	defer watching.Wait()
 	defer cancel()
 	watching.Go(func() {
-		for wait.For(calling, l.beatenFor()) {
-			if l.beatenFor() <= 0 {
+		for wait.For(calling, l.standInFor()) {
+			if l.standInFor() <= 0 {
 				doubts.Store(true)
 				cancel()
 				return
@@ -113,17 +113,17 @@
 
 // watchWait is how long the next watch may be held.
 func (l *Link) watchWait() time.Duration {
-	if l.beatenFor() > 0 {
+	if l.standInFor() > 0 {
 		return quietWatchWait
 	}
 	return watchWait
 }
 
-// beatenFor is for how long heartbeats still stand in for the watch.
-func (l *Link) beatenFor() time.Duration {
+// standInFor is for how long heartbeats still stand in for the watch.
+func (l *Link) standInFor() time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.state.beatenFor(l.now())
+	return l.state.standInFor(l.now())
 }
 
 // unconfirm has the leader asked anew, beside the seeds, unless another is known.
--- a/internal/leaderlink/beaten_test.go
+++ b/internal/leaderlink/heartbeats_test.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	beatInterval = 200 * time.Millisecond
-	beatSpan     = 20 * time.Second
+	heartbeatInterval = 200 * time.Millisecond
+	testedSpan        = 20 * time.Second
 )
 
 // startVersionLink is the link of an agent, which needs only versions.
@@ -24,11 +24,11 @@
 	return link
 }
 
-// beatFor answers a heartbeat of the link's process again and again.
-func beatFor(link *Link, span, interval time.Duration, beat Beat) {
-	beat.Interval = interval
+// answerHeartbeats answers a heartbeat of the link's process again and again.
+func answerHeartbeats(link *Link, span, interval time.Duration, news HeartbeatNews) {
+	news.Interval = interval
 	for began := time.Now(); time.Since(began) < span; time.Sleep(interval) {
-		link.Beaten("a", time.Now(), beat)
+		link.HeartbeatAnswered("a", time.Now(), news)
 	}
 }
 
@@ -38,15 +38,15 @@
 	return len(f.asked)
 }
 
-func TestWatchIsHeldLongWhileBeaten(t *testing.T) {
+func TestWatchIsHeldLongWhileHeartbeatsAreAnswered(t *testing.T) {
 	cases := []struct {
 		name     string
 		interval time.Duration
 		longest  int
 	}{
-		{"base interval", beatInterval, int(beatSpan/quietWatchWait) + 1},
-		{"interval of a large fleet", 750 * time.Millisecond, int(beatSpan/quietWatchWait) + 1},
-		{"too slow to stand in", 2 * longestBeat, int(beatSpan/watchWait) + 1},
+		{"base interval", heartbeatInterval, int(testedSpan/quietWatchWait) + 1},
+		{"interval of a large fleet", 750 * time.Millisecond, int(testedSpan/quietWatchWait) + 1},
+		{"too slow to stand in", 2 * longestInterval, int(testedSpan/watchWait) + 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -54,34 +54,36 @@
 				schedulers := &fakeSchedulers{leader: "a", token: 4, version: 7}
 				link := startVersionLink(t, schedulers)
 				time.Sleep(2 * watchWait)
-				var beating sync.WaitGroup
-				defer beating.Wait()
-				beating.Go(func() { beatFor(link, 2*steadyTime+beatSpan, c.interval, Beat{Token: 4, ConfigVersion: 7}) })
+				var answering sync.WaitGroup
+				defer answering.Wait()
+				answering.Go(func() {
+					answerHeartbeats(link, 2*steadyTime+testedSpan, c.interval, HeartbeatNews{Token: 4, ConfigVersion: 7})
+				})
 				time.Sleep(2 * steadyTime)
 				before := schedulers.watches()
-				for range int(beatSpan / time.Millisecond) {
+				for range int(testedSpan / time.Millisecond) {
 					time.Sleep(time.Millisecond)
 					if !link.Fresh() {
 						t.Fatal("not fresh although heartbeats are answered")
 					}
 				}
 				if asked := schedulers.watches() - before; asked > c.longest || asked == 0 {
-					t.Errorf("%d watches in %v, want 1 to %d", asked, beatSpan, c.longest)
+					t.Errorf("%d watches in %v, want 1 to %d", asked, testedSpan, c.longest)
 				}
 			})
 		})
 	}
 }
 
-// TestFreshWhenBeatsStop has the worker end while the leader goes on: the watch
+// TestFreshWhenHeartbeatsStop has the worker end while the leader goes on: the watch
 // takes over before the hold is over.
-func TestFreshWhenBeatsStop(t *testing.T) {
-	for _, interval := range []time.Duration{beatInterval, longestBeat} {
+func TestFreshWhenHeartbeatsStop(t *testing.T) {
+	for _, interval := range []time.Duration{heartbeatInterval, longestInterval} {
 		synctest.Test(t, func(t *testing.T) {
 			schedulers := &fakeSchedulers{leader: "a", token: 4, version: 7}
 			link := startVersionLink(t, schedulers)
 			time.Sleep(2 * watchWait)
-			beatFor(link, 2*steadyTime, interval, Beat{Token: 4, ConfigVersion: 7})
+			answerHeartbeats(link, 2*steadyTime, interval, HeartbeatNews{Token: 4, ConfigVersion: 7})
 			for range 10_000 {
 				time.Sleep(time.Millisecond)
 				if !link.Fresh() {
@@ -95,15 +97,15 @@
 	}
 }
 
-// TestDeadLeaderIsDoubtedWhenBeatsStop has the leader go without a word while a
+// TestDeadLeaderIsDoubtedWhenHeartbeatsStop has the leader go without a word while a
 // watch is held for long: the next one is found about as soon as with short
 // watches.
-func TestDeadLeaderIsDoubtedWhenBeatsStop(t *testing.T) {
+func TestDeadLeaderIsDoubtedWhenHeartbeatsStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		schedulers := &fakeSchedulers{leader: "a", token: 4, version: 7, dead: map[string]bool{}}
 		link := startVersionLink(t, schedulers)
 		time.Sleep(2 * watchWait)
-		beatFor(link, 2*steadyTime, beatInterval, Beat{Token: 4, ConfigVersion: 7})
+		answerHeartbeats(link, 2*steadyTime, heartbeatInterval, HeartbeatNews{Token: 4, ConfigVersion: 7})
 		schedulers.set(func() {
 			schedulers.dead["a"] = true
 			schedulers.leader, schedulers.token = "b", 5
@@ -112,7 +114,7 @@
 		for link.Token() != 5 {
 			time.Sleep(time.Millisecond)
 		}
-		if found := time.Since(lost); found > beatInterval+answerPatience+probeTimeout {
+		if found := time.Since(lost); found > heartbeatInterval+answerPatience+probeTimeout {
 			t.Fatalf("found the next leader after %v", found)
 		}
 	})
@@ -126,34 +128,34 @@
 		link := startVersionLink(t, schedulers)
 		time.Sleep(2 * watchWait)
 		before := schedulers.watches()
-		const late = beatInterval + answerPatience + 100*time.Millisecond
-		for began := time.Now(); time.Since(began) < beatSpan; time.Sleep(late) {
-			link.Beaten("a", time.Now(), Beat{Token: 4, ConfigVersion: 7, Interval: beatInterval})
+		const late = heartbeatInterval + answerPatience + 100*time.Millisecond
+		for began := time.Now(); time.Since(began) < testedSpan; time.Sleep(late) {
+			link.HeartbeatAnswered("a", time.Now(), HeartbeatNews{Token: 4, ConfigVersion: 7, Interval: heartbeatInterval})
 		}
-		if asked := schedulers.watches() - before; asked > int(beatSpan/watchWait) {
-			t.Errorf("%d watches in %v, want at most %d", asked, beatSpan, int(beatSpan/watchWait))
+		if asked := schedulers.watches() - before; asked > int(testedSpan/watchWait) {
+			t.Errorf("%d watches in %v, want at most %d", asked, testedSpan, int(testedSpan/watchWait))
 		}
 	})
 }
 
-func TestBeatsAreTakenFromTheWatchedLeaderOnly(t *testing.T) {
-	good := Beat{Token: 4, ConfigVersion: 8, Interval: beatInterval}
+func TestHeartbeatsCountFromTheWatchedLeaderOnly(t *testing.T) {
+	good := HeartbeatNews{Token: 4, ConfigVersion: 8, Interval: heartbeatInterval}
 	cases := []struct {
 		name    string
 		address string
-		change  func(*state, *Beat)
+		change  func(*state, *HeartbeatNews)
 		now     time.Duration
 		taken   bool
 	}{
-		{"newer version", "a", func(*state, *Beat) {}, time.Second, true},
-		{"same version", "a", func(_ *state, b *Beat) { b.ConfigVersion = 7 }, time.Second, true},
-		{"older version", "a", func(_ *state, b *Beat) { b.ConfigVersion = 6 }, time.Second, false},
-		{"lower token", "a", func(_ *state, b *Beat) { b.Token = 3 }, time.Second, false},
-		{"higher token", "a", func(_ *state, b *Beat) { b.Token = 5 }, time.Second, false},
-		{"another scheduler", "b", func(*state, *Beat) {}, time.Second, false},
-		{"leader not confirmed", "a", func(s *state, _ *Beat) { s.confirmed = false }, time.Second, false},
-		{"content is needed", "a", func(s *state, _ *Beat) { s.versionOnly = false }, time.Second, false},
-		{"after its hold", "a", func(*state, *Beat) {}, hold, false},
+		{"newer version", "a", func(*state, *HeartbeatNews) {}, time.Second, true},
+		{"same version", "a", func(_ *state, b *HeartbeatNews) { b.ConfigVersion = 7 }, time.Second, true},
+		{"older version", "a", func(_ *state, b *HeartbeatNews) { b.ConfigVersion = 6 }, time.Second, false},
+		{"lower token", "a", func(_ *state, b *HeartbeatNews) { b.Token = 3 }, time.Second, false},
+		{"higher token", "a", func(_ *state, b *HeartbeatNews) { b.Token = 5 }, time.Second, false},
+		{"another scheduler", "b", func(*state, *HeartbeatNews) {}, time.Second, false},
+		{"leader not confirmed", "a", func(s *state, _ *HeartbeatNews) { s.confirmed = false }, time.Second, false},
+		{"content is needed", "a", func(s *state, _ *HeartbeatNews) { s.versionOnly = false }, time.Second, false},
+		{"after its hold", "a", func(*state, *HeartbeatNews) {}, hold, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -164,25 +166,25 @@
 			}
 			s.adopt(7, nil)
 			s.freshUntil = 0
-			beat := good
-			c.change(&s, &beat)
-			newer := s.beaten(c.now, 0, c.address, beat)
-			if newer != (c.taken && beat.ConfigVersion > 7) {
+			news := good
+			c.change(&s, &news)
+			newer := s.heartbeatAnswered(c.now, 0, c.address, news)
+			if newer != (c.taken && news.ConfigVersion > 7) {
 				t.Errorf("newer %v", newer)
 			}
-			if s.fresh(c.now) != c.taken || (s.beatenUntil > 0) != c.taken {
-				t.Errorf("fresh %v, stands in until %v; want %v", s.fresh(c.now), s.beatenUntil, c.taken)
+			if s.fresh(c.now) != c.taken || (s.standInUntil > 0) != c.taken {
+				t.Errorf("fresh %v, stands in until %v; want %v", s.fresh(c.now), s.standInUntil, c.taken)
 			}
 		})
 	}
 }
 
-func TestBeatPutsTheVersionInForce(t *testing.T) {
+func TestHeartbeatPutsTheVersionInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		schedulers := &fakeSchedulers{leader: "a", token: 4, version: 7}
 		link := startVersionLink(t, schedulers)
 		time.Sleep(time.Second)
-		link.Beaten("a", time.Now(), Beat{Token: 4, ConfigVersion: 9, Interval: beatInterval})
+		link.HeartbeatAnswered("a", time.Now(), HeartbeatNews{Token: 4, ConfigVersion: 9, Interval: heartbeatInterval})
 		if link.ConfigVersion() != 9 {
 			t.Fatalf("version %d in force, want 9", link.ConfigVersion())
 		}
@@ -211,7 +213,7 @@
 		schedulers := &fakeSchedulers{leader: "a", token: 4, version: 7, dead: map[string]bool{}}
 		link := startVersionLink(t, schedulers)
 		time.Sleep(2 * watchWait)
-		beatFor(link, 2*steadyTime, beatInterval, Beat{Token: 4, ConfigVersion: 7})
+		answerHeartbeats(link, 2*steadyTime, heartbeatInterval, HeartbeatNews{Token: 4, ConfigVersion: 7})
 		schedulers.set(func() { schedulers.dead["a"], schedulers.leader, schedulers.token = true, "b", 5 })
 		wantGivenUpSoon(t, link)
 	})
--- a/internal/leaderlink/link.go
+++ b/internal/leaderlink/link.go
@@ -144,7 +144,7 @@
 	calling, cancel := context.WithTimeout(ctx, held+answerPatience)
 	defer cancel()
 	if held > watchWait {
-		return l.askWhileBeaten(ctx, calling, cancel, address, held)
+		return l.askWhileHeartbeatsStandIn(ctx, calling, cancel, address, held)
 	}
 	_, again := l.take(ctx, l.call(calling, address, held))
 	return again
--- a/internal/leaderlink/state.go
+++ b/internal/leaderlink/state.go
@@ -46,9 +46,9 @@
 	freshUntil    time.Duration
 	// granted is the hold of the last watch answer.
 	granted time.Duration
-	// beatenUntil: until then the next answer to a heartbeat is not overdue.
+	// standInUntil: until then the next answer to a heartbeat is not overdue.
 	// steadyFrom: from then on none was for long enough.
-	beatenUntil, steadyFrom time.Duration
+	standInUntil, steadyFrom time.Duration
 	// versionOnly: answers come without the content of configurations.
 	versionOnly bool
 }
@@ -130,7 +130,7 @@
 	}
 	s.leader = ""
 	s.confirmed = false
-	s.beatenUntil = 0
+	s.standInUntil = 0
 }
 
 // observe raises the highest token; it reports whether the token is not lower
