Bound the pause of tasks that run until cancelled

Cause: the pause after a failure doubled to 6.4 s, and the count of failures of such a task is never used up and never began again. A task that had failed six times in its life waited 6.4 s after each later failure, however well it had run between.

Change: the pause of a task that runs until cancelled, and of a group in lockstep that has one, is 2 s at most, or retry_delay if that is longer. A failure of a run that was open for 10 s by the cluster clock counts as the first. Other tasks are as before: their number of failures is limited, so it must not begin anew. Weighed and left out: beginning anew also when a run is lost or ends well, since no pause follows these.

--- a/internal/record/checker_test.go
+++ b/internal/record/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -72,6 +73,7 @@
 		if !cancelled && e.Outcome == api.OutcomeFailed && e.Run.Task.State != TaskSucceeded {
 			c.noteFailedRun(e.Run)
 		}
+		c.pause(e.Run.Task)
 	case WindowReleased:
 		c.released = append(c.released, e.Window)
 	case OccurrenceEnded:
@@ -82,6 +84,15 @@
 	}
 }
 
+// pause checks that a task that runs until cancelled may soon run again.
+func (c *checker) pause(task *Task) {
+	s := c.machine.state
+	longest := max(Millis(s.settings.effective.Timings.RetryDelay.Std()/time.Millisecond), 2000)
+	if pause := task.NotBefore - max(s.clock, task.Step.earliestStart()); task.Endless() && pause > longest {
+		c.t.Fatalf("%s waits for %d ms after a run", task.ID, pause)
+	}
+}
+
 // ended checks steps that leave memory.
 func (c *checker) ended(steps []*Step) {
 	for _, step := range steps {
--- a/internal/record/close.go
+++ b/internal/record/close.go
@@ -13,6 +13,12 @@
 	maxReasonBytes = 1024
 	// maxRetryDoublings bounds the growth of the pause before a retry.
 	maxRetryDoublings = 5
+	// longestEndlessPause bounds the pause of a task that runs until cancelled,
+	// unless the first pause is longer.
+	longestEndlessPause Millis = 2_000
+	// steadyRun is how long a run of such a task must have been open for its failure
+	// to be counted as the first: what broke it is not what broke the runs before.
+	steadyRun Millis = 10_000
 )
 
 // applyClose ends runs in the order given.
@@ -63,7 +69,7 @@
 func (m *Machine) stateAfterRun(run *Run, end *RunEnd) TaskState {
 	task := run.Task
 	succeeded := end.Outcome == api.OutcomeSucceeded
-	if succeeded && !task.endless() {
+	if succeeded && !task.Endless() {
 		task.Reason = ""
 		return TaskSucceeded
 	}
@@ -90,15 +96,32 @@
 		m.countGroupFailure(run, end)
 		return TaskReady
 	}
-	task.Failures++
+	task.countFailure(run, m.state.clock)
 	task.Reason = failureReason(end.Message)
 	if task.Failures >= task.AllowedFailures && !task.Spec.UntilCancelled {
 		return TaskFailed
 	}
-	task.NotBefore = m.state.clock + m.retryDelay(task.Failures)
+	task.NotBefore = m.state.clock + m.pauseOf(task)
 	return TaskReady
 }
 
+// countFailure counts a failure that ended a run, which may be another member's.
+func (t *Task) countFailure(run *Run, now Millis) {
+	if t.Endless() && now-run.PlacedAt >= steadyRun {
+		t.Failures = 0
+	}
+	t.Failures++
+}
+
+// pauseOf is the pause after a task's newest failure.
+func (m *Machine) pauseOf(task *Task) Millis {
+	pause := m.retryDelay(task.Failures)
+	if task.Endless() {
+		pause = min(pause, max(m.retryDelay(1), longestEndlessPause))
+	}
+	return pause
+}
+
 // retryDelay is the pause after the given number of failures.
 func (m *Machine) retryDelay(failures int) Millis {
 	doublings := min(failures-1, maxRetryDoublings)
@@ -114,7 +137,7 @@
 	if task.State == TaskReady && end.Run.Number == task.LastRun {
 		task.keepCheckpoint(end)
 	}
-	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady || task.endless() || task.Step.Spec.Lockstep {
+	if end.Outcome != api.OutcomeSucceeded || task.State != TaskReady || task.Endless() || task.Step.Spec.Lockstep {
 		return
 	}
 	if end.Run.Number == 0 || end.Run.Number > task.LastRun {
--- a/internal/record/lockstep.go
+++ b/internal/record/lockstep.go
@@ -42,9 +42,9 @@
 	return newest + 1
 }
 
-// endless reports whether the task has neither success nor limit of failures: it
+// Endless reports whether the task has neither success nor limit of failures: it
 // runs until cancelled, or a member of its group in lockstep does.
-func (t *Task) endless() bool {
+func (t *Task) Endless() bool {
 	return t.Spec.UntilCancelled || t.Step.Spec.Lockstep && t.Step.endless()
 }
 
@@ -71,7 +71,7 @@
 // takeGroupSuccess ends a group whose newest run has succeeded. The runs that
 // are still open work for nothing and are marked to stop.
 func (m *Machine) takeGroupSuccess(task *Task, number uint32) {
-	if number == 0 || number != task.LastRun || task.State.Final() || task.endless() {
+	if number == 0 || number != task.LastRun || task.State.Final() || task.Endless() {
 		return
 	}
 	for _, member := range task.Step.Tasks {
@@ -156,7 +156,7 @@
 	step.failedRun = run.Number
 	run.Task.Reason = failureReason(end.Message)
 	for _, member := range step.Tasks {
-		member.Failures++
-		member.NotBefore = max(member.NotBefore, m.state.clock+m.retryDelay(member.Failures))
+		member.countFailure(run, m.state.clock)
+		member.NotBefore = max(member.NotBefore, m.state.clock+m.pauseOf(member))
 	}
 }
--- a/internal/record/property_test.go
+++ b/internal/record/property_test.go
@@ -117,6 +117,9 @@
 
 func drawCommand(t *rapid.T, machine *Machine, expiry bool) Command {
 	command := Command{Time: machine.state.clock + Millis(rapid.IntRange(-50, 300).Draw(t, "time")), Token: 1}
+	if rapid.IntRange(0, 19).Draw(t, "pause") == 0 {
+		command.Time += steadyRun
+	}
 	most := 18
 	if expiry {
 		most++
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -92,7 +92,8 @@
 	// Failures counts failed runs, or those of the whole group in lockstep.
 	// AllowedFailures is at least 1: the task is failed for good once Failures
 	// reaches it, unless it runs until cancelled; a group in lockstep once all
-	// its runs are closed then.
+	// its runs are closed then. Those of a task that runs until cancelled are
+	// counted anew once a run was open for long.
 	Failures        int
 	AllowedFailures int
 	// LastRun is the number of the newest run, 0 if none was placed.
