Give tasks that run until cancelled whatever room there is

Cause: such a task could wait although workers that take work had places for it: for headroom while its service was crowded, without end; for a worker that was suspect, up to a minute, or on probation with one run, 30 s; and for room that a group gathers, up to 4096 passes, which is 200 s at a tick each. Each of them has a test that fails on the old code.

Change: these tasks, and groups in lockstep that have one, leave no headroom, take guarded workers after all others, several on one, and take room that a group gathers; what they do not need of it stays put aside. Waiting some seconds before a suspect worker is taken, or one run at a time there, was weighed and refused: runs that last never end to make way. Quotas, spread, slices and room promised after a preemption hold as before.

Groups no longer gather where the rest of their room is held by runs that last: that kept the room from all others in vain.

Ordinary tasks with an attempt to spare may try a suspect worker, one at a time, if no other has room and their service is not crowded by the rule of headroom.

The model of the engine has the new rules from scratch, and also checks that no guarded worker is taken while a trusted one has room.

--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -21,6 +21,8 @@
 	preemptible bool
 	// mayTry allows workers on probation.
 	mayTry bool
+	// untilCancelled lets the class take whatever room there is.
+	untilCancelled bool
 	// headroom is the share of a worker that is to stay free, in hundredths.
 	headroom int
 	// duration bounds a run; 0 is no bound.
@@ -43,11 +45,12 @@
 	// blocked is set when a pass found no room; it stays until a worker of the
 	// pool changed and could hold the class, or a run of its step ended.
 	blocked bool
-	// heldBack is set if it may have found none only since it has to leave
-	// headroom.
+	// heldBack is set if it may have found none only since its service is crowded.
 	heldBack bool
 	// anyRoom is set during a search that need not leave headroom.
 	anyRoom bool
+	// anyTrust is set during a search among guarded workers too.
+	anyTrust bool
 	// groups are those parked until this class may find room, with the value
 	// of freed at which it may; wakeAt is the least of these.
 	groups map[*lane]uint64
@@ -87,6 +90,8 @@
 		need:        spec.Resources,
 		preemptible: e.isPreemptible(task),
 		mayTry:      task.MayTry,
+
+		untilCancelled: task.UntilCancelled,
 	}
 	if !key.preemptible {
 		key.duration = durationOf(spec)
@@ -194,16 +199,16 @@
 // mayUse reports whether the class may find room on a worker that changed: a
 // slice counts even if a preemptible run has its room.
 func (c *class) mayUse(w *worker) bool {
-	if c.fitsOn(w) || c.openSlots(w.slices) > 0 {
+	if c.fitsSomehow(w) || c.openSlots(w.slices) > 0 {
 		return true
 	}
-	return withoutHeadroom(c, func() bool { return c.fitsOn(w) })
+	return w.nominated != (api.Resources{}) && fits(c.key.need, c.roomOnceTaken(w)) && c.key.untilCancelled
 }
 
 // block marks that a pass found no room.
 func (c *class) block() {
 	c.blocked = true
-	c.heldBack = c.waitsForHeadroom()
+	c.heldBack = c.isCrowded() && (c.key.headroom != 0 || c.key.mayTry)
 	c.pool.blocked[c] = struct{}{}
 }
 
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -31,4 +31,7 @@
 //
 // Groups. A group that found no room for gatherAfter passes gets its places one
 // by one as they come free; one group at a time.
+//
+// Last room. A task that runs until cancelled takes whatever room there is, also
+// what is kept from others (lastroom.go).
 package placement
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -77,6 +77,8 @@
 	// mayStop is the spec's Preemptible; preemptible is false once the task was
 	// preempted too often.
 	mayStop, preemptible bool
+	// untilCancelled is set if the run has no end of its own.
+	untilCancelled bool
 	// stopping is set once it was named for preemption.
 	stopping bool
 	// nominated is set while the room is only promised.
@@ -166,7 +168,7 @@
 func sameTask(a, b *Task) bool {
 	return a.ID == b.ID && a.Queue == b.Queue && a.Priority == b.Priority && a.Sequence == b.Sequence &&
 		a.Spec == b.Spec && a.Group == b.Group && a.GroupSize == b.GroupSize &&
-		a.StartedAt == b.StartedAt && a.Preemptions == b.Preemptions &&
+		a.StartedAt == b.StartedAt && a.Preemptions == b.Preemptions && a.UntilCancelled == b.UntilCancelled &&
 		sameWishes(a.Wishes, b.Wishes)
 }
 
--- a/internal/placement/gather.go
+++ b/internal/placement/gather.go
@@ -32,7 +32,8 @@
 	if g == nil {
 		return
 	}
-	if e.passes-g.since > gatherFor || !e.mayGather(g) {
+	isOver := e.passes-g.since > gatherFor || e.passes%searchEvery == 0 && !g.lane.hasPlacesOnceFree()
+	if isOver || !e.mayGather(g) {
 		e.stopGathering()
 		return
 	}
@@ -73,29 +74,32 @@
 	return compareWaiting(l.tasks[0], other.tasks[0]) < 0
 }
 
-// couldBeWhole reports whether the limits allow the group now, and empty
-// workers have places enough for each class.
+// couldBeWhole reports whether the limits allow the group now, and it has places
+// enough once what ends by itself has ended.
 func (e *Engine) couldBeWhole(l *lane) bool {
-	if !l.line.queue.mayRun(len(l.tasks)) {
-		return false
-	}
+	return l.line.queue.mayRun(len(l.tasks)) && l.hasPlacesOnceFree()
+}
+
+// hasPlacesOnceFree reports whether workers on which nothing ran but what runs
+// until cancelled would have places enough for each class.
+func (l *lane) hasPlacesOnceFree() bool {
 	for _, m := range l.members {
-		if m.class.placesEmpty(m.count) < m.count {
+		if m.class.placesOnceFree(m.count) < m.count {
 			return false
 		}
 	}
 	return true
 }
 
-// placesEmpty counts the places on empty workers, up to enough.
-func (c *class) placesEmpty(enough int) int {
+// placesOnceFree counts these places, up to enough.
+func (c *class) placesOnceFree(enough int) int {
 	left := map[string]int{}
 	total := 0
 	for _, w := range c.pool.workers {
 		if total >= enough {
 			break
 		}
-		here := placesOn(c.key.need, w.Capacity, enough-total)
+		here := placesOn(c.key.need, w.Capacity.Sub(w.endless), enough-total)
 		if c.spread != nil && here > 0 {
 			here = takeFromDomain(left, c.spread, &w.Worker, here)
 		}
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -132,7 +132,7 @@
 			return 0
 		}
 	}
-	return uint64(placesOn(c.key.need, c.roomOn(w), math.MaxInt32) + c.openSlots(w.slices))
+	return uint64(placesOn(c.key.need, c.roomOnceTaken(w), math.MaxInt32) + c.openSlots(w.slices))
 }
 
 // parkAtLimit keeps a group out of passes until the queue or its team may run
@@ -176,20 +176,20 @@
 		return true
 	}
 	l.tried = true
-	if short, missing := p.engine.findShortage(l); short != nil {
-		l.parkAtShortage(short, missing)
-		l.waitFrom(p.engine.passes)
-		return p.preemptForGroup(l)
-	}
 	members := p.engine.trialOrder(l.tasks)
-	opened := p.tryAll(members)
-	if len(opened) < len(members) {
-		l.free = len(opened)
-		p.rollBack(opened)
-		l.parkAt(l.classes()...)
+	found := p.openAll(l, members)
+	if found.opened == nil {
+		p.engine.overGathered(l, func() bool {
+			found = p.openAll(l, members)
+			return found.opened != nil
+		})
+	}
+	if found.opened == nil {
+		l.park(found)
 		l.waitFrom(p.engine.passes)
 		return p.preemptForGroup(l)
 	}
+	opened := found.opened
 	if len(p.decisions) > 0 && len(p.decisions)+len(members) > p.limit {
 		p.rollBack(opened)
 		return false
@@ -201,6 +201,37 @@
 	return true
 }
 
+// groupSeats is what a trial to place a group found: a run for each member, or the
+// class that is short of places, if that alone tells.
+type groupSeats struct {
+	opened  []*run
+	short   *class
+	missing int
+}
+
+// openAll opens runs for all members of the group or for none.
+func (p *pass) openAll(l *lane, members []*waiting) groupSeats {
+	if short, missing := p.engine.findShortage(l); short != nil {
+		return groupSeats{short: short, missing: missing}
+	}
+	opened := p.tryAll(members)
+	if len(opened) < len(members) {
+		l.free = len(opened)
+		p.rollBack(opened)
+		return groupSeats{}
+	}
+	return groupSeats{opened: opened}
+}
+
+// park keeps a group that found no room out of passes until it may find some.
+func (l *lane) park(found groupSeats) {
+	if found.short != nil {
+		l.parkAtShortage(found.short, found.missing)
+		return
+	}
+	l.parkAt(l.classes()...)
+}
+
 func (l *lane) waitFrom(pass uint64) {
 	if l.waitsSince == 0 {
 		l.waitsSince = pass
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -73,7 +73,7 @@
 // waitsForHeadroom reports whether tasks of the class wait if no room leaves
 // headroom.
 func (c *class) waitsForHeadroom() bool {
-	return c.key.headroom != 0 && c.crowding.crowded(c.key.selector.service)
+	return c.key.headroom != 0 && c.isCrowded()
 }
 
 // withoutHeadroom has find look for room that need not leave headroom, if the class
@@ -101,19 +101,22 @@
 
 // headroomOf is what a task leaves free of a worker, in hundredths. Groups and
 // tasks with a rule of spread need many places, and could wait for the same few
-// workers for ever.
+// workers for ever. One that runs until cancelled takes whatever room there is.
 func headroomOf(task *Task, rule *QueueRule) int {
-	if task.GroupSize > 1 || task.Spec.Spread != nil {
+	if task.UntilCancelled || task.GroupSize > 1 || task.Spec.Spread != nil {
 		return 0
 	}
 	return rule.Headroom
 }
 
-// wakeHeldBack looks again at classes that had to leave headroom when they were
-// blocked, and need not any more.
+// countsCrowding reports whether anything depends on which services are crowded.
+func (e *Engine) countsCrowding() bool { return e.anyHeadroom || len(e.workers.guarded) > 0 }
+
+// wakeHeldBack looks again at classes whose service was crowded when they were
+// blocked, and no longer is.
 func (e *Engine) wakeHeldBack() {
 	for _, c := range e.classes {
-		if c.heldBack && !c.waitsForHeadroom() {
+		if c.heldBack && !c.isCrowded() {
 			c.wakeLanes()
 		}
 	}
--- /dev/null
+++ b/internal/placement/lastroom_test.go
@@ -0,0 +1,236 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/decklever/decklever/api"
+)
+
+// endless are tasks that run until cancelled.
+func endless(tasks []Task) []Task {
+	for i := range tasks {
+		spec := *tasks[i].Spec
+		spec.UntilCancelled = true
+		tasks[i].Spec, tasks[i].UntilCancelled = &spec, true
+	}
+	return tasks
+}
+
+// inLockstep are the members of one group.
+func inLockstep(job string, count int, need int64) []Task {
+	return stepOf(job, count, need, func(task *Task) { task.Group, task.GroupSize = job+"/a", count })
+}
+
+func heldBack(name string, capacity int64) Worker {
+	w := testWorker(name, cpu(capacity))
+	w.HeldBack = true
+	return w
+}
+
+// TestHeadroomHoldsBackNoEndlessTask: it would wait for as long as its service is
+// crowded.
+func TestHeadroomHoldsBackNoEndlessTask(t *testing.T) {
+	e := newEngine(testWorker("a", cpu(100)))
+	e.SetQueues([]QueueRule{{Name: "low", Weight: 1, Headroom: 30}, {Name: "q", Weight: 1}})
+	addAll(e, lowTasks("low", 7, 10)...)
+	expect(t, "of low priority", countBy(e, name), map[string]int{"a": 7})
+	addAll(e, lowTasks("more", 1, 10)...)
+	addAll(e, endless(lowTasks("endless", 2, 10))...)
+	expect(t, "endless", placed(e, 10), "endless/a/0@a endless/a/1@a")
+}
+
+// TestEndlessTasksTakeGuardedWorkersLast: also several on one, and beside what runs
+// there already.
+func TestEndlessTasksTakeGuardedWorkersLast(t *testing.T) {
+	onProbation := testWorker("p", cpu(20))
+	onProbation.Probation = true
+	for what, guarded := range map[string]Worker{"held back": heldBack("p", 20), "on probation": onProbation} {
+		e := newEngine(guarded, testWorker("t", cpu(20)))
+		addAll(e, endless(stepOf("j", 5, 10, func(task *Task) { task.StepSize = 0 }))...)
+		expect(t, what, placed(e, 10), "j/a/0@t j/a/1@t j/a/2@p j/a/3@p")
+	}
+}
+
+// TestEndlessGroupsTakeGuardedWorkersLast: a group needs all its places at once.
+func TestEndlessGroupsTakeGuardedWorkersLast(t *testing.T) {
+	e := newEngine(heldBack("h", 30), testWorker("t", cpu(20)))
+	addAll(e, endless(inLockstep("g", 4, 10))...)
+	expect(t, "members", countBy(e, name), map[string]int{"t": 2, "h": 2})
+}
+
+// TestOthersTryAWorkerHeldBackWhileMostRoomIsFree: one at a time, and none on its
+// last attempt.
+func TestOthersTryAWorkerHeldBackWhileMostRoomIsFree(t *testing.T) {
+	cases := []struct {
+		name   string
+		mayTry bool
+		// elsewhere is what is taken of a worker that the tasks cannot use.
+		elsewhere int64
+		want      string
+	}{
+		{"most room is free", true, 10, "j/a/0@h"},
+		{"on a last attempt", false, 10, ""},
+		{"the service is crowded", true, 140, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h, trusted, other := heldBack("h", 50), testWorker("t", cpu(50)), testWorker("other", cpu(200))
+			h.Labels, trusted.Labels = map[string]string{"rack": "r"}, map[string]string{"rack": "r"}
+			e := newEngine(h, trusted, other)
+			e.Hold(testTask("full", 0, 50), "t-1")
+			e.Hold(testTask("elsewhere", 0, c.elsewhere), "other-1")
+			tasks := stepOf("j", 2, 10, func(task *Task) { task.StepSize, task.MayTry = 0, c.mayTry })
+			addAll(e, labelled(tasks, "r")...)
+			expect(t, "decisions", placed(e, 10), c.want)
+			if c.want == "" && c.mayTry {
+				e.Release(testTask("elsewhere", 0, 0).ID)
+				expect(t, "no longer crowded", placed(e, 10), "j/a/0@h")
+			}
+			e.Release(testTask("full", 0, 0).ID)
+			e.Release(tasks[0].ID)
+			expect(t, "trusted first", countBy(e, name)["h"], 0)
+		})
+	}
+}
+
+// ofRack is a worker of the rack r.
+func ofRack(name string, capacity int64) Worker {
+	w := testWorker(name, cpu(capacity))
+	w.Labels = map[string]string{"rack": "r"}
+	return w
+}
+
+// gatheringGroup is an engine in which a group of two has room put aside on a, and waits
+// for room on b.
+func gatheringGroup(room int64, others ...Task) *Engine {
+	e := newEngine(ofRack("a", room), ofRack("b", room))
+	e.Hold(testTask("long", 0, room), "a-1")
+	e.Hold(testTask("long", 1, room), "b-1")
+	group := labelled(groupOf("g", room, room), "r")
+	for i := range group {
+		group[i].Spec.Spread = &api.Spread{By: "worker"}
+	}
+	addAll(e, group...)
+	for range gatherAfter + searchEvery + 1 {
+		e.Plan(10)
+	}
+	addAll(e, others...)
+	e.Release(testTask("long", 0, room).ID)
+	return e
+}
+
+// TestEndlessTasksTakeRoomThatAGroupGathers: it may be put aside for long.
+func TestEndlessTasksTakeRoomThatAGroupGathers(t *testing.T) {
+	for what, tasks := range map[string][]Task{
+		"one alone":          endless([]Task{testTask("x", 8, 1)}),
+		"two alone":          endless([]Task{testTask("x", 8, 1), testTask("x", 9, 1)}),
+		"all the room":       endless([]Task{testTask("x", 8, 2), testTask("x", 9, 2)}),
+		"a group":            endless(inLockstep("x", 2, 1)),
+		"a group, all of it": endless(inLockstep("x", 2, 2)),
+	} {
+		e := gatheringGroup(4, tasks...)
+		expect(t, what, countBy(e, name), map[string]int{"a": len(tasks)})
+		for _, task := range tasks {
+			e.Release(task.ID)
+		}
+		expect(t, "gathers again", countBy(e, name), map[string]int{})
+		expect(t, "put aside", e.workers.byID["a-1"].nominated, cpu(4))
+		e.Release(testTask("long", 1, 4).ID)
+		expect(t, "room of the second", placed(e, 10), "")
+		expect(t, "whole", placed(e, 10), "g/a/0@a g/a/1@b")
+	}
+}
+
+// TestGatheringKeepsWhatAnEndlessTaskDoesNotNeed: what does not help it stays put
+// aside, and so does the rest of it.
+func TestGatheringKeepsWhatAnEndlessTaskDoesNotNeed(t *testing.T) {
+	e := gatheringGroup(4, endless([]Task{testTask("large", 8, 5)})...)
+	expect(t, "too large", placed(e, 10), "")
+	expect(t, "put aside", e.workers.byID["a-1"].nominated, cpu(4))
+	e.SetWorker(ofRack("a", 9))
+	expect(t, "beside it", placed(e, 10), "large/a/8@a")
+	expect(t, "still put aside", e.workers.byID["a-1"].nominated, cpu(4))
+}
+
+// TestRoomThatComesBesideWhatIsGatheredWakesEndlessTasks: neither part is enough
+// alone.
+func TestRoomThatComesBesideWhatIsGatheredWakesEndlessTasks(t *testing.T) {
+	for what, tasks := range map[string][]Task{
+		"alone":   endless([]Task{testTask("x", 8, 6)}),
+		"a group": endless(inLockstep("x", 2, 3)),
+	} {
+		e := gatheringGroup(4)
+		expect(t, what, placed(e, 10), "")
+		e.SetWorker(ofRack("a", 8))
+		e.Hold(testTask("beside", 0, 4), "a-1")
+		addAll(e, tasks...)
+		expect(t, what+" in no room", placed(e, 10), "")
+		expect(t, "put aside", e.workers.byID["a-1"].nominated, cpu(4))
+		e.Release(testTask("beside", 0, 4).ID)
+		expect(t, what, countBy(e, name), map[string]int{"a": len(tasks)})
+	}
+}
+
+// TestGroupsWakeForRoomBesideWhatIsGathered: what came is no place as long as the
+// rest is put aside.
+func TestGroupsWakeForRoomBesideWhatIsGathered(t *testing.T) {
+	e := gatheringGroup(4)
+	expect(t, "gathers", placed(e, 10), "")
+	e.SetWorker(ofRack("a", 8))
+	e.SetWorker(testWorker("c", cpu(6)))
+	e.Hold(testTask("beside", 0, 4), "a-1")
+	addAll(e, endless(inLockstep("x", 2, 6))...)
+	expect(t, "in no room", placed(e, 10), "")
+	e.Release(testTask("beside", 0, 4).ID)
+	expect(t, "members", countBy(e, name), map[string]int{"a": 1, "c": 1})
+}
+
+// TestOthersUseWhatIsLeftOfGatheredRoom: an endless task needs only a part of it.
+func TestOthersUseWhatIsLeftOfGatheredRoom(t *testing.T) {
+	e := gatheringGroup(4, testTask("small", 8, 3))
+	expect(t, "put aside", placed(e, 10), "")
+	addAll(e, endless([]Task{testTask("x", 9, 1)})...)
+	expect(t, "a part", placed(e, 10), "x/a/9@a")
+	expect(t, "the rest", placed(e, 10), "small/a/8@a")
+}
+
+// TestGatheringEndsOnceItIsInVain: an endless run has come where the group needs all.
+func TestGatheringEndsOnceItIsInVain(t *testing.T) {
+	e := gatheringGroup(4, endless([]Task{testTask("x", 8, 1)})...)
+	expect(t, "endless", placed(e, 10), "x/a/8@a")
+	e.Release(testTask("long", 1, 4).ID)
+	expect(t, "gathers on", placed(e, 10), "")
+	e.Add(testTask("small", 9, 4))
+	for range searchEvery {
+		if placed(e, 10) == "small/a/9@b" {
+			return
+		}
+	}
+	t.Fatal("room is kept for a group that cannot come whole")
+}
+
+// TestEndlessGroupsGatherOnGuardedWorkers: several of them on one.
+func TestEndlessGroupsGatherOnGuardedWorkers(t *testing.T) {
+	e := newEngine(heldBack("a", 4), testWorker("b", cpu(2)))
+	e.Hold(testTask("long", 0, 2), "b-1")
+	addAll(e, endless(inLockstep("x", 3, 2))...)
+	for range gatherAfter + searchEvery + 1 {
+		e.Plan(10)
+	}
+	expect(t, "put aside", e.workers.byID["a-1"].nominated, cpu(4))
+	e.Release(testTask("long", 0, 2).ID)
+	expect(t, "whole, at once or in the next pass", len(e.Plan(10))+len(e.Plan(10)), 3)
+}
+
+// TestNoRoomIsGatheredThatEndlessRunsHold: it never comes free, and what the group
+// puts aside meanwhile nobody could use.
+func TestNoRoomIsGatheredThatEndlessRunsHold(t *testing.T) {
+	e := newEngine(testWorker("a", cpu(4)), testWorker("b", cpu(4)))
+	e.Hold(endless([]Task{testTask("endless", 0, 1)})[0], "b-1")
+	addAll(e, groupOf("g", 4, 4)...)
+	for range gatherAfter + searchEvery + 1 {
+		e.Plan(10)
+	}
+	e.Add(testTask("small", 9, 4))
+	expect(t, "others go on", placed(e, 10), "small/a/9@a")
+}
--- a/internal/placement/nominations.go
+++ b/internal/placement/nominations.go
@@ -114,7 +114,7 @@
 // worker and slice.
 func (e *Engine) breaksRule(r *run, member *waiting) bool {
 	c := member.class
-	if !c.pool.matches(r.worker) || isNegative(r.worker.coming()) || !c.admitsWith(r.worker, 1) {
+	if !c.pool.matches(r.worker) || isNegative(r.worker.coming()) || !c.keeps(r.worker) {
 		return true
 	}
 	if c.spread != nil && !c.spread.holds(&r.worker.Worker) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -19,7 +19,7 @@
 func (e *Engine) Plan(limit int) []Decision {
 	e.passes++
 	e.workers.refresh()
-	if e.anyHeadroom {
+	if e.countsCrowding() {
 		e.crowding.recount(e.workers.byID)
 		e.wakeHeldBack()
 	}
@@ -67,8 +67,8 @@
 	}
 	first := l.tasks[0]
 	if !l.class.blocked {
-		if to, found := p.engine.seatFor(first); found {
-			p.decide(first, p.engine.open(&first.Task, to))
+		if opened := p.openOne(first); opened != nil {
+			p.decide(first, opened)
 			return true
 		}
 	}
@@ -76,10 +76,25 @@
 	return true
 }
 
+// openOne opens a run of a task that is placed alone; nil if there is no seat.
+func (p *pass) openOne(task *waiting) *run {
+	var opened *run
+	open := func() bool {
+		if to, found := p.engine.seatFor(task); found {
+			opened = p.engine.open(&task.Task, to)
+		}
+		return opened != nil
+	}
+	if !open() {
+		p.engine.overGathered(task.lane, open)
+	}
+	return opened
+}
+
 // decide notes the decision and takes the task out of what waits.
 func (p *pass) decide(placed *waiting, opened *run) {
 	on := opened.worker
-	if p.engine.anyHeadroom {
+	if p.engine.countsCrowding() {
 		p.engine.crowding.take(on, opened.need)
 	}
 	p.decisions = append(p.decisions, Decision{
--- a/internal/placement/preempt_group.go
+++ b/internal/placement/preempt_group.go
@@ -65,7 +65,7 @@
 		if total >= enough {
 			break
 		}
-		if w.guarded {
+		if w.guarded && !c.key.untilCancelled {
 			continue
 		}
 		here := placesOn(c.key.need, w.coming().Add(w.preemptible), enough-total)
--- a/internal/placement/probation.go
+++ b/internal/placement/probation.go
@@ -10,19 +10,22 @@
 // for the end of it.
 func (c *class) admits(w *worker) bool { return c.admitsWith(w, 0) }
 
-// admitsWith is admits for a class that has some runs there already, as when
-// room was promised before the worker was guarded.
+// keeps reports whether room that was promised on the worker is still for the
+// class, the worker's probation considered: the class has a run there already.
+func (c *class) keeps(w *worker) bool { return c.key.untilCancelled || c.admitsWith(w, 1) }
+
+// admitsWith is admits for a class that has some runs there already.
 func (c *class) admitsWith(w *worker, own int) bool {
-	if !w.guarded {
+	if !w.guarded || c.anyTrust && c.key.untilCancelled {
 		return true
 	}
-	return len(w.runs) <= own && (c.key.mayTry && !w.HeldBack || c.hasNoOther())
+	return len(w.runs) <= own && (c.anyTrust || c.key.mayTry && !w.HeldBack || c.hasNoOther())
 }
 
 // mostOn is the number of runs of the class that the worker may get at once.
 func (c *class) mostOn(w *worker) int {
 	switch {
-	case !w.guarded:
+	case !w.guarded || c.key.untilCancelled:
 		return math.MaxInt
 	case c.admits(w):
 		return 1
--- /dev/null
+++ b/internal/placement/property_lastroom_test.go
@@ -0,0 +1,282 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
+)
+
+// lastRoomModel holds the engine against one rule: once passes place nothing more,
+// no task or group that runs until cancelled waits while workers that take work have
+// places for it. Quotas, bookings and preemption are left out: what these keep from
+// a task is the exception. Members of one group are alike.
+type lastRoomModel struct {
+	engine  *Engine
+	workers map[string]Worker
+	steps   []lastRoomStep
+	open    map[record.TaskID]string
+	next    int
+}
+
+// lastRoomStep is a group, or tasks that stand alone.
+type lastRoomStep struct {
+	tasks []Task
+	group bool
+}
+
+func (m *lastRoomModel) setWorker(t *rapid.T) {
+	number := rapid.IntRange(0, 4).Draw(t, "worker")
+	w := Worker{
+		ID: fmt.Sprint("id", number), Name: fmt.Sprint("w", number),
+		Capacity:  cpu(rapid.Int64Range(0, 12).Draw(t, "cpu")),
+		Services:  []string{"s"},
+		Labels:    rapid.SampledFrom([]map[string]string{nil, {"k": "1"}}).Draw(t, "labels"),
+		Usable:    rapid.IntRange(0, 4).Draw(t, "usable") > 0,
+		HeldBack:  rapid.IntRange(0, 2).Draw(t, "held back") == 0,
+		Probation: rapid.IntRange(0, 2).Draw(t, "probation") == 0,
+	}
+	m.workers[w.ID] = w
+	m.engine.SetWorker(w)
+}
+
+func (m *lastRoomModel) removeWorker(t *rapid.T) {
+	id := fmt.Sprint("id", rapid.IntRange(0, 4).Draw(t, "worker"))
+	delete(m.workers, id)
+	m.engine.RemoveWorker(id)
+	maps.DeleteFunc(m.open, func(_ record.TaskID, on string) bool { return on == id })
+	m.addAgain()
+}
+
+// addAgain lets tasks wait whose run has ended, those of a group once none of it runs.
+func (m *lastRoomModel) addAgain() {
+	for _, step := range m.steps {
+		running := slices.ContainsFunc(step.tasks, func(task Task) bool { return m.open[task.ID] != "" })
+		for _, task := range step.tasks {
+			if m.open[task.ID] == "" && (!step.group || !running) {
+				m.engine.Add(task)
+			}
+		}
+	}
+}
+
+func (m *lastRoomModel) add(t *rapid.T) {
+	m.next++
+	step := lastRoomStep{group: rapid.Bool().Draw(t, "group")}
+	count, need := rapid.IntRange(1, 4).Draw(t, "count"), rapid.Int64Range(1, 8).Draw(t, "need")
+	untilCancelled := rapid.Bool().Draw(t, "until cancelled")
+	queue := rapid.SampledFrom([]string{"q", "low"}).Draw(t, "queue")
+	spec := &api.TaskSpec{
+		Service: "s", Resources: cpu(need), UntilCancelled: untilCancelled,
+		Labels: rapid.SampledFrom([]map[string]string{nil, {"k": "1"}}).Draw(t, "labels"),
+		Spread: rapid.SampledFrom([]*api.Spread{nil, {By: "worker", MaxPerDomain: 1}, {By: "worker", MaxPerDomain: 2}}).Draw(t, "spread"),
+	}
+	for i := range count {
+		task := testTask(fmt.Sprint("job", m.next), i, need)
+		task.Queue, task.Spec, task.UntilCancelled, task.Sequence = queue, spec, untilCancelled, uint64(m.next)
+		task.MayTry = !step.group && rapid.Bool().Draw(t, "may try")
+		task.Priority = rapid.IntRange(0, 1).Draw(t, "priority")
+		if step.group {
+			task.Group, task.GroupSize, task.Priority = task.ID.Job+"/a", count, 0
+		}
+		step.tasks = append(step.tasks, task)
+	}
+	m.steps = append(m.steps, step)
+	m.addAgain()
+}
+
+// end closes a run, or those of a whole group.
+func (m *lastRoomModel) end(t *rapid.T) {
+	if len(m.steps) == 0 {
+		return
+	}
+	step := m.steps[rapid.IntRange(0, len(m.steps)-1).Draw(t, "step")]
+	first := rapid.IntRange(0, len(step.tasks)-1).Draw(t, "task")
+	for i, task := range step.tasks {
+		if _, runs := m.open[task.ID]; runs && (step.group || i == first) {
+			delete(m.open, task.ID)
+			m.engine.Release(task.ID)
+		}
+	}
+	m.addAgain()
+}
+
+// remove takes a step out.
+func (m *lastRoomModel) remove(t *rapid.T) {
+	if len(m.steps) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(m.steps)-1).Draw(t, "step")
+	for _, task := range m.steps[at].tasks {
+		m.engine.Remove(task.ID)
+		m.engine.Release(task.ID)
+		delete(m.open, task.ID)
+	}
+	m.steps = slices.Delete(m.steps, at, at+1)
+}
+
+func (m *lastRoomModel) setHeadroom(t *rapid.T) {
+	m.engine.SetQueues([]QueueRule{{Name: "q", Weight: 1}, {Name: "low", Weight: 1, Headroom: rapid.IntRange(0, 60).Draw(t, "headroom")}})
+}
+
+func (m *lastRoomModel) plan(limit int) bool {
+	decisions := m.engine.Plan(limit)
+	for _, d := range decisions {
+		m.open[d.Task] = d.WorkerID
+	}
+	return len(decisions) > 0
+}
+
+// wait lets so many passes go by that groups gather room.
+func (m *lastRoomModel) wait(*rapid.T) {
+	for range gatherAfter + searchEvery {
+		m.plan(100)
+	}
+}
+
+func (m *lastRoomModel) free(w Worker) int64 {
+	free := w.Capacity.CPUMillis
+	for _, step := range m.steps {
+		for _, task := range step.tasks {
+			if m.open[task.ID] == w.ID {
+				free -= task.Spec.Resources.CPUMillis
+			}
+		}
+	}
+	return free
+}
+
+// places counts the places of a step's tasks on workers that take work.
+func (m *lastRoomModel) places(step lastRoomStep) int {
+	spec, total := step.tasks[0].Spec, 0
+	for _, w := range m.workers {
+		if !w.Usable || !hasLabels(&w, spec.Labels) {
+			continue
+		}
+		here := int(max(m.free(w), 0) / spec.Resources.CPUMillis)
+		if spec.Spread != nil {
+			running := 0
+			for _, task := range step.tasks {
+				if m.open[task.ID] == w.ID {
+					running++
+				}
+			}
+			here = min(here, max(spec.Spread.MaxPerDomain-running, 0))
+		}
+		total += here
+	}
+	return total
+}
+
+func (m *lastRoomModel) check(t *rapid.T) {
+	// A group that has gathered all its room is placed in the pass after that.
+	for idle := 0; idle < 2; idle++ {
+		if m.plan(100) {
+			idle = 0
+		}
+	}
+	for _, step := range m.steps {
+		waiting := 0
+		for _, task := range step.tasks {
+			if m.open[task.ID] == "" {
+				waiting++
+			}
+		}
+		wanted := 1
+		if step.group {
+			wanted = len(step.tasks)
+		}
+		if places := m.places(step); step.tasks[0].UntilCancelled && waiting >= wanted && places >= wanted {
+			t.Fatalf("%d of %d tasks of %s wait, %d places: %s", waiting, len(step.tasks),
+				step.tasks[0].ID.Job, places, m.engine.Reason(step.tasks[0].ID))
+		}
+	}
+	for id, w := range m.workers {
+		if got, want := m.engine.workers.byID[id].physical().CPUMillis, m.free(w); got != want {
+			t.Fatalf("%s has %d free, expected %d", id, got, want)
+		}
+	}
+}
+
+func TestNoEndlessTaskWaitsWhileThereAreWorkersWithRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &lastRoomModel{
+			engine: New(Config{Seed: 1}), workers: map[string]Worker{}, open: map[record.TaskID]string{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":             m.check,
+			"add":          m.add,
+			"addMore":      m.add,
+			"end":          m.end,
+			"endAnother":   m.end,
+			"remove":       m.remove,
+			"setWorker":    m.setWorker,
+			"addWorker":    m.setWorker,
+			"removeWorker": m.removeWorker,
+			"setHeadroom":  m.setHeadroom,
+			"wait":         m.wait,
+		})
+	})
+}
+
+func guarded(w Worker) bool { return w.Probation || w.HeldBack }
+
+// admits applies the rule of probation and that of last room.
+func (m *model) admits(task Task, w Worker) bool {
+	if !guarded(w) || task.UntilCancelled {
+		return true
+	}
+	for id, p := range m.open {
+		if p.worker == w.ID && id != task.ID {
+			return false
+		}
+	}
+	if task.MayTry && (!w.HeldBack || !m.crowded(task.Spec.Service)) {
+		return true
+	}
+	return m.hasNoOther(task)
+}
+
+// hasNoOther reports whether only guarded workers could hold the task.
+func (m *model) hasNoOther(task Task) bool {
+	for _, other := range m.workers {
+		if other.Usable && !guarded(other) && offersService(&other, task.Spec.Service) &&
+			hasLabels(&other, task.Spec.Labels) && task.Spec.Resources.Fits(other.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
+// crowded applies the rule for services that are short of room, from scratch.
+func (m *model) crowded(service string) bool {
+	var capacity, used api.Resources
+	for id, w := range m.workers {
+		if offersService(&w, service) {
+			capacity, used = capacity.Add(w.Capacity), used.Add(m.used(id))
+		}
+	}
+	isShort := func(used, capacity int64) bool {
+		return used > capacity*crowdedFrom/100 || capacity*crowdedFrom/100 == 0
+	}
+	return isShort(used.CPUMillis, capacity.CPUMillis) && isShort(used.MemoryMB, capacity.MemoryMB)
+}
+
+// checkLastRoom checks that a guarded worker was not taken while a trusted one had
+// room, but by a task that may try it; and that one held back was taken by no such
+// task either. Promised room may explain it.
+func (m *model) checkLastRoom(t *rapid.T, task Task, on Worker) {
+	if !guarded(on) || task.MayTry && !on.HeldBack || m.hasNoOther(task) || task.Group != "" {
+		return
+	}
+	for _, other := range m.workers {
+		if !guarded(other) && m.accepts(task, other) && !m.isPromised(other.ID, task) {
+			t.Fatalf("%v is placed on %s though %s has room", task.ID, on.ID, other.ID)
+		}
+	}
+}
--- a/internal/placement/reasons.go
+++ b/internal/placement/reasons.go
@@ -82,15 +82,15 @@
 	var booked record.Millis
 	roomy, spreadable, guarded := false, false, true
 	for _, candidate := range c.pool.workers {
+		if c.fitsSomehow(candidate) {
+			return reasonTurn
+		}
 		if !c.admits(candidate) {
 			continue
 		}
 		guarded = false
 		most = largestOf(most, candidate.free)
 		roomy = roomy || fits(c.key.need, candidate.free)
-		if c.fitsOn(candidate) {
-			return reasonTurn
-		}
 		if until := c.bookedUntil(candidate); until > 0 && (booked == 0 || until < booked) {
 			booked = until
 		}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -55,6 +55,9 @@
 	if r.stopping {
 		w.stopping = change.plus(w.stopping, r.need)
 	}
+	if r.untilCancelled && !r.preemptible && !r.nominated && !r.stopping {
+		w.endless = change.plus(w.endless, r.need)
+	}
 	if r.mayBeVictim() {
 		w.preemptible = change.plus(w.preemptible, r.need)
 	}
--- a/internal/placement/seats.go
+++ b/internal/placement/seats.go
@@ -18,6 +18,9 @@
 	if on == nil {
 		on = withoutHeadroom(w.class, func() *worker { return e.fullest(w) })
 	}
+	if on == nil && len(e.workers.guarded) > 0 {
+		on = lastRoom(w.class, func() *worker { return e.fullest(w) })
+	}
 	return seat{worker: on}, on != nil
 }
 
@@ -83,6 +86,8 @@
 		mayStop:     task.Spec.Preemptible,
 		nominated:   nominated,
 		booked:      to.slice != nil,
+
+		untilCancelled: task.UntilCancelled,
 	}
 	r.preemptible = e.isPreemptible(task)
 	r.startAt(started, task.Spec)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -22,7 +22,7 @@
 	// try it or that no other worker could hold.
 	Probation bool
 	// HeldBack: the worker takes one run at a time, and only of tasks that no
-	// other worker could hold. Slices leave it.
+	// other worker could hold, or has room for; see lastroom.go. Slices leave it.
 	HeldBack bool
 }
 
@@ -43,6 +43,9 @@
 	// Preemptions is how often the task was preempted; from the bound on it
 	// counts as not preemptible.
 	Preemptions int
+	// UntilCancelled: the task has no end of its own, or a member of its group in
+	// lockstep has none. It takes whatever room there is; see lastroom.go.
+	UntilCancelled bool
 	// Wishes is what the task would rather have; nil for none. It is never
 	// changed once the task was added.
 	*Wishes
--- a/internal/placement/workers.go
+++ b/internal/placement/workers.go
@@ -38,6 +38,9 @@
 	// to stop; nominated what the runs take that were promised this room;
 	// preemptible the part of used that preemption could free.
 	used, stopping, nominated, preemptible api.Resources
+	// endless is the part of used that runs keep until they are cancelled, whatever
+	// else waits.
+	endless api.Resources
 	// runs are the open runs and the nominated ones.
 	runs map[*run]struct{}
 	// slices lie here for reservations.
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -91,7 +91,10 @@
 			Priority:    job.Spec.Priority + l.queuePriority(job.Spec.Queue),
 			Spec:        task.Spec,
 			Preemptions: task.Preemptions,
-			Wishes:      &placement.Wishes{StepSize: len(task.Step.Tasks), Colocate: task.Step.Spec.Colocate},
+
+			UntilCancelled: task.Endless(),
+
+			Wishes: &placement.Wishes{StepSize: len(task.Step.Tasks), Colocate: task.Step.Spec.Colocate},
 		},
 		step:        keyOf(task.ID),
 		jobPriority: job.Spec.Priority,
@@ -183,7 +186,7 @@
 	job := task.Step.Job
 	l.planner.Hold(placement.Task{
 		ID: task.ID, Queue: job.Spec.Queue, Priority: job.Spec.Priority + l.queuePriority(job.Spec.Queue),
-		Spec: task.Spec, StartedAt: open.PlacedAt, Preemptions: task.Preemptions,
+		Spec: task.Spec, StartedAt: open.PlacedAt, Preemptions: task.Preemptions, UntilCancelled: task.Endless(),
 	}, open.WorkerID)
 	l.runs[run.id] = run
 	l.openByTask[task.ID] = run
