Keep groups off workers that kept them from starting whole

Cause: a group in lockstep goes back if not all members were seen started within 2 s. A worker that is heard each 2.6 s keeps its hold, so that it takes work, and cannot be seen to start in time; the group was placed there again and again.

Change: the workers that were not heard in time count for the group's members like those on which their runs failed: other workers come first. Weighed and left out: a longer bound, which workers' own bound of 3 s for a group does not allow.

--- a/internal/scheduler/lockstep.go
+++ b/internal/scheduler/lockstep.go
@@ -95,10 +95,28 @@
 		l.logger.Warn("group did not start whole in time", slog.String("group", key.String()),
 			slog.Int("members", len(group.open)), slog.Bool("ordered", group.released))
 		delete(l.starting, key)
+		l.avoidTardy(group)
 		l.breakGroup(group)
 	}
 }
 
+// avoidTardy has the group run elsewhere if it can than on the workers that kept it
+// from starting whole: those that were not heard in time to take their orders, or to
+// tell that they have started.
+func (l *leader) avoidTardy(group *groupState) {
+	now := l.now()
+	for id, started := range group.open {
+		run := l.runs[id]
+		isStopped := run.closing || run.stop != record.StopNone
+		if started || isStopped || !group.released && l.takesOrderSoon(run, now) {
+			continue
+		}
+		for member := range group.open {
+			l.health.failedOn.note(member.Task, l.workers[run.workerID].info.Name)
+		}
+	}
+}
+
 // dropGroup forgets the group of a step whose job has ended.
 func (l *leader) dropGroup(step *record.Step) {
 	if len(step.Tasks) == 0 {
--- a/internal/scheduler/lockstep_test.go
+++ b/internal/scheduler/lockstep_test.go
@@ -220,3 +220,36 @@
 		t.Errorf("want all 8 members stopped, got %d", stops)
 	}
 }
+
+// TestLockstepGroupSoonStartsBesideAWorkerThatIsHeardSeldom: too seldom for the
+// orders of a group, and often enough for its hold.
+func TestLockstepGroupSoonStartsBesideAWorkerThatIsHeardSeldom(t *testing.T) {
+	const beats = 13
+	var longest time.Duration
+	for phase := range beats {
+		h := newHarness(t)
+		workers := h.fleetOf(3)
+		group := endlessTasks(8)
+		group.Lockstep = true
+		h.submit("g", group)
+		whole := func() bool {
+			state := h.leader.groups[stepKey{job: "g", step: "s"}]
+			return len(state.open) == 8 && state.allStarted()
+		}
+		var took time.Duration
+		for beat := 0; !whole(); beat++ {
+			h.advance(200 * time.Millisecond)
+			took += 200 * time.Millisecond
+			longest = max(longest, took)
+			for i, worker := range workers {
+				if i != 1 || beat%beats == phase {
+					worker.obey()
+				}
+			}
+			if took > 10*time.Second {
+				t.Fatalf("phase %d: the group has not started whole in 10 s", phase)
+			}
+		}
+	}
+	t.Logf("started whole within %v", longest)
+}
