Show that a new life of a worker may be of another kind

Cause: no test had a process come back at the address of an earlier one with other capacity, labels, service and zone.

Change: a test, under the same name and under another one.

--- a/internal/scheduler/places_test.go
+++ b/internal/scheduler/places_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
 )
 
 const testSilence = beatsOfDoubt*200*time.Millisecond + time.Millisecond
@@ -118,3 +120,58 @@
 		t.Fatalf("the living worker's run was given up: %+v", task)
 	}
 }
+
+// TestNewLifeOfAWorkerMayBeOfAnotherKind: what it says of itself holds, and nothing
+// of the life before.
+func TestNewLifeOfAWorkerMayBeOfAnotherKind(t *testing.T) {
+	for _, c := range []struct{ what, name, incarnation string }{
+		{"under the same name", "w", "w-2"},
+		{"under another name", "x", "x-1"},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			h := newHarness(t)
+			before := h.worker("w", "w-1")
+			before.heartbeat.Place, before.heartbeat.Labels = "10.0.0.1:80", map[string]string{"rack": "r1", "old": "yes"}
+			before.exchange()
+			h.submit("first", tasks(4))
+			before.exchange()
+			h.advance(time.Millisecond)
+			after := h.worker(c.name, c.incarnation)
+			after.zone = "z2"
+			after.heartbeat.Place, after.heartbeat.Labels = "10.0.0.1:80", map[string]string{"rack": "r2"}
+			after.heartbeat.Services = []string{"other"}
+			after.heartbeat.Capacity = api.Resources{CPUMillis: 2000, MemoryMB: 8000, Accelerators: 1}
+			for range 20 {
+				h.advance(200 * time.Millisecond)
+				after.exchange()
+			}
+			wanted := tasks(4)
+			for i := range wanted.Tasks {
+				wanted.Tasks[i].Service, wanted.Tasks[i].Labels = "other", map[string]string{"rack": "r2"}
+			}
+			h.submit("second", wanted)
+			for what, labels := range map[string]map[string]string{"rack": {"rack": "r1"}, "label": {"old": "yes"}} {
+				old := tasks(1)
+				old.Tasks[0].Service, old.Tasks[0].Labels = "other", labels
+				request := fleet.SubmitRequest{ID: "third", Spec: api.JobSpec{Queue: "q", Steps: []api.StepSpec{old}}}
+				if answer, err := h.leader.submit(t.Context(), request); err == nil {
+					t.Errorf("its %s of before holds still: %+v", what, answer)
+				}
+			}
+			after.exchange()
+			if len(after.heartbeat.Running) != 2 {
+				t.Fatalf("want two runs by its capacity, got %+v", after.heartbeat.Running)
+			}
+			for _, run := range after.heartbeat.Running {
+				if run.Task[:len("second")] != "second" {
+					t.Errorf("%s runs there", run.Task)
+				}
+			}
+			row := h.stateOf(c.name)
+			if row.WorkerID != c.incarnation || row.Zone != "z2" || row.Capacity != after.heartbeat.Capacity ||
+				row.Labels["rack"] != "r2" || row.Labels["old"] != "" || !slices.Equal(row.Services, []string{"other"}) {
+				t.Errorf("known as %+v", row)
+			}
+		})
+	}
+}
