--- a/api/config.go
+++ b/api/config.go
@@ -47,8 +47,8 @@
 	// HeadroomPercent is the share of each worker, in hundredths, that tasks of
 	// the queue leave free, so that more urgent work finds room at once: wherever
 	// there is such room, and by waiting while over 60 percent of the room of their
-	// service is taken. Groups, tasks with a rule of spread, and tasks too large to
-	// leave it on an empty worker never wait for it.
+	// service is taken. Groups, tasks with a rule of spread, tasks that run until
+	// cancelled, and tasks too large to leave it on an empty worker never wait for it.
 	// Default 0, up to MaxHeadroomPercent.
 	HeadroomPercent int `json:"headroom_percent,omitempty"`
 	// CallerShare bounds the waiting tasks of one caller (JobSpec.Caller) by what
@@ -156,7 +156,8 @@
 	// 300ms.
 	DriftMargin Duration `json:"drift_margin,omitempty"`
 	// RetryDelay is the pause before a failed task starts again; it doubles
-	// with each failure, up to 32 times. Default 200ms.
+	// with each failure, up to 32 times, or up to 2 s for a task that runs until
+	// cancelled. Default 200ms.
 	RetryDelay Duration `json:"retry_delay,omitempty"`
 	// DrainGrace is how long tasks of a drained worker or evacuated zone may
 	// go on before they are stopped and placed elsewhere. Default 10s.
--- a/api/job.go
+++ b/api/job.go
@@ -121,7 +121,8 @@
 	// counted as a failure.
 	Preemptible bool `json:"preemptible,omitempty"`
 	// UntilCancelled marks a task that runs until its job is cancelled: however
-	// a run ends, the task is started again, and failures have no limit.
+	// a run ends, the task is started again, and failures have no limit. It takes
+	// whatever room there is, also on workers that get no other work.
 	UntilCancelled bool `json:"until_cancelled,omitempty"`
 }
 
@@ -239,8 +240,10 @@
 	// Run is the number of the newest run; 0 if none was placed.
 	Run uint32 `json:"run"`
 	// Worker is the name of the worker of the newest run.
-	Worker   string `json:"worker,omitempty"`
-	Failures int    `json:"failures"`
+	Worker string `json:"worker,omitempty"`
+	// Failures counts failed runs; those of a task that runs until cancelled are
+	// counted anew with the failure of a run that was open for 10 s.
+	Failures int `json:"failures"`
 }
 
 // JobSummary is a row of GET /v1/jobs.
