Gather room only briefly while most of it is free

Cause: a group that waits long puts room aside for up to 4096 passes, which is over 200 s where only ticks make passes. Where a group needs more than what a long run leaves, all other work of a service that was hardly used stood still for that time. The new test shows it: nothing goes on for the 3 s that it looks.

Change: room of a service that is not crowded, by the rule of headroom, is put aside for 2 s at a time; what waited goes first in the pass after that, before another group begins. A crowded service is as before. Weighed: letting any task take gathered room, as tasks that run until cancelled do; then a group that needs more than a steady load leaves would never get whole, and now it has 2 s at a time.

Measured: in the test a task beside a gathering group goes on within 2.5 s while most room is free, and not within 3 s while the service is crowded. What it costs groups that need over 40 % of a service beside a steady load was not measured.

--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -30,7 +30,8 @@
 // stop were released. Runs in slices are never victims.
 //
 // Groups. A group that found no room for gatherAfter passes gets its places one
-// by one as they come free; one group at a time.
+// by one as they come free; one group at a time, and not for long while most room is
+// free.
 //
 // Last room. A task that runs until cancelled takes whatever room there is, also
 // what is kept from others (lastroom.go).
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -55,6 +55,9 @@
 	crowding *crowding
 	// gathering is the group for which room is put aside, or nil.
 	gathering *gathering
+	// gatheredUntil is the pass in which a group last gave up: what waits goes first
+	// in the next one.
+	gatheredUntil uint64
 }
 
 var (
--- a/internal/placement/gather.go
+++ b/internal/placement/gather.go
@@ -1,22 +1,34 @@
 package placement
 
+import (
+	"slices"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
 // A group needs all its places at once, and small tasks could take each place
 // as it comes free. So the group that has waited longest at the highest
 // priority gets its places one by one: after gatherAfter passes, room that fits
 // a member is put aside until all have some. One group gathers at a time, so
 // that two cannot wait for each other's room, and gives up after gatherFor
-// passes, so that one that never gets whole does not keep the room.
+// passes, so that one that never gets whole does not keep the room. While a service
+// of its members is not crowded it gives up sooner: nothing of that service shall
+// stand still for long with most of the room free.
 const (
 	gatherAfter = 256
 	gatherFor   = 4096
 	// searchEvery is how many passes are between searches for such a group.
 	searchEvery = 64
+	// gatherUncrowded is how long room of a service that is not crowded is put aside.
+	gatherUncrowded record.Millis = 2_000
 )
 
 // gathering is a group for which room is put aside.
 type gathering struct {
 	lane  *lane
 	since uint64
+	// began is the time of that pass.
+	began record.Millis
 	// runs are the nominated runs of the members that have room.
 	runs map[*waiting]*run
 }
@@ -25,15 +37,15 @@
 // is whole.
 func (p *pass) gather() {
 	e := p.engine
-	if e.gathering == nil && e.passes%searchEvery == 0 {
+	isRested := e.passes > e.gatheredUntil+1
+	if e.gathering == nil && isRested && e.passes%searchEvery == 0 {
 		e.startGathering()
 	}
 	g := e.gathering
 	if g == nil {
 		return
 	}
-	isOver := e.passes-g.since > gatherFor || e.passes%searchEvery == 0 && !g.lane.hasPlacesOnceFree()
-	if isOver || !e.mayGather(g) {
+	if e.hasGatheredLong(g) || !e.mayGather(g) {
 		e.stopGathering()
 		return
 	}
@@ -50,6 +62,14 @@
 	}
 }
 
+// hasGatheredLong reports whether the group must give up, or gathers in vain.
+func (e *Engine) hasGatheredLong(g *gathering) bool {
+	if e.passes-g.since > gatherFor || e.passes%searchEvery == 0 && !g.lane.hasPlacesOnceFree() {
+		return true
+	}
+	return e.now-g.began > gatherUncrowded && slices.ContainsFunc(g.lane.members, func(m memberCount) bool { return !m.class.isCrowded() })
+}
+
 // startGathering picks the group that waits longest, of the highest priority.
 func (e *Engine) startGathering() {
 	var longest *lane
@@ -63,7 +83,7 @@
 	}
 	if longest != nil {
 		longest.makeUnready()
-		e.gathering = &gathering{lane: longest, since: e.passes, runs: map[*waiting]*run{}}
+		e.gathering = &gathering{lane: longest, since: e.passes, began: e.now, runs: map[*waiting]*run{}}
 	}
 }
 
@@ -125,7 +145,7 @@
 // stopGathering gives the room back.
 func (e *Engine) stopGathering() {
 	g := e.gathering
-	e.gathering = nil
+	e.gathering, e.gatheredUntil = nil, e.passes
 	g.lane.waitsSince = e.passes
 	for _, member := range e.trialOrder(g.members()) {
 		e.end(g.runs[member])
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -110,7 +110,9 @@
 }
 
 // countsCrowding reports whether anything depends on which services are crowded.
-func (e *Engine) countsCrowding() bool { return e.anyHeadroom || len(e.workers.guarded) > 0 }
+func (e *Engine) countsCrowding() bool {
+	return e.anyHeadroom || len(e.workers.guarded) > 0 || e.gathering != nil
+}
 
 // wakeHeldBack looks again at classes whose service was crowded when they were
 // blocked, and no longer is.
--- a/internal/placement/lastroom_test.go
+++ b/internal/placement/lastroom_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/record"
 )
 
 // endless are tasks that run until cancelled.
@@ -234,3 +235,52 @@
 	e.Add(testTask("small", 9, 4))
 	expect(t, "others go on", placed(e, 10), "small/a/9@a")
 }
+
+// TestRoomIsNotGatheredForLongWhileMostIsFree: others have nothing to run on though
+// the service is hardly used.
+func TestRoomIsNotGatheredForLongWhileMostIsFree(t *testing.T) {
+	for what, crowded := range map[string]bool{"most is free": false, "crowded": true} {
+		e := newEngine(testWorker("a", cpu(6)), testWorker("b", cpu(4)))
+		e.Hold(testTask("long", 0, 1), "b-1")
+		if crowded {
+			e.SetWorker(testWorker("c", cpu(20)))
+			e.Hold(testTask("beside", 0, 20), "c-1")
+		}
+		addAll(e, groupOf("g", 6, 4)...)
+		now := record.Millis(1000)
+		pass := func() string {
+			now += 50
+			e.SetTime(now)
+			return placed(e, 10)
+		}
+		for range gatherAfter + searchEvery {
+			pass()
+		}
+		expect(t, what+": put aside", e.workers.byID["a-1"].nominated, cpu(6))
+		e.Add(testTask("small", 1, 6))
+		waited := now
+		for now-waited < 3000 && pass() == "" {
+			continue
+		}
+		if goesOn := now-waited < 2500; goesOn == crowded {
+			t.Errorf("%s: small went on after %d ms: %v", what, now-waited, goesOn)
+		}
+	}
+}
+
+// TestAnotherGroupDoesNotGatherAtOnce: what waited for the first goes before it, also
+// where the next pass looks for a group.
+func TestAnotherGroupDoesNotGatherAtOnce(t *testing.T) {
+	e := newEngine(testWorker("a", cpu(6)), testWorker("b", cpu(4)))
+	e.Hold(testTask("long", 0, 1), "b-1")
+	addAll(e, groupOf("g", 6, 4)...)
+	addAll(e, groupOf("h", 6, 4)...)
+	for e.gathering == nil || e.passes%searchEvery != searchEvery-3 {
+		e.Plan(10)
+	}
+	e.Add(testTask("small", 1, 6))
+	expect(t, "waits", placed(e, 10), "")
+	e.SetTime(gatherUncrowded + 1)
+	expect(t, "gives up", placed(e, 10), "")
+	expect(t, "first", placed(e, 10), "small/a/1@a")
+}
