Let tasks that run until cancelled leave headroom where there is other room

Cause: so that they never wait for headroom, these tasks were given none to leave. They then filled the fullest worker with no regard to it, also while others had room that leaves it.

Change: they look for such room first, as before, and take any other at once. The new test fails without it: 10 on one worker and 4 on the other.

--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -71,9 +71,9 @@
 func exceeds(used, least int64) bool { return used > least || least == 0 }
 
 // waitsForHeadroom reports whether tasks of the class wait if no room leaves
-// headroom.
+// headroom. Those that run until cancelled never do.
 func (c *class) waitsForHeadroom() bool {
-	return c.key.headroom != 0 && c.isCrowded()
+	return c.key.headroom != 0 && !c.key.untilCancelled && c.isCrowded()
 }
 
 // withoutHeadroom has find look for room that need not leave headroom, if the class
@@ -101,9 +101,9 @@
 
 // headroomOf is what a task leaves free of a worker, in hundredths. Groups and
 // tasks with a rule of spread need many places, and could wait for the same few
-// workers for ever. One that runs until cancelled takes whatever room there is.
+// workers for ever.
 func headroomOf(task *Task, rule *QueueRule) int {
-	if task.UntilCancelled || task.GroupSize > 1 || task.Spec.Spread != nil {
+	if task.GroupSize > 1 || task.Spec.Spread != nil {
 		return 0
 	}
 	return rule.Headroom
--- a/internal/placement/lastroom.go
+++ b/internal/placement/lastroom.go
@@ -3,7 +3,7 @@
 import "github.com/decklever/decklever/api"
 
 // Last room: a task that runs until cancelled takes whatever room there is. It
-// leaves no headroom; where no other worker has room for it, it takes those that
+// never waits for headroom; where no other worker has room for it, it takes those that
 // are guarded, several on one and beside what runs there already; and it takes room
 // that a group gathers. What holds for it as for others are limits, spread, slices,
 // and room that preempted runs are about to leave to another task.
--- a/internal/placement/lastroom_test.go
+++ b/internal/placement/lastroom_test.go
@@ -40,6 +40,19 @@
 	expect(t, "endless", placed(e, 10), "endless/a/0@a endless/a/1@a")
 }
 
+// TestEndlessTasksLeaveHeadroomWhereverThereIsOtherRoom: only waiting for it is not
+// for them.
+func TestEndlessTasksLeaveHeadroomWhereverThereIsOtherRoom(t *testing.T) {
+	e := newEngine(testWorker("a", cpu(100)), testWorker("b", cpu(100)))
+	e.SetQueues([]QueueRule{{Name: "low", Weight: 1, Headroom: 30}, {Name: "q", Weight: 1}})
+	addAll(e, endless(lowTasks("endless", 14, 10))...)
+	expect(t, "endless", countBy(e, name), map[string]int{"a": 7, "b": 7})
+	addAll(e, endless(lowTasks("more", 2, 10))...)
+	if got := placed(e, 10); got == "" {
+		t.Error("none is placed where no room leaves headroom")
+	}
+}
+
 // TestEndlessTasksTakeGuardedWorkersLast: also several on one, and beside what runs
 // there already.
 func TestEndlessTasksTakeGuardedWorkersLast(t *testing.T) {
