Decide how a call of the linearizability test ended in one place

Cause: putting a configuration, submitting a job and asking for one each had the same cases of no effect, unknown, accepted, expected refusal and any other refusal, in which only the results differ. The file had three subjects: the history, a call with its tries, and what callers do.

--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -2,81 +2,23 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
-
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
 )
 
 const (
-	tryTimeout  = 400 * time.Millisecond
-	callTimeout = 1500 * time.Millisecond
 	// answerLoss is the chance that what a caller reads is lost.
 	answerLoss = 0.02
-	// resendChance is how often a caller repeats a call of unknown outcome
-	// rather than leave it open.
-	resendChance = 0.9
 	// queueName is in every configuration.
 	queueName = "q"
 )
 
-// history collects the calls of all callers.
-type history struct {
-	started time.Time
-	mutex   sync.Mutex
-	config  []porcupine.Operation
-	jobs    []porcupine.Operation
-	// orders were given with resent set and may be given again.
-	orders []configInput
-}
-
-func (h *history) now() int64 { return time.Since(h.started).Nanoseconds() }
-
-// operation is a call that ends now, or, left open, at any time or never.
-func (h *history) operation(caller int, input, output any, call int64, open bool) porcupine.Operation {
-	operation := porcupine.Operation{ClientId: caller, Input: input, Output: output, Call: call, Return: h.now()}
-	if open {
-		operation.Return = pendingForever
-	}
-	return operation
-}
-
-func (h *history) addConfig(caller int, input configInput, output configOutput, call int64) {
-	operation := h.operation(caller, input, output, call, output.result == configUnknown)
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.config = append(h.config, operation)
-	if input.resent {
-		h.orders = append(h.orders, input)
-	}
-}
-
-func (h *history) addJob(caller int, input jobInput, output jobOutput, call int64) {
-	operation := h.operation(caller, input, output, call, output.result == jobUnknown)
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.jobs = append(h.jobs, operation)
-}
-
-// earlierOrder returns an order that was given before, if there is one.
-func (h *history) earlierOrder(random *rand.Rand) (configInput, bool) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if len(h.orders) == 0 {
-		return configInput{}, false
-	}
-	newest := h.orders[max(0, len(h.orders)-5):]
-	return newest[random.IntN(len(newest))], true
-}
-
 // caller makes calls one after another, and is at work until its context ends.
 type caller struct {
 	t       *testing.T
@@ -111,89 +53,6 @@
 	}
 }
 
-// ended tells how a call ended: with an answer, without effect, or unknown.
-type ended uint8
-
-const (
-	endedAnswered ended = iota
-	endedWithoutEffect
-	endedUnknown
-)
-
-// callEnd is how a call ended. refusal comes with an answer that refuses; tries
-// is how many of the tries may have had an effect.
-type callEnd struct {
-	how     ended
-	refusal *api.Error
-	tries   int
-}
-
-// call tries nodes until one answers.
-func call[Request, Answer any](c *caller, method fleet.Method, request Request) (answer Answer, end callEnd) {
-	unknown := 0
-	for deadline := time.Now().Add(callTimeout); time.Now().Before(deadline); {
-		failure := c.tryOnce(func(ctx context.Context, address string) (err error) {
-			answer, err = rpc.Call[Request, Answer](ctx, c.client, address, method, request)
-			return err
-		})
-		if failure == nil || failure.Code == rpc.CodeRefused {
-			return answer, callEnd{how: endedAnswered, refusal: refusalIn(failure), tries: unknown + 1}
-		}
-		if failure.Code == rpc.CodeBadRequest {
-			c.t.Errorf("caller %d: %v", c.number, failure)
-		}
-		c.target = failure.LeaderAddress
-		if mayHaveEffect(failure) {
-			unknown++
-			c.counts.add("unknown tries")
-			if c.random.Float64() > resendChance {
-				break
-			}
-		}
-		time.Sleep(time.Duration(1+c.random.IntN(20)) * time.Millisecond)
-	}
-	if unknown > 0 {
-		c.counts.add("left open")
-		return answer, callEnd{how: endedUnknown, tries: unknown}
-	}
-	return answer, callEnd{how: endedWithoutEffect}
-}
-
-// tryOnce makes one call to one node.
-func (c *caller) tryOnce(attempt func(ctx context.Context, address string) error) *rpc.Error {
-	if c.target == "" {
-		c.target = c.nodes[c.random.IntN(len(c.nodes))].address
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
-	defer cancel()
-	err := attempt(ctx, c.target)
-	if err == nil {
-		return nil
-	}
-	var failure *rpc.Error
-	if !errors.As(err, &failure) {
-		c.t.Errorf("caller %d: an error of another type: %v", c.number, err)
-		return &rpc.Error{Code: rpc.CodeTransport}
-	}
-	return failure
-}
-
-func mayHaveEffect(failure *rpc.Error) bool {
-	switch failure.Code {
-	case rpc.CodeNotLeader, rpc.CodeUnavailable, rpc.CodeBadRequest:
-		return false
-	default:
-		return !failure.Unsent
-	}
-}
-
-func refusalIn(failure *rpc.Error) *api.Error {
-	if failure == nil {
-		return nil
-	}
-	return failure.API
-}
-
 func (c *caller) readConfig() (configOutput, bool) {
 	began := c.history.now()
 	answer, end := call[fleet.Empty, fleet.ConfigAnswer](c, fleet.MethodGetConfig, fleet.Empty{})
@@ -245,21 +104,20 @@
 	request := fleet.PutConfigRequest{OrderID: input.order, Base: input.base, Config: taggedConfig(input.tag)}
 	began := c.history.now()
 	answer, end := call[fleet.PutConfigRequest, fleet.PutConfigAnswer](c, fleet.MethodPutConfig, request)
-	output := configOutput{}
-	switch {
-	case end.how == endedWithoutEffect:
+	if end.how == endedWithoutEffect {
 		return
-	case end.how == endedUnknown:
-	case end.refusal == nil:
-		output = configOutput{result: configAccepted, version: answer.Version}
+	}
+	result := resultOf(c, "put a configuration", end, configUnknown, configAccepted, map[api.ErrorCode]configResult{
+		api.CodeLostRace: configLost,
+		api.CodeConflict: configConflict,
+	})
+	output := configOutput{result: result}
+	switch result {
+	case configAccepted:
+		output.version = answer.Version
 		c.counts.add("configuration accepted")
-	case end.refusal.Code == api.CodeLostRace:
-		output.result = configLost
+	case configLost:
 		c.counts.add("configuration lost")
-	case end.refusal.Code == api.CodeConflict:
-		output.result = configConflict
-	default:
-		c.unexpected("put a configuration", end.refusal)
 	}
 	c.history.addConfig(c.number, input, output, began)
 }
@@ -285,20 +143,15 @@
 	request := fleet.SubmitRequest{ID: input.job, Spec: taggedJob(input.tag)}
 	began := c.history.now()
 	answer, end := call[fleet.SubmitRequest, fleet.SubmitAnswer](c, fleet.MethodSubmit, request)
-	output := jobOutput{}
-	switch {
-	case end.how == endedWithoutEffect:
+	if end.how == endedWithoutEffect {
 		return
-	case end.how == endedUnknown:
-	case end.refusal == nil:
-		output.result = submitResult(answer.Created, end.tries)
+	}
+	accepted := submitResult(answer.Created, end.tries)
+	result := resultOf(c, "submit", end, jobUnknown, accepted, map[api.ErrorCode]jobResult{api.CodeConflict: jobConflict})
+	if result == accepted {
 		c.counts.add("submitted")
-	case end.refusal.Code == api.CodeConflict:
-		output.result = jobConflict
-	default:
-		c.unexpected("submit", end.refusal)
 	}
-	c.history.addJob(c.number, input, output, began)
+	c.history.addJob(c.number, input, jobOutput{result: result}, began)
 }
 
 // submitResult: what an earlier try created is the same to a later one.
@@ -331,18 +184,14 @@
 
 // noteStatus notes a call that answers with the state of the job.
 func (c *caller) noteStatus(input jobInput, answer fleet.JobAnswer, end callEnd, began int64) {
-	output := jobOutput{}
-	switch {
-	case end.how == endedWithoutEffect:
+	if end.how == endedWithoutEffect {
 		return
-	case end.how == endedUnknown:
-	case end.refusal == nil:
+	}
+	result := resultOf(c, "ask for a job", end, jobUnknown, jobStatus, map[api.ErrorCode]jobResult{api.CodeNotFound: jobMissing})
+	output := jobOutput{result: result}
+	if result == jobStatus {
 		output = c.statusOutput(answer.Status)
 		c.counts.add("job answered")
-	case end.refusal.Code == api.CodeNotFound:
-		output.result = jobMissing
-	default:
-		c.unexpected("ask for a job", end.refusal)
 	}
 	c.history.addJob(c.number, input, output, began)
 }
@@ -356,9 +205,3 @@
 	output.tag = status.Steps[0].Name
 	return output
 }
-
-func (c *caller) unexpected(what string, refusal *api.Error) {
-	if refusal != nil {
-		c.t.Errorf("caller %d: %s: %v", c.number, what, refusal)
-	}
-}
--- /dev/null
+++ b/internal/integration/calls_test.go
@@ -0,0 +1,126 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/fleet"
+	"github.com/decklever/decklever/internal/rpc"
+)
+
+const (
+	tryTimeout  = 400 * time.Millisecond
+	callTimeout = 1500 * time.Millisecond
+	// resendChance is how often a caller repeats a call of unknown outcome
+	// rather than leave it open.
+	resendChance = 0.9
+)
+
+// ended tells how a call ended: with an answer, without effect, or unknown.
+type ended uint8
+
+const (
+	endedAnswered ended = iota
+	endedWithoutEffect
+	endedUnknown
+)
+
+// callEnd is how a call ended. refusal comes with an answer that refuses; tries
+// is how many of the tries may have had an effect.
+type callEnd struct {
+	how     ended
+	refusal *api.Error
+	tries   int
+}
+
+// call tries nodes until one answers.
+func call[Request, Answer any](c *caller, method fleet.Method, request Request) (answer Answer, end callEnd) {
+	unknown := 0
+	for deadline := time.Now().Add(callTimeout); time.Now().Before(deadline); {
+		failure := c.tryOnce(func(ctx context.Context, address string) (err error) {
+			answer, err = rpc.Call[Request, Answer](ctx, c.client, address, method, request)
+			return err
+		})
+		if failure == nil || failure.Code == rpc.CodeRefused {
+			return answer, callEnd{how: endedAnswered, refusal: refusalIn(failure), tries: unknown + 1}
+		}
+		if failure.Code == rpc.CodeBadRequest {
+			c.t.Errorf("caller %d: %v", c.number, failure)
+		}
+		c.target = failure.LeaderAddress
+		if mayHaveEffect(failure) {
+			unknown++
+			c.counts.add("unknown tries")
+			if c.random.Float64() > resendChance {
+				break
+			}
+		}
+		time.Sleep(time.Duration(1+c.random.IntN(20)) * time.Millisecond)
+	}
+	if unknown > 0 {
+		c.counts.add("left open")
+		return answer, callEnd{how: endedUnknown, tries: unknown}
+	}
+	return answer, callEnd{how: endedWithoutEffect}
+}
+
+// tryOnce makes one call to one node.
+func (c *caller) tryOnce(attempt func(ctx context.Context, address string) error) *rpc.Error {
+	if c.target == "" {
+		c.target = c.nodes[c.random.IntN(len(c.nodes))].address
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
+	defer cancel()
+	err := attempt(ctx, c.target)
+	if err == nil {
+		return nil
+	}
+	var failure *rpc.Error
+	if !errors.As(err, &failure) {
+		c.t.Errorf("caller %d: an error of another type: %v", c.number, err)
+		return &rpc.Error{Code: rpc.CodeTransport}
+	}
+	return failure
+}
+
+func mayHaveEffect(failure *rpc.Error) bool {
+	switch failure.Code {
+	case rpc.CodeNotLeader, rpc.CodeUnavailable, rpc.CodeBadRequest:
+		return false
+	default:
+		return !failure.Unsent
+	}
+}
+
+func refusalIn(failure *rpc.Error) *api.Error {
+	if failure == nil {
+		return nil
+	}
+	return failure.API
+}
+
+// resultOf is what a call that may have had an effect came to, in the terms of a
+// model: accepted for an answer without a refusal. A refusal that is not among
+// those expected fails the test.
+func resultOf[Result any](c *caller, what string, end callEnd, unknown, accepted Result, refused map[api.ErrorCode]Result) Result {
+	switch {
+	case end.how == endedUnknown:
+		return unknown
+	case end.refusal == nil:
+		return accepted
+	}
+	result, expected := refused[end.refusal.Code]
+	if !expected {
+		c.unexpected(what, end.refusal)
+		return unknown
+	}
+	return result
+}
+
+func (c *caller) unexpected(what string, refusal *api.Error) {
+	if refusal != nil {
+		c.t.Errorf("caller %d: %s: %v", c.number, what, refusal)
+	}
+}
