--- a/lab/scenario/operators.go
+++ b/lab/scenario/operators.go
@@ -69,11 +69,12 @@
 	config api.Config
 }
 
-// insist sends an order until there is a plain answer or the context ends.
-func insist(ctx context.Context, desk *operator.Operator, one order) {
+// sendUntilAnswered sends an order until there is an answer that tells its
+// outcome, or the context ends.
+func sendUntilAnswered(ctx context.Context, client *operator.Operator, one order) {
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, orderTimeout)
-		_, err := desk.Put(limited, one.base, one.id, one.config)
+		_, err := client.Put(limited, one.base, one.id, one.config)
 		cancel()
 		var refusal *api.Error
 		if err == nil || (errors.As(err, &refusal) && refusal.Code != api.CodeUnavailable && refusal.Code != api.CodeOutcomeUnknown) {
@@ -90,20 +91,21 @@
 	var losing sync.WaitGroup
 	defer losing.Wait()
 	losing.Go(func() { loseAnswers(racing, bench) })
-	rivals{bench, random(bench, "race"), 0}.race(ctx, racing)
+	configRace{bench, random(bench, "race"), 0}.run(ctx, racing)
 	return ctx.Err()
 }
 
-// rivals are two operators who order on the same bases.
-type rivals struct {
+// configRace is two operators who order on the same bases.
+type configRace struct {
 	bench Bench
 	draw  *rand.Rand
 	// firstTag is that of the first order; each order has one of its own.
 	firstTag int
 }
 
-// race runs until racing ends; orders sent by then are still insisted on.
-func (r rivals) race(ctx, racing context.Context) {
+// run races until racing ends; orders sent by then are sent until they are
+// answered.
+func (r configRace) run(ctx, racing context.Context) {
 	var sent []order
 	for round := 0; pause(racing, racePause) == nil; round++ {
 		present, err := r.bench.Operator.Read(racing)
@@ -111,8 +113,8 @@
 			continue
 		}
 		var orders []order
-		for rival := range 2 {
-			tag := r.firstTag + 2*round + rival
+		for racer := range 2 {
+			tag := r.firstTag + 2*round + racer
 			orders = append(orders, order{fmt.Sprintf("lab-race-%d", tag), present.Version, tagged(present.Config, tag)})
 		}
 		if len(sent) > 0 {
@@ -120,14 +122,14 @@
 		}
 		var sending sync.WaitGroup
 		for _, one := range orders {
-			sending.Go(func() { insist(ctx, r.bench.Operator, one) })
+			sending.Go(func() { sendUntilAnswered(ctx, r.bench.Operator, one) })
 		}
 		sending.Wait()
 		sent = append(sent, orders[:2]...)
 	}
 }
 
-// loseAnswers cuts the way of answers to the fronts now and then.
+// loseAnswers cuts the links of answers to the fronts now and then.
 func loseAnswers(ctx context.Context, bench Bench) {
 	var answers []relay.Link
 	for _, scheduler := range bench.Fleet.ByRole(deployment.RoleScheduler) {
@@ -167,7 +169,7 @@
 	if err := leading.Kill(); err != nil {
 		return err
 	}
-	insist(ctx, bench.Operator, first)
+	sendUntilAnswered(ctx, bench.Operator, first)
 	if _, err := bench.Operator.Read(ctx); err != nil {
 		return fmt.Errorf("read after the restart: %w", err)
 	}
