Part the archive on disk by opening, jobs in a transaction, and calls

The index by log position was called place, a word with two other meanings here; that a listed job is missing was found in two places; and 8 and 3 stood for the length of a key's prefix and the number of buckets.

Change: archiveopen.go and archivejobs.go; indexBucket, indexKey and deleteIndexKeys; readListedJob; keyPrefixBytes, archiveBuckets and endOf. The bucket keeps its name in the file.

Result: no behaviour changed, nor did a byte of the file's form.

--- a/internal/storage/archivekeys.go
+++ b/internal/storage/archivekeys.go
@@ -6,8 +6,17 @@
 	"github.com/decklever/decklever/internal/record"
 )
 
-// placeKey orders jobs by (Index, ID).
-func placeKey(index uint64, id string) []byte {
+// Buckets of the archive. The second is named "place" in the file.
+var (
+	jobsBucket  = []byte("jobs")  // id -> sealed job
+	indexBucket = []byte("place") // indexKey -> nothing
+	endedBucket = []byte("ended") // endedKey -> nothing
+
+	archiveBuckets = [][]byte{jobsBucket, indexBucket, endedBucket}
+)
+
+// indexKey orders jobs by (Index, ID).
+func indexKey(index uint64, id string) []byte {
 	return append(binary.BigEndian.AppendUint64(nil, index), id...)
 }
 
@@ -16,5 +25,11 @@
 	return append(binary.BigEndian.AppendUint64(nil, uint64(endedAt)), id...)
 }
 
-// idOf is the id in a placeKey or an endedKey.
-func idOf(key []byte) []byte { return key[8:] }
+// keyPrefixBytes is the length of the index or time before the id in a key.
+const keyPrefixBytes = 8
+
+// idOf is the id in an indexKey or an endedKey.
+func idOf(key []byte) []byte { return key[keyPrefixBytes:] }
+
+// endOf is the time in an endedKey.
+func endOf(key []byte) record.Millis { return record.Millis(binary.BigEndian.Uint64(key)) }
--- a/internal/storage/diskarchive.go
+++ b/internal/storage/diskarchive.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"encoding/binary"
-	"errors"
 	"fmt"
-	"path/filepath"
 	"sync"
 
 	"go.etcd.io/bbolt"
@@ -16,12 +13,6 @@
 // maxWaitingJobs bounds the jobs that wait in memory for a transaction.
 const maxWaitingJobs = 1024
 
-var (
-	jobsBucket  = []byte("jobs")  // id -> sealed job
-	placeBucket = []byte("place") // index, id -> nothing
-	endedBucket = []byte("ended") // time of the end, id -> nothing
-)
-
 // DiskArchive is a record.Archive in a bbolt file. Put collects jobs in memory;
 // Sync, a full memory, and every call that needs the order write them in one
 // synced transaction. bbolt's NoSync is not used: a power loss amid unsynced
@@ -38,57 +29,6 @@
 
 var _ record.Archive = (*DiskArchive)(nil)
 
-// archiveGrowth is by how much the file grows at once, in bytes.
-const archiveGrowth = 1 << 20
-
-// openDiskArchive keeps the free list in the file: reading it anew from a file
-// of some gigabytes would make starts slow. The file must hold the transaction
-// needed, or a newer one.
-func openDiskArchive(config DiskConfig, needed uint64) (*DiskArchive, error) {
-	path := filepath.Join(config.Directory, archiveFile)
-	torn, err := checkArchiveFile(config, path, needed)
-	if err != nil {
-		return nil, err
-	}
-	db, err := openBolt(path, &bbolt.Options{Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType})
-	if err != nil {
-		return nil, err
-	}
-	a := &DiskArchive{db: db, waiting: make(map[string]record.ArchivedJob)}
-	db.AllocSize = archiveGrowth
-	err = a.view(checkArchiveBuckets(path))
-	if err == nil && torn {
-		err = a.rewriteMetas()
-	}
-	if err == nil {
-		err = a.countPages()
-	}
-	if err != nil {
-		_ = db.Close()
-		return nil, err
-	}
-	return a, nil
-}
-
-// checkArchiveFile tells whether a meta page is torn. It also makes durable what is found: a killed process may have
-// left a transaction that only the machine's memory holds, and bbolt writes over
-// the pages that the newest one freed.
-func checkArchiveFile(config DiskConfig, path string, needed uint64) (torn bool, err error) {
-	file, err := config.files.Open(path)
-	if err != nil {
-		return false, fmt.Errorf("open archive: %w", err)
-	}
-	defer func() { err = errors.Join(err, file.Close()) }()
-	damage, err := checkBoltMetas(path, file, needed)
-	if err != nil {
-		return false, err
-	}
-	if damage != nil {
-		config.Logger.Warn("torn transaction of the archive passed over; the log has what was in it", "damage", damage)
-	}
-	return damage != nil, file.Sync()
-}
-
 // transaction is the newest one, which is durable: flush and Expire return only
 // once it is, and hold the lock until then.
 func (a *DiskArchive) transaction() (newest uint64) {
@@ -101,36 +41,6 @@
 	return newest
 }
 
-// rewriteMetas writes both meta pages anew; each transaction writes one.
-func (a *DiskArchive) rewriteMetas() error {
-	for range boltMetaPages {
-		if err := a.update(func(*bbolt.Tx) error { return nil }); err != nil {
-			return fmt.Errorf("rewrite archive meta: %w", err)
-		}
-	}
-	return nil
-}
-
-func createArchiveBuckets(tx *bbolt.Tx) error {
-	for _, name := range [][]byte{jobsBucket, placeBucket, endedBucket} {
-		if _, err := tx.CreateBucket(name); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func checkArchiveBuckets(path string) func(*bbolt.Tx) error {
-	return func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{jobsBucket, placeBucket, endedBucket} {
-			if tx.Bucket(name) == nil {
-				return corrupt(path, "bucket %s is missing", name)
-			}
-		}
-		return nil
-	}
-}
-
 func (a *DiskArchive) view(read func(*bbolt.Tx) error) error {
 	return guard(a.db.Path(), func() error { return a.db.View(read) })
 }
@@ -139,18 +49,6 @@
 	return guard(a.db.Path(), func() error { return a.db.Update(change) })
 }
 
-// countPages makes bbolt count its free pages, which it does at the end of a
-// transaction that can write. This one writes nothing.
-func (a *DiskArchive) countPages() error {
-	return guard(a.db.Path(), func() error {
-		tx, err := a.db.Begin(true)
-		if err != nil {
-			return err
-		}
-		return tx.Rollback()
-	})
-}
-
 // Bytes implements record.Archive: the pages in use. The file does not shrink,
 // but free pages are used again.
 func (a *DiskArchive) Bytes() int64 {
@@ -168,8 +66,9 @@
 	err = a.view(func(tx *bbolt.Tx) error {
 		jobs, cursor := tx.Bucket(jobsBucket), tx.Bucket(endedBucket).Cursor()
 		for key, _ := cursor.First(); key != nil && bytes > 0 && count < limit; key, _ = cursor.Next() {
-			end = record.Millis(binary.BigEndian.Uint64(key))
-			bytes -= int64(len(jobs.Get(idOf(key))) + 3*len(key))
+			end = endOf(key)
+			// Each of the three buckets has a key of about this length.
+			bytes -= int64(len(jobs.Get(idOf(key))) + len(archiveBuckets)*len(key))
 			count++
 		}
 		return nil
@@ -217,52 +116,6 @@
 	return nil
 }
 
-// putJob writes a job and its places; those of an earlier job under the same
-// id are removed.
-func putJob(file string, tx *bbolt.Tx, job record.ArchivedJob) error {
-	key := []byte(job.ID)
-	jobs := tx.Bucket(jobsBucket)
-	if sealed := jobs.Get(key); sealed != nil {
-		var old record.ArchivedJob
-		if err := unsealValue(file, key, sealed, &old); err != nil {
-			return err
-		}
-		if err := deletePlaces(tx, old); err != nil {
-			return err
-		}
-	}
-	sealed, err := sealValue(key, job)
-	if err != nil {
-		return err
-	}
-	if err := jobs.Put(key, sealed); err != nil {
-		return err
-	}
-	if err := tx.Bucket(placeBucket).Put(placeKey(job.Index, job.ID), nil); err != nil {
-		return err
-	}
-	return tx.Bucket(endedBucket).Put(endedKey(job.EndedAt, job.ID), nil)
-}
-
-func deletePlaces(tx *bbolt.Tx, job record.ArchivedJob) error {
-	if err := tx.Bucket(placeBucket).Delete(placeKey(job.Index, job.ID)); err != nil {
-		return err
-	}
-	return tx.Bucket(endedBucket).Delete(endedKey(job.EndedAt, job.ID))
-}
-
-// readJob reads and checks one job.
-func readJob(file string, tx *bbolt.Tx, id []byte) (job record.ArchivedJob, known bool, err error) {
-	sealed := tx.Bucket(jobsBucket).Get(id)
-	if sealed == nil {
-		return job, false, nil
-	}
-	if err := unsealValue(file, id, sealed, &job); err != nil {
-		return job, false, err
-	}
-	return job, true, nil
-}
-
 // Get implements record.Archive.
 func (a *DiskArchive) Get(id string) (job record.ArchivedJob, known bool, err error) {
 	a.mutex.RLock()
@@ -279,7 +132,7 @@
 
 // Page implements record.Archive.
 func (a *DiskArchive) Page(afterIndex uint64, afterID string, limit int) ([]record.ArchivedJob, error) {
-	return a.scan(placeBucket, placeKey(afterIndex, afterID), limit, idOf)
+	return a.scan(indexBucket, indexKey(afterIndex, afterID), limit, idOf)
 }
 
 // List implements record.Archive.
@@ -300,13 +153,10 @@
 			key, _ = cursor.Next()
 		}
 		for ; key != nil && len(jobs) < limit; key, _ = cursor.Next() {
-			job, known, err := readJob(a.db.Path(), tx, id(key))
+			job, err := readListedJob(a.db.Path(), tx, bucket, id(key))
 			if err != nil {
 				return err
 			}
-			if !known {
-				return corrupt(a.db.Path(), "job %q is listed in %s but missing", id(key), bucket)
-			}
 			jobs = append(jobs, job)
 		}
 		return nil
@@ -338,32 +188,6 @@
 	return expired, nil
 }
 
-func expiredIDs(tx *bbolt.Tx, before record.Millis, limit int) [][]byte {
-	var ids [][]byte
-	cursor := tx.Bucket(endedBucket).Cursor()
-	for key, _ := cursor.First(); key != nil && len(ids) < limit; key, _ = cursor.Next() {
-		if record.Millis(binary.BigEndian.Uint64(key)) >= before {
-			break
-		}
-		ids = append(ids, bytes.Clone(idOf(key)))
-	}
-	return ids
-}
-
-func deleteJob(file string, tx *bbolt.Tx, id []byte) error {
-	job, known, err := readJob(file, tx, id)
-	if err != nil {
-		return err
-	}
-	if !known {
-		return corrupt(file, "job %q is listed in %s but missing", id, endedBucket)
-	}
-	if err := deletePlaces(tx, job); err != nil {
-		return err
-	}
-	return tx.Bucket(jobsBucket).Delete(id)
-}
-
 func (a *DiskArchive) close() error {
 	err := a.Sync()
 	if closeErr := a.db.Close(); err == nil {
