--- a/worker/loop.go
+++ b/worker/loop.go
@@ -19,10 +19,10 @@
 	heartbeatSpacing = 5 * time.Millisecond
 	// jitterPercent: each pause is longer or shorter by up to this part.
 	jitterPercent = 10
-	// complaintFirst and complaintNext time the log about handlers that go on
-	// after the hold lapsed.
-	complaintFirst = time.Second
-	complaintNext  = 10 * time.Second
+	// blockedLogDelay and blockedLogInterval time the log about handlers that go
+	// on after the hold lapsed.
+	blockedLogDelay    = time.Second
+	blockedLogInterval = 10 * time.Second
 )
 
 // exchange is what came of one heartbeat.
@@ -45,13 +45,13 @@
 	// holdUntil is the session's, for handlers that ask Task.Held.
 	holdUntil atomic.Int64
 
-	dueAt      time.Duration // of the next heartbeat
-	urgent     bool          // something ended while a heartbeat was outstanding
-	failing    bool          // the last heartbeat had no usable answer
-	cancelAt   time.Duration // when a draining worker cancels its runs
-	leaveAt    time.Duration // when it leaves in any case
-	cancelled  bool
-	complainAt time.Duration
+	dueAt        time.Duration // of the next heartbeat
+	urgent       bool          // something ended while a heartbeat was outstanding
+	failing      bool          // the last heartbeat had no usable answer
+	cancelAt     time.Duration // when a draining worker cancels its runs
+	leaveAt      time.Duration // when it leaves in any case
+	cancelled    bool
+	blockedLogAt time.Duration // of the next log about handlers that go on
 }
 
 func newLoop(w *Worker) *loop {
@@ -108,8 +108,8 @@
 		l.cancelled = true
 		l.cancelRuns(l.session.stopAll(), ErrDraining)
 	}
-	if l.session.blocked() && now >= l.complainAt {
-		l.complainAt = now + complaintNext
+	if l.session.blocked() && now >= l.blockedLogAt {
+		l.blockedLogAt = now + blockedLogInterval
 		l.logger.Error("handlers go on although the hold lapsed", slog.Any("runs", l.session.runningRefs()))
 	}
 }
@@ -121,7 +121,7 @@
 		return
 	}
 	l.logger.Warn("hold lapsed, all runs are stopped", slog.Int("runs", len(stop)))
-	l.complainAt = now + complaintFirst
+	l.blockedLogAt = now + blockedLogDelay
 	l.cancelRuns(stop, ErrHoldLapsed)
 }
 
@@ -173,7 +173,7 @@
 	l.logOrders(todo)
 	if l.urgent || len(todo.refused) > 0 || l.session.heldBack {
 		l.urgent = false
-		l.hurry(now)
+		l.sendSoon(now)
 	}
 }
 
@@ -223,12 +223,12 @@
 	l.session.finish(ended)
 	l.logger.Debug("run ended", slog.String("task", ended.Task), slog.Uint64("run", uint64(ended.Run)),
 		slog.String("outcome", string(ended.Outcome)), slog.String("reason", ended.Message))
-	l.hurry(l.now())
+	l.sendSoon(l.now())
 }
 
-// hurry makes the next heartbeat go at once, or right after the outstanding
+// sendSoon makes the next heartbeat go at once, or right after the outstanding
 // one. While heartbeats fail the usual pause stays.
-func (l *loop) hurry(now time.Duration) {
+func (l *loop) sendSoon(now time.Duration) {
 	if l.failing {
 		return
 	}
@@ -244,7 +244,7 @@
 	l.session.drain()
 	l.cancelAt = now + l.worker.config.DrainTimeout
 	l.leaveAt = l.cancelAt + l.worker.config.ReportTimeout
-	l.hurry(now)
+	l.sendSoon(now)
 }
 
 // over reports whether a draining worker may or must leave.
@@ -280,7 +280,7 @@
 		wakeAt = min(wakeAt, l.session.holdUntil)
 	}
 	if l.session.blocked() {
-		wakeAt = min(wakeAt, l.complainAt)
+		wakeAt = min(wakeAt, l.blockedLogAt)
 	}
 	if l.session.draining {
 		wakeAt = min(wakeAt, l.leaveAt)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -37,8 +37,10 @@
 type Event struct {
 	api.RunRef
 	WorkerID string
-	Worker   string
-	Token    uint64
+	// Worker is the worker's Name.
+	Worker string
+	// Token is that of the answer which ordered the run.
+	Token uint64
 	// Outcome is empty at the start.
 	Outcome api.Outcome
 }
