--- /dev/null
+++ b/lab/check/tokens.go
@@ -0,0 +1,66 @@
+package check
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/decklever/decklever/lab/journal"
+	"github.com/decklever/decklever/lab/monoclock"
+)
+
+// checkTokens (P12): nothing starts under a token when a higher one was in use
+// longer than a hold before.
+func (f *facts) checkTokens() []Violation {
+	type step struct {
+		token uint64
+		since monoclock.Nanos
+	}
+	var raised []step
+	var found []Violation
+	for _, line := range f.input.Lines {
+		for _, earlier := range raised {
+			if line.Event == journal.EventStart && earlier.token > line.Token && line.Mono > earlier.since.Add(f.hold()) {
+				text := fmt.Sprintf("started under token %d although %d was in use", line.Token, earlier.token)
+				found = append(found, Violation{P12, line.Task, text, []monoclock.Nanos{line.Mono, earlier.since}})
+				break
+			}
+		}
+		if len(raised) == 0 || line.Token > raised[len(raised)-1].token {
+			raised = append(raised, step{line.Token, line.Mono})
+		}
+	}
+	return found
+}
+
+// staleOrderSlack is how long an order under the token before may still be on
+// its way when a new one is first used.
+const staleOrderSlack = time.Second
+
+// checkWaking (P12): after a scheduler was frozen for 20 s and more, nothing
+// starts under a token other than the highest one in use when it woke.
+func (f *facts) checkWaking() []Violation {
+	var found []Violation
+	for _, scheduler := range f.input.Schedulers {
+		for _, frozen := range f.spansWhere(func(n *network) bool { return n.frozen[scheduler] }) {
+			if frozen.to.Sub(frozen.from) >= silentBound {
+				found = append(found, f.checkWoken(scheduler, frozen)...)
+			}
+		}
+	}
+	return found
+}
+
+func (f *facts) checkWoken(scheduler string, frozen span) []Violation {
+	var inUse uint64
+	var found []Violation
+	for _, line := range f.input.Lines {
+		switch {
+		case line.Mono <= frozen.to.Add(-staleOrderSlack):
+			inUse = max(inUse, line.Token)
+		case line.Event == journal.EventStart && line.Mono > frozen.to && line.Token < inUse:
+			text := fmt.Sprintf("started under token %d after %s woke, although %d was in use", line.Token, scheduler, inUse)
+			found = append(found, Violation{P12, line.Task, text, []monoclock.Nanos{line.Mono, frozen.to}})
+		}
+	}
+	return found
+}
