Name all tasks of a step in one place of the lab

Cause: five checks counted through the tasks of a step and put each name together from its parts.

Result: no behaviour changed.

--- a/lab/check/delays.go
+++ b/lab/check/delays.go
@@ -55,9 +55,8 @@
 		if earlier == nil {
 			continue
 		}
-		for index := range earlier.TaskCount() {
-			task := journal.TaskName{Job: job.id, Step: before, Index: index}.String()
-			ready = max(ready, f.lastSuccess(task, one.Mono))
+		for task := range journal.TaskNames(job.id, earlier) {
+			ready = max(ready, f.lastSuccess(task.String(), one.Mono))
 		}
 	}
 	return ready
--- a/lab/check/lockstep.go
+++ b/lab/check/lockstep.go
@@ -20,8 +20,8 @@
 
 // eachMember visits the runs of all members of a step.
 func (f *facts) eachMember(job string, step *api.StepSpec, visit func(run)) {
-	for index := range step.TaskCount() {
-		for _, one := range f.byTask[journal.TaskName{Job: job, Step: step.Name, Index: index}.String()] {
+	for member := range journal.TaskNames(job, step) {
+		for _, one := range f.byTask[member.String()] {
 			visit(one)
 		}
 	}
--- a/lab/check/runs.go
+++ b/lab/check/runs.go
@@ -117,9 +117,9 @@
 	if job.spec == nil {
 		return
 	}
-	for _, step := range job.spec.Steps {
-		for index := range step.TaskCount() {
-			visit(journal.TaskName{Job: job.id, Step: step.Name, Index: index})
+	for index := range job.spec.Steps {
+		for name := range journal.TaskNames(job.id, &job.spec.Steps[index]) {
+			visit(name)
 		}
 	}
 }
--- a/lab/check/steps.go
+++ b/lab/check/steps.go
@@ -29,8 +29,8 @@
 	if step == nil {
 		return nil
 	}
-	for index := range step.TaskCount() {
-		earlier := journal.TaskName{Job: job.id, Step: before, Index: index}.String()
+	for name := range journal.TaskNames(job.id, step) {
+		earlier := name.String()
 		success := firstSuccess[earlier]
 		if step.Lockstep {
 			success = f.groupSuccess(job.id, step)
@@ -82,8 +82,8 @@
 		if !step.Together || one.over <= deadline {
 			continue
 		}
-		for index := range step.TaskCount() {
-			other := journal.TaskName{Job: job.id, Step: step.Name, Index: index}.String()
+		for name := range journal.TaskNames(job.id, step) {
+			other := name.String()
 			runs := f.byTask[other]
 			if len(runs) == 0 || runs[0].Mono > deadline {
 				found = append(found, Violation{P9, one.Task, "ran alone: " + other + " did not start", []monoclock.Nanos{one.Mono, one.over}})
--- a/lab/journal/line.go
+++ b/lab/journal/line.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"iter"
 	"strconv"
 	"strings"
 
@@ -44,6 +45,18 @@
 	Index int
 }
 
+// TaskNames yields the names of all tasks of a job's step, in the order of their
+// indexes.
+func TaskNames(job string, step *api.StepSpec) iter.Seq[TaskName] {
+	return func(yield func(TaskName) bool) {
+		for index := range step.TaskCount() {
+			if !yield(TaskName{Job: job, Step: step.Name, Index: index}) {
+				return
+			}
+		}
+	}
+}
+
 // ErrOccurrence means that a task belongs to a later occurrence of a repeating
 // job. The lab hands in no such job, and its checks would mix up occurrences.
 var ErrOccurrence = errors.New("tasks of repeating jobs are not judged")
