Call the queues of messages to a peer queues

Cause: a lane is, by the glossary, waiting tasks of one queue and class; the link to a peer had two lanes that are queues of messages.

Result: no behaviour changed. In the tests only names changed: the queue's, its field's, its bounds', and with them one test's and the word in its last message.

--- a/internal/replica/decisions_test.go
+++ b/internal/replica/decisions_test.go
@@ -227,27 +227,27 @@
 	}
 }
 
-func TestLanesBoundWhatWaits(t *testing.T) {
-	l := newLane()
+func TestSendQueuesBoundWhatWaits(t *testing.T) {
+	q := newSendQueue()
 	entries := []raft.Entry{{Data: make([]byte, maxRequestBytes/2)}}
 	for range 100 {
-		l.push(raft.Message{Kind: raft.MessageAppend, Entries: entries})
+		q.push(raft.Message{Kind: raft.MessageAppend, Entries: entries})
 	}
-	if l.bytes > maxLaneBytes {
-		t.Fatalf("%d bytes wait, allowed are %d", l.bytes, maxLaneBytes)
+	if q.bytes > maxQueuedBytes {
+		t.Fatalf("%d bytes wait, allowed are %d", q.bytes, maxQueuedBytes)
 	}
-	queued := len(l.queue)
+	queued := len(q.messages)
 	taken := 0
-	for batch := l.take(); len(batch) > 0; batch = l.take() {
+	for batch := q.take(); len(batch) > 0; batch = q.take() {
 		if len(batch) > 2 {
 			t.Fatalf("%d messages in one request", len(batch))
 		}
 		taken += len(batch)
 	}
-	if taken != queued || l.bytes != 0 {
-		t.Fatalf("took %d of %d, %d bytes left", taken, queued, l.bytes)
+	if taken != queued || q.bytes != 0 {
+		t.Fatalf("took %d of %d, %d bytes left", taken, queued, q.bytes)
 	}
-	if l.push(raft.Message{}) {
-		t.Fatal("an empty lane makes a message wait")
+	if q.push(raft.Message{}) {
+		t.Fatal("an empty queue makes a message wait")
 	}
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -275,7 +275,7 @@
 	leader := leaderOf(t, machines...)
 	token := leader.replica.Status().Term
 	others(machines, leader)[0].hangs.Store(true)
-	data := make([]byte, 256<<10) // many of them fill the lane to the hanging peer
+	data := make([]byte, 256<<10) // many of them fill the queue to the hanging peer
 	for i := range 60 {
 		command := registration(fmt.Sprintf("worker-%03d", i))
 		command.Register.Workers[0].Zone = string(data)
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -12,7 +12,7 @@
 const maxGuests = 8
 
 // transport sends messages to the other replicas. It belongs to the loop;
-// only the lanes' goroutines run beside it.
+// only the queues' goroutines run beside it.
 type transport struct {
 	ctx     context.Context
 	replica *Replica
