--- a/internal/storage/walreplay.go
+++ b/internal/storage/walreplay.go
@@ -47,33 +47,14 @@
 
 // run reads everything and changes nothing. numbers are not empty.
 func (r *replay) run(numbers []uint64) error {
-	newest := numbers[len(numbers)-1]
-	content, err := readSegment(r.files, r.directory, newest)
+	newest, err := r.findNewest(numbers)
 	if err != nil {
 		return err
 	}
-	first, whole := firstNeeded(content)
-	var torn []byte
-	if !whole {
-		// It was being made when the power failed. The segment before it is
-		// whole, and shows below whether this one was ever synced.
-		older := len(numbers) - 2
-		if older < 0 || numbers[older] != newest-1 {
-			return corrupt(r.path(newest), "does not start with a whole segment header")
-		}
-		r.torn, torn = newest, content
-		numbers, newest = numbers[:older+1], newest-1
-		if content, err = readSegment(r.files, r.directory, newest); err != nil {
-			return err
-		}
-		if first, whole = firstNeeded(content); !whole {
-			return corrupt(r.path(newest), "does not start with a whole segment header")
-		}
-	}
-	if r.leftovers, err = r.needed(numbers, first, newest); err != nil {
+	if r.leftovers, err = r.needed(newest.numbers, newest.firstNeeded, newest.number()); err != nil {
 		return err
 	}
-	for number := first; number < newest; number++ {
+	for number := newest.firstNeeded; number < newest.number(); number++ {
 		older, err := readSegment(r.files, r.directory, number)
 		if err != nil {
 			return err
@@ -82,15 +63,65 @@
 			return err
 		}
 	}
-	if err := r.readNewest(newest, content); err != nil {
+	if err := r.readNewest(newest.number(), newest.content); err != nil {
 		return err
 	}
-	if provesSynced(torn, r.next) {
+	if provesSynced(newest.unfinished, r.next) {
 		return corrupt(r.path(r.torn), "does not start with a whole segment header, though it was synced")
 	}
 	return nil
 }
 
+// newestSegment is the newest segment with a whole header.
+type newestSegment struct {
+	// numbers are its own, which is the last, and those of all older ones.
+	numbers []uint64
+	content []byte
+	// firstNeeded is the oldest segment that is still needed.
+	firstNeeded uint64
+	// unfinished is what there is of the segment after it, if that one was being
+	// made when the power failed.
+	unfinished []byte
+}
+
+func (s newestSegment) number() uint64 { return s.numbers[len(s.numbers)-1] }
+
+// findNewest finds the newest segment with a whole header. A newer one was being
+// made when the power failed: this one is whole then, and shows later whether
+// that one was ever synced.
+func (r *replay) findNewest(numbers []uint64) (newestSegment, error) {
+	newest, whole, err := r.readHeader(numbers)
+	if err != nil || whole {
+		return newest, err
+	}
+	older := numbers[:len(numbers)-1]
+	if len(older) == 0 || older[len(older)-1] != newest.number()-1 {
+		return newest, r.withoutHeader(newest.number())
+	}
+	r.torn = newest.number()
+	unfinished := newest.content
+	newest, whole, err = r.readHeader(older)
+	if err == nil && !whole {
+		err = r.withoutHeader(newest.number())
+	}
+	newest.unfinished = unfinished
+	return newest, err
+}
+
+// readHeader reads the last of the segments; whole tells whether its header is.
+func (r *replay) readHeader(numbers []uint64) (last newestSegment, whole bool, err error) {
+	last.numbers = numbers
+	if last.content, err = readSegment(r.files, r.directory, last.number()); err != nil {
+		return last, false, err
+	}
+	last.firstNeeded, whole = firstNeeded(last.content)
+	return last, whole, nil
+}
+
+func (r *replay) withoutHeader(number uint64) error {
+	return corrupt(r.path(number), "does not start with a whole segment header")
+}
+
 // needed returns the segments before first, and refuses a gap from there on.
 func (r *replay) needed(numbers []uint64, first, newest uint64) (leftovers []uint64, err error) {
 	for number := first; number <= newest; number++ {
