Part what is read of a queue from what is shown of it

Cause: the command "queue show" read three lists at once and picked the queue out of them in one function of 37 lines.

Change: selectQueue picks and does no call.

Result: no behaviour changed. The tests of internal/cli pass unchanged; golangci-lint has no findings there.

--- a/internal/cli/queue_show.go
+++ b/internal/cli/queue_show.go
@@ -100,17 +100,22 @@
 	if err := group.Wait(); err != nil {
 		return queueDetails{}, err
 	}
+	// What counts is what is in force, defaults included.
+	return selectQueue(name, config.Config.WithDefaults(), queues, bookings)
+}
+
+// selectQueue takes what concerns one queue; none is known if neither the
+// configuration nor the leader has it.
+func selectQueue(name string, config api.Config, queues api.QueueList, bookings api.BookingList) (queueDetails, error) {
 	details := queueDetails{Status: api.QueueStatus{Name: name}}
 	details.Bookings = windowsOf(bookings, func(window api.BookingStatus) bool { return window.Queue == name })
-	// What counts is what is in force, defaults included.
-	effective := config.Config.WithDefaults()
-	configAt := slices.IndexFunc(effective.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
+	configAt := slices.IndexFunc(config.Queues, func(queue api.QueueConfig) bool { return queue.Name == name })
 	statusAt := slices.IndexFunc(queues.Queues, func(queue api.QueueStatus) bool { return queue.Name == name })
 	if configAt < 0 && statusAt < 0 {
 		return details, notThere("queue", name)
 	}
 	if configAt >= 0 {
-		details.Config = &effective.Queues[configAt]
+		details.Config = &config.Queues[configAt]
 	}
 	if statusAt >= 0 {
 		details.Status = queues.Queues[statusAt]
