Name the faults of the linearizability test

Cause: the faults were cases 0 to 6 of a number modulo 7, explained by comments.

Change: cutOff, cutOneWay, crash and hang in a list of which each comes in turn; they have a file of their own.

Result: no behaviour changed: the same faults in the same order, drawn the same way and as long; no assertion changed.

--- a/internal/integration/linear_test.go
+++ b/internal/integration/linear_test.go
@@ -12,18 +12,14 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/decklever/decklever/internal/fleet"
-	"github.com/decklever/decklever/internal/raft"
 	"github.com/decklever/decklever/internal/rpc"
 	"github.com/decklever/decklever/internal/storage"
 )
 
 const (
 	callers = 6
-	// faults is how many are made in one run, each for faultTime.
-	faults    = 14
-	faultTime = 400 * time.Millisecond
-	// hangTime leaves the others the time to elect a leader and to act under it.
-	hangTime = 1500 * time.Millisecond
+	// faults is how many are made in one run.
+	faults = 14
 	// checkTimeout bounds the search for an order of one history.
 	checkTimeout = 20 * time.Second
 	// wrongTimeout bounds it in a history that has none; the calls left open
@@ -112,67 +108,6 @@
 	leaderOf(r.t, r.nodes)
 }
 
-// fault makes a fault, of each kind in turn, and returns what ends it and how
-// long it is to last.
-func (r *run) fault(number int, leader *node) (repair func(), lasts time.Duration) {
-	other := without(r.nodes, leader)[r.random.IntN(2)]
-	switch number % 7 {
-	case 0: // callers still reach the old leader
-		r.links.cutLinks(r.around(leader)...)
-	case 1:
-		leader.crash()
-		return leader.start, faultTime
-	case 2: // one direction alone, and callers too
-		cuts := []link{{from: leader.name, to: other.name}}
-		for number := range callers / 2 {
-			cuts = append(cuts, link{from: fmt.Sprintf("caller-%d", number), to: leader.name})
-		}
-		r.links.cutLinks(cuts...)
-	case 3: // the old leader answers, but does not learn that it leads no more
-		return r.stores[leader].hang(), hangTime
-	case 4:
-		other.crash()
-		return other.start, faultTime
-	case 5: // nobody has a majority
-		for _, n := range r.nodes {
-			r.links.cutLinks(r.around(n)...)
-		}
-	default: // the power fails
-		for _, n := range r.nodes {
-			n.crash()
-		}
-		return func() { startAll(r.nodes) }, faultTime
-	}
-	return r.links.heal, faultTime
-}
-
-// hangingStore is a store on a disk that at times does not answer.
-type hangingStore struct {
-	*storage.Memory
-	saving sync.Mutex
-}
-
-// hang makes writes wait until release is called.
-func (s *hangingStore) hang() (release func()) {
-	s.saving.Lock()
-	return s.saving.Unlock
-}
-
-func (s *hangingStore) Save(hardState *raft.HardState, entries []raft.Entry, sync bool) error {
-	s.saving.Lock()
-	defer s.saving.Unlock()
-	return s.Memory.Save(hardState, entries, sync)
-}
-
-// around are the links between a node and the other nodes.
-func (r *run) around(n *node) []link {
-	var cuts []link
-	for _, other := range without(r.nodes, n) {
-		cuts = append(cuts, link{from: n.name, to: other.name}, link{from: other.name, to: n.name})
-	}
-	return cuts
-}
-
 // wantProgress holds that the run was one of many answers and some losses.
 func (r *run) wantProgress() {
 	for what, least := range map[string]int{
