--- a/lab/report/summary.go
+++ b/lab/report/summary.go
@@ -122,7 +122,7 @@
 }
 
 // faultsCaused counts kills, freezes, wipes, jumps and faults of links during
-// the load. Links struck at the same moment count as one.
+// the load. Links with a fault at the same moment count as one.
 func faultsCaused(observed check.Input) int {
 	count := 0
 	var last monoclock.Nanos
