Know the runs that a heartbeat names by their entries

Cause: a heartbeat's runs were put into a map keyed by the whole name of the run, which is 64 bytes to hash and to keep for each.

Change: the map is keyed by the entry of the open run. Only open runs are ever looked up in it, so nothing that follows from a heartbeat differs; no test was changed.

--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -31,12 +31,15 @@
 	contradicting []api.RunRef
 }
 
+// listedRuns are the open runs that a heartbeat names.
+type listedRuns map[*runState]bool
+
 // reconcile compares a heartbeat, which is the newest of its worker, with the
 // runs open there. It changes nothing. The rules are the table "Holds, tokens
 // and the life of a run" in docs/DESIGN.md.
 func reconcile(runs map[record.RunID]*runState, heartbeat api.Heartbeat) reconciliation {
 	var result reconciliation
-	listed := make(map[record.RunID]bool, len(heartbeat.Running)+len(heartbeat.Ended))
+	listed := make(listedRuns, len(runs))
 	for _, reference := range heartbeat.Running {
 		result.addRunning(runs, listed, reference)
 	}
@@ -44,7 +47,7 @@
 		result.addEnded(runs, listed, report)
 	}
 	for _, run := range runs {
-		if !listed[run.id] && !run.closing {
+		if !listed[run] && !run.closing {
 			result.addUnlisted(run, heartbeat)
 		}
 	}
@@ -55,21 +58,23 @@
 // what stays true: the ends of runs.
 func reconcileLate(runs map[record.RunID]*runState, heartbeat api.Heartbeat) reconciliation {
 	var result reconciliation
-	listed := make(map[record.RunID]bool, len(heartbeat.Ended))
+	listed := make(listedRuns, len(heartbeat.Ended))
 	for _, report := range heartbeat.Ended {
 		result.addEnded(runs, listed, report)
 	}
 	return result
 }
 
-func (r *reconciliation) addRunning(runs map[record.RunID]*runState, listed map[record.RunID]bool, reference api.RunRef) {
+func (r *reconciliation) addRunning(runs map[record.RunID]*runState, listed listedRuns, reference api.RunRef) {
 	id, ok := parseRun(reference)
 	if !ok {
 		r.unwanted = append(r.unwanted, reference)
 		return
 	}
-	listed[id] = true
 	run, open := runs[id]
+	if open {
+		listed[run] = true
+	}
 	if !open || run.closing {
 		r.unwanted = append(r.unwanted, reference)
 		return
@@ -80,13 +85,12 @@
 	}
 }
 
-func (r *reconciliation) addEnded(runs map[record.RunID]*runState, listed map[record.RunID]bool, report api.EndedRun) {
+func (r *reconciliation) addEnded(runs map[record.RunID]*runState, listed listedRuns, report api.EndedRun) {
 	id, ok := parseRun(report.RunRef)
 	if !ok {
 		r.unreadable = append(r.unreadable, report.RunRef)
 		return
 	}
-	listed[id] = true
 	end := record.RunEnd{Run: id, Outcome: report.Outcome, Message: report.Message, Checkpoint: report.Checkpoint}
 	if hasBegun(report.Outcome) {
 		r.begun = append(r.begun, id.Task)
@@ -96,6 +100,7 @@
 		r.late = append(r.late, end)
 		return
 	}
+	listed[run] = true
 	if !run.listed {
 		r.started = append(r.started, run)
 	}
