Carry calls between processes with fewer allocations

Cause: with 300 hollow workers the serving of HTTP was 62% of a leader's processor time. Of a heartbeat's 84 allocations on the server's side 42 were of its carriage: the body was read into a growing slice, the deadline of each call made a timer although hardly any handler waits for it, the counters were looked up by their labels three times a call, and each call went through one or two muxes.

Change: bodies and answers use buffers that are kept; the context of a call makes its timer once somebody waits for its end; the counters are kept by method; a scheduler looks for the methods of calls before its mux, which all else still goes through; net/http counts short answers. The client uses its transport without http.Client, whose redirects were refused anyway, adds no second timer to a nearer deadline, and sends no User-Agent. The bytes of bodies, the limits, what is sent at most once and what an error means are as before. A test that read the dialer out of the http.Client reads it out of the transport.

Left: Date stays, as HTTP asks for it of a server with a clock. The goroutine that net/http starts for each call, to notice a caller that goes away, stays too: orders are kept back from such a caller.

--- a/internal/process/schedulerprocess/process.go
+++ b/internal/process/schedulerprocess/process.go
@@ -35,6 +35,7 @@
 	store      *storage.Disk
 	client     *rpc.Client
 	replica    *replica.Replica
+	calls      *rpc.Server
 	handler    http.Handler
 	// gatewayClients are closed at the end.
 	gatewayClients []*rpc.Client
@@ -91,6 +92,7 @@
 	server := rpc.NewServer(rpc.ServerConfig{Logger: p.base.Logger, Metrics: p.base.Calls})
 	made.Register(server)
 	service.Register(server)
+	p.calls = server
 	p.handler = routes(server, p.base.Status())
 	p.base.CheckHealth(p.readiness())
 	return nil
@@ -144,7 +146,7 @@
 func (p *Process) Run(ctx context.Context, extra ...daemon.Listener) error {
 	config := p.base.Daemon(p.readiness(), p.replica.Run)
 	config.Wrap = rpc.Probed
-	config.Handler = p.handler
+	config.Handler = p.calls.Before(p.handler)
 	config.Extra = extra
 	config.BeforeStop = p.replica.HandOver
 	err := daemon.Run(ctx, config)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -43,8 +44,9 @@
 type Client struct {
 	config    ClientConfig
 	codec     codec
+	buffers   *buffers
+	calls     *callCounters
 	transport *http.Transport
-	http      *http.Client
 }
 
 // NewClient returns a client without connections.
@@ -69,16 +71,12 @@
 	return &Client{
 		config:    config,
 		codec:     newCodec(),
+		buffers:   newBuffers(),
+		calls:     config.Metrics.side(sideClient),
 		transport: transport,
-		http:      &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 	}
 }
 
-// refuseRedirect keeps a call from being sent a second time.
-func refuseRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // Close closes the idle connections; those in use end with their calls.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
@@ -93,74 +91,90 @@
 	if err != nil {
 		return answer, &Error{Code: CodeBadRequest, Message: fmt.Sprintf("encode %s: %v", method, err)}
 	}
-	reply, failure := c.send(ctx, address, method, body)
-	c.config.Metrics.count(sideClient, method, len(body), len(reply))
+	reply := c.buffers.get()
+	defer c.buffers.put(reply)
+	failure := c.send(ctx, address, method, body, reply)
+	if failure != nil {
+		reply.Reset()
+	}
+	c.calls.count(method, len(body), reply.Len())
 	if failure != nil {
 		return answer, failure
 	}
-	if err := c.codec.decode(reply, &answer); err != nil {
+	if err := c.codec.decode(reply.Bytes(), &answer); err != nil {
 		var none Answer
 		return none, transportError(method, address, fmt.Errorf("decode the answer: %w", err))
 	}
 	return answer, nil
 }
 
-// send carries one body there and the answer's body back. It returns *Error
-// and not error, so that no failure of another type can slip through.
-func (c *Client) send(ctx context.Context, address string, method fleet.Method, body []byte) ([]byte, *Error) {
-	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+// send carries one body there and the answer's body back, into reply. It returns
+// *Error and not error, so that no failure of another type can slip through.
+func (c *Client) send(ctx context.Context, address string, method fleet.Method, body []byte, reply *buffer) *Error {
+	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), address, method, body)
-	if err != nil {
-		return nil, unsentError(method, address, err)
-	}
-	response, err := c.http.Do(request)
+	request := newRequest(httptrace.WithClientTrace(ctx, trace), address, method, body)
+	// The transport itself, and no http.Client: that would follow redirects and
+	// so send a call a second time.
+	response, err := c.transport.RoundTrip(request)
 	if err != nil && !connected.Load() {
-		return nil, unsentError(method, address, err)
+		return unsentError(method, address, err)
 	}
 	if err != nil {
-		return nil, transportError(method, address, err)
+		return transportError(method, address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	reply, err := c.readBody(response)
-	if err != nil {
-		return nil, transportError(method, address, err)
+	if err := c.readBody(response, reply); err != nil {
+		return transportError(method, address, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, c.readRefusal(method, address, response.StatusCode, reply)
+		return c.readRefusal(method, address, response.StatusCode, reply.Bytes())
 	}
-	return reply, nil
+	return nil
 }
 
-func (c *Client) newRequest(ctx context.Context, address string, method fleet.Method, body []byte) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, methodURL(address, method), bytes.NewReader(body))
-	if err != nil {
-		return nil, err
+// bound gives a call its deadline, unless it has one that is as near.
+func (c *Client) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= c.config.Timeout {
+		return ctx, func() {}
 	}
-	request.Header.Set("Content-Type", contentType)
-	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set(deadlineHeader, formatTimeout(time.Until(deadline)))
+	return context.WithTimeout(ctx, c.config.Timeout)
+}
+
+// newRequest makes the request of a call. Its body can be read anew, since the
+// transport sends it on another connection if one that was kept turns out to be
+// closed before a byte of it was written.
+func newRequest(ctx context.Context, address string, method fleet.Method, body []byte) *http.Request {
+	request := &http.Request{
+		Method: http.MethodPost,
+		URL:    &url.URL{Scheme: "http", Host: address, Path: pathPrefix + string(method)},
+		Header: requestHeader(ctx),
+		Body:   readerOf(body),
+
+		ContentLength: int64(len(body)),
+		GetBody:       func() (io.ReadCloser, error) { return readerOf(body), nil },
 	}
-	return request, nil
+	return request.WithContext(ctx)
 }
 
+func readerOf(body []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(body)) }
+
 var errAnswerTooLarge = errors.New("answer too large")
 
-func (c *Client) readBody(response *http.Response) ([]byte, error) {
+func (c *Client) readBody(response *http.Response, reply *buffer) error {
 	limit := c.config.MaxAnswerBytes
 	if response.ContentLength > limit {
-		return nil, fmt.Errorf("%w: %d bytes, limit %d", errAnswerTooLarge, response.ContentLength, limit)
+		return fmt.Errorf("%w: %d bytes, limit %d", errAnswerTooLarge, response.ContentLength, limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read the answer: %w", err)
+	if err := reply.readAll(response.Body, limit+1); err != nil {
+		return fmt.Errorf("read the answer: %w", err)
 	}
-	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("%w: over the limit of %d bytes", errAnswerTooLarge, limit)
+	if int64(reply.Len()) > limit {
+		return fmt.Errorf("%w: over the limit of %d bytes", errAnswerTooLarge, limit)
 	}
-	return body, nil
+	return nil
 }
 
 // readRefusal turns the body of a failed call into the server's error. A body
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,14 +18,14 @@
 // codec encodes and decodes bodies. It is made once and safe for use by many
 // goroutines.
 type codec struct {
-	encoding cbor.EncMode
+	encoding cbor.UserBufferEncMode
 	decoding cbor.DecMode
 }
 
 // newCodec makes the codec. Its options are constants, so that the error can
 // only be a mistake in this file.
 func newCodec() codec {
-	encoding, err := encodingOptions().EncMode()
+	encoding, err := encodingOptions().UserBufferEncMode()
 	if err != nil {
 		panic(fmt.Sprintf("rpc: encoding options: %v", err))
 	}
@@ -60,7 +61,13 @@
 	return c.encoding.Marshal(value)
 }
 
-// decode reads exactly one item; anything behind it is an error.
+// encodeTo appends to a buffer.
+func (c codec) encodeTo(value any, into *bytes.Buffer) error {
+	return c.encoding.MarshalToBuffer(value, into)
+}
+
+// decode reads exactly one item; anything behind it is an error. What is read
+// points nowhere into data.
 func (c codec) decode(data []byte, into any) error {
 	return c.decoding.Unmarshal(data, into)
 }
--- /dev/null
+++ b/internal/rpc/deadline.go
@@ -0,0 +1,82 @@
+package rpc
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// deadlineContext ends at a deadline, with its parent, or when end is called. It
+// is a context.WithDeadline that is made only once somebody waits for its end:
+// most calls are answered without, and so need no timer.
+type deadlineContext struct {
+	parent   context.Context
+	deadline time.Time
+
+	mutex  sync.Mutex
+	made   context.Context // nil until somebody waits
+	cancel context.CancelFunc
+	ended  bool
+}
+
+// withTimeout returns a context that ends after the timeout. The caller must
+// call its end.
+func withTimeout(parent context.Context, timeout time.Duration) *deadlineContext {
+	deadline := time.Now().Add(timeout)
+	if earlier, ok := parent.Deadline(); ok && earlier.Before(deadline) {
+		deadline = earlier
+	}
+	return &deadlineContext{parent: parent, deadline: deadline}
+}
+
+// end ends the context, if nothing else has.
+func (c *deadlineContext) end() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ended = true
+	if c.made != nil {
+		c.cancel()
+	}
+}
+
+// make returns the context that can be waited for.
+func (c *deadlineContext) make() context.Context {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.made == nil {
+		c.made, c.cancel = context.WithDeadline(c.parent, c.deadline)
+		if c.ended {
+			c.cancel()
+		}
+	}
+	return c.made
+}
+
+// Deadline implements context.Context.
+func (c *deadlineContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// Done implements context.Context.
+func (c *deadlineContext) Done() <-chan struct{} { return c.make().Done() }
+
+// Err implements context.Context.
+func (c *deadlineContext) Err() error {
+	c.mutex.Lock()
+	running := c.made == nil && !c.ended && c.parent.Err() == nil && time.Now().Before(c.deadline)
+	c.mutex.Unlock()
+	if running {
+		return nil
+	}
+	return c.make().Err()
+}
+
+// Value implements context.Context. It asks the context that is waited for, so
+// that contexts made of this one find it.
+func (c *deadlineContext) Value(key any) any {
+	c.mutex.Lock()
+	made := c.made
+	c.mutex.Unlock()
+	if made != nil {
+		return made.Value(key)
+	}
+	return c.parent.Value(key)
+}
--- /dev/null
+++ b/internal/rpc/deadline_test.go
@@ -0,0 +1,118 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// inBubble runs a case with a context that ends after a second.
+func inBubble(t *testing.T, run func(t *testing.T, parent context.CancelFunc, ctx *deadlineContext)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		parent, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ctx := withTimeout(parent, time.Second)
+		defer ctx.end()
+		if ctx.Err() != nil {
+			t.Fatal("ended at once")
+		}
+		run(t, cancel, ctx)
+	})
+}
+
+func wantEnded(ctx context.Context, t *testing.T, want error) {
+	t.Helper()
+	if err := ctx.Err(); !errors.Is(err, want) {
+		t.Errorf("ended with %v, want %v", err, want)
+	}
+	select {
+	case <-ctx.Done():
+	default:
+		t.Error("an ended context can be waited for")
+	}
+}
+
+func TestDeadlineContextEndsUnwatched(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ context.CancelFunc, ctx *deadlineContext) {
+		time.Sleep(time.Second)
+		wantEnded(ctx, t, context.DeadlineExceeded)
+	})
+	inBubble(t, func(t *testing.T, cancel context.CancelFunc, ctx *deadlineContext) {
+		cancel()
+		wantEnded(ctx, t, context.Canceled)
+	})
+	inBubble(t, func(t *testing.T, _ context.CancelFunc, ctx *deadlineContext) {
+		ctx.end()
+		wantEnded(ctx, t, context.Canceled)
+	})
+}
+
+func TestDeadlineContextEndsWhileWatched(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ context.CancelFunc, ctx *deadlineContext) {
+		began := time.Now()
+		<-ctx.Done()
+		if took := time.Since(began); took != time.Second {
+			t.Errorf("ended after %v", took)
+		}
+		wantEnded(ctx, t, context.DeadlineExceeded)
+	})
+	inBubble(t, func(t *testing.T, cancel context.CancelFunc, ctx *deadlineContext) {
+		done := ctx.Done()
+		cancel()
+		<-done
+		wantEnded(ctx, t, context.Canceled)
+	})
+	inBubble(t, func(t *testing.T, _ context.CancelFunc, ctx *deadlineContext) {
+		done := ctx.Done()
+		ctx.end()
+		<-done
+		wantEnded(ctx, t, context.Canceled)
+	})
+}
+
+// TestContextsMadeOfADeadlineContextEndWithIt: also those that look for their
+// parent's values.
+func TestContextsMadeOfADeadlineContextEndWithIt(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ context.CancelFunc, ctx *deadlineContext) {
+		type key struct{}
+		child, cancel := context.WithCancel(context.WithValue(ctx, key{}, "value"))
+		defer cancel()
+		if child.Value(key{}) != "value" || ctx.Value(key{}) != nil {
+			t.Error("values are mixed up")
+		}
+		ctx.end()
+		<-child.Done()
+		wantEnded(child, t, context.Canceled)
+	})
+}
+
+func TestDeadlineContextKeepsTheNearerDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		parent, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		for timeout, want := range map[time.Duration]time.Duration{time.Minute: time.Second, time.Millisecond: time.Millisecond} {
+			ctx := withTimeout(parent, timeout)
+			if deadline, ok := ctx.Deadline(); !ok || deadline.Sub(began) != want {
+				t.Errorf("after %v the deadline is %v from now, want %v", timeout, deadline.Sub(began), want)
+			}
+			ctx.end()
+		}
+	})
+}
+
+func TestDeadlineContextStaysUnmadeWhileNobodyWaits(t *testing.T) {
+	allocations := testing.AllocsPerRun(100, func() {
+		ctx := withTimeout(t.Context(), time.Hour)
+		if ctx.Err() != nil {
+			t.Error("ended at once")
+		}
+		ctx.end()
+	})
+	if allocations > 1 {
+		t.Errorf("%v allocations, want the context's own at most", allocations)
+	}
+}
--- a/internal/rpc/metrics.go
+++ b/internal/rpc/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -45,14 +46,52 @@
 	return m, nil
 }
 
-// count notes one call with the bodies that this side sent and received.
-func (m *Metrics) count(side string, method fleet.Method, sent, received int) {
+// side returns the counters of the calls of one side.
+func (m *Metrics) side(name string) *callCounters {
 	if m == nil {
+		return nil
+	}
+	return &callCounters{metrics: m, side: name, methods: map[fleet.Method]methodCounters{}}
+}
+
+// callCounters keeps the counters of each method that has been called, so that a
+// call need not look them up by their labels. A nil one counts nothing.
+type callCounters struct {
+	metrics *Metrics
+	side    string
+	mutex   sync.RWMutex
+	methods map[fleet.Method]methodCounters
+}
+
+type methodCounters struct{ calls, sent, received prometheus.Counter }
+
+// count notes one call with the bodies that this side sent and received.
+func (c *callCounters) count(method fleet.Method, sent, received int) {
+	if c == nil {
 		return
 	}
-	m.calls.WithLabelValues(side, string(method)).Inc()
-	m.bodyBytes.WithLabelValues(side, string(method), directionSent).Add(float64(sent))
-	m.bodyBytes.WithLabelValues(side, string(method), directionReceived).Add(float64(received))
+	counters := c.of(method)
+	counters.calls.Inc()
+	counters.sent.Add(float64(sent))
+	counters.received.Add(float64(received))
+}
+
+func (c *callCounters) of(method fleet.Method) methodCounters {
+	c.mutex.RLock()
+	counters, known := c.methods[method]
+	c.mutex.RUnlock()
+	if known {
+		return counters
+	}
+	counters = methodCounters{
+		calls:    c.metrics.calls.WithLabelValues(c.side, string(method)),
+		sent:     c.metrics.bodyBytes.WithLabelValues(c.side, string(method), directionSent),
+		received: c.metrics.bodyBytes.WithLabelValues(c.side, string(method), directionReceived),
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.methods[method] = counters
+	return counters
 }
 
 // dialFunc makes a connection.
--- a/internal/rpc/probe_test.go
+++ b/internal/rpc/probe_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -37,7 +36,7 @@
 	address := listener.Addr().String()
 	client := NewClient(ClientConfig{})
 	defer client.Close()
-	dialers := map[string]func(context.Context, string, string) (net.Conn, error){"default": client.http.Transport.(*http.Transport).DialContext, "from an address": DialFrom("127.0.0.1")}
+	dialers := map[string]func(context.Context, string, string) (net.Conn, error){"default": client.transport.DialContext, "from an address": DialFrom("127.0.0.1")}
 	for name, dial := range dialers {
 		dialed, err := dial(t.Context(), "tcp", address)
 		if err != nil {
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -345,3 +345,73 @@
 	register(server)
 	register(server)
 }
+
+func TestCallsPassBeforeOtherRequests(t *testing.T) {
+	server := answering(nil)
+	elsewhere := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusTeapot) })
+	handler := server.Before(elsewhere)
+	for path, want := range map[string]int{
+		"/rpc/test": http.StatusBadRequest, "/rpc/none": http.StatusTeapot, "/rpc": http.StatusTeapot,
+		"/rpc/": http.StatusTeapot, "/rpc//test": http.StatusTeapot, "/metrics": http.StatusTeapot, "/test": http.StatusTeapot,
+	} {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+		if recorder.Code != want {
+			t.Errorf("GET %s: status %d, want %d", path, recorder.Code, want)
+		}
+	}
+	address, client := serve(t, handler, ClientConfig{})
+	if _, err := Call[fleet.Empty, fleet.Empty](t.Context(), client, address, methodTest, fleet.Empty{}); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestAnswersOfAnySizeAreCounted: the length stands before the body, so that
+// the connection can be kept; also where the server leaves it to net/http.
+func TestAnswersOfAnySizeAreCounted(t *testing.T) {
+	server := NewServer(ServerConfig{})
+	Handle(server, methodTest, func(_ context.Context, request fleet.CancelRequest) (fleet.CancelRequest, error) { return request, nil })
+	address, client := serve(t, server, ClientConfig{})
+	for _, size := range []int{0, 1, maxCountedBytes - 8, maxCountedBytes, maxCountedBytes + 8, 2047, 2048, 5000, 2 * maxKeptBytes} {
+		request := fleet.CancelRequest{ID: strings.Repeat("x", size)}
+		body, err := newCodec().encode(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.Post("http://"+address+"/rpc/test", contentType, bytes.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.ContentLength != int64(len(body)) || response.Header.Get("Content-Type") != contentType {
+			t.Errorf("%d bytes: length %d, type %q", len(body), response.ContentLength, response.Header.Get("Content-Type"))
+		}
+		answer, err := Call[fleet.CancelRequest, fleet.CancelRequest](t.Context(), client, address, methodTest, request)
+		if err != nil || answer != request {
+			t.Errorf("%d bytes came back as %d, error %v", size, len(answer.ID), err)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+// TestBodiesOfOneCallDoNotShowInAnother: buffers are used again, and whatever was
+// read must not point into them.
+func TestBodiesOfOneCallDoNotShowInAnother(t *testing.T) {
+	server := NewServer(ServerConfig{})
+	Handle(server, methodTest, func(_ context.Context, request fleet.SnapshotChunkRequest) (fleet.SnapshotChunkRequest, error) {
+		return request, nil
+	})
+	address, client := serve(t, server, ClientConfig{})
+	var sent, got []fleet.SnapshotChunkRequest
+	for number := range 20 {
+		request := fleet.SnapshotChunkRequest{Data: bytes.Repeat([]byte{byte(number)}, 100*(20-number)), Address: strings.Repeat(string(rune('a'+number)), number)}
+		answer, err := Call[fleet.SnapshotChunkRequest, fleet.SnapshotChunkRequest](t.Context(), client, address, methodTest, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent, got = append(sent, request), append(got, answer)
+	}
+	if diff := cmp.Diff(sent, got); diff != "" {
+		t.Fatalf("answers changed afterwards (-sent +got):\n%s", diff)
+	}
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -1,10 +1,10 @@
 package rpc
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"runtime/debug"
@@ -33,12 +33,17 @@
 type Server struct {
 	config  ServerConfig
 	codec   codec
+	buffers *buffers
+	calls   *callCounters
+	// contentType is the value of that header in all answers.
+	contentType []string
+
 	mutex   sync.RWMutex
 	methods map[fleet.Method]methodHandler
 }
 
-// methodHandler reads a request's body and returns the answer's.
-type methodHandler func(ctx context.Context, body []byte) ([]byte, error)
+// methodHandler reads a request's body and writes the answer's.
+type methodHandler func(ctx context.Context, body []byte, answer *bytes.Buffer) error
 
 // NewServer returns a server without methods.
 func NewServer(config ServerConfig) *Server {
@@ -48,7 +53,14 @@
 	if config.Logger == nil {
 		config.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Server{config: config, codec: newCodec(), methods: map[fleet.Method]methodHandler{}}
+	return &Server{
+		config:      config,
+		codec:       newCodec(),
+		buffers:     newBuffers(),
+		calls:       config.Metrics.side(sideServer),
+		contentType: []string{contentType},
+		methods:     map[fleet.Method]methodHandler{},
+	}
 }
 
 // Handle serves method with handler; it panics if the method is served
@@ -59,20 +71,19 @@
 // it is, or an *api.Error, which travels under CodeRefused. Any other error
 // becomes CodeUnavailable and so must mean that the call had no effect.
 func Handle[Request, Answer any](s *Server, method fleet.Method, handler func(context.Context, Request) (Answer, error)) {
-	s.register(method, func(ctx context.Context, body []byte) ([]byte, error) {
+	s.register(method, func(ctx context.Context, body []byte, encoded *bytes.Buffer) error {
 		var request Request
 		if err := s.codec.decode(body, &request); err != nil {
-			return nil, &Error{Code: CodeBadRequest, Message: fmt.Sprintf("decode %s: %v", method, err)}
+			return &Error{Code: CodeBadRequest, Message: fmt.Sprintf("decode %s: %v", method, err)}
 		}
 		answer, err := handler(ctx, request)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		encoded, err := s.codec.encode(answer)
-		if err != nil {
-			return nil, &Error{Code: CodeUnknownOutcome, Message: fmt.Sprintf("encode the answer of %s: %v", method, err)}
+		if err := s.codec.encodeTo(answer, encoded); err != nil {
+			return &Error{Code: CodeUnknownOutcome, Message: fmt.Sprintf("encode the answer of %s: %v", method, err)}
 		}
-		return encoded, nil
+		return nil
 	})
 }
 
@@ -94,53 +105,80 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	answer, err := s.serve(writer, request)
-	if err != nil {
+	answer := s.buffers.get()
+	defer s.buffers.put(answer)
+	if err := s.serve(writer, request, answer); err != nil {
 		s.refuse(writer, request, refusalOf(err))
 		return
 	}
-	s.write(writer, request, http.StatusOK, answer)
+	s.write(writer, request, http.StatusOK, answer.Bytes())
+}
+
+// Before serves the calls of methods that are served here, and leaves all other
+// requests to next. It saves calls, which are most of the requests, the way
+// through a mux.
+func (s *Server) Before(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		name, found := strings.CutPrefix(request.URL.Path, pathPrefix)
+		if found {
+			_, found = s.find(fleet.Method(name))
+		}
+		if found {
+			s.ServeHTTP(writer, request)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
 }
 
-func (s *Server) serve(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
+func (s *Server) serve(writer http.ResponseWriter, request *http.Request, answer *buffer) error {
 	name, found := strings.CutPrefix(request.URL.Path, pathPrefix)
 	if !found || request.Method != http.MethodPost {
-		return nil, &Error{Code: CodeBadRequest, Message: "expected POST " + pathPrefix + "METHOD"}
+		return &Error{Code: CodeBadRequest, Message: "expected POST " + pathPrefix + "METHOD"}
 	}
 	method := fleet.Method(name)
 	handler, ok := s.find(method)
 	if !ok {
-		return nil, &Error{Code: CodeBadRequest, Message: fmt.Sprintf("no method %q here", name)}
+		return &Error{Code: CodeBadRequest, Message: fmt.Sprintf("no method %q here", name)}
 	}
-	body, err := s.readBody(writer, request)
-	if err != nil {
-		return nil, err
+	body := s.buffers.get()
+	defer s.buffers.put(body)
+	if err := s.readBody(writer, request, body); err != nil {
+		return err
 	}
 	ctx := request.Context()
 	if timeout, ok := parseTimeout(request.Header.Get(deadlineHeader)); ok {
-		limited, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
+		limited := withTimeout(ctx, timeout)
+		defer limited.end()
 		ctx = limited
 	}
-	answer, err := s.run(ctx, method, handler, body)
-	s.config.Metrics.count(sideServer, method, len(answer), len(body))
-	return answer, err
+	err := s.run(ctx, method, handler, body.Bytes(), answer)
+	if err != nil {
+		answer.Reset()
+	}
+	s.calls.count(method, answer.Len(), body.Len())
+	return err
 }
 
-func (s *Server) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, s.config.MaxRequestBytes))
+func (s *Server) readBody(writer http.ResponseWriter, request *http.Request, body *buffer) error {
+	limit := s.config.MaxRequestBytes
+	bounded := request.Body
+	if length := request.ContentLength; length < 0 || length > limit {
+		bounded = http.MaxBytesReader(writer, bounded, limit)
+	}
+	err := body.readAll(bounded, limit+1)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, &Error{Code: CodeBadRequest, Message: fmt.Sprintf("request is over the limit of %d bytes", tooLarge.Limit)}
+		return &Error{Code: CodeBadRequest, Message: fmt.Sprintf("request is over the limit of %d bytes", tooLarge.Limit)}
 	}
 	if err != nil {
-		return nil, &Error{Code: CodeBadRequest, Message: fmt.Sprintf("read the request: %v", err)}
+		return &Error{Code: CodeBadRequest, Message: fmt.Sprintf("read the request: %v", err)}
 	}
-	return body, nil
+	return nil
 }
 
 // run calls the handler and keeps its panic from ending the process.
-func (s *Server) run(ctx context.Context, method fleet.Method, handler methodHandler, body []byte) (answer []byte, err error) {
+func (s *Server) run(ctx context.Context, method fleet.Method, handler methodHandler, body []byte, answer *buffer) (err error) {
 	defer func() {
 		reason := recover()
 		if reason == nil {
@@ -151,9 +189,9 @@
 			slog.Any("reason", reason),
 			slog.String("stack", string(debug.Stack())))
 		// How far the handler came is not known.
-		answer, err = nil, &Error{Code: CodeUnknownOutcome, Message: fmt.Sprintf("internal failure in %s", method)}
+		err = &Error{Code: CodeUnknownOutcome, Message: fmt.Sprintf("internal failure in %s", method)}
 	}()
-	return handler(ctx, body)
+	return handler(ctx, body, &answer.Buffer)
 }
 
 // refusalOf gives the error the form in which it travels.
@@ -193,9 +231,16 @@
 	s.write(writer, request, statusOf(&sent), body)
 }
 
+// maxCountedBytes is the size up to which net/http counts an answer by itself,
+// which costs less than a header given to it; its own bound is 2048.
+const maxCountedBytes = 1 << 10
+
 func (s *Server) write(writer http.ResponseWriter, request *http.Request, status int, body []byte) {
-	writer.Header().Set("Content-Type", contentType)
-	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	header := writer.Header()
+	header["Content-Type"] = s.contentType
+	if len(body) > maxCountedBytes {
+		header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	}
 	writer.WriteHeader(status)
 	if _, err := writer.Write(body); err != nil {
 		s.config.Logger.Debug("answer not sent", slog.String("path", request.URL.Path), slog.Any("error", err))
--- a/internal/rpc/wire.go
+++ b/internal/rpc/wire.go
@@ -1,11 +1,10 @@
 package rpc
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
-
-	"github.com/decklever/decklever/internal/fleet"
 )
 
 const (
@@ -18,9 +17,14 @@
 	maxTimeoutMillis = int64(24 * time.Hour / time.Millisecond)
 )
 
-// methodURL is where a method is served.
-func methodURL(address string, method fleet.Method) string {
-	return "http://" + address + pathPrefix + string(method)
+// requestHeader is the header of a call. It names no program, as whoever answers
+// has no use for it.
+func requestHeader(ctx context.Context) http.Header {
+	header := http.Header{"Content-Type": {contentType}, "User-Agent": nil}
+	if deadline, ok := ctx.Deadline(); ok {
+		header[deadlineHeader] = []string{formatTimeout(time.Until(deadline))}
+	}
+	return header
 }
 
 // formatTimeout rounds up, so that a call with time left never says none.
