Believe that a worker heard again can tell of its stopped runs

It reckoned the end of the hold from the beginning of a silence and took every stop near it for a lapse that nobody knows of. P11 speaks of silent workers. One that is heard again reports the end, and nothing need be waited for then, whether it stopped the task on an order or since its own hold was over. That hold can end sooner than reckoned, as answers before the silence were lost too.

To be no less strict, the check now also looks at ends that it passed over, failures and stops at any time: if nothing that the worker sent could reach any scheduler from before the end until the next start, the hold must be over by then.

--- a/lab/check/broken_faults_test.go
+++ b/lab/check/broken_faults_test.go
@@ -23,6 +23,26 @@
 			func(f *fixture) { cutWorker(f, 2300, 2600) },
 			func(f *fixture) { cutWorker(f, 2300, 2800) },
 		},
+		{
+			"a run of a worker heard again only after its start elsewhere", P11,
+			func(f *fixture) { heardAgain(f, 2700) },
+			func(f *fixture) { heardAgain(f, 1400) },
+		},
+		{
+			"a run stopped as the worker was heard again that starts elsewhere at once", P11,
+			func(f *fixture) { heardAgain(f, 2601) },
+			func(f *fixture) { heardAgain(f, 2550) },
+		},
+		{
+			"a failure that nobody can have heard of, tried again too early", P11,
+			func(f *fixture) { unheardEnd(f, api.OutcomeFailed, 1500) },
+			func(f *fixture) { unheardEnd(f, api.OutcomeFailed, 2800) },
+		},
+		{
+			"a stop that nobody can have heard of, and a start elsewhere too early", P11,
+			func(f *fixture) { unheardEnd(f, api.OutcomeStopped, 1500) },
+			func(f *fixture) { unheardEnd(f, api.OutcomeStopped, 2800) },
+		},
 		{
 			"a run of a cut-off worker that does not stop", P1,
 			func(f *fixture) { cutWorker(f, 3600, 3500) },
@@ -101,6 +121,28 @@
 	f.poll("j", 9000, api.StateSucceeded)
 }
 
+// heardAgain has a worker cut off its agent until some time, and its run stopped
+// before the end of the hold and started elsewhere.
+func heardAgain(f *fixture, healed int64) {
+	f.submit("j", 10, task())
+	f.run("j/s/0", "one", 1, 100, 2300, api.OutcomeStopped)
+	f.link("agent-1", "one", 200, ledger.ActionCut)
+	f.link("agent-1", "one", healed, ledger.ActionHeal)
+	f.succeed("j/s/0", "two", 2, 2600, 2700)
+	f.poll("j", 9000, api.StateSucceeded)
+}
+
+// unheardEnd has a run end while its worker cannot be heard, and the task start
+// elsewhere.
+func unheardEnd(f *fixture, outcome api.Outcome, again int64) {
+	f.submit("j", 10, task())
+	f.run("j/s/0", "one", 1, 100, 1000, outcome)
+	f.link("one", "agent-1", 200, ledger.ActionCut)
+	f.link("one", "agent-1", 12_000, ledger.ActionHeal)
+	f.succeed("j/s/0", "two", 2, again, again+100)
+	f.poll("j", 9000, api.StateSucceeded)
+}
+
 // frozenWorker has a run's worker frozen for 10 s while the task runs elsewhere.
 func frozenWorker(f *fixture, outcome api.Outcome, ended int64) {
 	f.submit("j", 10, task())
--- a/lab/check/check.go
+++ b/lab/check/check.go
@@ -135,7 +135,7 @@
 		f.checkConfigOrders, f.checkConfigReads, f.checkRollout, f.checkRaces,
 		f.checkGroups, f.checkGroupRestarts, f.checkGroupRuns,
 		f.checkServiceGap,
-		f.checkRestartDelay, f.checkEarlyRestart,
+		f.checkRestartDelay, f.checkEarlyRestart, f.checkUnheardEnds,
 		f.checkTokens, f.checkWaking,
 		f.checkBookings,
 		f.checkFloodAnswers, f.checkFloodSlowdown,
--- a/lab/check/facts.go
+++ b/lab/check/facts.go
@@ -85,6 +85,8 @@
 	// noMajority and silent are what withoutMajority and silences found.
 	noMajority []span
 	silent     map[string][]span
+	// mute is what muteSpans found, by worker.
+	mute map[string][]span
 	// unheard is what heardSince found, by process.
 	unheard map[string][]span
 }
@@ -98,6 +100,7 @@
 		jobs:    map[string]*jobFacts{},
 		byTask:  map[string][]run{},
 		silent:  map[string][]span{},
+		mute:    map[string][]span{},
 		unheard: map[string][]span{},
 	}
 	f.input.Entries = slices.Clone(input.Entries)
--- a/lab/check/silence.go
+++ b/lab/check/silence.go
@@ -19,6 +19,9 @@
 	// silence a run may start elsewhere: the last heartbeat that was answered
 	// by then may be two intervals old.
 	earlySlack = 500 * time.Millisecond
+	// faultSlack is how much sooner or later than noted a fault may have begun or
+	// ended.
+	faultSlack = 100 * time.Millisecond
 	// wakeBound is how soon after its worker woke a run must have ended for
 	// its end to be taken as the end of what it did before it was frozen.
 	wakeBound = time.Second
@@ -153,7 +156,8 @@
 }
 
 // checkEarlyRestart (P11): a run starts elsewhere only once the hold of the
-// worker that fell silent has lapsed.
+// worker that fell silent has lapsed. A worker that was heard again since its
+// journal shows the end of the run can have told of it.
 func (f *facts) checkEarlyRestart() []Violation {
 	var found []Violation
 	for _, one := range f.replacements() {
@@ -161,13 +165,61 @@
 			continue
 		}
 		if one.next < one.one.over {
-			continue // two runs at once, which checkOverlap reports
+			continue // none, or two runs at once, which checkOverlap reports
 		}
-		earliest := one.silent.Add(f.workerHold() - earlySlack)
-		if one.next != 0 && one.next < earliest {
-			text := "was started elsewhere before the hold of its silent worker " + one.one.Worker + " had lapsed"
-			found = append(found, Violation{P11, one.one.Task, text, []monoclock.Nanos{one.next, one.silent, earliest}})
+		if !one.one.cut && f.heardBetween(one.one.Worker, one.one.over, one.next) {
+			continue
+		}
+		found = append(found, f.earlyRestart(one.one, one.silent, one.next)...)
+	}
+	return found
+}
+
+// earlyRestart reports a start elsewhere before the hold of a worker that is
+// silent since some time can have lapsed.
+func (f *facts) earlyRestart(one run, silent, next monoclock.Nanos) []Violation {
+	earliest := silent.Add(f.workerHold() - earlySlack)
+	if next >= earliest {
+		return nil
+	}
+	text := "was started elsewhere before the hold of its silent worker " + one.Worker + " had lapsed"
+	return []Violation{{P11, one.Task, text, []monoclock.Nanos{next, silent, earliest}}}
+}
+
+// heardBetween reports whether a worker was not silent at some moment of a time.
+func (f *facts) heardBetween(worker string, from, to monoclock.Nanos) bool {
+	return !slices.ContainsFunc(f.silences(worker), func(silence span) bool {
+		return silence.from <= from && silence.to >= to
+	})
+}
+
+// checkUnheardEnds (P11): while a worker cannot be heard nobody learns of the end
+// of a run there, however it ended, so that its task starts again only once the
+// hold has lapsed.
+func (f *facts) checkUnheardEnds() []Violation {
+	var found []Violation
+	for _, runs := range f.byTask {
+		for index := range len(runs) - 1 {
+			one, next := runs[index], runs[index+1].Mono
+			lapsed := one.Outcome == api.OutcomeStopped && f.lapsedSince(one) != 0
+			if one.End == 0 || lapsed || next < one.over {
+				continue // checkEarlyRestart and checkOverlap look at these
+			}
+			if mute := f.muteDuring(one.Worker, one.End, next); mute != 0 {
+				found = append(found, f.earlyRestart(one, mute, next)...)
+			}
 		}
 	}
 	return found
 }
+
+// muteDuring returns since when a worker could not be heard by anybody, if that
+// was so for the whole of a time; 0 if it was not.
+func (f *facts) muteDuring(worker string, from, to monoclock.Nanos) monoclock.Nanos {
+	for _, mute := range f.muteSpans(worker) {
+		if mute.from.Add(faultSlack) <= from && mute.to.Add(-faultSlack) >= to {
+			return mute.from
+		}
+	}
+	return 0
+}
--- a/lab/check/spans.go
+++ b/lab/check/spans.go
@@ -91,6 +91,14 @@
 	return 2*count > len(schedulers) || len(schedulers) == 0
 }
 
+// sends reports whether what a process sends can reach one of the schedulers'
+// places.
+func (n *network) sends(process string, schedulers []string) bool {
+	return len(schedulers) == 0 || slices.ContainsFunc(schedulers, func(scheduler string) bool {
+		return n.cuts[link{process, scheduler}] == 0
+	})
+}
+
 // spansWhere returns the times at which something was true of the network.
 func (f *facts) spansWhere(holds func(*network) bool) []span {
 	state := newNetwork()
@@ -137,6 +145,20 @@
 	return known
 }
 
+// muteSpans returns the times at which nothing that a worker sends can reach any
+// scheduler.
+func (f *facts) muteSpans(worker string) []span {
+	known, found := f.mute[worker]
+	if !found {
+		agent := f.workers[worker].Agent
+		known = f.spansWhere(func(n *network) bool {
+			return !n.works(worker) || !n.works(agent) || n.cuts[link{worker, agent}] > 0 || !n.sends(agent, f.input.Schedulers)
+		})
+		f.mute[worker] = known
+	}
+	return known
+}
+
 // controlFaults returns when schedulers or links between them failed or came
 // back, each of which may bring a new leader.
 func (f *facts) controlFaults() []monoclock.Nanos {
