Take runs that no order has named from silent workers

Change: a worker that goes unheard for two heartbeat intervals after an answer is silent. Its runs that no order has named are withdrawn, once for each silence and while others are heard; they can never start there, so no hold is waited for. Members of groups stay. Silent workers, and those whose newest heartbeat tells that the answer before was not accepted, get work last.

Result: five of the ten new tests fail without the change, the others guard its limits; existing tests pass unchanged.

--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -78,6 +78,7 @@
 	observed := &observation{request: request, worker: worker, lapses: worker.lapses}
 	if worker.hear(heartbeat, now) {
 		l.occupy(worker)
+		l.refresh(worker, now)
 		worker.noteCheckpoints(heartbeat.Progress)
 		observed.mustRegister = l.mustRegister(worker, workerInfo(request, 0), now)
 		observed.differences = reconcile(worker.runs, heartbeat)
@@ -181,10 +182,7 @@
 	}
 	prompt := len(acknowledged) > 0 || !worker.answered()
 	worker.answer(l.now(), l.hold(), l.driftMargin())
-	if worker.usable != worker.canTakeWork(l.now(), l.hold()) {
-		l.tellPlanner(worker)
-		l.wake()
-	}
+	l.refresh(worker, l.now())
 	answer := api.HeartbeatAnswer{
 		Seq:            worker.seq,
 		Token:          l.token,
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -38,10 +38,15 @@
 // or arrive again.
 func (l *leader) refreshUsable(now time.Duration) {
 	for _, worker := range l.workers {
-		if worker.usable == worker.canTakeWork(now, l.hold()) {
-			continue
-		}
-		l.tellPlanner(worker)
-		l.wake()
+		l.refresh(worker, now)
+	}
+}
+
+// refresh tells the planner of a worker if it was last told otherwise.
+func (l *leader) refresh(worker *workerEntry, now time.Duration) {
+	if worker.usable == worker.canTakeWork(now, l.hold()) && worker.doubted == l.doubtful(worker, now) {
+		return
 	}
+	l.tellPlanner(worker)
+	l.wake()
 }
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -264,6 +264,7 @@
 	now := l.now()
 	l.lapseHolds(now)
 	l.refreshUsable(now)
+	l.withdrawFromSilent(now)
 	l.stopDrained(now)
 	l.breakLateGroups(now)
 	l.stopAllDeparting(now)
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -316,6 +316,7 @@
 		return
 	}
 	worker.usable = worker.canTakeWork(l.now(), l.hold())
+	worker.doubted = l.doubtful(worker, l.now())
 	worker.inPlanner = true
 	l.planner.SetWorker(worker.planned(worker.usable))
 }
@@ -325,7 +326,7 @@
 		return
 	}
 	worker.inPlanner = false
-	worker.usable = false
+	worker.usable, worker.doubted = false, false
 	l.planner.RemoveWorker(worker.info.ID)
 }
 
--- /dev/null
+++ b/internal/scheduler/silence_test.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/decklever/decklever/api"
+)
+
+const (
+	// testBeat is the default heartbeat interval.
+	testBeat = 200 * time.Millisecond
+	// shortSilence and longSilence are numbers of heartbeat intervals: the longest
+	// pause that is none yet, and one that is longer, though far from a hold.
+	shortSilence = silentBeats
+	longSilence  = silentBeats + 1
+)
+
+// beats lets time pass in heartbeat intervals, in each of which the workers
+// exchange a heartbeat.
+func (h *harness) beats(intervals int, workers ...*fakeWorker) {
+	h.t.Helper()
+	for range intervals {
+		h.advance(testBeat)
+		for _, worker := range workers {
+			worker.exchange()
+		}
+	}
+}
+
+// silentAndOther are two workers, of which the first has a run that was not
+// ordered yet.
+func silentAndOther(t *testing.T, step api.StepSpec) (h *harness, silent, other *fakeWorker) {
+	t.Helper()
+	h = newHarness(t)
+	silent, other = h.worker("a", "a-1"), h.worker("b", "b-1")
+	silent.exchange()
+	h.submit("j", step)
+	other.exchange()
+	if task := h.task("j", 0); task.Run != 1 || task.Worker != "a" {
+		t.Fatalf("want run 1 on a, got %+v", task)
+	}
+	return h, silent, other
+}
+
+func TestRunThatNoOrderNamedLeavesASilentWorker(t *testing.T) {
+	h, _, other := silentAndOther(t, tasks(1))
+	h.beats(shortSilence, other)
+	if task := h.task("j", 0); task.Run != 1 || task.Worker != "a" {
+		t.Fatalf("withdrawn after %d heartbeat intervals: %+v", shortSilence, task)
+	}
+	h.beats(2, other)
+	if len(other.heartbeat.Running) != 1 || other.heartbeat.Running[0].Run != 2 {
+		t.Fatalf("want run 2 on the other worker long before the hold lapses, got %+v", other.heartbeat.Running)
+	}
+	if task := h.task("j", 0); task.Failures != 0 {
+		t.Errorf("a withdrawn run counted as %d failures", task.Failures)
+	}
+}
+
+func TestWithdrawnRunIsNeverOrdered(t *testing.T) {
+	h, silent, other := silentAndOther(t, tasks(1))
+	h.beats(longSilence, other)
+	if answer := silent.exchange(); len(answer.Start) != 0 {
+		t.Errorf("ordered where it was withdrawn: %+v", answer.Start)
+	}
+}
+
+func TestRunThatMayHaveBeenOrderedStaysOnASilentWorker(t *testing.T) {
+	h, silent, other := silentAndOther(t, tasks(1))
+	if answer, err := silent.send(); err != nil || len(answer.Start) != 1 {
+		t.Fatalf("want the order, got %+v, %v", answer, err)
+	}
+	h.beats(int(testHold/testBeat), other)
+	if task := h.task("j", 0); task.Run != 1 || task.Worker != "a" {
+		t.Errorf("given away while the hold stands: %+v", task)
+	}
+}
+
+func TestSilentWorkerGetsWorkLast(t *testing.T) {
+	h := newHarness(t)
+	silent, other := h.worker("a", "a-1"), h.worker("b", "b-1")
+	silent.exchange()
+	other.exchange()
+	h.beats(longSilence, other)
+	h.submit("j", tasks(5)) // one more than there is room elsewhere
+	counts := map[string]int{}
+	for index := range 5 {
+		counts[h.task("j", index).Worker]++
+	}
+	if counts["a"] != 1 || counts["b"] != 4 {
+		t.Fatalf("want 4 tasks on b and the last on a, got %v", counts)
+	}
+	h.beats(2, other)
+	for index := range 5 {
+		if task := h.task("j", index); task.Run != 1 {
+			t.Errorf("withdrawn though there is no room elsewhere: %+v", task)
+		}
+	}
+}
+
+// TestWorkerHeardAgainIsDoubtedNoMore has work go to the worker that it would go
+// to anyway.
+func TestWorkerHeardAgainIsDoubtedNoMore(t *testing.T) {
+	h := newHarness(t)
+	silent, other := h.worker("a", "a-1"), h.worker("b", "b-1")
+	silent.exchange()
+	other.exchange()
+	h.beats(longSilence, other)
+	h.beats(2, silent, other)
+	h.submit("j", tasks(1))
+	if task := h.task("j", 0); task.Worker != "a" {
+		t.Errorf("want it placed on a, got %+v", task)
+	}
+}
+
+// TestHeartbeatInWorkIsNoSilence has the log take so long that a worker, which
+// waits for its answer, cannot be heard meanwhile.
+func TestHeartbeatInWorkIsNoSilence(t *testing.T) {
+	h, silent, _ := silentAndOther(t, tasks(2))
+	silent.exchange()
+	h.submit("k", tasks(1))
+	silent.end(api.OutcomeSucceeded)
+	h.log.meanwhile = func() {
+		h.log.meanwhile = nil
+		h.advance(longSilence * testBeat)
+	}
+	if answer := silent.exchange(); len(answer.Start) != 1 || answer.Start[0].Run != 1 {
+		t.Errorf("want run 1 of k ordered in the late answer, got %+v", answer.Start)
+	}
+}
+
+// TestNothingIsWithdrawnWhileNobodyIsHeard: it would have nowhere to go.
+func TestNothingIsWithdrawnWhileNobodyIsHeard(t *testing.T) {
+	h, _, other := silentAndOther(t, tasks(1))
+	h.beats(longSilence)
+	if task := h.task("j", 0); task.Run != 1 {
+		t.Errorf("withdrawn: %+v", task)
+	}
+	h.beats(1)
+	other.exchange()
+	h.beats(2, other)
+	if task := h.task("j", 0); task.Run != 2 || task.Worker != "b" {
+		t.Errorf("want run 2 on b once that is heard, got %+v", task)
+	}
+}
+
+// TestGroupIsNotSentBackForASilentWorker: a run that is withdrawn sends its whole
+// group back, so a group waits for the hold.
+func TestGroupIsNotSentBackForASilentWorker(t *testing.T) {
+	step := tasks(2)
+	step.Together = true
+	h, _, other := silentAndOther(t, step)
+	h.beats(longSilence, other)
+	for index := range 2 {
+		if task := h.task("j", index); task.Run != 1 || task.Worker != "a" {
+			t.Errorf("member %d: %+v", index, task)
+		}
+	}
+}
+
+func TestTaskWhoseOrderWasLostGoesToAnotherWorker(t *testing.T) {
+	h, deaf, other := silentAndOther(t, tasks(1))
+	if answer, err := deaf.send(); err != nil || len(answer.Start) != 1 {
+		t.Fatalf("want the order, got %+v, %v", answer, err)
+	}
+	deaf.exchange() // tells that the answer was not accepted
+	if task := h.task("j", 0); task.Run != 2 || task.Worker != "b" {
+		t.Fatalf("want run 2 on b, got %+v", task)
+	}
+	if answer := other.exchange(); len(answer.Start) != 1 {
+		t.Errorf("want the order, got %+v", answer.Start)
+	}
+}
+
+func TestWorkerThatMissedAnAnswerGetsWorkAgain(t *testing.T) {
+	h := newHarness(t)
+	worker, other := h.worker("a", "a-1"), h.worker("b", "b-1")
+	worker.exchange()
+	if _, err := worker.send(); err != nil {
+		t.Fatal(err)
+	}
+	worker.exchange()
+	worker.exchange() // tells that the answer before was accepted
+	h.submit("j", tasks(1))
+	other.exchange()
+	if task := h.task("j", 0); task.Worker != "a" {
+		t.Errorf("want it placed on a, got %+v", task)
+	}
+}
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -27,6 +27,10 @@
 	// answeredSeq and answeredAt are of the newest answer in this term.
 	answeredSeq uint64
 	answeredAt  time.Duration
+	// deaf: the newest heartbeat told that the answer before it was not accepted.
+	deaf bool
+	// silenceSince is the answeredAt after which the worker was last found silent.
+	silenceSince time.Duration
 	// acceptedAt is when the newest answer known to be accepted was given.
 	acceptedAt time.Duration
 	// knownAt is when this leader first knew of the incarnation, which was then
@@ -49,8 +53,8 @@
 	drainedSince time.Duration
 	// departure is what the worker has said of its leaving.
 	departure departure
-	// usable is what the planner was last told.
-	usable bool
+	// usable and doubted are what the planner was last told.
+	usable, doubted bool
 	// verdict is how far the worker is trusted; of no standing as yet, it is.
 	verdict workerhealth.Verdict
 	// inPlanner is true while the planner knows the worker.
@@ -164,7 +168,8 @@
 	w.draining = heartbeat.Draining
 	w.departure.hear(heartbeat, now)
 	w.lapsed = false
-	if w.answered() && heartbeat.AcceptedSeq >= w.answeredSeq {
+	w.deaf = w.answered() && heartbeat.AcceptedSeq < w.answeredSeq
+	if w.answered() && !w.deaf {
 		w.acceptedAt = w.answeredAt
 		w.provenAt = w.answeredAt
 	}
@@ -217,7 +222,7 @@
 		Labels:   w.info.Labels,
 		Usable:   usable,
 
-		Slow:      w.verdict.Standing == workerhealth.Slow,
+		Slow:      w.verdict.Standing == workerhealth.Slow || w.doubted,
 		Probation: w.verdict.Standing == workerhealth.Probation,
 		HeldBack:  w.verdict.Standing == workerhealth.Suspect,
 	}
