Have bursts yield earlier, and keep room for large tasks beside them

Cause: jobs of queues beside one that bursts waited for seconds, though a model on a virtual clock kept them at 50 ms. That model has tasks of one size and a burst of 30 s.

- The burst was not judged to be overloaded while it lasted.
- Tasks ask for up to a whole worker.
One that does not fit was passed over, and the next piece of a worker went to a small task, mostly of the burst.
A queue whose tasks had all found no room did not even count among those that the burst shares with.

Ruled out: the front and the commit (accepted within 4 to 70 ms), the judge's measure, headroom (none), and the time to learn the rate alone (with tasks of half a worker it harmed less: 1.8 s; of a whole one 1.3 s).

Change: a queue whose newcomers wait for a sixth of what its objective leaves yields to those whose objective is at most twice as long; towards less urgent ones nothing changes. While a queue yields, what goes after a task that found no room leaves alone the worker that is closest to having it: at most half of the workers and 16, none that runs without an end fill. Lines count in the shares if they have something waiting, not only if it may find room. SetOverloaded of the planner is SetYields, which says to whom; its test is the same with all others named.

Beside tasks that take whatever room there is: those that run until cancelled take kept room as well, and nothing is kept while most processors of a service are free, so that nothing stands still beside room for it. Each has a test that fails without.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -106,6 +106,31 @@
 	}
 }
 
+// BenchmarkPlanWhileAQueueYields has tasks of 400 shapes wait for a whole worker, and a
+// queue that yields to them.
+func BenchmarkPlanWhileAQueueYields(b *testing.B) {
+	l := newLoad(1200, 22000)
+	for number := range 1200 { // that no worker is ever empty
+		l.engine.Hold(l.task(), fmt.Sprint("id", number))
+	}
+	for _, task := range l.running[:2000] { // room beside the kept workers
+		l.engine.Release(task.ID)
+	}
+	l.running = l.running[2000:]
+	l.engine.SetQueues([]QueueRule{{Name: "q0", Weight: 1, BySlack: true}, {Name: "q1", Weight: 2, BySlack: true}, {Name: "q2", Weight: 3, BySlack: true}})
+	l.engine.SetYields([]Yield{{Queue: "q0", To: []string{"q1", "q2"}}})
+	for number := range 400 {
+		whole := l.engine.workers.byID["id500"].Capacity
+		whole.MemoryMB -= int64(number)
+		l.engine.Add(Task{
+			ID: record.TaskID{Job: "large", Step: "a", Index: number}, Queue: "q1",
+			Spec: &api.TaskSpec{Service: "s", Resources: whole},
+		})
+	}
+	l.engine.Plan(1)
+	l.measure(b)
+}
+
 // addImpossible adds tasks that no worker can hold, in some 400 classes and
 // in groups of 20, ahead of all others.
 func (l *load) addImpossible(count int) {
--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -51,6 +51,8 @@
 	anyRoom bool
 	// anyTrust is set during a search among guarded workers too.
 	anyTrust bool
+	// search is set during one that leaves workers alone that are kept.
+	search *search
 	// groups are those parked until this class may find room, with the value
 	// of freed at which it may; wakeAt is the least of these.
 	groups map[*lane]uint64
@@ -190,6 +192,9 @@
 // fitsOn reports whether the class fits on a worker of its pool now, outside
 // of slices.
 func (c *class) fitsOn(w *worker) bool {
+	if !c.key.untilCancelled && c.search.leaves(w) {
+		return false
+	}
 	if !fits(c.key.need, w.free) || !c.leavesHeadroom(w) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
 		return false
 	}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -53,6 +53,10 @@
 	anyHeadroom bool
 	// crowding is as of the start of the pass, and what it has placed since.
 	crowding *crowding
+	// anyYields is set while a queue was told to yield.
+	anyYields bool
+	// setAside are lanes that the last pass held back for the kept workers.
+	setAside []*lane
 	// gathering is the group for which room is put aside, or nil.
 	gathering *gathering
 	// gatheredUntil is the pass in which a group last gave up: what waits goes first
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -67,6 +67,12 @@
 	return exceeds(room.used.CPUMillis, least.CPUMillis) && exceeds(room.used.MemoryMB, least.MemoryMB)
 }
 
+// busy reports whether the service is short of processors, whatever its memory.
+func (c *crowding) busy(service string) bool {
+	room, ok := c.rooms[service]
+	return ok && exceeds(room.used.CPUMillis, shareOfRoom(room.capacity, crowdedFrom).CPUMillis)
+}
+
 // exceeds holds for a room that no worker has as well.
 func exceeds(used, least int64) bool { return used > least || least == 0 }
 
@@ -111,7 +117,7 @@
 
 // countsCrowding reports whether anything depends on which services are crowded.
 func (e *Engine) countsCrowding() bool {
-	return e.anyHeadroom || len(e.workers.guarded) > 0 || e.gathering != nil
+	return e.anyHeadroom || e.anyYields || len(e.workers.guarded) > 0 || e.gathering != nil
 }
 
 // wakeHeldBack looks again at classes whose service was crowded when they were
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -1,16 +1,21 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/decklever/decklever/api"
 )
 
-// SetOverloaded implements Planner.
-func (e *Engine) SetOverloaded(queues []string) {
-	for name, q := range e.queues {
-		q.overloaded = slices.Contains(queues, name)
+// SetYields implements Planner.
+func (e *Engine) SetYields(yields []Yield) {
+	e.anyYields = len(yields) > 0
+	for _, q := range e.queues {
+		q.yieldsTo = nil
+	}
+	for _, yield := range yields {
+		q := e.queue(yield.Queue)
+		q.yieldsTo = make(map[*queue]bool, len(yield.To))
+		for _, to := range yield.To {
+			q.yieldsTo[e.queue(to)] = true
+		}
 	}
 }
 
@@ -25,7 +30,7 @@
 	return false
 }
 
-// sharers sums up the queues with BySlack that have something to place.
+// sharers sums up queues with BySlack.
 type sharers struct{ running, weight int }
 
 func (s *sharers) add(q *queue) {
@@ -33,34 +38,74 @@
 	s.weight += q.rule.Weight
 }
 
-// yields reports whether the queue lets the others go first: it can't serve all it
-// has within its objective, whatever the order, and has more than its share.
-func (s *sharers) yields(q *queue) bool {
-	return q.overloaded && q.running*s.weight > q.rule.Weight*s.running
+// rivals are the lines of one level that share by slack, for one pass; none while no
+// queue yields.
+type rivals struct {
+	lines []*line
+	// kept are the workers that are kept for lanes; looked is set once those that
+	// found no room before have one.
+	kept   []*worker
+	looked bool
+	// favoured are the queues whose lanes get one.
+	favoured map[*queue]bool
 }
 
-// mostUrgent returns the line with BySlack that goes first: by Sequence, those that
-// yield last; nil if none may place.
-func (s *sharers) mostUrgent(lines []*line) *line {
-	var first *line
-	for _, l := range lines {
-		if l.queue.rule.BySlack && l.mayPlace() && (first == nil || s.before(l, first)) {
-			first = l
+// rivalsIn finds the rivals of a level.
+func (e *Engine) rivalsIn(lv *level) *rivals {
+	found := &rivals{}
+	if !e.anyYields {
+		return found
+	}
+	for _, l := range lv.lines {
+		if l.queue.rule.BySlack {
+			found.lines = append(found.lines, l)
 		}
 	}
-	return first
+	return found
 }
 
-func (s *sharers) before(a, b *line) bool {
-	if byYielding := cmp.Compare(number(s.yields(a.queue)), number(s.yields(b.queue))); byYielding != 0 {
-		return byYielding < 0
+// yields reports whether the queue lets others go first: it was told to, and has more
+// than its weight's share of the open runs of itself and of those others that have
+// something waiting, also if that found no room.
+func (r *rivals) yields(q *queue) bool {
+	if len(q.yieldsTo) == 0 || !q.rule.BySlack {
+		return false
 	}
-	return a.first(b)
+	sum := sharers{}
+	for _, l := range r.lines {
+		if l.queue == q || q.yieldsTo[l.queue] && l.hasWaiting() {
+			sum.add(l.queue)
+		}
+	}
+	return q.running*sum.weight > q.rule.Weight*sum.running
 }
 
-func number(yes bool) int {
-	if yes {
-		return 1
+// hasWaiting reports whether something waits in the line for room.
+func (l *line) hasWaiting() bool { return l.queue.mayRun(1) && (len(l.lanes) > 0 || l.groups > 0) }
+
+// mostUrgent returns the line with BySlack that goes first: the first by Sequence
+// or, if its queue yields, the first of those to which it does and that do not yield
+// themselves; nil if none may place.
+func (r *rivals) mostUrgent(lines []*line) *line {
+	first := firstOf(lines, func(*line) bool { return true })
+	if first == nil || !r.yields(first.queue) {
+		return first
 	}
-	return 0
+	other := firstOf(lines, func(l *line) bool { return first.queue.yieldsTo[l.queue] && !r.yields(l.queue) })
+	if other != nil {
+		return other
+	}
+	return first
+}
+
+// firstOf returns the line with BySlack that is first by Sequence, of those that may
+// place and are wanted; nil if there is none.
+func firstOf(lines []*line, wanted func(*line) bool) *line {
+	var first *line
+	for _, l := range lines {
+		if l.queue.rule.BySlack && l.mayPlace() && (first == nil || l.first(first)) && wanted(l) {
+			first = l
+		}
+	}
+	return first
 }
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -30,12 +30,27 @@
 		t.Run(c.name, func(t *testing.T) {
 			e := newEngine(testWorker("w", cpu(1000)))
 			e.SetQueues(c.rules)
-			e.SetOverloaded(c.overloaded)
+			e.SetYields(toAll(c.rules, c.overloaded))
 			expect(t, "order", queueOrder(e, c.queues), c.want)
 		})
 	}
 }
 
+// toAll has queues yield to all others.
+func toAll(rules []QueueRule, queues []string) []Yield {
+	var yields []Yield
+	for _, name := range queues {
+		yield := Yield{Queue: name}
+		for _, rule := range rules {
+			if rule.Name != name {
+				yield.To = append(yield.To, rule.Name)
+			}
+		}
+		yields = append(yields, yield)
+	}
+	return yields
+}
+
 func TestHasRoom(t *testing.T) {
 	worker := testWorker("w", cpu(4))
 	worker.Services = []string{"s"}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -29,6 +29,7 @@
 	e.wakeClasses(e.workers.takeChanged())
 	p.gather()
 	p.takeUpAgain()
+	e.takeUpSetAside()
 	// Levels that run empty are dropped on the way, hence the copy.
 	for _, lv := range slices.Clone(e.levels) {
 		if !p.planLevel(lv) {
@@ -41,13 +42,14 @@
 // planLevel places what waits with one priority. It returns false once the
 // pass is over.
 func (p *pass) planLevel(lv *level) bool {
-	lines := lv.readyLines()
+	lines, rivals := lv.readyLines(), p.engine.rivalsIn(lv)
+	defer rivals.release()
 	for len(p.decisions) < p.limit {
-		next := nextLine(lines)
+		next := nextLine(lines, rivals)
 		if next == nil {
 			return true
 		}
-		if !p.planLane(next.ready[0]) {
+		if !p.planNext(next, rivals) {
 			return false
 		}
 	}
@@ -127,7 +129,7 @@
 // nextLine returns the line whose queue has the lowest share, then the one
 // with the lowest Sequence; nil if none may place. Queues with BySlack share
 // together; which of these goes first, mostUrgent says.
-func nextLine(lines []*line) *line {
+func nextLine(lines []*line, r *rivals) *line {
 	var best *line
 	var sharing sharers
 	for _, l := range lines {
@@ -142,7 +144,7 @@
 		}
 		sharing.add(l.queue)
 	}
-	urgent := sharing.mostUrgent(lines)
+	urgent := r.mostUrgent(lines)
 	switch {
 	case urgent == nil:
 		return best
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -278,10 +278,25 @@
 	return len(decisions)
 }
 
-// planAll checks that nothing that could be placed alone still waits. A booked
-// run may make slices move in the middle of a pass, so that there is room for
-// tasks that were passed over: they come in the next.
+// setYields has queues yield, or no longer.
+func (m *model) setYields(t *rapid.T) {
+	yields := rapid.SampledFrom([][]Yield{
+		nil,
+		{{Queue: "q1", To: []string{"q2"}}},
+		{{Queue: "q2", To: []string{"q1"}}},
+		{{Queue: "q1", To: []string{"q2"}}, {Queue: "q2", To: []string{"q1"}}},
+	}).Draw(t, "yields")
+	m.both(func(e *Engine) { e.SetYields(yields) })
+}
+
+// planAll checks that nothing that could be placed alone still waits, once no queue
+// leaves room alone for others. A booked run may make slices move in the middle of a
+// pass, so that there is room for tasks that were passed over: they come in the next.
 func (m *model) planAll(t *rapid.T) {
+	for m.plan(t, 1_000_000) > 0 {
+		continue
+	}
+	m.both(func(e *Engine) { e.SetYields(nil) })
 	for m.plan(t, 1_000_000) > 0 {
 		continue
 	}
@@ -344,6 +359,7 @@
 			"removeWorker": m.removeWorker,
 			"setQueues":    m.setQueues,
 			"setTeams":     m.setTeams,
+			"setYields":    m.setYields,
 			"setTime":      m.setTime,
 			"reserve":      m.reserve,
 			"obey":         m.obey,
--- a/internal/placement/queues.go
+++ b/internal/placement/queues.go
@@ -17,8 +17,8 @@
 	team *team
 	// booked is set while a window of the queue is kept.
 	booked bool
-	// overloaded is set while the queue can't serve all it has in time.
-	overloaded bool
+	// yieldsTo are the queues that go first while this one has more than its share.
+	yieldsTo map[*queue]bool
 	// groups are those parked until a run of the queue ends or its rule changes.
 	groups map[*lane]struct{}
 }
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -83,6 +83,12 @@
 	Labels  map[string]string
 }
 
+// Yield says that a queue lets others go first.
+type Yield struct {
+	Queue string
+	To    []string
+}
+
 // Preemption asks for a run to be stopped so that Beneficiary can be placed.
 type Preemption struct {
 	Task        record.TaskID
@@ -173,11 +179,12 @@
 	// Possible tells whether any of the given workers, all empty, could hold
 	// the task; if not, why.
 	Possible(spec *api.TaskSpec, workers []Worker) (bool, string)
-	// SetOverloaded names the queues that cannot serve all they have within their
-	// objectives. Of queues with BySlack, one that is named and has more than its
-	// weight's share of the open runs, of those with something to place, goes after
-	// the others whatever its Sequence, so that its burst does them no harm.
-	SetOverloaded(queues []string)
+	// SetYields says which queues with BySlack let which others go first. One does
+	// while it has more than its weight's share of the open runs, of itself and of
+	// those others that have something waiting, so that its burst does them no harm:
+	// it goes after them whatever its Sequence, and leaves room alone that is about
+	// to become enough for their tasks.
+	SetYields(yields []Yield)
 	// HasRoom tells whether some worker has room for the task now, outside of what
 	// is kept for bookings. Spread is not looked at.
 	HasRoom(spec *api.TaskSpec) bool
--- a/internal/placement/workers.go
+++ b/internal/placement/workers.go
@@ -27,6 +27,9 @@
 	points []point
 	// firm is the part of free that no slice needs at any time.
 	firm api.Resources
+	// keptFor is set during a pass while what goes after the lane leaves the worker
+	// alone.
+	keptFor *lane
 	// guarded is true on probation and while held back: the worker may take a
 	// part of what comes only.
 	guarded bool
--- a/internal/scheduler/burst_test.go
+++ b/internal/scheduler/burst_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -32,18 +33,27 @@
 	submitted map[string]time.Duration
 	waits     map[string][]time.Duration
 	// again are refused submissions by when they come again.
-	again   map[time.Duration][]string
+	again map[time.Duration][]string
+	// lengths are the lengths of the runs of a job, burstWork if it has none;
+	// started is when its first run began.
+	lengths map[string]time.Duration
+	started map[string]time.Duration
 	refused map[string]int
 	count   int
 }
 
 func newBurstFleet(t *testing.T, queues ...api.QueueConfig) *burstFleet {
+	return newBurstFleetOf(t, burstWorkers, queues...)
+}
+
+func newBurstFleetOf(t *testing.T, workers int, queues ...api.QueueConfig) *burstFleet {
 	f := &burstFleet{
 		harness: newHarness(t), due: map[api.RunRef]time.Duration{}, submitted: map[string]time.Duration{},
 		waits: map[string][]time.Duration{}, again: map[time.Duration][]string{}, refused: map[string]int{},
+		lengths: map[string]time.Duration{}, started: map[string]time.Duration{},
 	}
 	f.putConfig(api.Config{Queues: queues})
-	for number := range burstWorkers {
+	for number := range workers {
 		worker := f.worker(fmt.Sprintf("w%d", number), fmt.Sprintf("w%d-1", number))
 		worker.exchange()
 		f.workers = append(f.workers, worker)
@@ -55,7 +65,12 @@
 // hand hands a job of one task in; refused, it comes again when it was told.
 func (f *burstFleet) hand(queue, id string) {
 	f.t.Helper()
-	spec := api.JobSpec{Queue: queue, Steps: []api.StepSpec{estimated(1, burstWork)}}
+	f.handSpec(queue, id, estimated(1, burstWork))
+}
+
+func (f *burstFleet) handSpec(queue, id string, step api.StepSpec) {
+	f.t.Helper()
+	spec := api.JobSpec{Queue: queue, Steps: []api.StepSpec{step}}
 	if _, again := f.submitted[id]; !again {
 		f.submitted[id] = f.now
 	}
@@ -113,7 +128,10 @@
 	for range 2 { // the first answer takes the ends, the second fills the room
 		for _, order := range worker.exchange().Start {
 			job := order.Task[:len(order.Task)-len("/s/0")]
-			f.due[order.RunRef] = f.now + burstWork
+			f.due[order.RunRef] = f.now + cmp.Or(f.lengths[job], burstWork)
+			if _, begun := f.started[job]; !begun {
+				f.started[job] = f.now
+			}
 			if job == lastingJob {
 				f.due[order.RunRef] = f.now + time.Hour
 			}
--- a/internal/scheduler/intake.go
+++ b/internal/scheduler/intake.go
@@ -7,6 +7,7 @@
 
 	"github.com/decklever/decklever/internal/admission"
 	"github.com/decklever/decklever/internal/objective"
+	"github.com/decklever/decklever/internal/placement"
 	"github.com/decklever/decklever/internal/record"
 )
 
@@ -19,14 +20,17 @@
 	// before the queue yields to others, refuseAfter before it refuses jobs.
 	yieldAfter  = 100 * time.Millisecond
 	refuseAfter = time.Second
+	// pressedPart: a queue is pressed while a newcomer waits for longer than one part
+	// in so many of what its objective leaves.
+	pressedPart = 6
 )
 
 // intake follows how fast the tasks of queues begin to run. It lives in memory: a
 // new leader learns it anew.
 type intake struct {
 	queues map[string]*queueIntake
-	// overloaded are the queues that the planner was told of.
-	overloaded []string
+	// yields is what the planner was told.
+	yields []placement.Yield
 }
 
 // queueIntake is what is known of one queue.
@@ -34,9 +38,10 @@
 	flow admission.Flow
 	// chain is the longest chain of estimates of a typical job.
 	chain time.Duration
-	// overloaded closes while the objective cannot be met, hopeless while a job
-	// would end beyond the multiple from which on it is refused.
-	overloaded, hopeless admission.Gate
+	// pressed closes while newcomers wait for a good part of the objective,
+	// overloaded while it cannot be met, hopeless while a job would end beyond the
+	// multiple from which on it is refused.
+	pressed, overloaded, hopeless admission.Gate
 	// returns are the times at which refused jobs are to come back.
 	returns admission.Returns
 }
@@ -58,7 +63,10 @@
 func (i *intake) queue(name string) *queueIntake {
 	found, known := i.queues[name]
 	if !known {
-		found = &queueIntake{overloaded: admission.Gate{After: yieldAfter}, hopeless: admission.Gate{After: refuseAfter}}
+		found = &queueIntake{
+			pressed: admission.Gate{After: yieldAfter}, overloaded: admission.Gate{After: yieldAfter},
+			hopeless: admission.Gate{After: refuseAfter},
+		}
 		i.queues[name] = found
 	}
 	return found
@@ -111,7 +119,6 @@
 
 // reviewIntake looks at how long newcomers of each queue would wait.
 func (l *leader) reviewIntake(now time.Duration) {
-	var overloaded []string
 	for index := range l.config.Queues {
 		config := &l.config.Queues[index]
 		queue, known := l.intake.queues[config.Name]
@@ -119,17 +126,16 @@
 			continue
 		}
 		wait, measured := queue.flow.ExpectedWait(now)
-		queue.overloaded.Look(now, wait, max(objective.Allowance(config.Objective, queue.chain, 1), leastWait), measured)
+		allowance := objective.Allowance(config.Objective, queue.chain, 1)
+		queue.overloaded.Look(now, wait, max(allowance, leastWait), measured)
+		queue.pressed.Look(now, wait, max(allowance/pressedPart, leastWait), measured)
 		if beyond := config.Objective.RefuseBeyond; beyond > 0 {
 			queue.hopeless.Look(now, wait, max(objective.Allowance(config.Objective, queue.chain, beyond), leastWait), measured)
 		}
-		if queue.overloaded.Closed() {
-			overloaded = append(overloaded, config.Name)
-		}
 	}
-	if !slices.Equal(overloaded, l.intake.overloaded) {
-		l.intake.overloaded = overloaded
-		l.planner.SetOverloaded(overloaded)
+	if yields := l.yields(); !slices.EqualFunc(yields, l.intake.yields, sameYield) {
+		l.intake.yields = yields
+		l.planner.SetYields(yields)
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/yields.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/objective"
+	"github.com/decklever/decklever/internal/placement"
+)
+
+// longestEqual: a queue is about as urgent as another if its objective leaves at most
+// so many times as long.
+const longestEqual = 2
+
+// yields says which queues let which others go first, in the order of the
+// configuration.
+func (l *leader) yields() []placement.Yield {
+	var yields []placement.Yield
+	for index := range l.config.Queues {
+		config := &l.config.Queues[index]
+		queue, known := l.intake.queues[config.Name]
+		if !known || config.Objective == nil {
+			continue
+		}
+		if to := queue.yieldsTo(config, l.config.Queues); len(to) > 0 {
+			yields = append(yields, placement.Yield{Queue: config.Name, To: to})
+		}
+	}
+	return yields
+}
+
+// yieldsTo returns the queues that go first. What cannot meet its objective whatever
+// the order lets all go first that have one. What is pressed only lets those that are
+// about as urgent: its work is no more urgent than theirs, only older, while less
+// urgent work is not to go before it as long as its objective can be met.
+func (q *queueIntake) yieldsTo(own *api.QueueConfig, queues []api.QueueConfig) []string {
+	overloaded := q.overloaded.Closed()
+	if !overloaded && !q.pressed.Closed() {
+		return nil
+	}
+	longest := longestEqual * objective.Allowance(own.Objective, q.chain, 1)
+	var to []string
+	for _, other := range queues {
+		if other.Name == own.Name || other.Objective == nil {
+			continue
+		}
+		if overloaded || objective.Allowance(other.Objective, q.chain, 1) <= longest {
+			to = append(to, other.Name)
+		}
+	}
+	return to
+}
+
+func sameYield(a, b placement.Yield) bool {
+	return a.Queue == b.Queue && slices.Equal(a.To, b.To)
+}
--- /dev/null
+++ b/internal/scheduler/yields_test.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/decklever/decklever/api"
+	"github.com/decklever/decklever/internal/admission"
+	"github.com/decklever/decklever/internal/placement"
+)
+
+// closeGate has a gate take in a wait that is too long for long enough.
+func closeGate(gate *admission.Gate) {
+	for _, now := range []time.Duration{0, time.Hour} {
+		gate.Look(now, 2*time.Second, time.Second, true)
+	}
+}
+
+// TestToWhomAQueueYields: "a" has an objective of 2 s, those of the others are told by
+// their names.
+func TestToWhomAQueueYields(t *testing.T) {
+	h := newHarness(t)
+	queues := []api.QueueConfig{{Name: "none"}}
+	for name, target := range map[string]time.Duration{"a": 2, "shorter-1": 1, "equal-2": 2, "twice-4": 4, "longer-5": 5} {
+		queues = append(queues, api.QueueConfig{Name: name, Objective: &api.ObjectiveConfig{Target: api.Duration(target * time.Second)}})
+	}
+	h.putConfig(api.Config{Queues: queues})
+	cases := []struct {
+		name   string
+		closed func(*queueIntake)
+		want   map[string]bool
+	}{
+		{"served in time", func(*queueIntake) {}, nil},
+		{"pressed", func(q *queueIntake) { closeGate(&q.pressed) }, map[string]bool{"shorter-1": true, "equal-2": true, "twice-4": true}},
+		{
+			"overloaded", func(q *queueIntake) { closeGate(&q.overloaded) },
+			map[string]bool{"shorter-1": true, "equal-2": true, "twice-4": true, "longer-5": true},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h.leader.intake = newIntake()
+			c.closed(h.leader.intake.queue("a"))
+			if diff := cmp.Diff(c.want, yieldsOf(t, h.leader.yields(), "a")); diff != "" {
+				t.Errorf("a yields to (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// yieldsOf returns to whom a queue yields; no other may.
+func yieldsOf(t *testing.T, yields []placement.Yield, name string) map[string]bool {
+	t.Helper()
+	var found map[string]bool
+	for _, yield := range yields {
+		if yield.Queue != name {
+			t.Errorf("%s yields", yield.Queue)
+			continue
+		}
+		found = map[string]bool{}
+		for _, to := range yield.To {
+			found[to] = true
+		}
+	}
+	return found
+}
