--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -29,6 +29,10 @@
 // as running for limits and fairness, and it is placed once the runs asked to
 // stop were released. Runs in slices are never victims.
 //
+// Yielding. A queue that yields goes after those to which it does. Meanwhile what goes
+// after a task that found no room leaves alone the worker that is closest to having it
+// (kept.go).
+//
 // Groups. A group that found no room for gatherAfter passes gets its places one
 // by one as they come free; one group at a time, and not for long while most room is
 // free.
