Bound how often tasks are taken from silent workers

Cause: on a machine that starves every process (load average 60 to 100 on 8 cores) heartbeats pause for 0.4 s and more everywhere. Whether its log entries made the pauses longer was not measured.

Change: runs are withdrawn only while at least half of the workers are heard, and a task at most three times until an order names it.

Result: each new test fails without its bound. What the bound changes on a starved machine was not measured.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -31,16 +31,20 @@
 	finely map[string]bool
 	// stalls counts how often a run of a task was stopped for standing still.
 	stalls map[record.TaskID]int
+	// withdrawn counts how often tasks that no order has named since were taken
+	// from silent workers.
+	withdrawn map[record.TaskID]int
 	// failedOn are the workers on which runs of tasks failed or stood still.
 	failedOn failedOn
 }
 
 func newHealth() health {
 	return health{
-		tracker:  workerhealth.New(),
-		finely:   make(map[string]bool),
-		stalls:   make(map[record.TaskID]int),
-		failedOn: make(failedOn),
+		tracker:   workerhealth.New(),
+		finely:    make(map[string]bool),
+		stalls:    make(map[record.TaskID]int),
+		withdrawn: make(map[record.TaskID]int),
+		failedOn:  make(failedOn),
 	}
 }
 
@@ -50,6 +54,7 @@
 	for _, step := range steps {
 		for _, task := range step.Tasks {
 			delete(h.stalls, task.ID)
+			delete(h.withdrawn, task.ID)
 		}
 	}
 }
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -222,6 +222,7 @@
 		}
 		run.orderedAt = worker.seq
 		run.sentAt = l.now()
+		delete(l.health.withdrawn, run.id.Task)
 		orders = append(orders, run.order())
 	}
 	return orders
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -9,6 +9,10 @@
 // answer until it counts as silent.
 const silentBeats = 2
 
+// maxWithdrawals is how often a task is taken from silent workers until an order
+// names it, so that work does not go round for long where heartbeats are slow.
+const maxWithdrawals = 3
+
 // silent tells whether the worker's next heartbeat is overdue. While one is in work
 // the worker waits for its answer, and is not silent.
 func (w *workerEntry) silent(now, interval time.Duration) bool {
@@ -23,12 +27,12 @@
 }
 
 // withdrawFromSilent closes the runs on silent workers that no order has named,
-// while other workers are heard. They surely never start there, so nothing need be
+// while most workers are heard. They surely never start there, so nothing need be
 // waited for, and their tasks can run elsewhere long before the hold lapses. It is
 // done once for each silence: what is placed there afterwards found no room
 // elsewhere. A member of a group stays, since its loss would send the group back.
 func (l *leader) withdrawFromSilent(now time.Duration) {
-	if !l.hearsAnyWorker(now) {
+	if !l.hearsMostWorkers(now) {
 		return
 	}
 	for _, worker := range l.workers {
@@ -43,23 +47,25 @@
 	}
 }
 
-// hearsAnyWorker reports whether some worker would take an order soon. None does
-// after a pause of this process itself.
-func (l *leader) hearsAnyWorker(now time.Duration) bool {
+// hearsMostWorkers reports whether at least half of the workers would take an order
+// soon. They would not after a pause of this process itself.
+func (l *leader) hearsMostWorkers(now time.Duration) bool {
+	heard := 0
 	for _, worker := range l.byName {
 		if worker.canTakeWork(now, l.hold()) && !l.doubtful(worker, now) {
-			return true
+			heard++
 		}
 	}
-	return false
+	return heard > 0 && 2*heard >= len(l.byName)
 }
 
-// withdrawSingle closes the runs of a worker that were never ordered and belong to
-// no group, and returns their number.
+// withdrawSingle closes the runs of a worker that were never ordered, belong to no
+// group, and whose tasks were not withdrawn too often. It returns their number.
 func (l *leader) withdrawSingle(worker *workerEntry) int {
 	withdrawn := 0
 	for _, run := range worker.runs {
-		if run.neverOrdered() && !run.together && !run.closing {
+		if run.neverOrdered() && !run.together && !run.closing && l.health.withdrawn[run.id.Task] < maxWithdrawals {
+			l.health.withdrawn[run.id.Task]++
 			l.closeIfNeverOrdered(run)
 			withdrawn++
 		}
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -145,6 +145,38 @@
 	}
 }
 
+// TestTaskIsWithdrawnSomeTimesUntilItIsOrdered: work does not go round for ever
+// between workers whose heartbeats are slow. Here each turns silent as soon as the
+// task is placed on it.
+func TestTaskIsWithdrawnSomeTimesUntilItIsOrdered(t *testing.T) {
+	h, first, second := silentAndOther(t, tasks(1))
+	third := h.worker("c", "c-1")
+	third.exchange()
+	workers := map[string]*fakeWorker{"a": first, "b": second, "c": third}
+	for range (maxWithdrawals + 3) * longSilence { // less than a hold after the last
+		h.advance(testBeat)
+		holder := h.task("j", 0).Worker
+		for name, worker := range workers {
+			if name != holder {
+				worker.exchange()
+			}
+		}
+	}
+	if task := h.task("j", 0); task.Run != 1+maxWithdrawals {
+		t.Fatalf("want it withdrawn %d times, got %+v", maxWithdrawals, task)
+	}
+}
+
+// TestNothingIsWithdrawnWhileMostAreSilent: the pause is then a common one.
+func TestNothingIsWithdrawnWhileMostAreSilent(t *testing.T) {
+	h, _, other := silentAndOther(t, tasks(1))
+	h.worker("c", "c-1").exchange()
+	h.beats(longSilence+1, other)
+	if task := h.task("j", 0); task.Run != 1 {
+		t.Errorf("withdrawn: %+v", task)
+	}
+}
+
 // TestGroupIsNotSentBackForASilentWorker: a run that is withdrawn sends its whole
 // group back, so a group waits for the hold.
 func TestGroupIsNotSentBackForASilentWorker(t *testing.T) {
