Test on a clock that load cannot move which calls have an unknown outcome

Cause: on a machine with other work, load average 14 to 24 on 8 cores, the checks failed once: a submission that a leader refused again and again was answered as unknown, since its last try was on its way when the 250 ms of the test were over. That answer is right then; the test hung on the machine's speed.

Change: each case runs in a bubble, on connections inside the process. The cases and what they want are the same; a try takes no time there.

--- a/internal/front/fakes_test.go
+++ b/internal/front/fakes_test.go
@@ -16,6 +16,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
+	"github.com/decklever/decklever/internal/testnetwork"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -94,6 +95,17 @@
 	return leader
 }
 
+// newLeaderOn is newLeader in a bubble of testing/synctest, on a network of its own.
+func newLeaderOn(t *testing.T, network *testnetwork.Network, address string) *fakeLeader {
+	t.Helper()
+	leader := &fakeLeader{server: rpc.NewServer(rpc.ServerConfig{}), address: address}
+	server := &http.Server{Handler: leader.server, ReadHeaderTimeout: time.Second}
+	listener := network.Listen(t, address)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return leader
+}
+
 // on serves a method; the handler gets the number of the call, from 1.
 func on[Request, Answer any](leader *fakeLeader, method fleet.Method, handler func(context.Context, Request, int) (Answer, error)) {
 	rpc.Handle(leader.server, method, func(ctx context.Context, request Request) (Answer, error) {
@@ -121,7 +133,19 @@
 
 func newFront(t *testing.T, link *fakeLink, settings Settings) *Front {
 	t.Helper()
-	client := rpc.NewClient(rpc.ClientConfig{Timeout: MaxTry + time.Second})
+	return newFrontWith(t, rpc.ClientConfig{}, link, settings)
+}
+
+// newFrontOn is newFront on a network of the test's own.
+func newFrontOn(t *testing.T, network *testnetwork.Network, link *fakeLink, settings Settings) *Front {
+	t.Helper()
+	return newFrontWith(t, rpc.ClientConfig{Dialer: network.DialContext}, link, settings)
+}
+
+func newFrontWith(t *testing.T, config rpc.ClientConfig, link *fakeLink, settings Settings) *Front {
+	t.Helper()
+	config.Timeout = MaxTry + time.Second
+	client := rpc.NewClient(config)
 	t.Cleanup(client.Close)
 	front, err := New(Config{
 		Link: link, Client: client, Settings: settings,
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -5,12 +5,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
-	"github.com/decklever/decklever/internal/testaddress"
+	"github.com/decklever/decklever/internal/testnetwork"
 )
 
 const shortDeadline = 250 * time.Millisecond
@@ -44,34 +45,43 @@
 	}
 }
 
-// TestGivingUp checks which calls are answered with an unknown outcome.
+// TestGivingUp checks which calls are answered with an unknown outcome, on a clock
+// that load cannot move: a try that is cut short by the deadline is unknown as well.
 func TestGivingUp(t *testing.T) {
-	silent, refusing := newLeader(t), newLeader(t)
-	hang(silent, fleet.MethodSubmit, fleet.SubmitRequest{}, fleet.SubmitAnswer{})
-	hang(silent, fleet.MethodCancel, fleet.CancelRequest{}, fleet.JobAnswer{})
-	hang(silent, fleet.MethodPutConfig, fleet.PutConfigRequest{}, fleet.PutConfigAnswer{})
-	hang(silent, fleet.MethodGetJob, fleet.GetJobRequest{}, fleet.JobAnswer{})
-	refuse[fleet.SubmitRequest, fleet.SubmitAnswer](refusing, fleet.MethodSubmit, &rpc.Error{Code: rpc.CodeUnavailable})
+	const silent, refusing, nobody = "silent:1", "refusing:1", "nobody:1"
 	cases := []struct {
 		name, leader, method, path, body string
 		code                             api.ErrorCode
 	}{
-		{"submit unanswered", silent.address, "PUT", "/v1/jobs/a", goodJob, api.CodeOutcomeUnknown},
-		{"cancel unanswered", silent.address, "POST", "/v1/jobs/a/cancel", "", api.CodeOutcomeUnknown},
-		{"config unanswered", silent.address, "PUT", "/v1/config", goodConfig, api.CodeOutcomeUnknown},
-		{"read unanswered", silent.address, "GET", "/v1/jobs/a", "", api.CodeUnavailable},
-		{"submit not taken", refusing.address, "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
-		{"no connection", testaddress.New(t), "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
+		{"submit unanswered", silent, "PUT", "/v1/jobs/a", goodJob, api.CodeOutcomeUnknown},
+		{"cancel unanswered", silent, "POST", "/v1/jobs/a/cancel", "", api.CodeOutcomeUnknown},
+		{"config unanswered", silent, "PUT", "/v1/config", goodConfig, api.CodeOutcomeUnknown},
+		{"read unanswered", silent, "GET", "/v1/jobs/a", "", api.CodeUnavailable},
+		{"submit not taken", refusing, "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
+		{"no connection", nobody, "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
 		{"no leader known", "", "PUT", "/v1/jobs/a", goodJob, api.CodeUnavailable},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			front := newFront(t, &fakeLink{leader: c.leader}, Settings{Deadline: shortDeadline})
-			wantError(t, ask(t, front, c.method, c.path, c.body, orderHeaders...), 503, c.code)
+			synctest.Test(t, func(t *testing.T) {
+				network := testnetwork.New()
+				hangAll(newLeaderOn(t, network, silent))
+				refuse[fleet.SubmitRequest, fleet.SubmitAnswer](newLeaderOn(t, network, refusing), fleet.MethodSubmit, &rpc.Error{Code: rpc.CodeUnavailable})
+				front := newFrontOn(t, network, &fakeLink{leader: c.leader}, Settings{Deadline: shortDeadline})
+				wantError(t, ask(t, front, c.method, c.path, c.body, orderHeaders...), 503, c.code)
+			})
 		})
 	}
 }
 
+// hangAll serves the methods of TestGivingUp without an answer.
+func hangAll(leader *fakeLeader) {
+	hang(leader, fleet.MethodSubmit, fleet.SubmitRequest{}, fleet.SubmitAnswer{})
+	hang(leader, fleet.MethodCancel, fleet.CancelRequest{}, fleet.JobAnswer{})
+	hang(leader, fleet.MethodPutConfig, fleet.PutConfigRequest{}, fleet.PutConfigAnswer{})
+	hang(leader, fleet.MethodGetJob, fleet.GetJobRequest{}, fleet.JobAnswer{})
+}
+
 // hang serves a method that never answers within its deadline.
 func hang[Request, Answer any](leader *fakeLeader, method fleet.Method, _ Request, none Answer) {
 	on(leader, method, func(ctx context.Context, _ Request, _ int) (Answer, error) {
