Name silent workers, kept rooms and isolated spans in plain words

Names only: answerMissed, silentIntervals, avoidLateWorkers, isolatedSpans and preferred stand for deaf, silentBeats, avoidTardy, muteSpans and favoured. The tests of the three packages pass with their assertions as they were.

--- a/internal/placement/kept.go
+++ b/internal/placement/kept.go
@@ -27,10 +27,10 @@
 		return
 	}
 	r.looked = true
-	r.favour()
+	r.findPreferred()
 	var without []*lane
 	for _, l := range r.lines {
-		if r.favoured[l.queue] {
+		if r.preferred[l.queue] {
 			without = l.appendWithoutRoom(without)
 		}
 	}
@@ -40,16 +40,16 @@
 	}
 }
 
-// favour notes the queues to which another yields now, of those that do not yield
+// findPreferred notes the queues to which another yields now, of those that do not yield
 // themselves.
-func (r *rivals) favour() {
-	r.favoured = map[*queue]bool{}
+func (r *rivals) findPreferred() {
+	r.preferred = map[*queue]bool{}
 	for _, l := range r.lines {
 		if !r.yields(l.queue) {
 			continue
 		}
 		for q := range l.queue.yieldsTo {
-			r.favoured[q] = !r.yields(q) && q.mayRun(1)
+			r.preferred[q] = !r.yields(q) && q.mayRun(1)
 		}
 	}
 }
@@ -85,7 +85,7 @@
 	case at >= 0 && placed:
 		r.kept[at].keptFor = nil
 		r.kept = slices.Delete(r.kept, at, at+1)
-	case at < 0 && !placed && l.position == indexheap.None && l.class != nil && r.favoured[l.line.queue]:
+	case at < 0 && !placed && l.position == indexheap.None && l.class != nil && r.preferred[l.line.queue]:
 		r.keepFor(e, l)
 	}
 }
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -46,8 +46,8 @@
 	// found no room before have one.
 	kept   []*worker
 	looked bool
-	// favoured are the queues whose lanes get one.
-	favoured map[*queue]bool
+	// preferred are the queues whose lanes get one.
+	preferred map[*queue]bool
 }
 
 // rivalsIn finds the rivals of a level.
--- a/internal/scheduler/lockstep.go
+++ b/internal/scheduler/lockstep.go
@@ -95,15 +95,15 @@
 		l.logger.Warn("group did not start whole in time", slog.String("group", key.String()),
 			slog.Int("members", len(group.open)), slog.Bool("ordered", group.released))
 		delete(l.starting, key)
-		l.avoidTardy(group)
+		l.avoidLateWorkers(group)
 		l.breakGroup(group)
 	}
 }
 
-// avoidTardy has the group run elsewhere if it can than on the workers that kept it
+// avoidLateWorkers has the group run elsewhere if it can than on the workers that kept it
 // from starting whole: those that were not heard in time to take their orders, or to
 // tell that they have started.
-func (l *leader) avoidTardy(group *groupState) {
+func (l *leader) avoidLateWorkers(group *groupState) {
 	now := l.now()
 	for id, started := range group.open {
 		run := l.runs[id]
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// silentBeats is for how many heartbeat intervals a worker may go unheard after an
+// silentIntervals is for how many heartbeat intervals a worker may go unheard after an
 // answer until it counts as silent.
-const silentBeats = 2
+const silentIntervals = 2
 
 // maxWithdrawals is how often a task is taken from silent workers until an order
 // names it, so that work does not go round for long where heartbeats are slow.
@@ -16,14 +16,14 @@
 // silent tells whether the worker's next heartbeat is overdue. While one is in work
 // the worker waits for its answer, and is not silent.
 func (w *workerEntry) silent(now, interval time.Duration) bool {
-	return w.answered() && w.seq == w.answeredSeq && now-w.answeredAt > silentBeats*interval
+	return w.answered() && w.seq == w.answeredSeq && now-w.answeredAt > silentIntervals*interval
 }
 
 // doubtful tells whether an order to the worker would probably come late: it is
 // silent, or the newest answer that it can tell of did not arrive. Such a worker
 // gets work last.
 func (l *leader) doubtful(worker *workerEntry, now time.Duration) bool {
-	return worker.registered && (worker.deaf || worker.silent(now, l.interval(false)))
+	return worker.registered && (worker.answerMissed || worker.silent(now, l.interval(false)))
 }
 
 // withdrawFromSilent closes the runs on silent workers that no order has named,
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -12,8 +12,8 @@
 	testBeat = 200 * time.Millisecond
 	// shortSilence and longSilence are numbers of heartbeat intervals: the longest
 	// pause that is none yet, and one that is longer, though far from a hold.
-	shortSilence = silentBeats
-	longSilence  = silentBeats + 1
+	shortSilence = silentIntervals
+	longSilence  = silentIntervals + 1
 )
 
 // beats lets time pass in heartbeat intervals, in each of which the workers
@@ -192,11 +192,11 @@
 }
 
 func TestTaskWhoseOrderWasLostGoesToAnotherWorker(t *testing.T) {
-	h, deaf, other := silentAndOther(t, tasks(1))
-	if answer, err := deaf.send(); err != nil || len(answer.Start) != 1 {
+	h, missing, other := silentAndOther(t, tasks(1))
+	if answer, err := missing.send(); err != nil || len(answer.Start) != 1 {
 		t.Fatalf("want the order, got %+v, %v", answer, err)
 	}
-	deaf.exchange() // tells that the answer was not accepted
+	missing.exchange() // tells that the answer was not accepted
 	if task := h.task("j", 0); task.Run != 2 || task.Worker != "b" {
 		t.Fatalf("want run 2 on b, got %+v", task)
 	}
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -27,8 +27,8 @@
 	// answeredSeq and answeredAt are of the newest answer in this term.
 	answeredSeq uint64
 	answeredAt  time.Duration
-	// deaf: the newest heartbeat told that the answer before it was not accepted.
-	deaf bool
+	// answerMissed: the newest heartbeat told that the answer before it was not accepted.
+	answerMissed bool
 	// silenceSince is the answeredAt after which the worker was last found silent.
 	silenceSince time.Duration
 	// acceptedAt is when the newest answer known to be accepted was given.
@@ -168,8 +168,8 @@
 	w.draining = heartbeat.Draining
 	w.departure.hear(heartbeat, now)
 	w.lapsed = false
-	w.deaf = w.answered() && heartbeat.AcceptedSeq < w.answeredSeq
-	if w.answered() && !w.deaf {
+	w.answerMissed = w.answered() && heartbeat.AcceptedSeq < w.answeredSeq
+	if w.answered() && !w.answerMissed {
 		w.acceptedAt = w.answeredAt
 		w.provenAt = w.answeredAt
 	}
--- a/lab/check/facts.go
+++ b/lab/check/facts.go
@@ -85,23 +85,23 @@
 	// noMajority and silent are what withoutMajority and silences found.
 	noMajority []span
 	silent     map[string][]span
-	// mute is what muteSpans found, by worker.
-	mute map[string][]span
+	// isolated is what isolatedSpans found, by worker.
+	isolated map[string][]span
 	// unheard is what heardSince found, by process.
 	unheard map[string][]span
 }
 
 func newFacts(input Input) *facts {
 	f := &facts{
-		input:   input,
-		workers: map[string]Worker{},
-		exits:   map[string][]monoclock.Nanos{},
-		faults:  map[string][]monoclock.Nanos{},
-		jobs:    map[string]*jobFacts{},
-		byTask:  map[string][]run{},
-		silent:  map[string][]span{},
-		mute:    map[string][]span{},
-		unheard: map[string][]span{},
+		input:    input,
+		workers:  map[string]Worker{},
+		exits:    map[string][]monoclock.Nanos{},
+		faults:   map[string][]monoclock.Nanos{},
+		jobs:     map[string]*jobFacts{},
+		byTask:   map[string][]run{},
+		silent:   map[string][]span{},
+		isolated: map[string][]span{},
+		unheard:  map[string][]span{},
 	}
 	f.input.Entries = slices.Clone(input.Entries)
 	slices.SortStableFunc(f.input.Entries, func(a, b ledger.Entry) int { return cmp.Compare(a.Answered, b.Answered) })
--- a/lab/check/silence.go
+++ b/lab/check/silence.go
@@ -205,20 +205,20 @@
 			if one.End == 0 || lapsed || next < one.over {
 				continue // checkEarlyRestart and checkOverlap look at these
 			}
-			if mute := f.muteDuring(one.Worker, one.End, next); mute != 0 {
-				found = append(found, f.earlyRestart(one, mute, next)...)
+			if isolated := f.isolatedDuring(one.Worker, one.End, next); isolated != 0 {
+				found = append(found, f.earlyRestart(one, isolated, next)...)
 			}
 		}
 	}
 	return found
 }
 
-// muteDuring returns since when a worker could not be heard by anybody, if that
+// isolatedDuring returns since when a worker could not be heard by anybody, if that
 // was so for the whole of a time; 0 if it was not.
-func (f *facts) muteDuring(worker string, from, to monoclock.Nanos) monoclock.Nanos {
-	for _, mute := range f.muteSpans(worker) {
-		if mute.from.Add(faultSlack) <= from && mute.to.Add(-faultSlack) >= to {
-			return mute.from
+func (f *facts) isolatedDuring(worker string, from, to monoclock.Nanos) monoclock.Nanos {
+	for _, isolated := range f.isolatedSpans(worker) {
+		if isolated.from.Add(faultSlack) <= from && isolated.to.Add(-faultSlack) >= to {
+			return isolated.from
 		}
 	}
 	return 0
--- a/lab/check/spans.go
+++ b/lab/check/spans.go
@@ -145,16 +145,16 @@
 	return known
 }
 
-// muteSpans returns the times at which nothing that a worker sends can reach any
+// isolatedSpans returns the times at which nothing that a worker sends can reach any
 // scheduler.
-func (f *facts) muteSpans(worker string) []span {
-	known, found := f.mute[worker]
+func (f *facts) isolatedSpans(worker string) []span {
+	known, found := f.isolated[worker]
 	if !found {
 		agent := f.workers[worker].Agent
 		known = f.spansWhere(func(n *network) bool {
 			return !n.works(worker) || !n.works(agent) || n.cuts[link{worker, agent}] > 0 || !n.sends(agent, f.input.Schedulers)
 		})
-		f.mute[worker] = known
+		f.isolated[worker] = known
 	}
 	return known
 }
