--- a/internal/scheduler/notbegun_test.go
+++ b/internal/scheduler/notbegun_test.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// workerWithOrders is a worker that was just given orders for all that fits.
+func (h *harness) workerWithOrders() *fakeWorker {
+	h.t.Helper()
+	worker := h.worker("w", "w-1")
+	worker.exchange()
+	worker.exchange()
+	return worker
+}
+
 // TestJobsWaitUntilATaskBegins counts jobs, not tasks, and those placed only too.
 func TestJobsWaitUntilATaskBegins(t *testing.T) {
 	h := newHarness(t)
@@ -28,9 +37,7 @@
 	h.submit("one", tasks(1))
 	h.wantWaitingJobs("without workers", 2)
 
-	worker := h.worker("w", "w-1")
-	worker.exchange()
-	worker.exchange() // brings the orders
+	worker := h.workerWithOrders()
 	h.wantWaitingJobs("once ordered", 2)
 	worker.exchange()
 	h.wantWaitingJobs("once listed as running", 0)
@@ -61,9 +68,7 @@
 func TestJobThatEndedBetweenHeartbeatsHasBegun(t *testing.T) {
 	h := newHarness(t)
 	h.submit("j", tasks(2))
-	worker := h.worker("w", "w-1")
-	worker.exchange()
-	worker.exchange()
+	worker := h.workerWithOrders()
 	worker.end(api.OutcomeFailed)
 	worker.exchange()
 	h.wantWaitingJobs("after its runs failed", 0)
@@ -74,9 +79,7 @@
 func TestWaitingJobsOverTerms(t *testing.T) {
 	h := newHarness(t)
 	h.submit("runs", tasks(1))
-	worker := h.worker("w", "w-1")
-	worker.exchange()
-	worker.exchange()
+	worker := h.workerWithOrders()
 	worker.exchange()
 	h.submit("waits", api.StepSpec{Name: "s", Tasks: []api.TaskSpec{{Service: "s", Resources: api.Resources{CPUMillis: 4000}}}})
 	h.wantWaitingJobs("in the first term", 1)
