Let a copy of the archive that waits for another one be given up

A goroutine that waits for a mutex keeps the virtual clock from going on, and the answer comes only as the clock goes on. On a real clock the second one waits for as long as the first call takes, whatever its own context says.

Change: the turn to copy is a channel of one place, and the wait for it ends with the context.

--- a/internal/replica/archive.go
+++ b/internal/replica/archive.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 
 	"github.com/decklever/decklever/internal/fleet"
 	"github.com/decklever/decklever/internal/rpc"
@@ -17,10 +16,26 @@
 // later than the snapshot may come along; the record does not see them until
 // it applies the entries that ended them.
 type archiveCopy struct {
-	mutex sync.Mutex
+	// turn is held while a page is on its way: one copies at a time, and whoever
+	// waits for that can give up.
+	turn  chan struct{}
 	place archivePlace
 }
 
+func newArchiveCopy() archiveCopy { return archiveCopy{turn: make(chan struct{}, 1)} }
+
+// take waits until nobody else copies. Its error is the context's.
+func (c *archiveCopy) take(ctx context.Context) error {
+	select {
+	case c.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait for another copy of the archive: %w", ctx.Err())
+	}
+}
+
+func (c *archiveCopy) release() { <-c.turn }
+
 // archivePlace is a place in the order of (Index, ID).
 type archivePlace struct {
 	index uint64
@@ -29,8 +44,10 @@
 
 // copyArchive copies what the replica at address has and this one lacks.
 func (r *Replica) copyArchive(ctx context.Context, address string) error {
-	r.archive.mutex.Lock()
-	defer r.archive.mutex.Unlock()
+	if err := r.archive.take(ctx); err != nil {
+		return err
+	}
+	defer r.archive.release()
 	if applied := r.applied.get(); applied > r.archive.place.index {
 		// All that ended up to here was archived when it was applied. The next
 		// index comes after every id of this one.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -87,6 +87,7 @@
 		proposals: make(chan *proposal, proposalQueue),
 		calls:     make(chan loopCall, callQueue),
 		stopped:   make(chan struct{}),
+		archive:   newArchiveCopy(),
 	}
 	r.SetZone(config.Zone)
 	r.status.Store(&raft.Status{ID: id})
