--- a/internal/workerhealth/stall.go
+++ b/internal/workerhealth/stall.go
@@ -93,9 +93,9 @@
 
 func (p *Progress) quiet(estimate time.Duration, finely bool) time.Duration {
 	switch {
-	case estimate > 0 && !p.Reported:
+	case estimate > 0 && !p.Reported && !finely:
 		return max(muteTimes*estimate, leastMute)
-	case estimate > 0 && finely && p.Percent < allDone:
+	case estimate > 0 && p.Reported && finely && p.Percent < allDone:
 		return max(estimate/quietOfEstimate, leastQuiet)
 	case estimate > 0:
 		return max(estimate*3/2, leastQuiet)
--- a/internal/workerhealth/stall_test.go
+++ b/internal/workerhealth/stall_test.go
@@ -28,6 +28,8 @@
 		{"at 0 without an estimate", moving(0), 0, true, 0, 0},
 		{"no report, short", Began(0), time.Second, false, 0, leastMute},
 		{"no report, long", Began(0), time.Minute, false, 0, 8 * time.Minute},
+		{"no report, of a queue that reports in small steps", Began(0), time.Minute, true, 0, 90 * time.Second},
+		{"the same, short", Began(0), time.Second, true, 0, leastQuiet},
 		{"coarse", moving(0), time.Minute, false, 0, 90 * time.Second},
 		{"fine by itself", moving(0, 1, 2, 3), time.Minute, false, 0, 15 * time.Second},
 		{"fine by its queue", moving(0), time.Minute, true, 0, 15 * time.Second},
