Leave a share of workers to the tasks that prefer their labels

The racks were full of tasks that would have run as well anywhere, as filling the fullest worker first packs one rack after the other.

It is the least of all wishes, so nothing waits for it.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -51,6 +51,8 @@
 	preemptLater, unfinished []*lane
 	// anyHeadroom is set while a queue leaves headroom.
 	anyHeadroom bool
+	// preferences are the labels that tasks have preferred lately.
+	preferences preferences
 	// crowding is as of the start of the pass, and what it has placed since.
 	crowding *crowding
 	// anyYields is set while a queue was told to yield.
@@ -114,6 +116,7 @@
 		teams:   map[string]*team{},
 		victims: map[int]int{},
 
+		preferences:    newPreferences(),
 		crowding:       newCrowding(),
 		maxPreemptions: defaultMaxPreemptions,
 	}
@@ -158,6 +161,7 @@
 		s.count(w, -count)
 	}
 	e.workers.set(w, to)
+	w.preferred = e.preferences.names(w)
 	for s, count := range runs {
 		s.count(w, count)
 		wakeStep(s)
@@ -287,6 +291,7 @@
 	}
 	w := &waiting{Task: task, class: e.joinClass(&task)}
 	e.waiting[task.ID] = w
+	e.preferences.note(task.Spec, e.now)
 	e.enlane(w)
 }
 
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -19,6 +19,7 @@
 func (e *Engine) Plan(limit int) []Decision {
 	e.passes++
 	e.workers.refresh()
+	e.markPreferred()
 	if e.countsCrowding() {
 		e.crowding.recount(e.workers.byID)
 		e.wakeHeldBack()
--- a/internal/placement/wishes.go
+++ b/internal/placement/wishes.go
@@ -7,7 +7,7 @@
 // order. None ever makes a task wait.
 const (
 	// costFailedHere: a run of the task failed on the worker.
-	costFailedHere = 1 << (5 - iota)
+	costFailedHere = 1 << (6 - iota)
 	// costGuarded: the worker is on probation or held back.
 	costGuarded
 	// costSlow: the worker is slower than others at the same work.
@@ -18,6 +18,9 @@
 	costOtherDomain
 	// costOverShare: the worker holds its share of the step already.
 	costOverShare
+	// costOfOthers: the task would take room that is left for tasks which prefer the
+	// worker; see preferred.go.
+	costOfOthers
 )
 
 // wishes is what a task would rather have of its worker.
@@ -42,7 +45,7 @@
 // hasWishes reports whether the task may have to look past the first worker.
 func (e *Engine) hasWishes(task *Task) bool {
 	return len(task.Avoid) > 0 || task.Colocate != "" || task.StepSize > 1 ||
-		len(task.Spec.Prefer) > 0 || e.workers.slow > 0 || len(e.workers.guarded) > 0
+		len(task.Spec.Prefer) > 0 || len(e.preferences.until) > 0 || e.workers.slow > 0 || len(e.workers.guarded) > 0
 }
 
 // fullest returns the worker that a task which waits takes, or nil: of those
@@ -96,6 +99,9 @@
 	if s.step != nil && s.step.workers[w] >= s.share {
 		cost += costOverShare
 	}
+	if !leavesPreferred(s.task.Spec, w) {
+		cost += costOfOthers
+	}
 	return cost
 }
 
--- a/internal/placement/workers.go
+++ b/internal/placement/workers.go
@@ -33,6 +33,8 @@
 	// guarded is true on probation and while held back: the worker may take a
 	// part of what comes only.
 	guarded bool
+	// preferred is set while tasks have preferred a label of the worker lately.
+	preferred bool
 	// Worker is as last set; only ID is set while known is false.
 	Worker
 	// known is false while there are only runs held for it.
