Have tasks wait a moment for a worker that they prefer

Change: a task that prefers labels is offered as one that requires them first, for its estimate, a quarter of its slack and 300 ms at most (delay scheduling), and then takes any worker. It does so once, not after a failure, not on slow or held back workers, stops nobody meanwhile, and only where some sound worker has the labels.

--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -21,6 +21,9 @@
 	preemptible bool
 	// mayTry allows workers on probation.
 	mayTry bool
+	// insists: the selector's labels are those that the task requires and those that
+	// it prefers, and workers that are slow or guarded are none for it.
+	insists bool
 	// untilCancelled lets the class take whatever room there is.
 	untilCancelled bool
 	// headroom is the share of a worker that is to stay free, in hundredths.
@@ -87,8 +90,10 @@
 
 func (e *Engine) classKeyOf(task *Task) classKey {
 	id, spec := task.ID, task.Spec
+	labels, insists := e.labelsFor(task)
 	key := classKey{
-		selector:    selector{service: spec.Service, labels: canonicalLabels(spec.Labels)},
+		selector:    selector{service: spec.Service, labels: canonicalLabels(labels)},
+		insists:     insists,
 		need:        spec.Resources,
 		preemptible: e.isPreemptible(task),
 		mayTry:      task.MayTry,
@@ -129,16 +134,18 @@
 	key := e.classKeyOf(task)
 	c, ok := e.classes[key]
 	if !ok {
-		c = e.newClass(key, task.Spec)
+		c = e.newClass(key, task)
 	}
 	c.tasks++
 	return c
 }
 
-func (e *Engine) newClass(key classKey, spec *api.TaskSpec) *class {
+func (e *Engine) newClass(key classKey, task *Task) *class {
+	spec := task.Spec
+	labels, _ := e.labelsFor(task)
 	c := &class{
 		key:    key,
-		pool:   e.workers.acquire(key.selector, spec.Labels),
+		pool:   e.workers.acquire(key.selector, labels),
 		lanes:  map[*lane]struct{}{},
 		groups: map[*lane]uint64{},
 		wakeAt: math.MaxUint64,
@@ -195,6 +202,9 @@
 	if !c.key.untilCancelled && c.search.leaves(w) {
 		return false
 	}
+	if c.key.insists && (w.Slow || w.guarded) {
+		return false
+	}
 	if !fits(c.key.need, w.free) || !c.leavesHeadroom(w) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
 		return false
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -94,6 +94,12 @@
 // preemptOrBlock promises the lane's first task room that preemption makes, or
 // takes the lane out of this and later passes.
 func (p *pass) preemptOrBlock(l *lane) {
+	if l.class.key.insists {
+		l.preemptNow = false
+		l.class.block()
+		l.makeUnready()
+		return
+	}
 	first := l.tasks[0]
 	found, later := p.findVictims(l.class, l.line.level.priority)
 	if later {
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -94,7 +94,11 @@
 	var moved []*waitingTask
 	for _, id := range l.ranks.takeDue(now) {
 		entry, waits := l.waiting[id]
-		if waits && l.rank(entry, now) && entry.due {
+		if !waits {
+			continue
+		}
+		changed := l.rank(entry, now)
+		if (l.stopInsisting(entry, now) || changed) && entry.due {
 			l.countWaiting(entry)
 			moved = append(moved, entry)
 		}
@@ -151,6 +155,7 @@
 		entry.task.Priority = entry.jobPriority + l.queuePriority(entry.task.Queue)
 		entry.urgency.apply(objectiveOf(l.config, entry.task.Queue))
 		l.rank(entry, now)
+		l.setInsists(entry, false) // its timer is gone
 		l.countWaiting(entry)
 		if entry.due {
 			due = append(due, entry)
