Take no pace from runs away from what they prefer, or from groups

Cause: a run away from its data takes a multiple of its time on a sound worker, and a member of a group in lockstep waits for the others. Both counted for the pace of their worker, so that sound workers were held to be slow.

Change: only other runs count.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -84,6 +84,9 @@
 		if run.progress.ReportsFinely() {
 			l.health.finely[run.queue] = true
 		}
+		if !tellsPace(run, worker) {
+			continue
+		}
 		ratio := run.progress.Ratio(run.spec.Estimate.Std())
 		l.health.tracker.Paced(run.workerID, workerhealth.Pace{Run: id, Work: run.queue, Ratio: ratio}, now)
 	}
@@ -110,6 +113,9 @@
 func (l *leader) notePace(run *runState, now time.Duration) {
 	estimate := run.spec.Estimate.Std()
 	seenRunning := run.listed && run.progress.StartedAt < run.endHeardAt
+	if worker, known := l.workers[run.workerID]; !known || !tellsPace(run, worker) {
+		return
+	}
 	if run.sentAt == 0 || !seenRunning || estimate <= 0 || run.progress.First > freshStart {
 		return
 	}
@@ -118,6 +124,23 @@
 	l.health.tracker.Paced(run.workerID, pace, now)
 }
 
+// tellsPace reports whether the run's time says something about its worker. One away
+// from what its task prefers may take a multiple of its time on a sound worker, and one
+// of a group in lockstep waits for the others.
+func tellsPace(run *runState, worker *workerEntry) bool {
+	return !run.lockstep && hasAll(worker.info.Labels, run.spec.Prefer)
+}
+
+// hasAll reports whether the labels hold all that are wanted.
+func hasAll(labels, wanted map[string]string) bool {
+	for key, value := range wanted {
+		if labels[key] != value {
+			return false
+		}
+	}
+	return true
+}
+
 // reviewHealth stops runs that stand still, and holds back workers on which work
 // fails, stands still or crawls.
 func (l *leader) reviewHealth(now time.Duration) {
