--- a/internal/placement/lastroom.go
+++ b/internal/placement/lastroom.go
@@ -14,7 +14,7 @@
 // lastRoom has find look on guarded workers too, if the class may use them where no
 // other has room.
 func lastRoom[T any](c *class, find func() T) T {
-	if c.key.insists || !c.key.untilCancelled && (!c.key.mayTry || c.isCrowded()) {
+	if !c.key.untilCancelled && (!c.key.mayTry || c.isCrowded()) {
 		var none T
 		return none
 	}
