Compare a run's pace with its step's runs on other workers

Cause: estimates are off by a multiple for whole jobs, and a worker was held to be slow once the median of three jobs took twice what is usual for the queue.

Change: a run of a step of three tasks or more is compared with the ended runs of that step on other workers, two at least; only smaller steps are compared with what is usual for the queue.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -52,6 +52,10 @@
 func (h *health) forgetSteps(steps []*record.Step) {
 	h.failedOn.forgetSteps(steps)
 	for _, step := range steps {
+		if len(step.Tasks) > 0 {
+			first := step.Tasks[0].ID
+			h.tracker.ForgetStep(first.Job, first.Step, first.Occurrence)
+		}
 		for _, task := range step.Tasks {
 			delete(h.stalls, task.ID)
 			delete(h.withdrawn, task.ID)
@@ -88,7 +92,7 @@
 			continue
 		}
 		ratio := run.progress.Ratio(run.spec.Estimate.Std())
-		l.health.tracker.Paced(run.workerID, workerhealth.Pace{Run: id, Work: run.queue, Ratio: ratio}, now)
+		l.health.tracker.Paced(run.workerID, workerhealth.Pace{Run: id, Work: run.queue, StepSize: run.stepSize, Ratio: ratio}, now)
 	}
 }
 
@@ -120,7 +124,7 @@
 		return
 	}
 	ratio := float64(run.endHeardAt-run.sentAt) / float64(estimate)
-	pace := workerhealth.Pace{Run: run.id, Work: run.queue, Ratio: ratio, Ended: true}
+	pace := workerhealth.Pace{Run: run.id, Work: run.queue, StepSize: run.stepSize, Ratio: ratio, Ended: true}
 	l.health.tracker.Paced(run.workerID, pace, now)
 }
 
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -175,6 +175,7 @@
 		spec:      task.Spec,
 		payload:   task.Step.Job.Spec.PayloadOf(task.Spec),
 		step:      keyOf(task.ID),
+		stepSize:  len(task.Step.Tasks),
 		together:  task.Step.Grouped(),
 		lockstep:  task.Step.Spec.Lockstep,
 		workerID:  open.WorkerID,
--- a/internal/scheduler/worker_entry.go
+++ b/internal/scheduler/worker_entry.go
@@ -69,6 +69,7 @@
 	// payload is the task's own or the job's; it is shared with the record.
 	payload  json.RawMessage
 	step     stepKey
+	stepSize int
 	together bool
 	lockstep bool
 	workerID string
--- a/internal/workerhealth/pace.go
+++ b/internal/workerhealth/pace.go
@@ -28,14 +28,30 @@
 	if pace.Ratio <= 0 {
 		return
 	}
+	expected, known := t.expected(workerID, pace)
+	if !known {
+		return
+	}
+	t.worker(workerID).pace(paceSeen{run: pace.Run, at: now, multiple: pace.Ratio / expected})
+}
+
+// expected is the pace that the run would have on another worker; false if too little
+// is known. Estimates are off by a multiple for a whole job, so a run is compared with
+// those of its step elsewhere; only where a step has too few tasks, with its queue's.
+func (t *Tracker) expected(workerID string, pace Pace) (float64, bool) {
+	if pace.StepSize > siblingsNeeded {
+		step := t.siblingsOf(pace.Run.Task)
+		expected, known := step.medianElsewhere(workerID)
+		if pace.Ended {
+			step.add(workerID, pace.Ratio)
+		}
+		return expected, known
+	}
 	usualHere := t.usualOf(pace.Work)
 	if pace.Ended {
 		usualHere.add(pace.Ratio)
 	}
-	if usualHere.median == 0 {
-		return
-	}
-	t.worker(workerID).pace(paceSeen{run: pace.Run, at: now, multiple: pace.Ratio / usualHere.median})
+	return usualHere.median, usualHere.median != 0
 }
 
 func (t *Tracker) usualOf(work string) *usual {
--- a/internal/workerhealth/types.go
+++ b/internal/workerhealth/types.go
@@ -45,8 +45,10 @@
 // to be expected.
 type Pace struct {
 	Run record.RunID
-	// Work names what is compared: the queue.
+	// Work names what is compared where the step is too small: the queue.
 	Work string
+	// StepSize is the number of tasks of the run's step.
+	StepSize int
 	// Ratio is the time over the task's estimate; over 0.
 	Ratio float64
 	// Ended is true once the run has succeeded: only then does it tell what is
@@ -96,6 +98,11 @@
 	// slowFrom and slowTo are the paces, as multiples of what is usual, from
 	// which on a worker is slow, and below which it no longer is.
 	slowFrom, slowTo = 2.0, 1.5
+	// siblingsNeeded is how many runs of a step must have ended on other workers to
+	// tell the pace of one, siblingsKept how many are remembered, and stepsKept of how
+	// many steps.
+	siblingsNeeded, siblingsKept = 2, 16
+	stepsKept                    = 4096
 	// queuesKept bounds the queues for which something is remembered.
 	queuesKept = 1024
 )
