Test paces with wrong estimates, and insist only where it can be met

Cause: a task insisted on its labels where no worker that has them could hold it even empty, and waited for nothing.

Change: it insists only where some sound worker with the labels could.

Tried and reverted: a retry that waits up to 2 s, or 0.3 s if it has attempts to spare, for a worker on which its task has not failed.

--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -50,6 +50,8 @@
 	blocked bool
 	// heldBack is set if it may have found none only since its service is crowded.
 	heldBack bool
+	// wanted is what the class requires of a worker.
+	wanted insistence
 	// anyRoom is set during a search that need not leave headroom.
 	anyRoom bool
 	// anyTrust is set during a search among guarded workers too.
@@ -90,10 +92,10 @@
 
 func (e *Engine) classKeyOf(task *Task) classKey {
 	id, spec := task.ID, task.Spec
-	labels, insists := e.labelsFor(task)
+	wanted := e.insistenceOf(task)
 	key := classKey{
-		selector:    selector{service: spec.Service, labels: canonicalLabels(labels)},
-		insists:     insists,
+		selector:    selector{service: spec.Service, labels: canonicalLabels(wanted.labels)},
+		insists:     wanted.insists,
 		need:        spec.Resources,
 		preemptible: e.isPreemptible(task),
 		mayTry:      task.MayTry,
@@ -142,10 +144,11 @@
 
 func (e *Engine) newClass(key classKey, task *Task) *class {
 	spec := task.Spec
-	labels, _ := e.labelsFor(task)
+	wanted := e.insistenceOf(task)
 	c := &class{
 		key:    key,
-		pool:   e.workers.acquire(key.selector, labels),
+		pool:   e.workers.acquire(key.selector, wanted.labels),
+		wanted: wanted,
 		lanes:  map[*lane]struct{}{},
 		groups: map[*lane]uint64{},
 		wakeAt: math.MaxUint64,
@@ -202,7 +205,7 @@
 	if !c.key.untilCancelled && c.search.leaves(w) {
 		return false
 	}
-	if c.key.insists && (w.Slow || w.guarded) {
+	if !c.wanted.accepts(w) {
 		return false
 	}
 	if !fits(c.key.need, w.free) || !c.leavesHeadroom(w) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
--- a/internal/placement/preferred.go
+++ b/internal/placement/preferred.go
@@ -93,21 +93,3 @@
 	}
 	return fits(spec.Resources.Add(shareOfRoom(w.Capacity, preferredShare)), w.free)
 }
-
-// labelsFor returns the labels that a worker must have for the task, and whether the
-// task insists on those that it prefers. It does not where no worker that takes work
-// has them.
-func (e *Engine) labelsFor(task *Task) (labels map[string]string, insists bool) {
-	spec := task.Spec
-	if !task.Insists || len(spec.Prefer) == 0 {
-		return spec.Labels, false
-	}
-	labels = maps.Clone(spec.Prefer)
-	maps.Copy(labels, spec.Labels)
-	for _, w := range e.workers.byID {
-		if isUsable(w) && !w.Slow && !w.guarded && offersService(&w.Worker, spec.Service) && hasLabels(&w.Worker, labels) {
-			return labels, true
-		}
-	}
-	return spec.Labels, false
-}
--- a/internal/workerhealth/tracker_test.go
+++ b/internal/workerhealth/tracker_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -330,3 +332,50 @@
 		}
 	})
 }
+
+// TestWrongEstimatesOfJobsMakeNoWorkerSlow: the estimates of each job are off by a
+// multiple, up or down, and the runs of a step take alike on all workers but w0.
+func TestWrongEstimatesOfJobsMakeNoWorkerSlow(t *testing.T) {
+	const seeds, jobs, width, workers = 50, 24, 8, 11
+	for seed := range uint64(seeds) {
+		f := newFleet(workers)
+		random := rand.New(rand.NewPCG(seed, 0))
+		for job := range jobs {
+			estimateOff := math.Exp(0.9 * random.NormFloat64())
+			first := random.IntN(workers)
+			for index := range width {
+				number := (first + index) % workers
+				ratio := estimateOff * (0.85 + 0.3*random.Float64())
+				if number == 0 {
+					ratio *= 3
+				}
+				id := record.RunID{Task: record.TaskID{Job: fmt.Sprint("j", job), Step: "s", Index: index}, Number: 1}
+				f.Paced(fmt.Sprint("w", number), Pace{Run: id, Work: "q", StepSize: width, Ratio: ratio, Ended: true}, f.now)
+			}
+			f.review(100 * time.Millisecond)
+			for number := 1; number < workers; number++ {
+				if got := f.Verdict(fmt.Sprint("w", number)); got.Standing != Trusted {
+					t.Fatalf("seed %d, job %d, w%d: %+v", seed, job, number, got)
+				}
+			}
+		}
+		if got := f.Verdict("w0"); got.Standing != Slow {
+			t.Errorf("seed %d: w0 is %s", seed, got.Standing)
+		}
+	}
+}
+
+func TestStepsAreForgotten(t *testing.T) {
+	f := newFleet(2)
+	for job := range stepsKept + 1 {
+		id := record.RunID{Task: record.TaskID{Job: fmt.Sprint("j", job), Step: "s"}, Number: 1}
+		f.Paced("w0", Pace{Run: id, StepSize: 4, Ratio: 1, Ended: true}, f.now)
+	}
+	if len(f.steps) != 1 {
+		t.Errorf("%d steps after one more than %d", len(f.steps), stepsKept)
+	}
+	f.ForgetStep(fmt.Sprint("j", stepsKept), "s", 0)
+	if len(f.steps) != 0 {
+		t.Errorf("%d steps after all were forgotten", len(f.steps))
+	}
+}
