--- a/api/job.go
+++ b/api/job.go
@@ -95,7 +95,8 @@
 	// Labels must all be present, with these values, on the worker.
 	Labels map[string]string `json:"labels,omitempty"`
 	// Prefer are labels of the workers on which the task runs best. A worker
-	// with all of them is taken if one has room, else any other. Default none.
+	// with all of them is taken if one has room or comes to have it within a
+	// moment, 300 ms at most, else any other. Default none.
 	Prefer map[string]string `json:"prefer,omitempty"`
 	// Estimate is the caller's guess of one run's time. It orders work and tells
 	// runs that stand still; nothing is stopped for exceeding it. Default 0: not
