Say once how a test's worker is given a running job

Cause: six tests repeat the same four lines.

Change: harness.running. No test asks for less than before.

--- a/internal/scheduler/departure_test.go
+++ b/internal/scheduler/departure_test.go
@@ -198,10 +198,8 @@
 
 func TestDepartedWorkerThatFallsSilentIsLost(t *testing.T) {
 	h := newHarness(t)
-	worker, other := h.worker("a", "a-1"), h.worker("b", "b-1")
-	worker.exchange()
-	h.submit("j", tasks(1))
-	worker.exchange()
+	other := h.worker("b", "b-1")
+	h.running("a", 1)
 	h.leave("a-1", 0)
 	h.beat(h.leader.hold()+h.leader.driftMargin()+time.Second, other)
 	task := h.task("j", 0)
--- a/internal/scheduler/drains_test.go
+++ b/internal/scheduler/drains_test.go
@@ -197,10 +197,7 @@
 
 func TestDrainGraceCountsFromTheFirstDrain(t *testing.T) {
 	h := newHarness(t)
-	worker := h.worker("a", "a-1")
-	worker.exchange()
-	h.submit("j", tasks(1))
-	worker.exchange()
+	worker := h.running("a", 1)
 	grace := h.leader.config.Timings.DrainGrace.Std()
 	h.drainZone("z1", true)
 	for range int(grace / time.Second) {
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -175,6 +175,16 @@
 	}}
 }
 
+// running registers a worker and has it run the tasks of job "j".
+func (h *harness) running(name string, count int) *fakeWorker {
+	h.t.Helper()
+	worker := h.worker(name, name+"-1")
+	worker.exchange()
+	h.submit("j", tasks(count))
+	worker.exchange()
+	return worker
+}
+
 // send sends the next heartbeat and returns the answer without accepting it.
 func (w *fakeWorker) send() (api.HeartbeatAnswer, error) {
 	w.heartbeat.Seq++
--- a/internal/scheduler/leader_test.go
+++ b/internal/scheduler/leader_test.go
@@ -73,10 +73,8 @@
 
 func TestSilentWorkerLosesRunsOnlyAfterHoldAndMargin(t *testing.T) {
 	h := newHarness(t)
-	silent, other := h.worker("a", "a-1"), h.worker("b", "b-1")
-	silent.exchange()
-	h.submit("j", tasks(1))
-	silent.exchange()
+	h.running("a", 1)
+	other := h.worker("b", "b-1")
 	other.exchange()
 	h.advance(testHold + testMargin)
 	other.exchange()
@@ -92,10 +90,8 @@
 
 func TestNewTermTakesEveryWorkerAsHolding(t *testing.T) {
 	h := newHarness(t)
-	silent, other := h.worker("a", "a-1"), h.worker("b", "b-1")
-	silent.exchange()
-	h.submit("j", tasks(1))
-	silent.exchange()
+	h.running("a", 1)
+	other := h.worker("b", "b-1")
 	h.advance(testHold)
 	h.newTerm()
 	other.exchange()
@@ -163,10 +159,7 @@
 
 func TestNewIncarnationWaitsForTheOldHold(t *testing.T) {
 	h := newHarness(t)
-	earlier := h.worker("w", "w-1")
-	earlier.exchange()
-	h.submit("j", tasks(1))
-	earlier.exchange()
+	earlier := h.running("w", 1)
 	later := h.worker("w", "w-2")
 	h.advance(testHold)
 	if answer := later.exchange(); len(answer.Start) != 0 {
--- a/internal/scheduler/reports_test.go
+++ b/internal/scheduler/reports_test.go
@@ -20,10 +20,7 @@
 // runningOne returns a worker that runs the one task of job "j".
 func (h *harness) runningOne() *fakeWorker {
 	h.t.Helper()
-	worker := h.worker("w", "w-1")
-	worker.exchange()
-	h.submit("j", tasks(1))
-	worker.exchange()
+	worker := h.running("w", 1)
 	worker.exchange()
 	return worker
 }
