Call the wait for a preferred worker a locality wait

Cause: insisting, patience and insistence are no words of the field for it; delay scheduling and locality wait are.

Change: names and comments only.

Measured: tests of planner and scheduler pass, linters are clean.

--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -21,9 +21,9 @@
 	preemptible bool
 	// mayTry allows workers on probation.
 	mayTry bool
-	// insists: the selector's labels are those that the task requires and those that
-	// it prefers, and workers that are slow or guarded are none for it.
-	insists bool
+	// waitsForPreferred: the selector's labels are those that the task requires and
+	// those that it prefers, and workers that are slow or guarded are none for it.
+	waitsForPreferred bool
 	// untilCancelled lets the class take whatever room there is.
 	untilCancelled bool
 	// headroom is the share of a worker that is to stay free, in hundredths.
@@ -51,7 +51,7 @@
 	// heldBack is set if it may have found none only since its service is crowded.
 	heldBack bool
 	// wanted is what the class requires of a worker.
-	wanted insistence
+	wanted requirement
 	// anyRoom is set during a search that need not leave headroom.
 	anyRoom bool
 	// anyTrust is set during a search among guarded workers too.
@@ -92,13 +92,13 @@
 
 func (e *Engine) classKeyOf(task *Task) classKey {
 	id, spec := task.ID, task.Spec
-	wanted := e.insistenceOf(task)
+	wanted := e.requirementOf(task)
 	key := classKey{
-		selector:    selector{service: spec.Service, labels: canonicalLabels(wanted.labels)},
-		insists:     wanted.insists,
-		need:        spec.Resources,
-		preemptible: e.isPreemptible(task),
-		mayTry:      task.MayTry,
+		selector:          selector{service: spec.Service, labels: canonicalLabels(wanted.labels)},
+		waitsForPreferred: wanted.preferred,
+		need:              spec.Resources,
+		preemptible:       e.isPreemptible(task),
+		mayTry:            task.MayTry,
 
 		untilCancelled: task.UntilCancelled,
 	}
@@ -144,7 +144,7 @@
 
 func (e *Engine) newClass(key classKey, task *Task) *class {
 	spec := task.Spec
-	wanted := e.insistenceOf(task)
+	wanted := e.requirementOf(task)
 	c := &class{
 		key:    key,
 		pool:   e.workers.acquire(key.selector, wanted.labels),
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -13,8 +13,8 @@
 //
 // Wishes. What a task would rather have of its worker (wishes.go) is weighed
 // before fullness among the workers that can take it, and never makes it wait.
-// So it is no part of a task's shape. The one exception is a task that insists on
-// what it prefers (insist.go), for as long as whoever added it lets it.
+// So it is no part of a task's shape. The one exception is a task that waits for what
+// it prefers (localitywait.go), for as long as whoever added it lets it.
 //
 // Room and time. Slices of a reservation take room on their workers from the
 // window's start to its end, whether a run uses them or not. A run outside of
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -185,7 +185,7 @@
 
 func sameWishes(a, b *Wishes) bool {
 	return a == b || a.StepSize == b.StepSize && a.Colocate == b.Colocate &&
-		a.Insists == b.Insists && a.MayTry == b.MayTry && a.Tries == b.Tries && slices.Equal(a.Avoid, b.Avoid)
+		a.WaitsForPreferred == b.WaitsForPreferred && a.MayTry == b.MayTry && a.Tries == b.Tries && slices.Equal(a.Avoid, b.Avoid)
 }
 
 func (w *worker) runsByStep() map[*step]int {
--- /dev/null
+++ b/internal/placement/localitywait.go
@@ -0,0 +1,49 @@
+package placement
+
+import (
+	"maps"
+
+	"github.com/decklever/decklever/api"
+)
+
+// Locality wait: a task may wait a bounded time for a worker with the labels that it
+// prefers. Whoever adds it sets WaitsForPreferred and takes that back later. Meanwhile
+// it is of a class of its own, so that no other task waits for it, and that class
+// preempts nobody. Where no sound worker has the labels, it takes any at once.
+
+// requirement is what a task requires of its worker now.
+type requirement struct {
+	// labels are those that the worker must have.
+	labels map[string]string
+	// preferred is set while labels hold those that the task prefers, too.
+	preferred bool
+}
+
+// requirementOf is what the task requires now.
+func (e *Engine) requirementOf(task *Task) requirement {
+	required := requirement{labels: task.Spec.Labels}
+	if !task.WaitsForPreferred || len(task.Spec.Prefer) == 0 {
+		return required
+	}
+	wanted := requirement{labels: maps.Clone(task.Spec.Prefer), preferred: true}
+	maps.Copy(wanted.labels, task.Spec.Labels)
+	if !e.hasSound(task.Spec, &wanted) {
+		return required
+	}
+	return wanted
+}
+
+// hasSound reports whether some worker that takes work is as wanted, and has the room
+// when it is empty.
+func (e *Engine) hasSound(spec *api.TaskSpec, wanted *requirement) bool {
+	for _, w := range e.workers.byID {
+		if isUsable(w) && wanted.accepts(w) && fits(spec.Resources, w.Capacity) &&
+			offersService(&w.Worker, spec.Service) && hasLabels(&w.Worker, wanted.labels) {
+			return true
+		}
+	}
+	return false
+}
+
+// accepts reports whether the worker is sound, if the task waits for a preferred one.
+func (r *requirement) accepts(w *worker) bool { return !r.preferred || !w.Slow && !w.guarded }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -94,7 +94,7 @@
 // preemptOrBlock promises the lane's first task room that preemption makes, or
 // takes the lane out of this and later passes.
 func (p *pass) preemptOrBlock(l *lane) {
-	if l.class.key.insists {
+	if l.class.key.waitsForPreferred {
 		l.preemptNow = false
 		l.class.block()
 		l.makeUnready()
--- a/internal/placement/preferred_test.go
+++ b/internal/placement/preferred_test.go
@@ -66,28 +66,28 @@
 	expect(t, "labels kept", len(e.preferences.until), mostPreferred)
 }
 
-// TestInsistingTaskWaitsForItsRack: and takes any other worker once it insists no more.
-func TestInsistingTaskWaitsForItsRack(t *testing.T) {
+// TestTaskWaitsForItsRack: and takes any other worker once it waits no more.
+func TestTaskWaitsForItsRack(t *testing.T) {
 	e := newEngine(rackWorker("a", "z1", 10, "rack=x"), rackWorker("b", "z1", 100, "rack=y"))
 	taken := testTask("taken", 0, 10)
 	e.Hold(taken, "a-1")
 	task := preferring("near", "x", 10)
-	task.Insists = true
+	task.WaitsForPreferred = true
 	e.Add(task)
 	expect(t, "while its rack is full", placed(e, 10), "")
 	other := preferring("other", "y", 10)
-	other.Insists = true
+	other.WaitsForPreferred = true
 	e.Add(other)
 	expect(t, "another rack's", placed(e, 10), "other/a/0@b")
 	e.Release(taken.ID)
 	expect(t, "once there is room", placed(e, 10), "near/a/0@a")
 	e.Add(preferring("last", "x", 10))
-	expect(t, "without insisting", placed(e, 10), "last/a/0@b")
+	expect(t, "without the wait", placed(e, 10), "last/a/0@b")
 }
 
-// TestInsistingIsNoReasonToTakeAnUnsoundWorker: where all workers of the rack are gone,
+// TestLocalityWaitTakesNoUnsoundWorker: where all workers of the rack are gone,
 // slow, held back or full beside such, the task goes elsewhere or waits.
-func TestInsistingIsNoReasonToTakeAnUnsoundWorker(t *testing.T) {
+func TestLocalityWaitTakesNoUnsoundWorker(t *testing.T) {
 	cases := []struct {
 		name   string
 		change func(*Worker)
@@ -103,28 +103,28 @@
 			c.change(&unsound)
 			e := newEngine(unsound, rackWorker("b", "z1", 100, "rack=y"))
 			task := preferring("near", "x", 10)
-			task.Insists, task.MayTry = true, true
+			task.WaitsForPreferred, task.MayTry = true, true
 			e.Add(task)
 			expect(t, "decisions", placed(e, 10), "near/a/0@b")
 			sound := rackWorker("c", "z1", 10, "rack=x")
 			e.SetWorker(sound)
 			e.Hold(testTask("taken", 0, 10), "c-1")
 			next := preferring("next", "x", 10)
-			next.Insists, next.MayTry = true, true
+			next.WaitsForPreferred, next.MayTry = true, true
 			e.Add(next)
 			expect(t, "beside a sound one that is full", placed(e, 10), "")
 		})
 	}
 }
 
-// TestInsistingPreemptsNobody: a task that may take other room soon stops no run.
-func TestInsistingPreemptsNobody(t *testing.T) {
+// TestLocalityWaitPreemptsNobody: a task that may take other room soon stops no run.
+func TestLocalityWaitPreemptsNobody(t *testing.T) {
 	e := newEngine(rackWorker("a", "z1", 10, "rack=x"), rackWorker("b", "z1", 100, "rack=y"))
 	taken := testTask("taken", 0, 10)
 	taken.Spec.Preemptible = true
 	e.Hold(taken, "a-1")
 	task := preferring("near", "x", 10)
-	task.Insists, task.Priority = true, 5
+	task.WaitsForPreferred, task.Priority = true, 5
 	e.Add(task)
 	expect(t, "decisions", placed(e, 10), "")
 	expect(t, "preemptions", len(e.Preemptions()), 0)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -57,9 +57,10 @@
 	StepSize int
 	// Colocate is the step's soft domain, as in api.StepSpec.
 	Colocate string
-	// Insists has the task wait for a worker with all labels of TaskSpec.Prefer, while
-	// some usable worker has them. Whoever sets it takes it back after a time.
-	Insists bool
+	// WaitsForPreferred has the task wait for a worker with all labels of
+	// TaskSpec.Prefer, while some sound one has them. Whoever sets it takes it back
+	// after a time.
+	WaitsForPreferred bool
 	// Avoid names workers on which runs of the task failed: others come first.
 	Avoid []string
 	// MayTry allows workers on probation; Tries prefers them.
--- /dev/null
+++ b/internal/scheduler/localitywait.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/decklever/decklever/internal/record"
+)
+
+// A task that runs for a multiple of its time away from what it prefers is better off
+// if it waits a moment for room there (delay scheduling, Zaharia et al. 2010). Room
+// comes soon where many short tasks run, and the wait is bounded by what the task can
+// spare.
+
+const (
+	// longestLocalityWait is the longest wait for a preferred worker.
+	longestLocalityWait = 300 * time.Millisecond
+	// localityWaitOfSlack: a task waits for one part in so many of the time that is left
+	// until its latest start.
+	localityWaitOfSlack = 4
+)
+
+// startLocalityWait has a task wait for a worker that it prefers, once, from when it is offered
+// first.
+func (l *leader) startLocalityWait(entry *waitingTask) {
+	if entry.localityWaitEnds != 0 {
+		return
+	}
+	now := l.log.Now()
+	entry.localityWaitEnds = now
+	wait := entry.localityWait(now)
+	if wait <= 0 {
+		return
+	}
+	entry.localityWaitEnds += wait
+	l.setLocalityWait(entry, true)
+	l.ranks.add(entry.localityWaitEnds, entry.task.ID)
+}
+
+// localityWait is how long the task can wait for a worker that it prefers. One that failed
+// before does not: it would go back to where it failed.
+func (e *waitingTask) localityWait(now record.Millis) record.Millis {
+	spec := e.task.Spec
+	if len(spec.Prefer) == 0 || e.task.UntilCancelled || len(e.task.Avoid) > 0 || e.nextRun > 1 {
+		return 0
+	}
+	wait := record.Millis(longestLocalityWait.Milliseconds())
+	if estimate := spec.Estimate.Std(); estimate > 0 {
+		wait = min(wait, record.Millis(estimate.Milliseconds()))
+	}
+	if e.urgency.timely {
+		wait = min(wait, (e.urgency.times.Latest-now)/localityWaitOfSlack)
+	}
+	return wait
+}
+
+// endLocalityWait lets a task take any worker once its time to wait is over. It reports
+// whether that is so now.
+func (l *leader) endLocalityWait(entry *waitingTask, now record.Millis) bool {
+	if !entry.task.WaitsForPreferred || now < entry.localityWaitEnds {
+		return false
+	}
+	l.setLocalityWait(entry, false)
+	return true
+}
+
+// setLocalityWait changes the task's wishes, which the planner may hold.
+func (l *leader) setLocalityWait(entry *waitingTask, waits bool) {
+	if entry.task.WaitsForPreferred == waits {
+		return
+	}
+	wishes := *entry.task.Wishes
+	wishes.WaitsForPreferred = waits
+	entry.task.Wishes = &wishes
+}
--- a/internal/scheduler/insist_test.go
+++ b/internal/scheduler/localitywait_test.go
@@ -35,7 +35,7 @@
 		objective time.Duration
 		waits     time.Duration
 	}{
-		{"the longest time", 10 * time.Second, time.Minute, longestInsistence},
+		{"the longest time", 10 * time.Second, time.Minute, longestLocalityWait},
 		{"for its estimate", 150 * time.Millisecond, time.Minute, 150 * time.Millisecond},
 		{"for a part of its slack", 400 * time.Millisecond, 800 * time.Millisecond, 100 * time.Millisecond},
 		{"not at all if it is late", 10 * time.Second, time.Second, 0},
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -23,9 +23,9 @@
 	due bool
 	// placing is true while a placement of the task is being committed.
 	placing bool
-	// insistsUntil is until when the task waits for a worker that it prefers; 0 before
+	// localityWaitEnds is until when the task waits for a worker that it prefers; 0 before
 	// it was offered first.
-	insistsUntil record.Millis
+	localityWaitEnds record.Millis
 	// counted is true while the task counts for how long newcomers will wait.
 	counted bool
 }
@@ -129,7 +129,7 @@
 		return
 	}
 	if !entry.placing {
-		l.insist(entry)
+		l.startLocalityWait(entry)
 		l.planner.Add(entry.task)
 	}
 }
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		changed := l.rank(entry, now)
-		if (l.stopInsisting(entry, now) || changed) && entry.due {
+		if (l.endLocalityWait(entry, now) || changed) && entry.due {
 			l.countWaiting(entry)
 			moved = append(moved, entry)
 		}
@@ -155,7 +155,7 @@
 		entry.task.Priority = entry.jobPriority + l.queuePriority(entry.task.Queue)
 		entry.urgency.apply(objectiveOf(l.config, entry.task.Queue))
 		l.rank(entry, now)
-		l.setInsists(entry, false) // its timer is gone
+		l.setLocalityWait(entry, false) // its timer is gone
 		l.countWaiting(entry)
 		if entry.due {
 			due = append(due, entry)
