--- a/internal/placement/bench_wishes_test.go
+++ b/internal/placement/bench_wishes_test.go
@@ -1,6 +1,9 @@
 package placement
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // BenchmarkPlanWithWishes has tasks that look past the fullest worker: for
 // others once it holds half of their step, for a label that no worker has (the
@@ -22,3 +25,21 @@
 		})
 	}
 }
+
+// BenchmarkPlanBesidePreferredWorkers has tasks without a preference on workers that
+// others prefer, all of them nearly full (the worst case: all that fit are looked at).
+func BenchmarkPlanBesidePreferredWorkers(b *testing.B) {
+	l := newLoad(1200, 22000)
+	for number := range 1200 {
+		described := l.engine.workers.byID[fmt.Sprint("id", number)].Worker
+		described.Labels = map[string]string{"rack": fmt.Sprint("r", number/12)}
+		l.engine.SetWorker(described)
+	}
+	for rack := range 100 {
+		task := l.task()
+		task.Spec.Prefer = map[string]string{"rack": fmt.Sprint("r", rack)}
+		l.engine.Add(task)
+		l.engine.Remove(task.ID)
+	}
+	l.measure(b)
+}
