Work out once what a task requires of its worker

Cause: the planner looked through the workers twice for each new class of tasks that wait for a preferred one, and kept the answer beside the key that has it.

Change: worked out where a task joins its class, and handed on; the class reads its key. Behaviour is the same.

Measured: tests of planner and scheduler pass.

--- a/internal/placement/classes.go
+++ b/internal/placement/classes.go
@@ -50,8 +50,6 @@
 	blocked bool
 	// heldBack is set if it may have found none only since its service is crowded.
 	heldBack bool
-	// wanted is what the class requires of a worker.
-	wanted requirement
 	// anyRoom is set during a search that need not leave headroom.
 	anyRoom bool
 	// anyTrust is set during a search among guarded workers too.
@@ -90,9 +88,8 @@
 	return text.String()
 }
 
-func (e *Engine) classKeyOf(task *Task) classKey {
+func (e *Engine) classKeyOf(task *Task, wanted *requirement) classKey {
 	id, spec := task.ID, task.Spec
-	wanted := e.requirementOf(task)
 	key := classKey{
 		selector:          selector{service: spec.Service, labels: canonicalLabels(wanted.labels)},
 		waitsForPreferred: wanted.preferred,
@@ -133,22 +130,20 @@
 
 // joinClass returns the class of a task and counts the task in.
 func (e *Engine) joinClass(task *Task) *class {
-	key := e.classKeyOf(task)
+	wanted := e.requirementOf(task)
+	key := e.classKeyOf(task, &wanted)
 	c, ok := e.classes[key]
 	if !ok {
-		c = e.newClass(key, task)
+		c = e.newClass(key, task.Spec, wanted.labels)
 	}
 	c.tasks++
 	return c
 }
 
-func (e *Engine) newClass(key classKey, task *Task) *class {
-	spec := task.Spec
-	wanted := e.requirementOf(task)
+func (e *Engine) newClass(key classKey, spec *api.TaskSpec, labels map[string]string) *class {
 	c := &class{
 		key:    key,
-		pool:   e.workers.acquire(key.selector, wanted.labels),
-		wanted: wanted,
+		pool:   e.workers.acquire(key.selector, labels),
 		lanes:  map[*lane]struct{}{},
 		groups: map[*lane]uint64{},
 		wakeAt: math.MaxUint64,
@@ -205,7 +200,7 @@
 	if !c.key.untilCancelled && c.search.leaves(w) {
 		return false
 	}
-	if !c.wanted.accepts(w) {
+	if c.key.waitsForPreferred && !isSound(w) {
 		return false
 	}
 	if !fits(c.key.need, w.free) || !c.leavesHeadroom(w) || len(w.points) > 0 && !fits(c.key.need, c.roomOn(w)) {
--- a/internal/placement/localitywait.go
+++ b/internal/placement/localitywait.go
@@ -27,23 +27,23 @@
 	}
 	wanted := requirement{labels: maps.Clone(task.Spec.Prefer), preferred: true}
 	maps.Copy(wanted.labels, task.Spec.Labels)
-	if !e.hasSound(task.Spec, &wanted) {
+	if !e.hasSound(task.Spec, wanted.labels) {
 		return required
 	}
 	return wanted
 }
 
-// hasSound reports whether some worker that takes work is as wanted, and has the room
-// when it is empty.
-func (e *Engine) hasSound(spec *api.TaskSpec, wanted *requirement) bool {
+// hasSound reports whether some sound worker that takes work has the labels, and the
+// room when it is empty.
+func (e *Engine) hasSound(spec *api.TaskSpec, labels map[string]string) bool {
 	for _, w := range e.workers.byID {
-		if isUsable(w) && wanted.accepts(w) && fits(spec.Resources, w.Capacity) &&
-			offersService(&w.Worker, spec.Service) && hasLabels(&w.Worker, wanted.labels) {
+		if isUsable(w) && isSound(w) && fits(spec.Resources, w.Capacity) &&
+			offersService(&w.Worker, spec.Service) && hasLabels(&w.Worker, labels) {
 			return true
 		}
 	}
 	return false
 }
 
-// accepts reports whether the worker is sound, if the task waits for a preferred one.
-func (r *requirement) accepts(w *worker) bool { return !r.preferred || !w.Slow && !w.guarded }
+// isSound reports whether it is worth waiting for the worker.
+func isSound(w *worker) bool { return !w.Slow && !w.guarded }
