Keep the newest paces, and the bounded memory of them, in one way

Cause: what is usual for a queue and the paces of a step each had a ring and a bounded map of their own, of the same form, and the key of a step was put together twice.

Change: ring and remembered serve both; ForgetStep takes a task. Behaviour is the same; the test of forgotten steps names its step by a task now and asserts what it did.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -53,8 +53,7 @@
 	h.failedOn.forgetSteps(steps)
 	for _, step := range steps {
 		if len(step.Tasks) > 0 {
-			first := step.Tasks[0].ID
-			h.tracker.ForgetStep(first.Job, first.Step, first.Occurrence)
+			h.tracker.ForgetStep(step.Tasks[0].ID)
 		}
 		for _, task := range step.Tasks {
 			delete(h.stalls, task.ID)
--- a/internal/workerhealth/pace.go
+++ b/internal/workerhealth/pace.go
@@ -17,8 +17,7 @@
 
 // usual is what runs of one queue take, over their estimates.
 type usual struct {
-	ratios []float64
-	next   int
+	ratios ring[float64]
 	median float64
 }
 
@@ -40,42 +39,24 @@
 // those of its step elsewhere; only where a step has too few tasks, with its queue's.
 func (t *Tracker) expected(workerID string, pace Pace) (float64, bool) {
 	if pace.StepSize > siblingsNeeded {
-		step := t.siblingsOf(pace.Run.Task)
+		step := remembered(t.steps, stepKeyOf(pace.Run.Task), stepsKept)
 		expected, known := step.medianElsewhere(workerID)
 		if pace.Ended {
-			step.add(workerID, pace.Ratio)
+			step.paces.add(siblingPace{workerID, pace.Ratio}, siblingsKept)
 		}
 		return expected, known
 	}
-	usualHere := t.usualOf(pace.Work)
+	usualHere := remembered(t.usual, pace.Work, queuesKept)
 	if pace.Ended {
 		usualHere.add(pace.Ratio)
 	}
 	return usualHere.median, usualHere.median != 0
 }
 
-func (t *Tracker) usualOf(work string) *usual {
-	found, known := t.usual[work]
-	if known {
-		return found
-	}
-	if len(t.usual) >= queuesKept {
-		clear(t.usual)
-	}
-	found = &usual{}
-	t.usual[work] = found
-	return found
-}
-
 func (u *usual) add(ratio float64) {
-	if len(u.ratios) < usualKept {
-		u.ratios = append(u.ratios, ratio)
-	} else {
-		u.ratios[u.next] = ratio
-		u.next = (u.next + 1) % usualKept
-	}
-	if len(u.ratios) >= pacesNeeded {
-		u.median = median(u.ratios)
+	u.ratios.add(ratio, usualKept)
+	if len(u.ratios.kept) >= pacesNeeded {
+		u.median = median(u.ratios.kept)
 	}
 }
 
--- a/internal/workerhealth/siblings.go
+++ b/internal/workerhealth/siblings.go
@@ -8,10 +8,13 @@
 	occurrence int
 }
 
-// siblings are the paces of a step's ended runs.
+func stepKeyOf(task record.TaskID) stepKey {
+	return stepKey{job: task.Job, step: task.Step, occurrence: task.Occurrence}
+}
+
+// siblings are the paces of a step's newest ended runs.
 type siblings struct {
-	paces []siblingPace
-	next  int
+	paces ring[siblingPace]
 }
 
 type siblingPace struct {
@@ -19,37 +22,11 @@
 	ratio    float64
 }
 
-// siblingsOf returns what is known of the step of a task.
-func (t *Tracker) siblingsOf(task record.TaskID) *siblings {
-	key := stepKey{job: task.Job, step: task.Step, occurrence: task.Occurrence}
-	found, known := t.steps[key]
-	if known {
-		return found
-	}
-	if len(t.steps) >= stepsKept {
-		clear(t.steps)
-	}
-	found = &siblings{}
-	t.steps[key] = found
-	return found
-}
-
-// add keeps the pace of an ended run, the newest ones of a large step.
-func (s *siblings) add(workerID string, ratio float64) {
-	seen := siblingPace{workerID, ratio}
-	if len(s.paces) < siblingsKept {
-		s.paces = append(s.paces, seen)
-		return
-	}
-	s.paces[s.next] = seen
-	s.next = (s.next + 1) % siblingsKept
-}
-
 // medianElsewhere is the median of the runs on other workers; false if there are too
 // few.
 func (s *siblings) medianElsewhere(workerID string) (float64, bool) {
 	var elsewhere []float64
-	for _, seen := range s.paces {
+	for _, seen := range s.paces.kept {
 		if seen.workerID != workerID {
 			elsewhere = append(elsewhere, seen.ratio)
 		}
@@ -60,7 +37,5 @@
 	return median(elsewhere), true
 }
 
-// ForgetStep drops what is known of a step that has ended.
-func (t *Tracker) ForgetStep(job, step string, occurrence int) {
-	delete(t.steps, stepKey{job: job, step: step, occurrence: occurrence})
-}
+// ForgetStep drops what is known of the step of a task, once it has ended.
+func (t *Tracker) ForgetStep(task record.TaskID) { delete(t.steps, stepKeyOf(task)) }
--- a/internal/workerhealth/tracker_test.go
+++ b/internal/workerhealth/tracker_test.go
@@ -374,7 +374,7 @@
 	if len(f.steps) != 1 {
 		t.Errorf("%d steps after one more than %d", len(f.steps), stepsKept)
 	}
-	f.ForgetStep(fmt.Sprint("j", stepsKept), "s", 0)
+	f.ForgetStep(record.TaskID{Job: fmt.Sprint("j", stepsKept), Step: "s"})
 	if len(f.steps) != 0 {
 		t.Errorf("%d steps after all were forgotten", len(f.steps))
 	}
