--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -92,21 +92,20 @@
 	}
 }
 
-// memory hands in one small job and sees it succeed. Then large jobs come, below the usual rate
-// of a small deployment, and each is cancelled by its client once it was accepted. The platform
-// gives each process the memory of a small deployment. Some time after the last of these calls
-// the clients ask for the state of the small job.
+// memory hands in one small job and sees it succeed. Then jobs come, fewer a second than is usual
+// in a small deployment. With the disruption, every third of them is large and is cancelled by
+// its client once it was accepted. The platform gives each process the memory of a small
+// deployment. Some time after the last of these calls the clients ask for the state of the small
+// job.
 func memory(record *record, trouble bool) (bool, error) {
 	const (
-		jobs      = 320
-		perSecond = 8
+		jobs      = 720
+		perSecond = 12
 		finish    = 14 * time.Second
+		// The largest job that the system accepts has 10,000 tasks.
+		steps = 5
+		width = 2000
 	)
-	// The largest job that the system accepts has 10,000 tasks.
-	steps, width := 5, 2000
-	if !trouble {
-		steps, width = 2, 6
-	}
 	f, err := newFleet(record, 3, 4, 11)
 	if err != nil {
 		return false, err
@@ -131,7 +130,7 @@
 		return false, err
 	}
 	for index, agent := range f.agents {
-		w := newWorker(record, agent, index, func(string) (time.Duration, int, int) { return 4800 * time.Millisecond, 1000, 1900 })
+		w := newWorker(record, agent, index, func(string) (time.Duration, int, int) { return 640 * time.Millisecond, 480, 490 })
 		w.quiet = true
 		go w.beats(ctx)
 	}
@@ -148,7 +147,10 @@
 		return false, fmt.Errorf("the small job did not succeed")
 	}
 	record.add("client: GET %s%s -> 200 succeeded", prefix, small)
-	large := job{Spec: strings.Repeat("r", 100)}
+	usual := job{Spec: strings.Repeat("s", 1200), Steps: []step{
+		{Count: 6, CPU: 480, MemMb: 490, EstimateMs: 640}, {Count: 3, CPU: 480, MemMb: 490, EstimateMs: 640, After: []int{0}},
+	}}
+	large := job{Spec: strings.Repeat("l", 100)}
 	for range steps {
 		large.Steps = append(large.Steps, step{Count: width, CPU: 1000, MemMb: 1900, EstimateMs: 4800})
 	}
@@ -158,8 +160,13 @@
 	begin := time.Now()
 	for number := range jobs {
 		time.Sleep(time.Until(begin.Add(time.Duration(number) * time.Second / time.Duration(perSecond))))
+		isLarge := trouble && number%3 == 0
 		clients.Go(func() {
 			id := newID()
+			if !isLarge {
+				f.submit(prefix, id, usual, 3*time.Second)
+				return
+			}
 			if !f.submit(urgent, id, large, 3*time.Second) {
 				return
 			}
@@ -176,7 +183,7 @@
 		})
 	}
 	clients.Wait()
-	record.add("clients: %d of %d large jobs (%d tasks each) were accepted", accepted, jobs, steps*width)
+	record.add("clients: %d jobs were handed in; %d large ones of %d tasks each were accepted", jobs, accepted, steps*width)
 	time.Sleep(finish)
 	kept := false
 	for begin := time.Now(); time.Since(begin) < 12*time.Second && !kept; time.Sleep(500 * time.Millisecond) {
--- a/review/standin/staleorder.go
+++ b/review/standin/staleorder.go
@@ -74,7 +74,8 @@
 		leads := slices.ContainsFunc(list.Members, func(member struct {
 			Address string `json:"address"`
 			Leader  bool   `json:"leader"`
-		}) bool {
+		},
+		) bool {
 			return member.Address == m.internal && member.Leader
 		})
 		if leads == leader && picked == nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,8 +19,6 @@
 const (
 	// beatTimeout is the time after which the answer to a call is dropped.
 	beatTimeout = time.Second
-	// heartbeatMs is the pause before the next call where no answer says when it is due.
-	heartbeatMs = 1400 * time.Millisecond
 	// stopGrace is the time that a stop takes.
 	stopGrace = 100 * time.Millisecond
 	// maxAnswerBytes is the size up to which an answer acknowledges a call.
@@ -27,6 +26,17 @@
 	maxEnds        = 500
 )
 
+// heartbeatMs is the pause before the next call where no answer says when it is due; the site
+// file has 1,400. HEARTBEAT_MS sets another.
+var heartbeatMs = pauseFromEnvironment()
+
+func pauseFromEnvironment() time.Duration {
+	if set, err := strconv.Atoi(os.Getenv("HEARTBEAT_MS")); err == nil {
+		return time.Duration(set) * time.Millisecond
+	}
+	return 1400 * time.Millisecond
+}
+
 // run is one run of a task on a worker, from its start to its end.
 type run struct {
 	task       string
@@ -308,7 +318,7 @@
 		w.record.add("%s: starts %s run %d (spec of %d bytes)", w.id, task, number, len(spec))
 	}
 	if old := w.running[task]; old != nil {
-		// Two runs of one task on this worker: the older one goes on until it is stopped.
+		// Two runs of one task on this worker: the older one continues until it is stopped.
 		delete(w.running, task)
 		old.timer.Stop()
 		old.how, old.ended = "replaced", time.Now().Add(stopGrace)
@@ -369,7 +379,7 @@
 	time.AfterFunc(stopGrace, func() { w.finishLocked(r, "stopped") })
 }
 
-// runs returns copies of all runs so far; those that go on have a zero end.
+// runs returns copies of all runs so far; those that continue have a zero end.
 func (w *worker) runs() []run {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
