Refuse an order on a zone that comes after a newer one

Cause: a scheduler that was suspended for 4 s read an Evacuations.End whose operator had been answered elsewhere, and passed it on. An order on a zone had neither id nor base, so whichever was committed last counted as the newest. In a trial copy that logged the state of each request, the order was passed on with its caller counted as there; 0.08 ms later the context ended.

Change: the list of drains has a revision, the leader's token and the number of its newest order. An order with a revision is refused (412) if another one on its zone was taken since, or if another leader gave the revision; the leader checks and proposes orders one after the other, so the log has them in the order of their numbers. Front, Go client and command line send one. Besides, a front begins no attempt at a call that changes state once the caller has gone; only a stop of the process still has the grace.

--- a/api/zone_drain.go
+++ b/api/zone_drain.go
@@ -14,4 +14,8 @@
 // by name.
 type DrainList struct {
 	Zones []ZoneDrain `json:"zones"`
+	// Revision is the revision of the list, for If-Match of PUT and DELETE
+	// /v1/drains/zones/{zone}. Its form is not specified. Empty if the leader
+	// is an earlier program that gives none.
+	Revision string `json:"revision,omitempty"`
 }
--- a/internal/cli/drains_test.go
+++ b/internal/cli/drains_test.go
@@ -12,6 +12,7 @@
 	for _, route := range []string{"PUT /v1/drains/zones/z1", "PUT /v1/drains/zones/z9", "DELETE /v1/drains/zones/z1"} {
 		replies[route] = []reply{okReply(api.ZoneDrain{})}
 	}
+	replies["GET /v1/drains"] = []reply{okReply(api.DrainList{Zones: []api.ZoneDrain{{Zone: "z3", Drained: true}}, Revision: "7-12"})}
 	front := newFakeFront(t, replies)
 	cases := []struct{ arguments, out, err string }{
 		{"drains add z1 z9", "zone z1 is drained by an order\nzone z9 is drained by an order\n", "note: no worker of zone \"z9\" is registered at present\n"},
@@ -31,6 +32,11 @@
 	if len(front.requestsTo("PUT /v1/drains/zones/z1")) != 1 || len(front.requestsTo("DELETE /v1/drains/zones/z1")) != 1 {
 		t.Error("got a different number of requests for zone z1, want one for each order")
 	}
+	for _, order := range front.requestsTo("PUT /v1/drains/zones/z1") {
+		if order.ifMatch != `"7-12"` {
+			t.Errorf("got If-Match %q of the order, want the revision of the list", order.ifMatch)
+		}
+	}
 	if len(front.requestsTo(putConfigRoute)) != 0 {
 		t.Error("got a proposal of a configuration, want drain orders only")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/decklever/decklever/internal/requestcontext"
 )
 
 // maxHeaderBytes bounds the header of a request, in bytes.
@@ -25,7 +27,9 @@
 	// connections.
 	stopping atomic.Bool
 
-	endRequests   context.CancelFunc
+	// endRequests ends the contexts of all requests, with the cause
+	// requestcontext.ErrStopping.
+	endRequests   func()
 	endBackground context.CancelFunc
 	background    sync.WaitGroup
 	// failures has room for one error: the first of a server or a background function.
@@ -70,12 +74,12 @@
 }
 
 func start(ctx context.Context, config Config, listening []openListener) *daemon {
-	requests, endRequests := context.WithCancel(ctx)
+	requests, endRequests := context.WithCancelCause(ctx)
 	background, endBackground := context.WithCancel(ctx)
 	d := &daemon{
 		config:        config,
 		connections:   newConnections(config.MaxConnections, config.Logger),
-		endRequests:   endRequests,
+		endRequests:   func() { endRequests(requestcontext.ErrStopping) },
 		endBackground: endBackground,
 		failures:      make(chan error, 1),
 	}
--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -38,7 +38,9 @@
 	front    *Front
 	method   protocol.Method
 	mutating bool
-	started  time.Time
+	// lostRaceInconclusive is relayCall.lostRaceInconclusive.
+	lostRaceInconclusive bool
+	started              time.Time
 	// maybeApplied is true once an attempt may have taken effect.
 	maybeApplied bool
 	// lastFailure is the message of the last failed attempt; empty before the first.
@@ -81,14 +83,16 @@
 }
 
 // handleRejection returns the final error of a call that the leader rejected. If the leader
-// might accept the call later, the rejection does not rule out that it accepted an earlier
-// attempt; the outcome is then unknown if an earlier attempt may have taken effect.
+// might accept the call later, or if the call lost a race that an earlier attempt may have won,
+// the rejection does not rule out that an earlier attempt was accepted; the outcome is then unknown
+// if one may have taken effect.
 func (a *relayAttempts) handleRejection(failure *rpc.Error) *api.Error {
 	if failure.API == nil {
 		return httpjson.Internal(failure.Error())
 	}
 	mayBeAcceptedLater := retryable(failure.API.Status) || failure.API.Code == api.CodeImpossible
-	if a.mutating && a.maybeApplied && mayBeAcceptedLater {
+	mayHaveWon := a.lostRaceInconclusive && failure.API.Code == api.CodeLostRace
+	if a.mutating && a.maybeApplied && (mayBeAcceptedLater || mayHaveWon) {
 		return a.giveUp()
 	}
 	return failure.API
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -8,6 +8,7 @@
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/contexttime"
 	"github.com/decklever/decklever/internal/protocol"
+	"github.com/decklever/decklever/internal/requestcontext"
 	"github.com/decklever/decklever/internal/rpc"
 )
 
@@ -32,6 +33,9 @@
 	// mutating is true if the call changes state; if its answer is lost, its outcome is
 	// unknown.
 	mutating bool
+	// lostRaceInconclusive is true if a rejection with api.CodeLostRace may follow from an
+	// earlier attempt of the same call.
+	lostRaceInconclusive bool
 	// maxWait is how long the leader may hold the answer; greater than 0 for a long poll.
 	maxWait time.Duration
 	// deadline limits all attempts together; an earlier deadline of the context takes
@@ -52,7 +56,9 @@
 }
 
 // relay calls the leader until it gets an answer or a final rejection, or until the deadline.
-// It may retry any call, since all calls are idempotent.
+// It may retry any call, since all calls are idempotent. No attempt at a call that changes
+// state begins after the caller has gone: the caller may have had its answer elsewhere since,
+// and may have given a newer order.
 func relay[Answer, Request any](ctx context.Context, f *Front, call relayCall[Request]) (Answer, *api.Error) {
 	if call.deadline.IsZero() {
 		call.deadline = time.Now().Add(f.settings.Load().Deadline)
@@ -60,6 +66,7 @@
 	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(call.deadline) {
 		call.deadline = ctxDeadline
 	}
+	caller := ctx
 	if call.maxWait == 0 {
 		extended, release := withShutdownGrace(ctx, shutdownGrace)
 		defer release()
@@ -67,8 +74,12 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.deadline)
 	defer cancel()
-	attempts := relayAttempts{front: f, method: call.method, mutating: call.mutating, started: time.Now()}
+	attempts := relayAttempts{front: f, method: call.method, mutating: call.mutating, lostRaceInconclusive: call.lostRaceInconclusive, started: time.Now()}
 	for {
+		if call.mutating && requestcontext.CallerGone(caller) {
+			var zero Answer
+			return zero, attempts.giveUp()
+		}
 		address, known := f.link.Leader()
 		if known {
 			answer, err := attemptCall[Answer](ctx, f, address, call)
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/protocol"
+	"github.com/decklever/decklever/internal/requestcontext"
 	"github.com/decklever/decklever/internal/rpc"
 	"github.com/decklever/decklever/internal/testnetwork"
 )
@@ -247,3 +248,45 @@
 		t.Error("answer has no Retry-After header")
 	}
 }
+
+// callWithoutLeader begins a submission while no leader is known, ends its context, makes a
+// leader known within the grace after that, and returns the number of calls to the leader.
+func callWithoutLeader(t *testing.T, end func(cancel context.CancelCauseFunc)) int {
+	t.Helper()
+	calls := 0
+	synctest.Test(t, func(t *testing.T) {
+		network := testnetwork.New()
+		leader := newFakeLeaderOnNetwork(t, network, "leader:1")
+		handleMethod(leader, protocol.MethodSubmit, answerCreated)
+		link := &fakeLink{}
+		front := newFrontOnNetwork(t, network, link, Settings{})
+		process, cancel := context.WithCancelCause(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = front.Submit(process, "a", api.JobSpec{Queue: "default", Steps: []api.StepSpec{{Name: "a", Tasks: []api.TaskSpec{{Service: "s", Resources: api.Resources{CPUMillis: 1}}}}}})
+		}()
+		time.Sleep(shutdownGrace / 5)
+		end(cancel)
+		time.Sleep(shutdownGrace / 5)
+		link.ObserveHint(leader.address)
+		<-ended
+		calls = leader.callCount()
+		cancel(nil)
+	})
+	return calls
+}
+
+// TestRelay_NoAttemptAfterCallerHasGone guards against an order that is passed on after its
+// caller was answered elsewhere and may have given a newer one.
+func TestRelay_NoAttemptAfterCallerHasGone(t *testing.T) {
+	if calls := callWithoutLeader(t, func(cancel context.CancelCauseFunc) { cancel(nil) }); calls != 0 {
+		t.Errorf("got %d calls to the leader after the caller had gone, want none", calls)
+	}
+}
+
+func TestRelay_AttemptsContinueWhileProcessStops(t *testing.T) {
+	if calls := callWithoutLeader(t, func(cancel context.CancelCauseFunc) { cancel(requestcontext.ErrStopping) }); calls != 1 {
+		t.Errorf("got %d calls to the leader after the process began to stop, want 1", calls)
+	}
+}
--- a/internal/protocol/operations.go
+++ b/internal/protocol/operations.go
@@ -47,6 +47,9 @@
 // DrainZoneRequest drains a zone, or ends its drain. A duplicate has no effect.
 type DrainZoneRequest struct {
 	Drain api.ZoneDrain `cbor:"1,keyasint"`
+	// Revision refuses the order if another one on its zone was taken since. nil, as in
+	// requests of earlier programs, carries it out in any case.
+	Revision *DrainRevision `cbor:"2,keyasint,omitempty"`
 }
 
 // DrainsAnswer lists the zones that are being drained by a DrainZoneRequest.
--- a/internal/scheduler/drains.go
+++ b/internal/scheduler/drains.go
@@ -39,11 +39,13 @@
 	grace time.Duration
 	// drainedZones are the zones drained by orders, in addition to the configured ones.
 	drainedZones []string
-	runEnder     runEnder
+	// orders checks the orders on zones. It has a lock of its own, and is set once.
+	orders   *drainOrders
+	runEnder runEnder
 }
 
-func newDrains(environment *environment, runEnds runEnder) drains {
-	return drains{environment: environment, runEnder: runEnds}
+func newDrains(term *term, runEnds runEnder) drains {
+	return drains{environment: term.environment, orders: newDrainOrders(term.token), runEnder: runEnds}
 }
 
 // configure installs the drains and the grace of a configuration.
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -82,7 +82,7 @@
 		repeats:    repeats.New(),
 		jobWaiters: make(jobWaiters),
 	}
-	l.drains = newDrains(l.environment, &l.proposer)
+	l.drains = newDrains(&l.term, &l.proposer)
 	l.pending = newPendingWork(&l.term, &l.admission.slo)
 	l.gangs = newGangs(&l.term, &l.proposer, &l.registry, l.health.failedWorkers)
 	l.assignments = newAssignments(l.environment, &l.proposer, &l.gangs, &l.pending)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,6 +17,8 @@
 	tickDelaySeconds prometheus.Counter
 	// refusals counts jobs that were refused for now, by queue and reason.
 	refusals *prometheus.CounterVec
+	// lateRequests counts calls that came too late to be carried out, by method.
+	lateRequests *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -57,7 +59,10 @@
 	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "refusals_total", Help: "Jobs not taken for now, by queue and reason.",
 	}, []string{"queue", "reason"})
-	registerer.MustRegister(m.runsStalled, m.runsRevoked, m.workersEjected, m.tickDelaySeconds, m.refusals)
+	m.lateRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "late_requests_total", Help: "Calls refused since a newer one had been carried out before, by method.",
+	}, []string{"method"})
+	registerer.MustRegister(m.runsStalled, m.runsRevoked, m.workersEjected, m.tickDelaySeconds, m.refusals, m.lateRequests)
 	registerer.MustRegister(m.proposals, m.placements, m.assignments, m.heartbeats, m.runsClosed, m.planSeconds)
 	return m
 }
--- a/internal/scheduler/zonedrains.go
+++ b/internal/scheduler/zonedrains.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/decklever/decklever/api"
@@ -15,8 +16,8 @@
 const maxDrainedZones = 1024
 
 // drainZone drains a zone by an order, or ends that drain. It answers once the order is
-// committed. An order that changes nothing succeeds too, since an earlier leader may
-// already have received it.
+// committed. An order that changes nothing is committed too: an earlier leader may already
+// have received it, and revisions given before it must become invalid.
 func (l *leader) drainZone(ctx context.Context, request protocol.DrainZoneRequest) (protocol.Empty, error) {
 	drain := request.Drain
 	if fields := api.ValidateZoneDrain(&drain); len(fields) > 0 {
@@ -25,6 +26,15 @@
 	if drain.Drained && l.countOtherDrainedZones(drain.Zone) >= maxDrainedZones {
 		return protocol.Empty{}, overLimitError(fmt.Sprintf("%d zones are drained by orders already", maxDrainedZones))
 	}
+	if err := l.drains.orders.awaitTurn(ctx); err != nil {
+		return protocol.Empty{}, err
+	}
+	defer l.drains.orders.endTurn()
+	if err := l.drains.orders.take(request); err != nil {
+		l.metrics.lateRequests.WithLabelValues(string(protocol.MethodDrainZone)).Inc()
+		l.logger.Warn("refused a late drain order", slog.String("zone", drain.Zone), slog.Bool("drained", drain.Drained), slog.Any("error", err))
+		return protocol.Empty{}, err
+	}
 	command := record.Command{DrainZone: &record.DrainZone{Zone: drain.Zone, Drained: drain.Drained}}
 	if _, err := l.propose(ctx, command); err != nil {
 		return protocol.Empty{}, l.proposalError(err)
@@ -32,9 +42,11 @@
 	return protocol.Empty{}, nil
 }
 
-// listDrains returns the zones that are drained by orders.
+// listDrains returns the zones that are drained by orders, with a revision. The revision is
+// taken first: an order taken after it may be in the list already, but none before it is
+// missing.
 func (l *leader) listDrains(context.Context, protocol.Empty) (protocol.DrainsAnswer, error) {
-	list := api.DrainList{Zones: []api.ZoneDrain{}}
+	list := api.DrainList{Zones: []api.ZoneDrain{}, Revision: l.drains.orders.revision().String()}
 	l.log.Record().Read(func(view record.View) {
 		for _, zone := range view.DrainedZones() {
 			list.Zones = append(list.Zones, api.ZoneDrain{Zone: zone, Drained: true})
