Make cancels and submissions harmless when they come late

A cancel of a queue that is carried out after its caller was answered elsewhere also cancels jobs that were submitted since. A job whose submission is held up and whose cancel is answered with 404 (410 on the platform) runs once the submission comes: its caller, told that it does not exist, may have handed it in under another id.

Change: a cancel of a queue names the time up to which jobs are cancelled (submitted_until, as_of of the list of queues); a front takes the time when it gets the call, for all attempts. The flag is a new field of CancelJobs, so logs of earlier programs replay as before. Tests of the command line for a queue now also serve the list of queues that is read first and expect its time in the request.

--- a/api/client_jobs.go
+++ b/api/client_jobs.go
@@ -14,6 +14,13 @@
 // many it cancelled. If the answer is lost, the client retries, and the result
 // does not include jobs that the first attempt cancelled.
 func (c *Client) CancelJobs(ctx context.Context, request CancelRequest) (cancelled int, err error) {
+	if request.Queue != "" && request.SubmittedUntil == nil {
+		queues, err := c.Queues(ctx)
+		if err != nil {
+			return 0, err
+		}
+		request.SubmittedUntil = queues.AsOf
+	}
 	var answer CancelAnswer
 	err = c.post(ctx, "/v1/cancellations", request, &answer)
 	return answer.Cancelled, err
--- a/api/queue_status.go
+++ b/api/queue_status.go
@@ -1,5 +1,7 @@
 package api
 
+import "time"
+
 // QueueStatus describes the load of one queue.
 type QueueStatus struct {
 	Name string `json:"name"`
@@ -21,4 +23,7 @@
 // QueueList is the answer of GET /v1/queues.
 type QueueList struct {
 	Queues []QueueStatus `json:"queues"`
+	// AsOf is the cluster time of the list; nil if the leader is an earlier program
+	// that gives none.
+	AsOf *time.Time `json:"as_of,omitempty"`
 }
--- a/api/validate_cancel_request.go
+++ b/api/validate_cancel_request.go
@@ -1,6 +1,9 @@
 package api
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // ValidateCancel validates the body of a cancellation and returns every invalid
 // field.
@@ -12,6 +15,9 @@
 	case len(request.Jobs) > 0 && request.Queue != "":
 		errors.add("queue", request.Queue, "no queue beside job ids")
 	}
+	if request.SubmittedUntil != nil && request.Queue == "" {
+		errors.add("submitted_until", request.SubmittedUntil.Format(time.RFC3339), "a queue beside it")
+	}
 	if request.Queue != "" && !queuePattern.MatchString(request.Queue) {
 		errors.add("queue", request.Queue, "the name of a queue")
 	}
--- a/internal/cli/exit_codes_test.go
+++ b/internal/cli/exit_codes_test.go
@@ -31,7 +31,7 @@
 		{"status of a failed job", map[string][]reply{"GET /v1/jobs/j": {okReply(sampleStatus("failed"))}}, "job status j", ExitOK, ""},
 		{"cancel of an unknown job", map[string][]reply{"POST /v1/jobs/i/cancel": {refusalReply(404, api.CodeNotFound)}}, "job cancel i", ExitRefused, "decklever: cancel job i: not_found: because\n"},
 		{"cancel of many, unavailable", map[string][]reply{"POST /v1/cancellations": {unavailableReply(api.CodeUnavailable)}}, "job cancel i j k", ExitUnavailable, "decklever: cancel 3 jobs: unavailable: because (ask again in 10s)\n"},
-		{"cancel of an unknown queue", map[string][]reply{"POST /v1/cancellations": {refusalReply(404, api.CodeNotFound)}}, "job cancel --queue q --yes", ExitRefused, "decklever: cancel the jobs of queue q: not_found: because\n"},
+		{"cancel of an unknown queue", map[string][]reply{"GET /v1/queues": {okReply(api.QueueList{})}, "POST /v1/cancellations": {refusalReply(404, api.CodeNotFound)}}, "job cancel --queue q --yes", ExitRefused, "decklever: cancel the jobs of queue q: not_found: because\n"},
 		{"unknown window", map[string][]reply{"POST /v1/bookings/release": {refusalReply(404, api.CodeNotFound)}}, "booking release q/b --start 2026-01-31T15:00:00+01:00", ExitRefused, "decklever: release q/b at 2026-01-31T14:00:00Z: not_found: because\n"},
 		{"unknown booking", fleetReplies(), "booking show q/x", ExitRefused, "decklever: there is no booking q/x\n"},
 		{"unknown queue", fleetReplies(), "queue show x", ExitRefused, "decklever: there is no queue x\n"},
--- a/internal/cli/job_cancel_test.go
+++ b/internal/cli/job_cancel_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/decklever/decklever/api"
 )
@@ -14,12 +15,16 @@
 	cases := []struct{ arguments, body, out string }{
 		{"job cancel i j k", `{"jobs":["i","j","k"]}`, "2 of 3 jobs cancelled\nthe others are not known, had ended or were cancelled before\n"},
 		{"job cancel i j", `{"jobs":["i","j"]}`, "2 of 2 jobs cancelled\n"},
-		{"job cancel --queue q --yes", `{"queue":"q"}`, "2 jobs of queue q cancelled\n"},
-		{"job cancel --queue q --yes -o json", `{"queue":"q"}`, jsonOf(api.CancelAnswer{Cancelled: 2})},
+		{"job cancel --queue q --yes", `{"queue":"q","submitted_until":"2026-01-31T14:00:00Z"}`, "2 jobs of queue q cancelled\n"},
+		{"job cancel --queue q --yes -o json", `{"queue":"q","submitted_until":"2026-01-31T14:00:00Z"}`, jsonOf(api.CancelAnswer{Cancelled: 2})},
 	}
 	for _, c := range cases {
 		t.Run(c.arguments, func(t *testing.T) {
-			front := newFakeFront(t, map[string][]reply{route: {okReply(api.CancelAnswer{Cancelled: 2})}})
+			asOf := time.Date(2026, 1, 31, 14, 0, 0, 0, time.UTC)
+			front := newFakeFront(t, map[string][]reply{
+				route:            {okReply(api.CancelAnswer{Cancelled: 2})},
+				"GET /v1/queues": {okReply(api.QueueList{AsOf: &asOf})},
+			})
 			got := runCommand(t, front, "", strings.Fields(c.arguments)...)
 			assertText(t, c.arguments, got.out+got.err, c.out)
 			if sent := front.requestsTo(route); got.code != ExitOK || len(sent) != 1 || sent[0].body != c.body {
--- a/internal/front/booking_calls_test.go
+++ b/internal/front/booking_calls_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/protocol"
+	"github.com/decklever/decklever/internal/rpc"
 )
 
 func TestBookings_HorizonIsRelayed(t *testing.T) {
@@ -54,6 +55,7 @@
 
 func TestCancelMany_IsCheckedAndRelayed(t *testing.T) {
 	leader := newFakeLeader(t)
+	serveAnswer[protocol.Empty](leader, protocol.MethodQueues, protocol.QueuesAnswer{})
 	handleMethod(leader, protocol.MethodCancelMany, func(_ context.Context, request protocol.CancelManyRequest, _ int) (protocol.CancelManyAnswer, error) {
 		return protocol.CancelManyAnswer{Answer: api.CancelAnswer{Cancelled: len(request.Cancel.Jobs) + 100*len(request.Cancel.Queue)}}, nil
 	})
@@ -70,6 +72,7 @@
 	cases := map[string]string{
 		`{}`: "jobs", `{"jobs":[]}`: "jobs", `{"jobs":["a"],"queue":"q"}`: "queue", `{"queue":"Q"}`: "queue",
 		`{"jobs":["a","b/c"]}`: "jobs[1]", tooMany: "jobs",
+		`{"jobs":["a"],"submitted_until":"2026-01-31T14:00:00Z"}`: "submitted_until",
 	}
 	for body, field := range cases {
 		refusal := requireError(t, doRequest(t, front, "POST", "/v1/cancellations", body), 422, api.CodeInvalid)
@@ -81,3 +84,30 @@
 		t.Fatalf("relayed %d invalid cancellations, want 0", leader.callCount()-calls)
 	}
 }
+
+// TestCancelMany_ByQueueLeavesOutLaterJobs guards against a cancel that stays with a silent
+// leader and cancels jobs which were submitted after its caller was answered.
+func TestCancelMany_ByQueueLeavesOutLaterJobs(t *testing.T) {
+	leader := newFakeLeader(t)
+	asOf := time.Date(2026, 1, 31, 14, 0, 0, 0, time.UTC)
+	handleMethod(leader, protocol.MethodQueues, func(context.Context, protocol.Empty, int) (protocol.QueuesAnswer, error) {
+		asOf = asOf.Add(time.Second)
+		answered := asOf
+		return protocol.QueuesAnswer{List: api.QueueList{AsOf: &answered}}, nil
+	})
+	var got []time.Time
+	handleMethod(leader, protocol.MethodCancelMany, func(_ context.Context, request protocol.CancelManyRequest, _ int) (protocol.CancelManyAnswer, error) {
+		got = append(got, *request.Cancel.SubmittedUntil)
+		if len(got) == 1 {
+			return protocol.CancelManyAnswer{}, &rpc.Error{Code: rpc.CodeUnknownOutcome, Message: "no quorum"}
+		}
+		return protocol.CancelManyAnswer{}, nil
+	})
+	front := newFront(t, &fakeLink{leader: leader.address}, Settings{})
+	requireOK[api.CancelAnswer](t, doRequest(t, front, "POST", "/v1/cancellations", `{"queue":"q"}`), 200)
+	requireOK[api.CancelAnswer](t, doRequest(t, front, "POST", "/v1/cancellations", `{"queue":"q","submitted_until":"2026-01-30T00:00:00Z"}`), 200)
+	first, given := asOf, time.Date(2026, 1, 30, 0, 0, 0, 0, time.UTC)
+	if len(got) != 3 || !got[0].Equal(first) || !got[1].Equal(first) || !got[2].Equal(given) {
+		t.Errorf("got jobs submitted until %v cancelled, want %v twice and %v", got, first, given)
+	}
+}
--- a/internal/front/cancel_calls.go
+++ b/internal/front/cancel_calls.go
@@ -23,11 +23,20 @@
 	return http.StatusOK, answer, refusal
 }
 
-// CancelMany cancels jobs, either by id or all jobs of a queue. It is idempotent.
+// CancelMany cancels jobs, either by id or all jobs of a queue. It is idempotent. Jobs of a
+// queue that are accepted after the call began are never cancelled, so that an attempt which
+// reaches a leader late does no harm.
 func (f *Front) CancelMany(ctx context.Context, cancel api.CancelRequest) (api.CancelAnswer, *api.Error) {
 	if fields := api.ValidateCancel(&cancel); len(fields) > 0 {
 		return api.CancelAnswer{}, httpjson.Invalid("cancellation", fields)
 	}
+	if cancel.Queue != "" && cancel.SubmittedUntil == nil {
+		queues, refusal := f.Queues(ctx)
+		if refusal != nil {
+			return api.CancelAnswer{}, refusal
+		}
+		cancel.SubmittedUntil = queues.AsOf
+	}
 	answer, refusal := relayMutation[protocol.CancelManyAnswer](ctx, f, protocol.MethodCancelMany, protocol.CancelManyRequest{Cancel: cancel})
 	return answer.Answer, refusal
 }
--- a/internal/record/canceljobs.go
+++ b/internal/record/canceljobs.go
@@ -1,18 +1,47 @@
 package record
 
+import "slices"
+
 // applyCancelJobs cancels the live jobs for which MayCancel holds. A job whose gang
-// has succeeded but still has open runs is already complete and is skipped.
-func (m *Machine) applyCancelJobs(cancel *CancelJobs) {
+// has succeeded but still has open runs is already complete and is skipped. It
+// returns only errors of the archive.
+func (m *Machine) applyCancelJobs(cancel *CancelJobs) error {
 	for _, id := range cancel.Jobs {
 		job := m.state.jobs.byID[id]
-		if job == nil || !job.MayCancel() {
-			continue
+		switch {
+		case job != nil:
+			m.cancelJob(job)
+		case cancel.Withdraw:
+			if err := m.withdrawJob(id); err != nil {
+				return err
+			}
 		}
-		job.Cancelled = true
-		job.cancelFutureOccurrences()
-		m.cancelTasks(job)
-		m.archiveJobIfComplete(job)
 	}
+	return nil
+}
+
+// cancelJob cancels a live job if MayCancel holds.
+func (m *Machine) cancelJob(job *Job) {
+	if !job.MayCancel() {
+		return
+	}
+	job.Cancelled = true
+	job.cancelFutureOccurrences()
+	m.cancelTasks(job)
+	m.archiveJobIfComplete(job)
+}
+
+// withdrawJob withdraws a job that is neither live nor archived, nor ended by the
+// current entry, which has not put it in the archive yet.
+func (m *Machine) withdrawJob(id string) error {
+	if slices.ContainsFunc(m.endedJobs, func(job *Job) bool { return job.ID == id }) {
+		return nil
+	}
+	_, archived, err := m.findArchived(id)
+	if err == nil && !archived {
+		m.state.withdrawn.add(withdrawnJob{ID: id, At: m.state.clock})
+	}
+	return err
 }
 
 // cancelTasks moves every task without an open run to TaskCancelled and requests a
--- a/internal/record/capture.go
+++ b/internal/record/capture.go
@@ -80,6 +80,7 @@
 		Jobs:            len(c.jobs),
 		ReleasedWindows: s.releasedWindows,
 		DrainedZones:    s.drainedZones,
+		Withdrawn:       s.withdrawn.oldestFirst,
 	}
 	return c
 }
--- a/internal/record/command.go
+++ b/internal/record/command.go
@@ -68,10 +68,14 @@
 	Digest string `cbor:"3,keyasint"`
 }
 
-// CancelJobs cancels live jobs. Unknown, ended and already cancelled jobs are
-// skipped, so applying the command again changes nothing.
+// CancelJobs cancels live jobs. Ended and already cancelled jobs are skipped, so
+// applying the command again changes nothing.
 type CancelJobs struct {
 	Jobs []string `cbor:"1,keyasint"`
+	// Withdraw refuses the jobs that are not known if they are submitted later: the
+	// submission may have been sent before the cancel and be held up on its way. If
+	// it is false, as in commands of earlier programs, unknown jobs are skipped.
+	Withdraw bool `cbor:"2,keyasint,omitempty"`
 }
 
 // PutConfig proposes a complete configuration. The outcome is in Result.Config. The
--- a/internal/record/invariants_test.go
+++ b/internal/record/invariants_test.go
@@ -19,6 +19,8 @@
 	lastRun  map[*Task]uint32
 	final    map[*Task]TaskState
 	accepted map[string]bool
+	// withdrawn holds the times at which jobs were cancelled that had not been accepted.
+	withdrawn map[string]Millis
 	// preemptions holds the expected value of Task.Preemptions.
 	preemptions map[*Task]int
 	// failedRuns holds the numbers of the failed runs of each step. They are
@@ -40,6 +42,7 @@
 	c := &invariantChecker{
 		t: t, machine: machine, open: make(map[RunID]bool), lastRun: make(map[*Task]uint32),
 		final: make(map[*Task]TaskState), accepted: make(map[string]bool),
+		withdrawn:   make(map[string]Millis),
 		preemptions: make(map[*Task]int), drained: make(map[string]bool),
 		failedRuns: make(map[*Step]map[uint32]bool), checkpointRun: make(map[*Task]uint32),
 	}
@@ -160,11 +163,28 @@
 	}
 }
 
+// recordWithdrawn records the jobs of a cancel that have not been accepted.
+func (c *invariantChecker) recordWithdrawn(cancel *CancelJobs) {
+	if cancel == nil || !cancel.Withdraw {
+		return
+	}
+	now := c.machine.state.clock
+	for _, id := range cancel.Jobs {
+		if at, known := c.withdrawn[id]; !c.accepted[id] && (!known || at+withdrawnRetention <= now) {
+			c.withdrawn[id] = now
+		}
+	}
+}
+
 func (c *invariantChecker) checkCommand(command Command, result Result) {
 	if command.SubmitJob != nil && result.Submit.Outcome == SubmitAccepted {
+		if at, withdrawn := c.withdrawn[command.SubmitJob.ID]; withdrawn && c.machine.state.clock < at+withdrawnRetention {
+			c.t.Fatalf("job %s was accepted although it was cancelled before", command.SubmitJob.ID)
+		}
 		c.accepted[command.SubmitJob.ID] = true
 	}
 	s := c.machine.state
+	c.recordWithdrawn(command.CancelJobs)
 	c.checkDrains(command, result)
 	c.checkReleasedWindows(command, c.releasedBefore)
 	c.releasedBefore = len(c.released)
--- a/internal/record/machine.go
+++ b/internal/record/machine.go
@@ -88,7 +88,7 @@
 	case command.SubmitJob != nil:
 		return m.applySubmitJob(command.SubmitJob, result)
 	case command.CancelJobs != nil:
-		m.applyCancelJobs(command.CancelJobs)
+		return m.applyCancelJobs(command.CancelJobs)
 	case command.PutConfig != nil:
 		m.applyPutConfig(command.PutConfig, result)
 	case command.PlaceTasks != nil:
--- a/internal/record/property_test.go
+++ b/internal/record/property_test.go
@@ -107,6 +107,8 @@
 		{"teams", a.counts.teams, b.counts.teams},
 		{"pending by caller", a.counts.pendingByCaller, b.counts.pendingByCaller},
 		{"drained zones", slices.Concat(a.drainedZones), slices.Concat(b.drainedZones)},
+		{"withdrawn", slices.Concat(a.withdrawn.oldestFirst), slices.Concat(b.withdrawn.oldestFirst)},
+		{"withdrawn by id", a.withdrawn.byID, b.withdrawn.byID},
 		{"released", slices.Concat(a.releasedWindows), slices.Concat(b.releasedWindows)},
 		{"versions", slices.Concat(a.config.versions), slices.Concat(b.config.versions)},
 		{"orders", a.config.orders.oldestFirst(), b.config.orders.oldestFirst()},
@@ -131,7 +133,7 @@
 	case 0, 1, 2:
 		command.SubmitJob = drawSubmitJob(t)
 	case 3:
-		command.CancelJobs = &CancelJobs{Jobs: rapid.SliceOfN(drawJobID, 1, 3).Draw(t, "jobs")}
+		command.CancelJobs = &CancelJobs{Jobs: rapid.SliceOfN(drawJobID, 1, 3).Draw(t, "jobs"), Withdraw: rapid.Bool().Draw(t, "withdraw")}
 	case 4, 5:
 		command.PutConfig = drawPutConfig(t)
 	case 6, 7, 8:
--- a/internal/record/restore.go
+++ b/internal/record/restore.go
@@ -151,6 +151,9 @@
 	r.state.expiredBefore = header.ExpiredBefore
 	r.state.config.activate(header.ConfigVersion, &header.Config)
 	r.state.drainedZones = header.DrainedZones
+	for _, job := range header.Withdrawn {
+		r.state.withdrawn.add(job)
+	}
 	for _, window := range header.ReleasedWindows {
 		r.state.addReleasedWindow(window)
 	}
--- a/internal/record/result.go
+++ b/internal/record/result.go
@@ -33,6 +33,8 @@
 	// SubmitNoService: a task names no service and its queue has no default
 	// service.
 	SubmitNoService
+	// SubmitWithdrawn: the job was cancelled before it was submitted.
+	SubmitWithdrawn
 )
 
 // SubmitResult answers a SubmitJob.
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -38,6 +38,9 @@
 	// programs, which had neither.
 	ReleasedWindows []ReleaseWindow `cbor:"11,keyasint,omitempty"`
 	DrainedZones    []string        `cbor:"12,keyasint,omitempty"`
+	// Withdrawn is absent from snapshots of earlier programs, which withdrew no jobs.
+	// It is ordered by time.
+	Withdrawn []withdrawnJob `cbor:"13,keyasint,omitempty"`
 }
 
 // snapshotJob is a live job. Steps and Tasks are in the order of the spec. The
--- a/internal/record/state.go
+++ b/internal/record/state.go
@@ -24,6 +24,7 @@
 	// drainedZones contains the zones drained by DrainZone, sorted. The elements
 	// are never changed, so that a capture may share the slice.
 	drainedZones []string
+	withdrawn    withdrawnTable
 }
 
 func newState(maxConfigOrders int) *state {
@@ -33,6 +34,8 @@
 		runs:    newRunTable(),
 		workers: newWorkerTable(),
 		counts:  newCountTable(),
+
+		withdrawn: newWithdrawnTable(),
 	}
 }
 
@@ -83,9 +86,10 @@
 }
 
 // advanceClock advances the clock, which never goes back, and drops the released
-// windows that have ended.
+// windows that have ended and the withdrawn jobs that have expired.
 func (s *state) advanceClock(clock Millis) {
 	s.clock = max(s.clock, clock)
+	s.withdrawn.expire(s.clock)
 	ended := 0
 	for ended < len(s.releasedWindows) && s.releasedWindows[ended].End <= s.clock {
 		ended++
--- a/internal/record/submitjob.go
+++ b/internal/record/submitjob.go
@@ -2,8 +2,8 @@
 
 import "github.com/decklever/decklever/api"
 
-// applySubmitJob adds a job unless a live or archived job has its id. It returns only
-// errors of the archive. The spec was validated before it was proposed. Content that
+// applySubmitJob adds a job unless a live or archived job has its id or it is withdrawn.
+// It returns only errors of the archive. The spec was validated before it was proposed. Content that
 // validation would refuse is tolerated here without an error, because a committed
 // entry must be applied.
 func (m *Machine) applySubmitJob(submit *SubmitJob, result *Result) error {
@@ -18,6 +18,8 @@
 		result.Submit.Outcome = SubmitDuplicate
 	case known:
 		result.Submit.Outcome = SubmitConflict
+	case m.state.withdrawn.has(submit.ID):
+		result.Submit.Outcome = SubmitWithdrawn
 	case !queueKnown:
 		result.Submit.Outcome = SubmitUnknownQueue
 	default:
--- a/internal/scheduler/cancel.go
+++ b/internal/scheduler/cancel.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"time"
 
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/protocol"
@@ -14,16 +16,18 @@
 const cancelBatchSize = 500
 
 // cancel cancels a job and returns its state. A job that is already final is left as it
-// is.
+// is. One that is not known is withdrawn before that is answered: its submission may have
+// been sent before the cancel and be held up on its way, and must not be accepted any more.
 func (l *leader) cancel(ctx context.Context, request protocol.CancelRequest) (protocol.JobAnswer, error) {
 	status, err := l.status(request.ID, true)
-	if err != nil {
+	if err != nil && !errors.Is(err, errUnknownJob) {
 		return l.jobAnswer(status, err)
 	}
-	if status.State.Final() {
+	if err == nil && status.State.Final() {
 		return l.jobAnswer(l.status(request.ID, request.Brief))
 	}
-	if _, err := l.propose(ctx, record.Command{CancelJobs: &record.CancelJobs{Jobs: []string{request.ID}}}); err != nil {
+	command := record.Command{CancelJobs: &record.CancelJobs{Jobs: []string{request.ID}, Withdraw: true}}
+	if _, err := l.propose(ctx, command); err != nil {
 		return protocol.JobAnswer{}, l.proposalError(err)
 	}
 	return l.jobAnswer(l.status(request.ID, request.Brief))
@@ -33,8 +37,10 @@
 // earlier ones remain cancelled, and the same call again cancels the rest.
 func (l *leader) cancelMany(ctx context.Context, request protocol.CancelManyRequest) (protocol.CancelManyAnswer, error) {
 	jobs := l.cancellable(request.Cancel)
-	for batch := range slices.Chunk(jobs, cancelBatchSize) {
-		if _, err := l.propose(ctx, record.Command{CancelJobs: &record.CancelJobs{Jobs: batch}}); err != nil {
+	unknown := l.unknownJobs(request.Cancel.Jobs)
+	for batch := range slices.Chunk(slices.Concat(jobs, unknown), cancelBatchSize) {
+		command := record.Command{CancelJobs: &record.CancelJobs{Jobs: batch, Withdraw: true}}
+		if _, err := l.propose(ctx, command); err != nil {
 			return protocol.CancelManyAnswer{}, l.proposalError(err)
 		}
 	}
@@ -58,10 +64,32 @@
 			return
 		}
 		for job := range view.Jobs("") {
-			if job.Spec.Queue == request.Queue && job.MayCancel() {
+			if job.Spec.Queue == request.Queue && job.MayCancel() && submittedUntil(job, request.SubmittedUntil) {
 				jobs = append(jobs, job.ID)
 			}
 		}
 	})
 	return jobs
 }
+
+// unknownJobs returns the ids that no job is known to have. It reads the archive, so it
+// locks the record for cancelBatchSize ids at a time.
+func (l *leader) unknownJobs(ids []string) []string {
+	var unknown []string
+	for batch := range slices.Chunk(ids, cancelBatchSize) {
+		l.log.Record().Read(func(view record.View) {
+			for _, id := range batch {
+				if !isKnown(view, id) {
+					unknown = append(unknown, id)
+				}
+			}
+		})
+	}
+	return unknown
+}
+
+// submittedUntil reports whether a job was accepted at the given time or before; true if no
+// time is given.
+func submittedUntil(job *record.Job, until *time.Time) bool {
+	return until == nil || !job.SubmittedAt.Time().After(*until)
+}
--- a/internal/scheduler/errors.go
+++ b/internal/scheduler/errors.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// errUnknownJob matches the error of a job that is not known.
+var errUnknownJob = &api.Error{Code: api.CodeNotFound}
+
 func notFoundError(kind, id string) *api.Error {
 	return &api.Error{Status: http.StatusNotFound, Code: api.CodeNotFound, Message: kind + " " + id + " is not known"}
 }
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -113,6 +113,8 @@
 func (l *leader) listQueues(context.Context, protocol.Empty) (protocol.QueuesAnswer, error) {
 	list := api.QueueList{Queues: []api.QueueStatus{}}
 	l.log.Record().Read(func(view record.View) {
+		asOf := view.Clock().Time()
+		list.AsOf = &asOf
 		_, config := view.Config()
 		for _, queue := range config.Queues {
 			list.Queues = append(list.Queues, l.queueStatus(view, queue.Name))
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net/http"
 
@@ -35,7 +36,11 @@
 	case record.SubmitDuplicate:
 		return protocol.SubmitAnswer{}, nil
 	case record.SubmitConflict:
-		return protocol.SubmitAnswer{}, jobConflict(request.ID)
+		return protocol.SubmitAnswer{}, jobConflict(request.ID, "is known with other content")
+	case record.SubmitWithdrawn:
+		l.metrics.lateRequests.WithLabelValues(string(protocol.MethodSubmit)).Inc()
+		l.logger.Warn("refused a late submission", slog.String("job", request.ID))
+		return protocol.SubmitAnswer{}, jobConflict(request.ID, "was cancelled before it was submitted")
 	case record.SubmitNoService:
 		return protocol.SubmitAnswer{}, invalidError("job", request.Spec.MissingServices())
 	default:
@@ -44,8 +49,9 @@
 	}
 }
 
-func jobConflict(id string) *api.Error {
-	return &api.Error{Status: http.StatusConflict, Code: api.CodeConflict, Message: "job " + id + " is known with other content"}
+// jobConflict returns the error for an id that cannot be used for the job, with the reason.
+func jobConflict(id, reason string) *api.Error {
+	return &api.Error{Status: http.StatusConflict, Code: api.CodeConflict, Message: "job " + id + " " + reason}
 }
 
 // checkFeasible refuses a job with a task that does not fit on any registered worker even
