--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/decklever/decklever/internal/requestcontext"
 	"github.com/decklever/decklever/internal/testaddress"
 )
 
@@ -69,11 +70,14 @@
 }
 
 // blockUntilCancelled returns a handler for one request. It closes entered, and responds
-// with 503 once the request's context ends.
+// with 503 once the request's context ends because the daemon stops.
 func blockUntilCancelled(entered chan<- struct{}, s *steps) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		close(entered)
 		<-request.Context().Done()
+		if requestcontext.CallerGone(request.Context()) {
+			s.add("caller has gone")
+		}
 		s.add("request ended")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	})
