--- a/internal/compatibility/stored/script_test.go
+++ b/internal/compatibility/stored/script_test.go
@@ -422,5 +422,7 @@
 		{"earlier clock", 70 * time.Second, record.Command{Token: 4, CancelJobs: &record.CancelJobs{Jobs: []string{"doomed"}}}},
 		{"expiry", 75 * time.Second, record.Command{Token: 4, ExpireArchive: &record.ExpireArchive{Before: startTime + 6_000, Limit: 10}}},
 		{"expiry again", 76 * time.Second, record.Command{Token: 4, ExpireArchive: &record.ExpireArchive{Before: startTime + 6_000, Limit: 1}}},
+		{"cancel of jobs that are not known", 77 * time.Second, record.Command{Token: 4, CancelJobs: &record.CancelJobs{Jobs: []string{"withdrawn", "doomed"}, Withdraw: true}}},
+		{"submission after its cancel", 77010 * time.Millisecond, record.Command{Token: 4, SubmitJob: submit("withdrawn", jobOf("added", api.StepSpec{Name: "a", Tasks: []api.TaskSpec{{}}}))}},
 	}
 }
