--- a/internal/process/integration/modelscheck_test.go
+++ b/internal/process/integration/modelscheck_test.go
@@ -64,6 +64,10 @@
 		"cancelled and live again": {sequence(submit, created, cancel, ended, read, live), false},
 		"unknown cancel later":     {pending(cancel, unknown, sequence(submit, created, read, live, read, ended)), true},
 		"never cancelled":          {sequence(submit, created, read, ended), false},
+		"cancelled before":         {sequence(cancel, missing, submit, jobOutput{result: jobConflict}, read, missing), true},
+		"created after its cancel": {sequence(cancel, missing, submit, created), false},
+		"refused without a cancel": {sequence(read, missing, submit, jobOutput{result: jobConflict}), false},
+		"unknown cancel came late": {pending(cancel, unknown, sequence(submit, jobOutput{result: jobConflict}, read, missing)), true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			checkVerdict(t, jobModel(), test.history, test.right)
--- a/testbed/load/jobs_test.go
+++ b/testbed/load/jobs_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -96,12 +97,20 @@
 }
 
 func TestCancelQueue_RecordsEachJob(t *testing.T) {
+	asOf := time.Date(2026, 1, 31, 14, 0, 0, 0, time.UTC)
 	generator, callLog := newTestGenerator(t, func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method == http.MethodGet && request.URL.Path == "/v1/queues" {
+			writeAnswer(writer, 200, api.QueueList{AsOf: &asOf})
+			return
+		}
 		var cancelRequest api.CancelRequest
 		_ = json.NewDecoder(request.Body).Decode(&cancelRequest)
 		if request.URL.Path != "/v1/cancellations" || cancelRequest.Queue != "q" {
 			t.Errorf("got path %s with %+v, want /v1/cancellations for queue q", request.URL.Path, cancelRequest)
 		}
+		if until := cancelRequest.SubmittedUntil; until == nil || !until.Equal(asOf) {
+			t.Errorf("got jobs submitted until %v cancelled, want until %v", until, asOf)
+		}
 		writeAnswer(writer, 200, api.CancelAnswer{Cancelled: 2})
 	})
 	cancelled, err := generator.CancelQueue(t.Context(), "q", []string{"a", "b"})
