Count a call whose deadline ended in the dial as not sent

Change: the transport's trace tells whether there was a connection. A transport that reports none counts as connected, so that a lost answer stays unknown.

--- a/api/client.go
+++ b/api/client.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync/atomic"
@@ -150,6 +150,12 @@
 func (c *Client) attempt(ctx context.Context, endpoint string, call clientRequest, into any) *Error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.answerWait)
 	defer cancel()
+	// A transport that does not report its connections counts as connected.
+	var unconnected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { unconnected.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { unconnected.Store(false) },
+	})
 	request, err := http.NewRequestWithContext(ctx, call.method, endpoint+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return malformed(err.Error())
@@ -162,12 +168,12 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return connectionError(call, err)
+		return connectionError(call.mutates && !unconnected.Load(), err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return connectionError(call, err)
+		return connectionError(call.mutates, err)
 	}
 	return readAnswer(response, body, into)
 }
@@ -206,14 +212,12 @@
 	return delay.Milliseconds()
 }
 
-// connectionError returns the error of an attempt without an answer. A call
-// that changes state may have taken effect unless the connection could not be
-// established.
-func connectionError(call clientRequest, err error) *Error {
+// connectionError returns the error of an attempt without an answer.
+// mayHaveTakenEffect is true for a call that changes state if a connection was
+// established, on which it may have been sent.
+func connectionError(mayHaveTakenEffect bool, err error) *Error {
 	failure := &Error{Status: http.StatusServiceUnavailable, Code: CodeUnavailable, Message: err.Error()}
-	var opError *net.OpError
-	dialFailed := errors.As(err, &opError) && opError.Op == "dial"
-	if call.mutates && !dialFailed {
+	if mayHaveTakenEffect {
 		failure.Code = CodeOutcomeUnknown
 	}
 	return failure
--- a/api/client_test.go
+++ b/api/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -73,6 +74,44 @@
 	}
 }
 
+// TestClient_DeadlineInDialIsUnavailable guards against an unknown outcome of a call that was
+// never sent, because its deadline ended before there was a connection.
+func TestClient_DeadlineInDialIsUnavailable(t *testing.T) {
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	client, err := NewClient(ClientConfig{Endpoints: []string{"http://127.0.0.1:1"}, HTTPClient: &http.Client{Transport: transport}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if _, err := client.SubmitJob(ctx, "a", *validJob()); !errors.Is(err, &Error{Code: CodeUnavailable}) {
+		t.Errorf("got error %v, want %s", err, CodeUnavailable)
+	}
+}
+
+type failingTransport struct{}
+
+func (failingTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errors.New("no answer")
+}
+
+// TestClient_UntracedTransportIsOutcomeUnknown guards against a call that counts as never sent
+// because its transport does not report connections.
+func TestClient_UntracedTransportIsOutcomeUnknown(t *testing.T) {
+	client, err := NewClient(ClientConfig{Endpoints: []string{"http://127.0.0.1:1"}, HTTPClient: &http.Client{Transport: failingTransport{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if _, err := client.SubmitJob(ctx, "a", *validJob()); !errors.Is(err, &Error{Code: CodeOutcomeUnknown}) {
+		t.Errorf("got error %v, want %s", err, CodeOutcomeUnknown)
+	}
+}
+
 func TestClient_LostAnswerIsOutcomeUnknown(t *testing.T) {
 	var calls atomic.Int64
 	client := newTestClient(t, newTestEndpoint(t, &calls, dropConnection))
