--- a/api/client_test.go
+++ b/api/client_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// submitOver submits a job over a transport, with a short deadline, and returns the error.
+func submitOver(t *testing.T, transport http.RoundTripper) error {
+	t.Helper()
+	client, err := NewClient(ClientConfig{Endpoints: []string{"http://127.0.0.1:1"}, HTTPClient: &http.Client{Transport: transport}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, err = client.SubmitJob(ctx, "a", *validJob())
+	return err
+}
+
 // TestClient_DeadlineInDialIsUnavailable guards against an unknown outcome of a call that was
 // never sent, because its deadline ended before there was a connection.
 func TestClient_DeadlineInDialIsUnavailable(t *testing.T) {
@@ -81,13 +94,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}}
-	client, err := NewClient(ClientConfig{Endpoints: []string{"http://127.0.0.1:1"}, HTTPClient: &http.Client{Transport: transport}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-	defer cancel()
-	if _, err := client.SubmitJob(ctx, "a", *validJob()); !errors.Is(err, &Error{Code: CodeUnavailable}) {
+	if err := submitOver(t, transport); !errors.Is(err, &Error{Code: CodeUnavailable}) {
 		t.Errorf("got error %v, want %s", err, CodeUnavailable)
 	}
 }
@@ -101,13 +108,7 @@
 // TestClient_UntracedTransportIsOutcomeUnknown guards against a call that counts as never sent
 // because its transport does not report connections.
 func TestClient_UntracedTransportIsOutcomeUnknown(t *testing.T) {
-	client, err := NewClient(ClientConfig{Endpoints: []string{"http://127.0.0.1:1"}, HTTPClient: &http.Client{Transport: failingTransport{}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-	defer cancel()
-	if _, err := client.SubmitJob(ctx, "a", *validJob()); !errors.Is(err, &Error{Code: CodeOutcomeUnknown}) {
+	if err := submitOver(t, failingTransport{}); !errors.Is(err, &Error{Code: CodeOutcomeUnknown}) {
 		t.Errorf("got error %v, want %s", err, CodeOutcomeUnknown)
 	}
 }
--- a/internal/scheduler/cancel_test.go
+++ b/internal/scheduler/cancel_test.go
@@ -48,8 +48,9 @@
 	}
 }
 
-func (h *harness) submitOutcome(id string) error {
-	_, err := h.leader.submit(h.t.Context(), protocol.SubmitRequest{ID: id, Spec: api.JobSpec{Queue: "q", Steps: []api.StepSpec{tasks(1)}}})
+// submitOutcome submits a job of count tasks and returns the leader's error.
+func (h *harness) submitOutcome(id string, count int) error {
+	_, err := h.leader.submit(h.t.Context(), protocol.SubmitRequest{ID: id, Spec: api.JobSpec{Queue: "q", Steps: []api.StepSpec{tasks(count)}}})
 	return err
 }
 
@@ -72,11 +73,11 @@
 	}
 	h.newTerm()
 	for _, id := range []string{"one", "two", "three"} {
-		wantCode(t, "submission of job "+id, h.submitOutcome(id), api.CodeConflict)
+		wantCode(t, "submission of job "+id, h.submitOutcome(id, 1), api.CodeConflict)
 		_, err := h.leader.getJob(t.Context(), protocol.GetJobRequest{ID: id})
 		wantCode(t, "state of job "+id, err, api.CodeNotFound)
 	}
-	if err := h.submitOutcome("four"); err != nil {
+	if err := h.submitOutcome("four", 1); err != nil {
 		t.Errorf("submission of a job that was not cancelled: got error %v, want none", err)
 	}
 }
@@ -92,8 +93,8 @@
 			t.Errorf("got state %s, error %v, want cancelled", answer.Status.State, err)
 		}
 	}
-	wantCode(t, "the job with other content", h.submitOtherContent("j"), api.CodeConflict)
-	if err := h.submitOutcome("j"); err != nil {
+	wantCode(t, "the job with other content", h.submitOutcome("j", 2), api.CodeConflict)
+	if err := h.submitOutcome("j", 1); err != nil {
 		t.Errorf("the same job again: got error %v, want none", err)
 	}
 	if state := h.status("j").State; state != api.StateCancelled {
@@ -101,11 +102,6 @@
 	}
 }
 
-func (h *harness) submitOtherContent(id string) error {
-	_, err := h.leader.submit(h.t.Context(), protocol.SubmitRequest{ID: id, Spec: api.JobSpec{Queue: "q", Steps: []api.StepSpec{tasks(2)}}})
-	return err
-}
-
 // TestCancelMany_LateCancelOfQueueSparesNewerJobs guards against a cancel of a queue that is
 // carried out after its caller was answered elsewhere.
 func TestCancelMany_LateCancelOfQueueSparesNewerJobs(t *testing.T) {
