Log and count why a run is given up, and what comes of its success

On the platform schedulers log at warn; a run that a heartbeat shows to be lost was logged at info, a late success and a malformed report not at all, and no metric told the reasons apart.

Change: one warning a heartbeat, 'runs given up', with the reasons and the lengths of the heartbeat's lists, in place of a line at info for each run; 'run succeeded that was given up', once for each newer run; two more kinds of conflict, a malformed reference and a run that the record has not placed (which only a record that went back explains); and three counters: runs_given_up_total, late_successes_total, report_conflicts_total. What the leader does is the same.

--- a/internal/scheduler/conflicts.go
+++ b/internal/scheduler/conflicts.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 
+	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/record"
 )
 
@@ -11,6 +12,8 @@
 type conflictKind string
 
 const (
+	unreadableReport     conflictKind = "malformed run reference"
+	aheadOfRecord        conflictKind = "run that the record has not placed"
 	endedUnassigned      conflictKind = "end of a run that was not assigned"
 	endedOpenElsewhere   conflictKind = "end of a run that is open on another worker"
 	runningUnassigned    conflictKind = "running run that was not assigned"
@@ -29,7 +32,8 @@
 			return false
 		}
 		differences.conflicting = append(differences.conflicting, runRef(end.Run))
-		a.logConflict(worker, end.Run, endedUnassigned)
+		a.logConflict(worker, runRef(end.Run), endedUnassigned)
+		a.countLoss(lossEndedUnassigned)
 		a.ends.enqueueClose(run, "its end was reported before it was ordered")
 		return true
 	})
@@ -38,26 +42,56 @@
 			return false
 		}
 		differences.conflicting = append(differences.conflicting, runRef(end.Run))
-		a.logConflict(worker, end.Run, endedOpenElsewhere)
+		a.logConflict(worker, runRef(end.Run), endedOpenElsewhere)
 		return true
 	})
 	differences.started = slices.DeleteFunc(differences.started, func(run *runState) bool { return run.closing })
 	for _, run := range differences.started {
 		if run.neverAssigned() {
-			a.logConflict(worker, run.id, runningUnassigned)
+			a.logConflict(worker, runRef(run.id), runningUnassigned)
 			run.assignment.seq = worker.seq
 		}
 	}
+	a.logOtherConflicts(worker, differences)
+}
+
+// logOtherConflicts logs the conflicts that need no treatment of their own: runs that are
+// open on another worker and will be stopped here, runs that the record has not placed, and
+// reports that name no run.
+func (a *assignments) logOtherConflicts(worker *workerEntry, differences *reconciliation) {
 	for _, reference := range differences.unwanted {
 		id, ok := parseRun(reference)
-		if open, elsewhere := a.runs[id]; ok && elsewhere && open.worker != worker {
-			a.logConflict(worker, id, runningOpenElsewhere)
+		open, known := a.runs[id]
+		switch {
+		case ok && known && open.worker != worker:
+			a.logConflict(worker, reference, runningOpenElsewhere)
+		case ok && a.isAheadOfRecord(id):
+			a.logConflict(worker, reference, aheadOfRecord)
+		}
+	}
+	for _, end := range differences.lateEnds {
+		if a.isAheadOfRecord(end.Run) {
+			a.logConflict(worker, runRef(end.Run), aheadOfRecord)
 		}
 	}
+	for _, reference := range differences.unreadable {
+		a.logConflict(worker, reference, unreadableReport)
+	}
+}
+
+// isAheadOfRecord reports whether a run has a number above those of the runs that the record
+// has placed for its task. Only a record that is older than the run's assignment explains it.
+func (a *assignments) isAheadOfRecord(id record.RunID) bool {
+	if open, placed := a.openByTask[id.Task]; placed {
+		return id.Number > open.id.Number
+	}
+	entry, waits := a.pending.find(id.Task)
+	return waits && id.Number >= entry.nextRun
 }
 
-func (a *assignments) logConflict(worker *workerEntry, run record.RunID, kind conflictKind) {
-	a.logger.Warn("report conflicts with the record", slog.String("conflict", string(kind)), slog.String("task", run.Task.String()),
-		slog.Uint64("run", uint64(run.Number)), slog.String("worker", worker.info.Name),
+func (a *assignments) logConflict(worker *workerEntry, run api.RunRef, kind conflictKind) {
+	a.metrics.conflicts.WithLabelValues(string(kind)).Inc()
+	a.logger.Warn("report conflicts with the record", slog.String("conflict", string(kind)), slog.String("task", run.Task),
+		slog.Uint64("run", uint64(run.Run)), slog.String("worker", worker.info.Name),
 		slog.String("worker_id", worker.info.ID))
 }
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -19,6 +19,9 @@
 			slog.String("worker", worker.info.Name), slog.String("worker_id", worker.info.ID),
 			slog.Int("runs", len(worker.runs)), slog.Duration("since_last_seen", r.sinceLastSeen(worker, now)))
 		for _, run := range worker.runs {
+			if !run.closing {
+				r.metrics.runsGivenUp.WithLabelValues(string(lossLeaseExpired)).Inc()
+			}
 			ender.enqueueClose(run, "worker silent beyond its hold")
 		}
 		if worker.registered {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -19,6 +19,10 @@
 	refusals *prometheus.CounterVec
 	// lateRequests counts calls that came too late to be carried out, by method.
 	lateRequests *prometheus.CounterVec
+	// runsGivenUp counts runs closed without a report of their end, by lossReason.
+	// lateSuccesses counts the successes of such runs, by lateSuccessResult. conflicts
+	// counts reports that contradict the record, by conflictKind.
+	runsGivenUp, lateSuccesses, conflicts *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -62,6 +66,16 @@
 	m.lateRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "late_requests_total", Help: "Calls refused since a newer one had been carried out before, by method.",
 	}, []string{"method"})
+	m.runsGivenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "runs_given_up_total", Help: "Runs closed as lost without a report of their end, by reason.",
+	}, []string{"reason"})
+	m.lateSuccesses = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "late_successes_total", Help: "Successes of runs that had been given up, by result.",
+	}, []string{"result"})
+	m.conflicts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "report_conflicts_total", Help: "Reports that contradict the record, by kind.",
+	}, []string{"conflict"})
+	registerer.MustRegister(m.runsGivenUp, m.lateSuccesses, m.conflicts)
 	registerer.MustRegister(m.runsStalled, m.runsRevoked, m.workersEjected, m.tickDelaySeconds, m.refusals, m.lateRequests)
 	registerer.MustRegister(m.proposals, m.placements, m.assignments, m.heartbeats, m.runsClosed, m.planSeconds)
 	return m
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"log/slog"
-
 	"github.com/decklever/decklever/api"
 	"github.com/decklever/decklever/internal/record"
 	"github.com/decklever/decklever/internal/workerhealth"
@@ -18,7 +16,7 @@
 	startedTasks []record.TaskID
 	// lost holds the runs whose assignment can no longer take effect, or that the worker
 	// certainly no longer runs.
-	lost []*runState
+	lost []lostRun
 	// dropped holds the runs whose assignment the worker accepted or that it listed
 	// before, and that it does not list now: it is asked to stop them before they count
 	// as lost.
@@ -34,6 +32,8 @@
 	// conflicting holds reported ends that contradict the record; they are acknowledged
 	// and not committed.
 	conflicting []api.RunRef
+	// listedRunning and listedEnded are the lengths of the heartbeat's lists.
+	listedRunning, listedEnded int
 }
 
 // listedRuns is the set of open runs that a heartbeat lists as running or ended.
@@ -43,7 +43,7 @@
 // worker. It modifies no run. The rules are the table "Holds, tokens and the life of a
 // run" in docs/DESIGN.md.
 func reconcile(runs map[record.RunID]*runState, heartbeat api.Heartbeat) reconciliation {
-	var result reconciliation
+	result := reconciliation{listedRunning: len(heartbeat.Running), listedEnded: len(heartbeat.Ended)}
 	listed := make(listedRuns, len(runs))
 	for _, reference := range heartbeat.Running {
 		result.addRunning(runs, listed, reference)
@@ -122,14 +122,14 @@
 	case run.assignment.seq == 0 && !run.observed.listed:
 		// An earlier leader placed the run. Any answer of that leader was to an earlier
 		// seq; the worker has sent this heartbeat, so it no longer accepts that answer.
-		r.lost = append(r.lost, run)
+		r.lost = append(r.lost, lostRun{run, lossInherited})
 	case run.assignment.seq >= heartbeat.Seq:
 		// The assignment was sent in the answer to this heartbeat or to a later one.
 	case !run.observed.listed && heartbeat.AcceptedSeq < run.assignment.seq:
-		r.lost = append(r.lost, run)
+		r.lost = append(r.lost, lostRun{run, lossNotAccepted})
 	case run.assignment.droppedSeq != 0 && heartbeat.AcceptedSeq >= run.assignment.droppedSeq:
 		// The worker accepted a request to stop the run and still does not list it.
-		r.lost = append(r.lost, run)
+		r.lost = append(r.lost, lostRun{run, lossDropped})
 	default:
 		r.dropped = append(r.dropped, run)
 	}
@@ -175,9 +175,5 @@
 			run.observed.endedAt = now
 		}
 	}
-	for _, run := range differences.lost {
-		a.logger.Info("assignment had no effect", slog.String("task", run.id.Task.String()),
-			slog.Uint64("run", uint64(run.id.Number)), slog.String("worker", worker.info.Name))
-		a.ends.enqueueClose(run, "the order did not take effect")
-	}
+	a.closeLost(worker, differences)
 }
