Give up no run that an incomplete heartbeat leaves out

Cause: the leader takes an open run that a heartbeat lists neither as running nor as ended for dropped or never started, and places its task again. The platform's workers list 500 ends at once (PROTOCOL.md), so with more ends than that the run is over and in neither list. Its end comes with a later heartbeat, when a newer run is under way.

Change: a heartbeat says that its list of ends may be incomplete (ended_incomplete); it brings ends and starts, and no run is given up by it.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -71,6 +71,10 @@
 	Running []RunRef `json:"running"`
 	// Ended lists the runs that have ended and are not yet acknowledged.
 	Ended []EndedRun `json:"ended"`
+	// EndedIncomplete is true if more runs may have ended than Ended lists. A run that is in
+	// neither list is then not taken for lost. A worker may instead list such runs as
+	// running. Default false: the lists are complete.
+	EndedIncomplete bool `json:"ended_incomplete,omitempty"`
 	// Progress reports the progress of runs listed in Running. It need not have
 	// an entry for each of them. Optional.
 	Progress []RunProgress `json:"progress,omitempty"`
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -40,8 +40,8 @@
 type listedRuns map[*runState]bool
 
 // reconcile compares the newest heartbeat of a worker with runs, which are open on that
-// worker. It modifies no run. The rules are the table "Holds, tokens and the life of a
-// run" in docs/DESIGN.md.
+// worker. It modifies no run. The rules are the table in "Leases, tokens and runs" of
+// docs/DESIGN.md. That a run is not listed is evidence only if both lists are complete.
 func reconcile(runs map[record.RunID]*runState, heartbeat api.Heartbeat) reconciliation {
 	result := reconciliation{listedRunning: len(heartbeat.Running), listedEnded: len(heartbeat.Ended)}
 	listed := make(listedRuns, len(runs))
@@ -51,6 +51,9 @@
 	for _, report := range heartbeat.Ended {
 		result.addEnded(runs, listed, report)
 	}
+	if heartbeat.EndedIncomplete {
+		return result
+	}
 	for _, run := range runs {
 		if !listed[run] && !run.closing {
 			result.addUnlisted(run, heartbeat)
--- a/internal/scheduler/reconcile_test.go
+++ b/internal/scheduler/reconcile_test.go
@@ -73,6 +73,55 @@
 	}
 }
 
+// TestReconcile_IncompleteListOfEndsGivesUpNoRun guards against starting tasks again whose
+// ends a worker could not list yet.
+func TestReconcile_IncompleteListOfEndsGivesUpNoRun(t *testing.T) {
+	for name, newTerm := range map[string]bool{"same leader": false, "new leader": true} {
+		h := newHarness(t)
+		worker := h.startRunning("w", 4)
+		worker.exchange()
+		if newTerm {
+			h.newTerm()
+		}
+		unlisted := worker.heartbeat.Running
+		worker.heartbeat.Running, worker.heartbeat.EndedIncomplete = nil, true
+		for range 3 {
+			if answer := worker.exchange(); len(answer.Stop)+len(answer.Start) != 0 {
+				t.Fatalf("%s: got %+v, want no start and no stop while ends are missing", name, answer)
+			}
+		}
+		worker.heartbeat.Running, worker.heartbeat.EndedIncomplete = unlisted, false
+		worker.endAllRuns(api.OutcomeSucceeded)
+		if answer := worker.exchange(); len(answer.Acknowledged) != 4 {
+			t.Errorf("%s: got acknowledged %v, want all 4 ends", name, answer.Acknowledged)
+		}
+		h.wantState("j", api.StateSucceeded)
+	}
+}
+
+// TestReconcile_CompleteListsAfterIncompleteOnes: an assignment without effect is still found,
+// once the worker lists all of its ends.
+func TestReconcile_CompleteListsAfterIncompleteOnes(t *testing.T) {
+	h := newHarness(t)
+	worker := h.newWorker("w", "w-1")
+	worker.exchange()
+	h.submit("j", tasks(1))
+	if answer, err := worker.send(); err != nil || len(answer.Start) != 1 {
+		t.Fatalf("got %+v, error %v, want one start in an answer that is lost", answer, err)
+	}
+	worker.heartbeat.EndedIncomplete = true
+	worker.exchange()
+	if task := h.task("j", 0); task.Run != 1 || task.State != api.StateRunning {
+		t.Errorf("got %+v, want run 1 open while ends are missing", task)
+	}
+	worker.heartbeat.EndedIncomplete = false
+	worker.exchange() // its answer asks the worker to stop the run
+	worker.exchange()
+	if answer := worker.exchange(); len(answer.Start) != 1 || answer.Start[0].Run != 2 {
+		t.Errorf("got %+v, want run 2 assigned", answer.Start)
+	}
+}
+
 func TestReconcile_NewTermUsesWhatWorkersList(t *testing.T) {
 	h := newHarness(t)
 	running, empty := h.newWorker("a", "a-1"), h.newWorker("b", "b-1")
