Acknowledge no success that the record has not applied

Cause: the ends of open runs were acknowledged once CloseRuns was applied, whatever it did. If the run had been closed as lost and its task placed again while the end waited to be committed, the record dropped the success, and the worker was told to forget it. Late ends were checked against the record already.

Change: one rule for both: a success is acknowledged once its task neither runs nor waits.

Evidence: TestReports_SuccessThatRecordDroppedIsNotAcknowledged fails on the code before (the end is acknowledged while run 2 is under way) and passes now, as do the other tests of internal/scheduler.

--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -107,7 +107,7 @@
 	return sorted
 }
 
-// mayCountSuccess reports whether a late report is a success of a task that is running or
+// mayCountSuccess reports whether a report is a success of a task that is running or
 // waiting. A task that runs until cancelled cannot succeed.
 func (a *assignments) mayCountSuccess(end record.RunEnd) bool {
 	if end.Outcome != api.OutcomeSucceeded {
@@ -120,14 +120,12 @@
 	return waits && !entry.task.Spec.UntilCancelled
 }
 
-// acknowledge returns the reports that the worker need not repeat. A late success is not
-// acknowledged while its task is not final, since the record has not applied it.
+// acknowledge returns the reports that the worker need not repeat. A success is not
+// acknowledged while its task is not final: the record has not applied it, since the run had
+// been closed before, maybe while the end was being committed.
 func (a *assignments) acknowledge(reported *reports) []api.RunRef {
 	acknowledged := reported.unreadable
-	for _, end := range reported.ends {
-		acknowledged = append(acknowledged, runRef(end.Run))
-	}
-	for _, end := range reported.lateEnds {
+	for _, end := range slices.Concat(reported.ends, reported.lateEnds) {
 		if !a.mayCountSuccess(end) {
 			acknowledged = append(acknowledged, runRef(end.Run))
 		}
--- a/internal/scheduler/reports_test.go
+++ b/internal/scheduler/reports_test.go
@@ -210,3 +210,31 @@
 }
 
 func testTask() record.TaskID { return record.TaskID{Job: "j", Step: "s", Index: 0} }
+
+// TestReports_SuccessThatRecordDroppedIsNotAcknowledged guards against acknowledging the end of
+// a run that was closed, and whose task was placed again, while the end was being committed.
+func TestReports_SuccessThatRecordDroppedIsNotAcknowledged(t *testing.T) {
+	h := newHarness(t)
+	worker := h.runningOne()
+	other := h.newWorker("other", "o-1")
+	other.exchange()
+	other.exchange()
+	worker.endAllRuns(api.OutcomeSucceeded)
+	run := h.leader.assignments.openByTask[testTask()]
+	h.log.duringProposal = func() {
+		h.log.duringProposal = nil
+		h.leader.proposer.enqueueClose(run, "lost")
+		h.settle()
+		other.exchange() // is assigned the next run
+	}
+	answer, err := worker.send()
+	if err != nil || len(answer.Acknowledged) != 0 {
+		t.Errorf("got acknowledged %v, error %v, want the success not acknowledged while another run is open", answer.Acknowledged, err)
+	}
+	other.endAllRuns(api.OutcomeFailed)
+	other.exchange()
+	if answer := worker.exchange(); len(answer.Acknowledged) != 1 {
+		t.Errorf("got acknowledged %v, want the success, now that it counts", answer.Acknowledged)
+	}
+	h.wantState("j", api.StateSucceeded)
+}
