Give up an inherited run only once the worker accepted its stop

Cause: a leader of a new term gave up an inherited run with the first heartbeat that did not list it. A heartbeat that was late on its way had been sent before the one whose answer assigned the run; the numbers that told so were lost with agent and leader.

Change: such a run is asked to be stopped, and given up when a later heartbeat does not list it either and was sent after the worker had accepted an answer of this leader with that stop. A heartbeat says which leader's answer it accepted (accepted_token). Such a worker is asked for its next heartbeat at once. Nothing is added to the log.

--- a/api/heartbeat.go
+++ b/api/heartbeat.go
@@ -55,6 +55,9 @@
 	// AcceptedSeq is the Seq of the last heartbeat whose answer the worker
 	// accepted; 0 if none.
 	AcceptedSeq uint64 `json:"accepted_seq"`
+	// AcceptedToken is the Token of that answer. It tells an answer of the present leader
+	// from one of an earlier leader. Default 0: unknown.
+	AcceptedToken uint64 `json:"accepted_token,omitempty"`
 	// Capacity is the total resources of the worker.
 	Capacity Resources `json:"capacity"`
 	// Place names a resource that only one live process of the machine can
--- a/internal/scheduler/commonoutcome_test.go
+++ b/internal/scheduler/commonoutcome_test.go
@@ -151,7 +151,10 @@
 		requireAssignments(t, first.exchange(), 4, 1)
 		h.newTerm()
 		first.exchange()
-		second.exchange() // lists no run: its assignments were never sent
+		if answer := second.exchange(); len(answer.Stop) != 4 {
+			t.Fatalf("got %+v, want stops for the 4 members that worker b does not list", answer)
+		}
+		second.exchange() // accepted the stops and lists no run: its members are lost
 		if answer := first.exchange(); len(answer.Stop) != 4 {
 			t.Fatalf("got %+v, want the 4 started members stopped", answer)
 		}
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -210,7 +210,7 @@
 	if err != nil {
 		w.harness.t.Fatalf("heartbeat %d of %s: %v", w.heartbeat.Seq, w.heartbeat.Name, err)
 	}
-	w.heartbeat.AcceptedSeq = answer.Seq
+	w.heartbeat.AcceptedSeq, w.heartbeat.AcceptedToken = answer.Seq, answer.Token
 	w.acknowledged = answer.Acknowledged
 	w.heartbeat.Ended = nil
 	for _, order := range answer.Start {
--- a/internal/scheduler/heartbeat.go
+++ b/internal/scheduler/heartbeat.go
@@ -13,8 +13,9 @@
 
 const (
 	// promptInterval is the heartbeat interval given to a worker whose reports were just
-	// committed, or that is answered for the first time in this term: the planner is
-	// likely to use its free capacity within that time.
+	// committed, that is answered for the first time in this term, or that is asked to stop
+	// runs that it does not list: the planner is likely to use its free capacity within that
+	// time, and such a run is placed again only after another heartbeat.
 	promptInterval = 20 * time.Millisecond
 	// workersPerBaseInterval is the number of workers above which the heartbeat
 	// interval grows with their number, so that the leader's load does not.
@@ -85,7 +86,7 @@
 		}
 		worker.recordCheckpoints(heartbeat.Progress)
 		observed.mustRegister = l.registry.mustRegister(worker, workerInfo(request, 0), now)
-		observed.differences = reconcile(worker.runs, heartbeat)
+		observed.differences = reconcile(worker.runs, heartbeat, l.token)
 	} else {
 		l.metrics.heartbeats.WithLabelValues("not_newer").Inc()
 		observed.late = true
@@ -148,7 +149,7 @@
 		return protocol.HeartbeatAnswer{}, &rpc.Error{Code: rpc.CodeUnavailable, Message: "heartbeat was superseded: a newer one arrived or the lease expired"}
 	}
 	interval := l.registry.heartbeatInterval()
-	prompt := len(acknowledged) > 0 || !worker.answered()
+	prompt := len(acknowledged) > 0 || !worker.answered() || len(observed.differences.dropped) > 0
 	if prompt {
 		interval = promptInterval
 	}
--- a/internal/scheduler/lostruns.go
+++ b/internal/scheduler/lostruns.go
@@ -13,10 +13,11 @@
 const (
 	// lossNotAccepted: the answer with the run's assignment was not accepted.
 	lossNotAccepted lossReason = "assignment_not_accepted"
-	// lossInherited: an earlier leader placed the run, and the worker does not list it.
+	// lossInherited: an earlier leader placed the run, and the worker has not listed it in
+	// this term, nor after it accepted a request to stop it.
 	lossInherited lossReason = "inherited_unlisted"
-	// lossDropped: the worker accepted the assignment, and does not list the run after it
-	// was asked to stop it.
+	// lossDropped: the worker accepted the assignment or listed the run, and does not list it
+	// after it accepted a request to stop it.
 	lossDropped lossReason = "dropped"
 	// lossLeaseExpired: the worker's lease has expired, or another incarnation replaced the
 	// worker.
@@ -79,3 +80,12 @@
 	a.logger.Warn("run succeeded that was given up", slog.String("task", end.Run.Task.String()),
 		slog.Uint64("run", uint64(end.Run.Number)), slog.String("result", string(result)))
 }
+
+// droppedReason returns why the run is lost once the worker accepted a request to stop it and
+// does not list it.
+func (r *runState) droppedReason() lossReason {
+	if r.isInherited() && !r.observed.listed {
+		return lossInherited
+	}
+	return lossDropped
+}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -17,10 +17,13 @@
 	// lost holds the runs whose assignment can no longer take effect, or that the worker
 	// certainly no longer runs.
 	lost []lostRun
-	// dropped holds the runs whose assignment the worker accepted or that it listed
-	// before, and that it does not list now: it is asked to stop them before they count
-	// as lost.
+	// dropped holds the runs whose assignment the worker accepted or may have accepted, or
+	// that it listed before, and that it does not list now: it is asked to stop them before
+	// they count as lost.
 	dropped []*runState
+	// relisted holds the runs that were dropped in an earlier heartbeat and are running in
+	// this one.
+	relisted []*runState
 	// unwanted holds the runs that the worker lists as running and must stop.
 	unwanted []api.RunRef
 	// ends holds the reported ends of runs open on the worker, lateEnds those of other
@@ -32,6 +35,8 @@
 	// conflicting holds reported ends that contradict the record; they are acknowledged
 	// and not committed.
 	conflicting []api.RunRef
+	// token is that of the leader that compares.
+	token uint64
 	// listedRunning and listedEnded are the lengths of the heartbeat's lists.
 	listedRunning, listedEnded int
 }
@@ -40,10 +45,10 @@
 type listedRuns map[*runState]bool
 
 // reconcile compares the newest heartbeat of a worker with runs, which are open on that
-// worker. It modifies no run. The rules are the table in "Leases, tokens and runs" of
+// worker. token is that of this leader. It modifies no run. The rules are the table in "Leases, tokens and runs" of
 // docs/DESIGN.md. That a run is not listed is evidence only if both lists are complete.
-func reconcile(runs map[record.RunID]*runState, heartbeat api.Heartbeat) reconciliation {
-	result := reconciliation{listedRunning: len(heartbeat.Running), listedEnded: len(heartbeat.Ended)}
+func reconcile(runs map[record.RunID]*runState, heartbeat api.Heartbeat, token uint64) reconciliation {
+	result := reconciliation{token: token, listedRunning: len(heartbeat.Running), listedEnded: len(heartbeat.Ended)}
 	listed := make(listedRuns, len(runs))
 	for _, reference := range heartbeat.Running {
 		result.addRunning(runs, listed, reference)
@@ -87,6 +92,9 @@
 		r.unwanted = append(r.unwanted, reference)
 		return
 	}
+	if run.assignment.droppedSeq != 0 {
+		r.relisted = append(r.relisted, run)
+	}
 	if !run.observed.listed {
 		r.started = append(r.started, run)
 		r.startedTasks = append(r.startedTasks, id.Task)
@@ -117,27 +125,36 @@
 }
 
 // addUnlisted classifies an open run that the worker lists neither as running nor as
-// ended.
+// ended. Only what the worker has accepted since proves that the run will not be listed
+// later: the heartbeat may have been sent before the one whose answer carried the assignment.
 func (r *reconciliation) addUnlisted(run *runState, heartbeat api.Heartbeat) {
+	assigned := run.assignment.seq != 0
 	switch {
-	case run.assignment.seq == 0 && !run.isInherited():
+	case !assigned && !run.isInherited():
 		// The run is not assigned yet, so the worker cannot list it.
-	case run.assignment.seq == 0 && !run.observed.listed:
-		// An earlier leader placed the run. Any answer of that leader was to an earlier
-		// seq; the worker has sent this heartbeat, so it no longer accepts that answer.
-		r.lost = append(r.lost, lostRun{run, lossInherited})
 	case run.assignment.seq >= heartbeat.Seq:
 		// The assignment was sent in the answer to this heartbeat or to a later one.
-	case !run.observed.listed && heartbeat.AcceptedSeq < run.assignment.seq:
-		r.lost = append(r.lost, lostRun{run, lossNotAccepted})
-	case run.assignment.droppedSeq != 0 && heartbeat.AcceptedSeq >= run.assignment.droppedSeq:
+	case run.assignment.droppedSeq != 0 && r.stopAccepted(run, heartbeat):
 		// The worker accepted a request to stop the run and still does not list it.
-		r.lost = append(r.lost, lostRun{run, lossDropped})
+		r.lost = append(r.lost, lostRun{run, run.droppedReason()})
+	case assigned && !run.observed.listed && heartbeat.AcceptedSeq < run.assignment.seq:
+		// This leader sent the assignment in an answer that the worker did not accept before
+		// it sent a later heartbeat.
+		r.lost = append(r.lost, lostRun{run, lossNotAccepted})
 	default:
 		r.dropped = append(r.dropped, run)
 	}
 }
 
+// stopAccepted reports whether the worker had accepted, before it sent the heartbeat, an
+// answer of this leader that asked it to stop the run. Its number alone does not tell: a late
+// heartbeat may follow an answer of an earlier leader to a later one. Workers and agents of
+// earlier versions report no token.
+func (r *reconciliation) stopAccepted(run *runState, heartbeat api.Heartbeat) bool {
+	ofThisLeader := heartbeat.AcceptedToken == r.token || heartbeat.AcceptedToken == 0
+	return ofThisLeader && heartbeat.AcceptedSeq >= run.assignment.droppedSeq
+}
+
 // parseRun parses a run reference; false if the task's name is malformed or the run number
 // is 0.
 func parseRun(reference api.RunRef) (record.RunID, bool) {
@@ -170,6 +187,9 @@
 			a.gangs.runStarted(run)
 		}
 	}
+	for _, run := range differences.relisted {
+		run.assignment.droppedSeq = 0
+	}
 	for _, task := range differences.startedTasks {
 		a.pendingStarts.remove(task.Job)
 	}
--- a/worker/session.go
+++ b/worker/session.go
@@ -108,13 +108,15 @@
 		Name:        s.identity.Name,
 		Seq:         s.seq,
 		AcceptedSeq: s.acceptedSeq,
-		Capacity:    s.identity.Capacity,
-		Services:    s.identity.Services,
-		Labels:      s.identity.Labels,
-		Running:     append(s.runningRefs(), deferred...),
-		Ended:       ended,
-		Progress:    s.progressToSend(),
-		Draining:    s.draining || s.blocked(),
+
+		AcceptedToken: s.token,
+		Capacity:      s.identity.Capacity,
+		Services:      s.identity.Services,
+		Labels:        s.identity.Labels,
+		Running:       append(s.runningRefs(), deferred...),
+		Ended:         ended,
+		Progress:      s.progressToSend(),
+		Draining:      s.draining || s.blocked(),
 	}
 }
 
