Log late successes once a heartbeat

Cause: a line for each task made thousands of lines where a worker had thousands of late ends. Change: one line a heartbeat with the numbers counted and withheld, and one task by name.

--- a/internal/scheduler/lostruns.go
+++ b/internal/scheduler/lostruns.go
@@ -67,18 +67,40 @@
 	lateSuccessWithheld lateSuccessResult = "withheld"
 )
 
-// observeLateSuccess logs and counts the success of a run that was given up. Workers repeat
-// a report that is withheld, so it is logged once for each newer run.
-func (a *assignments) observeLateSuccess(end record.RunEnd, newer *runState, result lateSuccessResult) {
+// lateSuccesses are the successes in one heartbeat of runs that were given up before.
+type lateSuccesses struct {
+	counted, withheld int
+	// first is one of the runs.
+	first record.RunID
+}
+
+// observe counts a late success. Workers repeat a report that is withheld, so it is counted
+// once for each newer run; newer is nil if the task waits.
+func (s *lateSuccesses) observe(end record.RunEnd, newer *runState, result lateSuccessResult, metrics *metrics) {
 	if newer != nil {
-		if newer.lateSuccessLogged {
+		if newer.lateSuccessSeen {
 			return
 		}
-		newer.lateSuccessLogged = true
+		newer.lateSuccessSeen = true
+	}
+	if s.counted+s.withheld == 0 {
+		s.first = end.Run
+	}
+	if result == lateSuccessCounted {
+		s.counted++
+	} else {
+		s.withheld++
+	}
+	metrics.lateSuccesses.WithLabelValues(string(result)).Inc()
+}
+
+// log logs the late successes of one heartbeat, if there are any.
+func (s *lateSuccesses) log(logger *slog.Logger) {
+	if s.counted+s.withheld == 0 {
+		return
 	}
-	a.metrics.lateSuccesses.WithLabelValues(string(result)).Inc()
-	a.logger.Warn("run succeeded that was given up", slog.String("task", end.Run.Task.String()),
-		slog.Uint64("run", uint64(end.Run.Number)), slog.String("result", string(result)))
+	logger.Warn("runs succeeded that were given up", slog.Int("counted", s.counted), slog.Int("withheld", s.withheld),
+		slog.String("task", s.first.Task.String()), slog.Uint64("run", uint64(s.first.Number)))
 }
 
 // droppedReason returns why the run is lost once the worker accepted a request to stop it and
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -85,25 +85,27 @@
 	for _, end := range differences.ends {
 		ending[end.Run] = true
 	}
+	var late lateSuccesses
 	for _, end := range differences.lateEnds {
 		newer, open := a.openByTask[end.Run.Task]
 		switch {
 		case !a.mayCountSuccess(end):
 			sorted.lateEnds = append(sorted.lateEnds, end)
 		case !open || ending[newer.id]:
-			a.observeLateSuccess(end, newer, lateSuccessCounted)
+			late.observe(end, newer, lateSuccessCounted, a.metrics)
 			sorted.lateEnds = append(sorted.lateEnds, end)
 		case newer.neverAssigned() && !newer.closing && !newer.inGang:
 			newer.closing = true
-			a.observeLateSuccess(end, newer, lateSuccessCounted)
+			late.observe(end, newer, lateSuccessCounted, a.metrics)
 			sorted.revoked = append(sorted.revoked, record.RunEnd{
 				Run: newer.id, Outcome: api.OutcomeLost, Message: "an earlier run of the task has succeeded",
 			})
 			sorted.lateEnds = append(sorted.lateEnds, end)
 		default:
-			a.observeLateSuccess(end, newer, lateSuccessWithheld)
+			late.observe(end, newer, lateSuccessWithheld, a.metrics)
 		}
 	}
+	late.log(a.logger)
 	return sorted
 }
 
--- a/internal/scheduler/runstate.go
+++ b/internal/scheduler/runstate.go
@@ -22,8 +22,8 @@
 	// closing is true once the leader has decided to close the run without a report of its
 	// end.
 	closing bool
-	// lateSuccessLogged is true once the log has the success of an earlier run of the task.
-	lateSuccessLogged bool
+	// lateSuccessSeen is true once an earlier run of the task was reported as succeeded.
+	lateSuccessSeen bool
 }
 
 // placedRun is the part of a run's state that is fixed by its placement.
