Open an archive whose newest meta page has a torn header

Cause: bbolt does not check the header of a meta page, the store did. With a torn header on the newest page the store counted on the older one; bbolt used the newest, so the transaction that repairs it overwrites the older page. A power loss meanwhile left no page that the store took for valid, and the scheduler refused to start.

Change: a meta page with a damaged header and a valid meta is usable, and repaired as before.

Measured result: TestArchive_PowerLossWhileMetaHeaderIsRepaired fails before ('meta page 0 has checksum', 'meta page 1 has header') and passes.

--- a/internal/storage/boltmeta.go
+++ b/internal/storage/boltmeta.go
@@ -37,27 +37,33 @@
 	transaction uint64
 }
 
-// checkBoltMetas returns an error if neither meta page is valid or the newest valid
+// checkBoltMetas returns an error if neither meta page is usable or the newest usable
 // transaction is older than minTransaction. bbolt writes the two meta pages
 // alternately, each after the pages that it refers to are durable, so a power loss
 // may tear the newest meta page; bbolt then uses the other one. The log determines
 // whether the torn transaction may be lost, by way of minTransaction. torn describes
-// the damage to the invalid page; it is nil if both are valid.
+// the damage to the pages; it is nil if there is none.
+//
+// A page with a damaged header and a valid meta is usable, since bbolt uses it: the next
+// transaction then overwrites the other page, and a power loss meanwhile may leave the
+// damaged header as the only damage to the newest meta.
 func checkBoltMetas(path string, file io.ReaderAt, minTransaction uint64) (torn, err error) {
 	first, firstErr := readBoltMeta(path, file, 0, 0)
-	if errors.Is(firstErr, ErrCorrupt) {
+	if firstErr != nil && !errors.Is(firstErr, ErrCorrupt) {
+		return nil, firstErr
+	}
+	pageSize := first.pageSize
+	if !first.usable() {
 		// The page size in a damaged meta is unusable. The file was created with
 		// the machine's page size.
-		first.pageSize = int64(os.Getpagesize())
-	} else if firstErr != nil {
-		return nil, firstErr
+		pageSize = int64(os.Getpagesize())
 	}
-	second, secondErr := readBoltMeta(path, file, 1, first.pageSize)
+	second, secondErr := readBoltMeta(path, file, 1, pageSize)
 	if secondErr != nil && !errors.Is(secondErr, ErrCorrupt) {
 		return nil, secondErr
 	}
 	torn = errors.Join(firstErr, secondErr)
-	if firstErr != nil && secondErr != nil {
+	if !first.usable() && !second.usable() {
 		return nil, torn
 	}
 	newest := max(first.transaction, second.transaction)
@@ -67,8 +73,11 @@
 	return torn, nil
 }
 
+// usable reports whether the meta itself is valid.
+func (m boltMeta) usable() bool { return m.pageSize != 0 }
+
 // readBoltMeta reads and verifies one meta page. It returns ErrCorrupt if the page is
-// damaged or truncated.
+// damaged or truncated, with the meta if only the page's header is damaged.
 func readBoltMeta(path string, file io.ReaderAt, page, pageSize int64) (boltMeta, error) {
 	content := make([]byte, boltPageHeaderSize+boltMetaSize)
 	_, err := file.ReadAt(content, page*pageSize)
@@ -81,10 +90,11 @@
 	header := make([]byte, boltPageHeaderSize)
 	binary.NativeEndian.PutUint64(header, uint64(page))
 	binary.NativeEndian.PutUint16(header[8:], boltMetaFlag)
-	if !bytes.Equal(content[:boltPageHeaderSize], header) {
-		return boltMeta{}, datafile.NewCorruptError(path, "meta page %d has header %x", page, content[:boltPageHeaderSize])
+	meta, err := decodeBoltMeta(path, page, content[boltPageHeaderSize:])
+	if err == nil && !bytes.Equal(content[:boltPageHeaderSize], header) {
+		err = datafile.NewCorruptError(path, "meta page %d has header %x", page, content[:boltPageHeaderSize])
 	}
-	return decodeBoltMeta(path, page, content[boltPageHeaderSize:])
+	return meta, err
 }
 
 // decodeBoltMeta verifies and decodes a meta without its page header.
--- a/internal/storage/boltmeta_test.go
+++ b/internal/storage/boltmeta_test.go
@@ -25,6 +25,45 @@
 	requireNoError(t, os.WriteFile(path, content, datafile.FilePermission))
 }
 
+// damageMetaHeader damages the page header in front of the meta of a transaction, which bbolt
+// does not check.
+func damageMetaHeader(t *testing.T, directory string, transaction uint64) {
+	t.Helper()
+	path := filepath.Join(directory, archiveFile)
+	content, err := os.ReadFile(path)
+	requireNoError(t, err)
+	content[int(transaction%boltMetaPages)*os.Getpagesize()+boltPageHeaderSize-1] ^= 1
+	requireNoError(t, os.WriteFile(path, content, datafile.FilePermission))
+}
+
+// TestArchive_PowerLossWhileMetaHeaderIsRepaired guards against an archive that cannot be
+// opened: the newest meta page has a torn header, and the transaction that repairs it, which
+// goes to the other meta page, is torn too.
+func TestArchive_PowerLossWhileMetaHeaderIsRepaired(t *testing.T) {
+	directory := t.TempDir()
+	d := openStore(t, directory)
+	requireNoError(t, d.Save(&raft.HardState{Term: 1}, testEntries(1, 4, 1), true))
+	requireNoError(t, d.Archive().Put([]record.ArchivedJob{{ID: "job", Index: 4}}))
+	requireNoError(t, d.SaveSnapshot(raft.SnapshotMeta{Index: 4, Term: 1}, 0, writeText("state")))
+	requireNoError(t, d.Archive().Sync())
+	newest := d.archive.newestTransaction()
+	requireNoError(t, d.Close())
+	damageMetaHeader(t, directory, newest)
+	damageMeta(t, directory, newest+1)
+	d, err := OpenDisk(DiskConfig{Directory: directory})
+	requireNoError(t, err)
+	if archived, err := d.Archive().List("", 9); err != nil || len(archived) != 1 {
+		t.Errorf("got jobs %v, error %v, want the one archived job", archived, err)
+	}
+	requireNoError(t, d.Close())
+	file, err := os.Open(filepath.Join(directory, archiveFile))
+	requireNoError(t, err)
+	defer func() { _ = file.Close() }()
+	if torn, err := checkBoltMetas(archiveFile, file, 0); torn != nil || err != nil {
+		t.Errorf("got damage %v, error %v after the archive was opened, want both meta pages repaired", torn, err)
+	}
+}
+
 // TestArchive_DamagedMetaPage guards against the loss of archived jobs by a torn meta
 // page. The archive may lose its newest transaction while the log still has the jobs
 // in it. It must be rejected once a snapshot has left these jobs out, and whenever
