--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -45,8 +45,9 @@
 type listedRuns map[*runState]bool
 
 // reconcile compares the newest heartbeat of a worker with runs, which are open on that
-// worker. token is that of this leader. It modifies no run. The rules are the table in "Leases, tokens and runs" of
-// docs/DESIGN.md. That a run is not listed is evidence only if both lists are complete.
+// worker. token is that of this leader. It modifies no run. The rules are the table in
+// "Leases, tokens and runs" of docs/DESIGN.md. That a run is not listed is evidence only if
+// both lists are complete.
 func reconcile(runs map[record.RunID]*runState, heartbeat api.Heartbeat, token uint64) reconciliation {
 	result := reconciliation{token: token, listedRunning: len(heartbeat.Running), listedEnded: len(heartbeat.Ended)}
 	listed := make(listedRuns, len(runs))
