--- a/internal/scheduler/lateheartbeats_test.go
+++ b/internal/scheduler/lateheartbeats_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/decklever/decklever/api"
-	"github.com/decklever/decklever/internal/protocol"
 )
 
 const (
@@ -111,13 +110,10 @@
 
 // exchange delivers a heartbeat whose answer, if there is one, the worker accepts.
 func (n *lateNetwork) exchange(worker *delayedWorker, heartbeat api.Heartbeat) {
-	request := protocol.HeartbeatRequest{Agent: "a", Zone: "z1", Heartbeat: heartbeat}
-	response, err := n.leader.heartbeat(n.t.Context(), request)
-	n.settle()
+	answer, err := n.deliver(n.t.Context(), heartbeat)
 	if err != nil {
 		return
 	}
-	answer := response.Answer
 	worker.heartbeat.AcceptedSeq, worker.heartbeat.AcceptedToken = answer.Seq, answer.Token
 	worker.heartbeat.Ended = slices.DeleteFunc(worker.heartbeat.Ended, func(end api.EndedRun) bool {
 		return slices.Contains(answer.Acknowledged, end.RunRef)
--- a/internal/storage/boltmeta_test.go
+++ b/internal/storage/boltmeta_test.go
@@ -17,22 +17,23 @@
 // write might.
 func damageMeta(t *testing.T, directory string, transaction uint64) {
 	t.Helper()
-	path := filepath.Join(directory, archiveFile)
-	content, err := os.ReadFile(path)
-	requireNoError(t, err)
-	offset := int(transaction%boltMetaPages)*os.Getpagesize() + boltPageHeaderSize + boltChecksumOffset
-	content[offset] ^= 1
-	requireNoError(t, os.WriteFile(path, content, datafile.FilePermission))
+	damageMetaPage(t, directory, transaction, boltPageHeaderSize+boltChecksumOffset)
 }
 
 // damageMetaHeader damages the page header in front of the meta of a transaction, which bbolt
 // does not check.
 func damageMetaHeader(t *testing.T, directory string, transaction uint64) {
+	t.Helper()
+	damageMetaPage(t, directory, transaction, boltPageHeaderSize-1)
+}
+
+// damageMetaPage flips a bit at an offset in the meta page of a transaction.
+func damageMetaPage(t *testing.T, directory string, transaction uint64, offset int) {
 	t.Helper()
 	path := filepath.Join(directory, archiveFile)
 	content, err := os.ReadFile(path)
 	requireNoError(t, err)
-	content[int(transaction%boltMetaPages)*os.Getpagesize()+boltPageHeaderSize-1] ^= 1
+	content[int(transaction%boltMetaPages)*os.Getpagesize()+offset] ^= 1
 	requireNoError(t, os.WriteFile(path, content, datafile.FilePermission))
 }
 
