Show that an ended job is forgotten before status_s

Cause: the archive drops the oldest ended jobs beyond 24 MiB, whatever their age. Bursts with large jobs that their clients cancel fill it within 80 s, and a job that succeeded is answered 410 before 120 s are over.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"leave":  leaveCase,
 	"answer": answerCase,
+	"status": statusCase,
 }
 
 func main() { os.Exit(run()) }
