--- a/review/harness/answercase.go
+++ b/review/harness/answercase.go
@@ -93,7 +93,7 @@
 	return result, nil
 }
 
-// runsOf counts the runs of a job's tasks that go on.
+// runsOf counts the open runs of a job's tasks.
 func runsOf(workers []*worker, job string) int {
 	count := 0
 	for _, w := range workers {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,7 +16,7 @@
 	usageLines = "usage: harness CASE REPOSITORY RECORD"
 )
 
-// cases maps a name to a case. trouble is false if the case is to be played without its
+// cases maps a name to a case. Its second argument is false if it is to be played without its
 // disruption.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"leave":  leaveCase,
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -20,7 +20,7 @@
 // workMillis is the mark in a job's text that tells a worker how long a task takes.
 var workMillis = regexp.MustCompile(`ms="(\d+)"`)
 
-// taskRun is one run of a task that goes on here.
+// taskRun is one open run of a task.
 type taskRun struct {
 	task     string
 	run      uint32
